project: add the design page, the kernel and the module interfaces

Cause: the project starts empty. Modules are to be written in parallel, so their interfaces and messages have to stand first. Change: docs/design.md; the micro-kernel with its ms clock; outcomes, errors, logs, counters and histograms; the headers through which services talk; the formatter, the linter and the check script. Ruled out: one header for all messages, since each would then be changed with every module. Conclusion: the modules can be written against these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,99 @@
+# Sources are found by folder; a new file needs no change here.
+#   make          optimised build in build/release
+#   make check    packages, format, lint, sanitizer build, all tests
+#   make demo     serves the Cairo example and takes a failure domain out
+#   make bench    prints measured figures, one "name value unit" per line
+
+VARIANT ?= release
+OUT := build/$(VARIANT)
+
+DIRS := kernel common decide http proxy peers slots platform config claims ctl
+LIB_SRC := $(wildcard $(addsuffix /*.c,$(DIRS)))
+MAIN_SRC := $(wildcard main/*.c)
+STANDIN_SRC := $(wildcard standins/*.c)
+BENCH_SRC := $(wildcard bench/*.c)
+TEST_SRC := $(wildcard tests/test_*.c)
+TEST_LIB_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/*.c))
+HEADERS := $(wildcard $(addsuffix /*.h,$(DIRS) main standins tests bench))
+ALL_SRC := $(LIB_SRC) $(MAIN_SRC) $(STANDIN_SRC) $(BENCH_SRC) $(TEST_SRC) \
+	$(TEST_LIB_SRC)
+
+PKGS := libh2o libuv msgpack glib-2.0 log4c jansson libxxhash
+# h2o's headers are included as system headers: they do not compile
+# warning-free. -iquote keeps a folder name such as "http" off <> lookups.
+CPPFLAGS += -D_GNU_SOURCE -iquote . \
+	$(subst -I,-isystem ,$(shell pkg-config --cflags $(PKGS) cunit))
+CFLAGS_COMMON := -std=gnu11 -g -Wall -Wextra -Werror -Wshadow \
+	-Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
+CFLAGS_release := -O2
+CFLAGS_asan := -O1 -fsanitize=address,undefined -fno-omit-frame-pointer \
+	-fno-sanitize-recover=undefined
+CFLAGS_ALL := $(CFLAGS_COMMON) $(CFLAGS_$(VARIANT)) $(CFLAGS)
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -lssl -lcrypto -lm -lpthread
+
+LIB := $(OUT)/libgreengageway.a
+LIB_OBJ := $(LIB_SRC:%.c=$(OUT)/%.o)
+BINARY := $(OUT)/greengageway
+STANDINS := $(STANDIN_SRC:standins/%.c=$(OUT)/standins/%)
+BENCHES := $(BENCH_SRC:bench/%.c=$(OUT)/bench/%)
+TESTS := $(TEST_SRC:tests/%.c=$(OUT)/tests/%)
+TEST_LIB_OBJ := $(TEST_LIB_SRC:%.c=$(OUT)/%.o)
+
+.PHONY: all packages format lint test check demo bench clean
+.SECONDARY:
+
+all: $(BINARY) $(STANDINS)
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS_ALL) -MMD -MP -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(BINARY): $(MAIN_SRC:%.c=$(OUT)/%.o) $(LIB)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
+
+$(OUT)/standins/%: $(OUT)/standins/%.o $(LIB)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
+
+$(OUT)/bench/%: $(OUT)/bench/%.o $(LIB)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
+
+$(OUT)/tests/%: $(OUT)/tests/%.o $(TEST_LIB_OBJ) $(LIB)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs cunit)
+
+packages:
+	scripts/install-packages
+
+format:
+	clang-format -i $(ALL_SRC) $(HEADERS)
+
+lint:
+	clang-format --dry-run -Werror $(ALL_SRC) $(HEADERS)
+	printf '%s\n' $(ALL_SRC) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' _
+
+# The platform, backend servers and gateways that a test needs run from the
+# same build, so a sanitizer report in any of them fails the test.
+test: $(BINARY) $(STANDINS) $(TESTS)
+	scripts/run-tests $(OUT)
+
+check: packages
+	$(MAKE) lint
+	$(MAKE) -j8 VARIANT=release all
+	$(MAKE) -j8 VARIANT=asan test
+
+demo: packages
+	$(MAKE) -j8 VARIANT=release all
+	scripts/demo build/release
+
+bench: packages
+	@$(MAKE) -j8 -s VARIANT=release all $(BENCHES)
+	@scripts/bench build/release
+
+clean:
+	rm -rf build
+
+-include $(wildcard $(OUT)/*/*.d)
--- /dev/null
+++ b/common/outcome.c
@@ -0,0 +1,15 @@
+#include "common/outcome.h"
+
+const char *
+ggw_outcome_name(enum ggw_outcome outcome)
+{
+    switch (outcome) {
+    case GGW_DONE:
+        return "done";
+    case GGW_NOT_RUN:
+        return "not-run";
+    case GGW_UNKNOWN:
+        break;
+    }
+    return "unknown";
+}
--- /dev/null
+++ b/config/config.h
@@ -0,0 +1,31 @@
+#ifndef GGW_CONFIG_CONFIG_H
+#define GGW_CONFIG_CONFIG_H
+
+#include "config/tree.h"
+#include "kernel/kernel.h"
+
+/*
+ * Service "config": keeps the settings of every team in force. It reads them
+ * from the table service, learns newer revisions from other gateways and
+ * never applies a lower one.
+ */
+
+/**
+ * struct ggw_config_in_force - published when a team's revision changed
+ * @tree: the snapshot now in force; the message holds one reference
+ */
+struct ggw_config_in_force {
+    struct ggw_message base;
+    struct ggw_tree *tree;
+};
+
+extern const struct ggw_message_ops ggw_config_in_force_ops;
+struct ggw_message *ggw_config_in_force_new(struct ggw_tree *tree);
+
+/**
+ * ggw_config_service_new() - make the service
+ * @poll: time between two reads of the table service
+ */
+struct ggw_service *ggw_config_service_new(ggw_ms poll);
+
+#endif
--- /dev/null
+++ b/peers/peers.h
@@ -0,0 +1,133 @@
+#ifndef GGW_PEERS_PEERS_H
+#define GGW_PEERS_PEERS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "kernel/kernel.h"
+
+/*
+ * Service "peers": links to the other gateways, heartbeats and the view of
+ * who is alive. Addresses come from the seeds and from the platform's list
+ * of VMs.
+ */
+
+enum ggw_member_state {
+    GGW_MEMBER_ALIVE,
+    GGW_MEMBER_SUSPECTED, /* no heartbeat for 700 ms */
+    GGW_MEMBER_LEAVING,
+    GGW_MEMBER_DEAD,
+};
+
+/**
+ * struct ggw_member - one gateway as this one sees it
+ * @incarnation: start time of its process in Unix ms
+ * @self: this gateway
+ */
+struct ggw_member {
+    char *name;
+    char *failure_domain;
+    char *host;
+    uint16_t port;
+    uint64_t incarnation;
+    enum ggw_member_state state;
+    bool self;
+};
+
+/**
+ * struct ggw_members_changed - published when the view of gateways changed
+ * @members: of struct ggw_member, sorted by name, this gateway included
+ */
+struct ggw_members_changed {
+    struct ggw_message base;
+    GArray *members;
+};
+
+extern const struct ggw_message_ops ggw_members_changed_ops;
+struct ggw_message *ggw_members_changed_new(void);
+void ggw_members_add(struct ggw_members_changed *m,
+                     const struct ggw_member *member);
+
+/**
+ * enum ggw_peer_type - types of frames that services send to each other
+ */
+enum ggw_peer_type {
+    GGW_PEER_HELLO = 1,
+    GGW_PEER_HEARTBEAT,
+    GGW_PEER_SLOT_ACQUIRE,
+    GGW_PEER_SLOT_GRANT,
+    GGW_PEER_SLOT_REFUSE,
+    GGW_PEER_SLOT_RELEASE,
+    GGW_PEER_SLOT_CANCEL,
+    GGW_PEER_SLOT_SYNC,
+    GGW_PEER_SLOT_LOAD,
+    GGW_PEER_CONFIG_GET,
+    GGW_PEER_CONFIG_PUT,
+};
+
+/**
+ * struct ggw_peer_send - send one frame to a gateway
+ * @peer: name of the gateway; NULL sends to all that are connected
+ * @type: type of the frame
+ * @request_id: chosen by the sender; an answer carries the same
+ * @payload: one msgpack object
+ *
+ * A frame to a gateway without a link is answered with ggw_peer_lost.
+ */
+struct ggw_peer_send {
+    struct ggw_message base;
+    char *peer;
+    enum ggw_peer_type type;
+    uint64_t request_id;
+    GBytes *payload;
+};
+
+extern const struct ggw_message_ops ggw_peer_send_ops;
+struct ggw_message *ggw_peer_send_new(const char *peer,
+                                      enum ggw_peer_type type,
+                                      uint64_t request_id, GBytes *payload);
+
+/**
+ * struct ggw_peer_received - a frame from another gateway
+ *
+ * SLOT_* frames go to the service "slots", CONFIG_* frames to "config".
+ */
+struct ggw_peer_received {
+    struct ggw_message base;
+    char *peer;
+    enum ggw_peer_type type;
+    uint64_t request_id;
+    GBytes *payload;
+};
+
+extern const struct ggw_message_ops ggw_peer_received_ops;
+
+/**
+ * struct ggw_peer_lost - published when the link to a gateway broke
+ */
+struct ggw_peer_lost {
+    struct ggw_message base;
+    char *peer;
+};
+
+extern const struct ggw_message_ops ggw_peer_lost_ops;
+
+/**
+ * struct ggw_peers_options - settings of the service
+ * @seeds: NULL-terminated list of "IP:PORT" of peer listeners
+ */
+struct ggw_peers_options {
+    const char *name;
+    const char *failure_domain;
+    const char *listen_host;
+    uint16_t listen_port;
+    const char *advertise_host;
+    uint16_t advertise_port;
+    char **seeds;
+};
+
+struct ggw_service *
+ggw_peers_service_new(const struct ggw_peers_options *options);
+
+#endif
