--- a/slots/slots.h
+++ b/slots/slots.h
@@ -55,6 +55,10 @@
 };
 
 extern const struct ggw_message_ops ggw_slot_grant_ops;
+struct ggw_message *ggw_slot_grant_new(uint64_t grant, const char *vm,
+                                       const char *failure_domain,
+                                       const char *host, uint16_t port,
+                                       int connections);
 
 enum ggw_slot_refusal {
     GGW_SLOT_NO_SERVER, /* no backend server may take new work */
@@ -70,6 +74,8 @@
 };
 
 extern const struct ggw_message_ops ggw_slot_refuse_ops;
+struct ggw_message *ggw_slot_refuse_new(enum ggw_slot_refusal reason,
+                                        ggw_ms retry_after);
 
 /**
  * struct ggw_load_report - what a backend server said of itself
