--- /dev/null
+++ b/http/exchange.c
@@ -0,0 +1,231 @@
+#include "http/exchange.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http/connection.h"
+
+#define OUTCOME_HEADER "greengageway-outcome"
+#define REASON_HEADER "greengageway-reason"
+
+struct status_text {
+    int status;
+    const char *text;
+};
+
+static const struct status_text texts[] = {
+    {200, "OK"},
+    {400, "Bad Request"},
+    {404, "Not Found"},
+    {405, "Method Not Allowed"},
+    {408, "Request Timeout"},
+    {409, "Conflict"},
+    {413, "Content Too Large"},
+    {431, "Request Header Fields Too Large"},
+    {500, "Internal Server Error"},
+    {502, "Bad Gateway"},
+    {503, "Service Unavailable"},
+    {504, "Gateway Timeout"},
+};
+
+const char *
+ggw_status_text(int status)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        if (texts[i].status == status) {
+            return texts[i].text;
+        }
+    }
+    return "Status";
+}
+
+/* Tells the user once and detaches it. */
+static void
+tell_gone(struct ggw_exchange *x)
+{
+    const struct ggw_exchange_ops *ops = x->ops;
+
+    x->ops = NULL;
+    if (ops != NULL) {
+        ops->gone(x->data);
+    }
+}
+
+static void
+dispose(void *chunk)
+{
+    struct ggw_exchange *x = chunk;
+
+    if (h2o_linklist_is_linked(&x->link)) {
+        h2o_linklist_unlink(&x->link);
+    }
+    tell_gone(x);
+    if (x->conn != NULL) {
+        ggw_connection_finished(x->conn);
+    }
+}
+
+static void
+generator_proceed(h2o_generator_t *generator, h2o_req_t *req)
+{
+    struct ggw_exchange *x = (struct ggw_exchange *)generator;
+
+    x->sending = false;
+    if (x->broken) {
+        ggw_exchange_break(x);
+    }
+    else if (x->ops != NULL) {
+        x->ops->proceed(x->data);
+    }
+}
+
+static void
+generator_stop(h2o_generator_t *generator, h2o_req_t *req)
+{
+    struct ggw_exchange *x = (struct ggw_exchange *)generator;
+
+    x->finished = true;
+    tell_gone(x);
+}
+
+struct ggw_exchange *
+ggw_exchange_new(h2o_req_t *req, struct ggw_listener *listener,
+                 h2o_linklist_t *list)
+{
+    struct ggw_exchange *x =
+        h2o_mem_alloc_shared(&req->pool, sizeof(*x), dispose);
+
+    memset(x, 0, sizeof(*x));
+    x->generator.proceed = generator_proceed;
+    x->generator.stop = generator_stop;
+    x->req = req;
+    x->listener = listener;
+    x->fd = h2o_socket_get_fd(req->conn->callbacks->get_socket(req->conn));
+    h2o_linklist_insert(list, &x->link);
+    return x;
+}
+
+void
+ggw_exchange_attach(struct ggw_exchange *x, const struct ggw_exchange_ops *ops,
+                    void *data)
+{
+    x->ops = ops;
+    x->data = data;
+}
+
+void
+ggw_exchange_start(struct ggw_exchange *x)
+{
+    x->started = true;
+    h2o_start_response(x->req, &x->generator);
+}
+
+void
+ggw_exchange_send(struct ggw_exchange *x, h2o_iovec_t bytes, bool last)
+{
+    x->sending = true;
+    if (last) {
+        x->finished = true;
+        x->ops = NULL;
+    }
+    h2o_send(x->req, &bytes, bytes.len > 0 ? 1 : 0,
+             last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void
+ggw_exchange_break(struct ggw_exchange *x)
+{
+    x->ops = NULL;
+    if (x->finished) {
+        return;
+    }
+    if (x->sending) {
+        x->broken = true;
+        return;
+    }
+    x->finished = true;
+    x->req->http1_is_persistent = 0;
+    h2o_send(x->req, NULL, 0, H2O_SEND_STATE_ERROR);
+}
+
+void
+ggw_exchange_outcome(struct ggw_exchange *x, enum ggw_outcome outcome,
+                     const char *reason)
+{
+    const char *name = ggw_outcome_name(outcome);
+    h2o_req_t *req = x->req;
+
+    h2o_add_header_by_str(&req->pool, &req->res.headers,
+                          H2O_STRLIT(OUTCOME_HEADER), 0, NULL, name,
+                          strlen(name));
+    if (reason != NULL) {
+        h2o_add_header_by_str(&req->pool, &req->res.headers,
+                              H2O_STRLIT(REASON_HEADER), 0, NULL, reason,
+                              strlen(reason));
+    }
+}
+
+void
+ggw_exchange_respond(struct ggw_exchange *x, int status, const char *type,
+                     const char *body, size_t len)
+{
+    h2o_req_t *req = x->req;
+    h2o_iovec_t bytes = h2o_strdup(&req->pool, body, len);
+
+    req->res.status = status;
+    req->res.reason = ggw_status_text(status);
+    req->res.content_length = len;
+    if (type != NULL) {
+        h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                       NULL, type, strlen(type));
+    }
+    ggw_exchange_start(x);
+    ggw_exchange_send(x, bytes, true);
+}
+
+void
+ggw_exchange_refuse(struct ggw_exchange *x, int status, const char *reason,
+                    enum ggw_outcome outcome, ggw_ms retry_after)
+{
+    h2o_req_t *req = x->req;
+    char text[256];
+
+    ggw_exchange_outcome(x, outcome, reason);
+    if (retry_after > 0) {
+        h2o_iovec_t value;
+        char seconds[24];
+
+        g_snprintf(seconds, sizeof(seconds), "%.0f", ceil(retry_after / 1e3));
+        value = h2o_strdup(&req->pool, seconds, SIZE_MAX);
+        h2o_add_header_by_str(&req->pool, &req->res.headers,
+                              H2O_STRLIT("retry-after"), 1, NULL, value.base,
+                              value.len);
+    }
+    g_snprintf(text, sizeof(text), "%s: %s\n", reason,
+               ggw_outcome_name(outcome));
+    ggw_exchange_respond(x, status, "text/plain", text, strlen(text));
+}
+
+void
+ggw_exchange_client_left(struct ggw_exchange *x)
+{
+    if (x->finished) {
+        return;
+    }
+    tell_gone(x);
+    x->req->http1_is_persistent = 0;
+    if (!x->started) {
+        /* Nobody reads it; h2o closes the connection after writing. */
+        ggw_exchange_refuse(x, 408, "client-left", GGW_UNKNOWN, 0);
+    }
+    else if (x->sending) {
+        /* The write in progress fails, and h2o closes the connection. */
+        x->broken = true;
+        shutdown(x->fd, SHUT_RDWR);
+    }
+    else {
+        ggw_exchange_break(x);
+    }
+}
--- /dev/null
+++ b/http/listener.c
@@ -0,0 +1,294 @@
+#include "http/listener.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "common/error.h"
+#include "http/connection.h"
+#include "http/request_check.h"
+
+#define BACKLOG 1024
+
+/* Connections without a request are closed after this time. */
+#define KEEPALIVE_MS 60000
+
+struct ggw_listener {
+    struct ggw_listener_options options;
+    uv_loop_t *loop;
+    uv_tcp_t tcp;
+    bool listening; /* tcp is open */
+    bool stopped;
+    uint16_t port;
+
+    h2o_globalconf_t conf;
+    h2o_context_t context;
+    h2o_accept_ctx_t accept;
+
+    struct ggw_connections connections;
+};
+
+struct handler {
+    h2o_handler_t base;
+    struct ggw_listener *listener;
+};
+
+static int
+on_request(h2o_handler_t *base, h2o_req_t *req)
+{
+    struct ggw_listener *l = ((struct handler *)base)->listener;
+    struct ggw_exchange *x =
+        ggw_exchange_new(req, l, &l->connections.exchanges);
+    const char *reason;
+    int status = ggw_connection_request(&l->connections, x, &reason);
+
+    if (status != 200) {
+        req->http1_is_persistent = 0;
+        ggw_exchange_refuse(x, status, reason, GGW_NOT_RUN, 0);
+    }
+    else {
+        l->options.request(l->options.data, x);
+    }
+    return 0;
+}
+
+/*
+ * Sees only the responses that h2o makes itself for requests that it cannot
+ * parse: these belong to the fallback path.
+ */
+static void
+on_own_error(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
+{
+    const char *reason =
+        req->res.status == 413 ? "body-too-large" : "bad-request";
+
+    h2o_add_header_by_str(&req->pool, &req->res.headers,
+                          H2O_STRLIT("greengageway-outcome"), 0, NULL,
+                          H2O_STRLIT("not-run"));
+    h2o_add_header_by_str(&req->pool, &req->res.headers,
+                          H2O_STRLIT("greengageway-reason"), 0, NULL, reason,
+                          strlen(reason));
+    h2o_setup_next_ostream(req, slot);
+}
+
+/* An idle queue of h2o must not keep the loop from ending. */
+static void
+unref_async(uv_handle_t *handle, void *known)
+{
+    if (handle->type == UV_ASYNC && !g_hash_table_contains(known, handle)) {
+        uv_unref(handle);
+    }
+}
+
+static void
+collect(uv_handle_t *handle, void *known)
+{
+    g_hash_table_add(known, handle);
+}
+
+struct ggw_listener *
+ggw_listener_new(uv_loop_t *loop, const struct ggw_listener_options *options)
+{
+    struct ggw_listener *l = g_new0(struct ggw_listener, 1);
+    GHashTable *known = g_hash_table_new(NULL, NULL);
+    h2o_hostconf_t *host;
+    h2o_pathconf_t *path;
+    struct handler *handler;
+
+    l->options = *options;
+    l->loop = loop;
+    h2o_config_init(&l->conf);
+    l->conf.server_name = h2o_iovec_init(H2O_STRLIT("greengageway"));
+    l->conf.max_request_entity_size = GGW_BODY_MAX;
+    l->conf.http1.req_timeout = KEEPALIVE_MS;
+    /* The raw head of an HTTP/2 request cannot be checked. */
+    l->conf.http1.upgrade_to_http2 = 0;
+    host = h2o_config_register_host(
+        &l->conf, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    path = h2o_config_register_path(host, "/", 0);
+    handler = (struct handler *)h2o_create_handler(path, sizeof(*handler));
+    handler->base.on_req = on_request;
+    handler->listener = l;
+    h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t))
+        ->on_setup_ostream = on_own_error;
+    uv_walk(loop, collect, known);
+    h2o_context_init(&l->context, loop, &l->conf);
+    uv_walk(loop, unref_async, known);
+    g_hash_table_destroy(known);
+    l->accept.ctx = &l->context;
+    l->accept.hosts = l->conf.hosts;
+    ggw_connections_init(&l->connections, loop, options->head_timeout);
+    return l;
+}
+
+static void
+free_handle(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+take_over(struct ggw_listener *l, uv_tcp_t *tcp)
+{
+    h2o_socket_t *sock;
+
+    uv_tcp_nodelay(tcp, 1);
+    sock = h2o_uv_socket_create((uv_stream_t *)tcp, free_handle);
+    h2o_accept(&l->accept, sock);
+    ggw_connections_add(&l->connections, sock);
+}
+
+static void
+connection_cb(uv_stream_t *stream, int status)
+{
+    struct ggw_listener *l = stream->data;
+    uv_tcp_t *tcp;
+
+    if (status != 0) {
+        return;
+    }
+    tcp = g_new0(uv_tcp_t, 1);
+    uv_tcp_init(l->loop, tcp);
+    if (uv_accept(stream, (uv_stream_t *)tcp) != 0) {
+        uv_close((uv_handle_t *)tcp, free_handle);
+        return;
+    }
+    take_over(l, tcp);
+}
+
+static int
+bind_and_listen(struct ggw_listener *l)
+{
+    struct sockaddr_storage address;
+    int len = sizeof(address);
+    int rc;
+
+    if (uv_ip4_addr(l->options.host, l->options.port,
+                    (struct sockaddr_in *)&address) != 0) {
+        rc = uv_ip6_addr(l->options.host, l->options.port,
+                         (struct sockaddr_in6 *)&address);
+        if (rc != 0) {
+            return rc;
+        }
+    }
+    rc = uv_tcp_bind(&l->tcp, (struct sockaddr *)&address, 0);
+    if (rc == 0) {
+        rc = uv_listen((uv_stream_t *)&l->tcp, BACKLOG, connection_cb);
+    }
+    if (rc == 0) {
+        rc = uv_tcp_getsockname(&l->tcp, (struct sockaddr *)&address, &len);
+    }
+    if (rc == 0) {
+        /* The port is at the same place for both families. */
+        l->port = ntohs(((struct sockaddr_in *)&address)->sin_port);
+    }
+    return rc;
+}
+
+bool
+ggw_listener_start(struct ggw_listener *l, GError **error)
+{
+    int rc;
+
+    uv_tcp_init(l->loop, &l->tcp);
+    l->tcp.data = l;
+    l->listening = true;
+    rc = bind_and_listen(l);
+    if (rc != 0) {
+        g_set_error(error, GGW_ERROR, GGW_ERROR_IO, "listen on %s:%u: %s",
+                    l->options.host, (unsigned)l->options.port,
+                    uv_strerror(rc));
+        return false;
+    }
+    return true;
+}
+
+uint16_t
+ggw_listener_port(const struct ggw_listener *l)
+{
+    return l->port;
+}
+
+h2o_multithread_receiver_t *
+ggw_listener_receiver(struct ggw_listener *l)
+{
+    return &l->context.receivers.hostinfo_getaddr;
+}
+
+unsigned
+ggw_listener_connections(const struct ggw_listener *l)
+{
+    return l->connections.len;
+}
+
+/*
+ * Closing a listening socket resets the connections that wait in its queue;
+ * their clients have connected and may have sent a request.
+ */
+static void
+accept_queue(struct ggw_listener *l)
+{
+    int listen_fd, fd;
+
+    if (uv_fileno((uv_handle_t *)&l->tcp, &listen_fd) != 0) {
+        return;
+    }
+    while ((fd = accept4(listen_fd, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
+
+        uv_tcp_init(l->loop, tcp);
+        if (uv_tcp_open(tcp, fd) != 0) {
+            close(fd);
+            uv_close((uv_handle_t *)tcp, free_handle);
+            continue;
+        }
+        take_over(l, tcp);
+    }
+}
+
+static void
+close_listener(struct ggw_listener *l)
+{
+    if (l->listening) {
+        l->listening = false;
+        uv_close((uv_handle_t *)&l->tcp, NULL);
+    }
+}
+
+void
+ggw_listener_drain(struct ggw_listener *l)
+{
+    if (!l->listening) {
+        return;
+    }
+    accept_queue(l);
+    close_listener(l);
+    h2o_context_request_shutdown(&l->context);
+    l->connections.draining = true;
+}
+
+void
+ggw_listener_stop(struct ggw_listener *l)
+{
+    if (l->stopped) {
+        return;
+    }
+    l->stopped = true;
+    close_listener(l);
+    ggw_connections_stop(&l->connections);
+}
+
+void
+ggw_listener_destroy(struct ggw_listener *l)
+{
+    if (l == NULL) {
+        return;
+    }
+    h2o_context_dispose(&l->context);
+    h2o_config_dispose(&l->conf);
+    uv_run(l->loop, UV_RUN_NOWAIT); /* runs the close callbacks */
+    g_free(l);
+}
