--- /dev/null
+++ b/decide/policy.h
@@ -0,0 +1,114 @@
+#ifndef GGW_DECIDE_POLICY_H
+#define GGW_DECIDE_POLICY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "decide/limit.h"
+#include "kernel/clock.h"
+
+/*
+ * Policies that pick one backend server out of several (design 5.12).
+ */
+
+#define GGW_POLICY_NONE ((size_t)-1)
+
+/* A load report loses half of its weight in this time (design 5.8). */
+#define GGW_REPORT_HALF_LIFE 50.0
+
+/**
+ * struct ggw_candidate - what is known of one server
+ * @in_flight: requests that the caller counts as running there: its own, or
+ *             for an owner those of all gateways; a failed one counts until
+ *             ggw_limit_hold()
+ * @limit: a server with @in_flight at or above it is not picked; 0 for a
+ *         server that takes no work
+ * @avoid: the request already tried this server
+ * @reported: whether a load report is known
+ * @load: busy plus queued requests in the last report
+ * @reported_at: time of the last report, monotonic ms
+ * @latency: estimate by ggw_policy_latency(); 0 when not known
+ * @state: only warm servers are picked by power_of_two with @warm_only
+ */
+struct ggw_candidate {
+    int in_flight;
+    int limit;
+    bool avoid;
+    bool reported;
+    int load;
+    ggw_ms reported_at;
+    ggw_ms latency;
+    enum ggw_limit_state state;
+};
+
+struct ggw_policy;
+
+/**
+ * struct ggw_policy_ops - one policy
+ * @name: value of the service's setting "policy"
+ * @pick: see ggw_policy_pick()
+ */
+struct ggw_policy_ops {
+    const char *name;
+    size_t (*pick)(struct ggw_policy *policy,
+                   const struct ggw_candidate *candidates, size_t len,
+                   ggw_ms now);
+};
+
+/**
+ * struct ggw_policy - a policy with its state
+ * @ops: the policy
+ * @rand: random numbers, owned by the caller
+ * @next: position for round_robin
+ */
+struct ggw_policy {
+    const struct ggw_policy_ops *ops;
+    GRand *rand;
+    size_t next;
+};
+
+/**
+ * ggw_policy_find() - look up a policy by name
+ *
+ * Return: NULL when there is none; the names are "slots", "random",
+ * "round_robin", "least_outstanding" and "power_of_two".
+ */
+const struct ggw_policy_ops *ggw_policy_find(const char *name);
+
+/**
+ * ggw_policy_names() - NULL-terminated names of all policies
+ */
+const char *const *ggw_policy_names(void);
+
+/**
+ * ggw_policy_pick() - pick a server for one request
+ *
+ * Never picks a server that is to be avoided or has no room below its limit.
+ *
+ * Return: position in @candidates, or GGW_POLICY_NONE.
+ */
+size_t ggw_policy_pick(struct ggw_policy *policy,
+                       const struct ggw_candidate *candidates, size_t len,
+                       ggw_ms now);
+
+/**
+ * ggw_policy_load() - estimated number of requests on a server
+ *
+ * Own requests, plus what the last report had beyond them, weighted down
+ * with the age of the report.
+ */
+double ggw_policy_load(const struct ggw_candidate *c, ggw_ms now);
+
+/**
+ * ggw_policy_latency() - moving average of a server's latency
+ * @old: average so far; 0 when not known
+ * @result: failures count as @p90, so that failing fast is no advantage
+ * @p90: the service's p90
+ *
+ * Return: the new average.
+ */
+ggw_ms ggw_policy_latency(ggw_ms old, enum ggw_attempt_result result,
+                          ggw_ms latency, ggw_ms p90);
+
+#endif
