decide: implement limit, admission, policy, retry and measure

The modules are pure and tested in virtual time with fixed seeds.

Calls that a hop above has retried earn no retry budget. If they did, the attempt count alone would not keep 15 hops at 1 + 0.1 * 15. With one token granted at the start the first 15 calls reached 3 times, so a budget starts empty.

--- a/decide/limit.h
+++ b/decide/limit.h
@@ -60,20 +60,22 @@
  */
 struct ggw_limit {
     enum ggw_limit_state state;
-    struct ggw_limit_rule rule;
     int limit;
+    struct ggw_limit_rule rule;
     ggw_ms since;         /* last change of state or limit */
-    int successes;        /* since then */
+    ggw_ms cold_at;       /* last report that said cold, or since */
+    ggw_ms silent_at;     /* last silent connection */
+    ggw_ms trial_at;      /* earliest time of the next trial */
+    ggw_ms trial_wait;    /* last interval; 0 since the server was warm */
+    uint64_t incarnation; /* 0: not known */
+    int successes;        /* since the last change */
     int failures;         /* consecutive */
     int slow;             /* consecutive */
-    ggw_ms silent_at;     /* last silent connection */
+    int silent;           /* consecutive and not counted as failures yet */
+    bool trial;           /* a trial request is in flight */
     bool cold_reported;   /* last report said cold */
     bool drain_reported;  /* last report said draining */
     bool drain_set;       /* drained by an operator or leaving */
-    uint64_t incarnation; /* 0: not known */
-    bool trial;           /* a trial request is in flight */
-    ggw_ms trial_at;      /* earliest time of the next trial */
-    ggw_ms trial_wait;    /* interval before it */
 };
 
 /**
--- a/decide/measure.h
+++ b/decide/measure.h
@@ -45,7 +45,8 @@
 
 /**
  * ggw_probe_take() - charge one probe before it is sent
- * @cost: expected slot time in ms, at most the timeout of the probe
+ * @cost: most slot time in ms that it may take, which is its timeout; the
+ *        rest returns with ggw_probe_settle()
  *
  * Return: false when the budget does not allow it now.
  */
@@ -56,7 +57,7 @@
  * @cost: what was charged
  * @spent: time from sending the probe to its answer or its timeout
  *
- * A probe that took longer is paid off before the next one.
+ * Without this call the budget has paid for the whole timeout.
  */
 void ggw_probe_settle(struct ggw_probe_budget *b, ggw_ms cost, ggw_ms spent);
 
--- /dev/null
+++ b/decide/policy.c
@@ -0,0 +1,202 @@
+#include "decide/policy.h"
+
+#include <math.h>
+
+/* Weight of a new latency in a server's moving average. */
+#define LATENCY_WEIGHT (1.0 / 8)
+
+static bool
+eligible(const struct ggw_candidate *c)
+{
+    return !c->avoid && c->in_flight < c->limit;
+}
+
+double
+ggw_policy_load(const struct ggw_candidate *c, ggw_ms now)
+{
+    double weight;
+
+    if (!c->reported || c->load <= c->in_flight) {
+        return c->in_flight;
+    }
+    weight = exp2(-(now - c->reported_at) / GGW_REPORT_HALF_LIFE);
+    return c->in_flight + (c->load - c->in_flight) * weight;
+}
+
+ggw_ms
+ggw_policy_latency(ggw_ms old, enum ggw_attempt_result result, ggw_ms latency,
+                   ggw_ms p90)
+{
+    ggw_ms value = ggw_limit_hold(result, latency, p90);
+
+    return old > 0 ? old + (value - old) * LATENCY_WEIGHT : value;
+}
+
+/* Lower is better; a server without a known latency gets a first request. */
+static double
+cost(const struct ggw_candidate *c, ggw_ms now)
+{
+    return (ggw_policy_load(c, now) + 1) * c->latency;
+}
+
+static size_t
+count_eligible(const struct ggw_candidate *c, size_t len)
+{
+    size_t n = 0;
+
+    for (size_t i = 0; i < len; i++) {
+        n += eligible(&c[i]);
+    }
+    return n;
+}
+
+/* Position of the eligible candidate number n. */
+static size_t
+nth_eligible(const struct ggw_candidate *c, size_t len, size_t n)
+{
+    for (size_t i = 0; i < len; i++) {
+        if (eligible(&c[i]) && n-- == 0) {
+            return i;
+        }
+    }
+    return GGW_POLICY_NONE;
+}
+
+static size_t
+below(GRand *rand, size_t n)
+{
+    return (size_t)g_rand_int_range(rand, 0, (gint32)n);
+}
+
+static size_t
+random_pick(struct ggw_policy *p, const struct ggw_candidate *c, size_t len,
+            ggw_ms now)
+{
+    size_t n = count_eligible(c, len);
+
+    return n > 0 ? nth_eligible(c, len, below(p->rand, n)) : GGW_POLICY_NONE;
+}
+
+static size_t
+round_robin_pick(struct ggw_policy *p, const struct ggw_candidate *c,
+                 size_t len, ggw_ms now)
+{
+    for (size_t i = 0; i < len; i++) {
+        size_t at = (p->next + i) % len;
+
+        if (eligible(&c[at])) {
+            p->next = at + 1;
+            return at;
+        }
+    }
+    return GGW_POLICY_NONE;
+}
+
+/* The lowest value among the eligible; ties are broken at random. */
+static size_t
+pick_lowest(struct ggw_policy *p, const struct ggw_candidate *c, size_t len,
+            double (*value)(const struct ggw_candidate *c))
+{
+    size_t best = GGW_POLICY_NONE;
+    double lowest = INFINITY;
+    size_t ties = 0;
+
+    for (size_t i = 0; i < len; i++) {
+        double v;
+
+        if (!eligible(&c[i])) {
+            continue;
+        }
+        v = value(&c[i]);
+        if (v < lowest) {
+            lowest = v;
+            ties = 0;
+        }
+        if (v <= lowest && below(p->rand, ++ties) == 0) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+static double
+outstanding(const struct ggw_candidate *c)
+{
+    return c->in_flight;
+}
+
+static size_t
+least_outstanding_pick(struct ggw_policy *p, const struct ggw_candidate *c,
+                       size_t len, ggw_ms now)
+{
+    return pick_lowest(p, c, len, outstanding);
+}
+
+static size_t
+power_of_two_pick(struct ggw_policy *p, const struct ggw_candidate *c,
+                  size_t len, ggw_ms now)
+{
+    size_t n = count_eligible(c, len);
+    size_t a, b;
+
+    if (n < 2) {
+        return n > 0 ? nth_eligible(c, len, 0) : GGW_POLICY_NONE;
+    }
+    a = below(p->rand, n);
+    b = below(p->rand, n - 1);
+    b += b >= a;
+    a = nth_eligible(c, len, a);
+    b = nth_eligible(c, len, b);
+    return cost(&c[b], now) < cost(&c[a], now) ? b : a;
+}
+
+static double
+busy_share(const struct ggw_candidate *c)
+{
+    return (double)c->in_flight / c->limit;
+}
+
+/* For an owner, whose counts are exact: reports add nothing to them. */
+static size_t
+slots_pick(struct ggw_policy *p, const struct ggw_candidate *c, size_t len,
+           ggw_ms now)
+{
+    return pick_lowest(p, c, len, busy_share);
+}
+
+static const struct ggw_policy_ops policies[] = {
+    {.name = "slots", .pick = slots_pick},
+    {.name = "random", .pick = random_pick},
+    {.name = "round_robin", .pick = round_robin_pick},
+    {.name = "least_outstanding", .pick = least_outstanding_pick},
+    {.name = "power_of_two", .pick = power_of_two_pick},
+};
+
+const struct ggw_policy_ops *
+ggw_policy_find(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
+        if (g_str_equal(policies[i].name, name)) {
+            return &policies[i];
+        }
+    }
+    return NULL;
+}
+
+const char *const *
+ggw_policy_names(void)
+{
+    static const char *const names[] = {
+        "slots",        "random", "round_robin", "least_outstanding",
+        "power_of_two", NULL,
+    };
+
+    return names;
+}
+
+size_t
+ggw_policy_pick(struct ggw_policy *policy,
+                const struct ggw_candidate *candidates, size_t len, ggw_ms now)
+{
+    return policy->ops->pick(policy, candidates, len, now);
+}
--- a/decide/policy.h
+++ b/decide/policy.h
@@ -29,7 +29,6 @@
  * @load: busy plus queued requests in the last report
  * @reported_at: time of the last report, monotonic ms
  * @latency: estimate by ggw_policy_latency(); 0 when not known
- * @state: only warm servers are picked by power_of_two with @warm_only
  */
 struct ggw_candidate {
     int in_flight;
@@ -39,7 +38,6 @@
     int load;
     ggw_ms reported_at;
     ggw_ms latency;
-    enum ggw_limit_state state;
 };
 
 struct ggw_policy;
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -18,12 +18,14 @@
  * struct ggw_budget - share of a service's calls that may be repeated
  *
  * One for retries and one for hedges, per service and gateway. Each call adds
- * its share; a small refill with time lets a quiet service retry at all.
+ * its share. A quiet service that earns less than one repetition in 10 s has
+ * that minimum instead.
  * All fields are private to decide/retry.c.
  */
 struct ggw_budget {
     double share;
-    double tokens;
+    double tokens; /* earned by calls */
+    double floor;  /* earned by time and not by calls since */
     ggw_ms refilled;
     ggw_ms window; /* start of the current second */
     int calls;     /* in it */
@@ -43,8 +45,12 @@
 
 /**
  * ggw_budget_call() - count one call, not its further attempts
+ * @above: value of Greengageway-Attempt in the request; 0 without it
+ *
+ * Calls that are themselves retries of a hop above earn nothing. If they did,
+ * the retries of nested hops would multiply: 1.1^15 in place of 1 + 0.1 * 15.
  */
-void ggw_budget_call(struct ggw_budget *b, ggw_ms now);
+void ggw_budget_call(struct ggw_budget *b, int above, ggw_ms now);
 
 /**
  * struct ggw_retry_request - what the rules need to know of a request
--- /dev/null
+++ b/tests/test_retry.c
@@ -0,0 +1,267 @@
+#include <CUnit/Basic.h>
+#include <math.h>
+
+#include "decide/retry.h"
+
+#define SEED 17
+#define HOPS 15
+
+static const struct ggw_latency no_latency;
+
+static struct ggw_retry_request
+request(enum ggw_idempotency idempotency)
+{
+    return (struct ggw_retry_request){
+        .idempotency = idempotency,
+        .attempts = 1,
+        .max_attempts = 3,
+        .deadline = 1000,
+    };
+}
+
+/* A budget that allows one retry. */
+static struct ggw_budget
+one_token(double percent)
+{
+    struct ggw_budget b;
+
+    ggw_budget_init(&b, percent, -10000);
+    return b;
+}
+
+static enum ggw_retry_verdict
+decide(const struct ggw_retry_request *r, enum ggw_attempt_result result,
+       enum ggw_outcome outcome)
+{
+    struct ggw_budget b = one_token(10);
+
+    return ggw_retry_decide(&b, r, result, outcome, &no_latency, 0);
+}
+
+/* Guards against an order that runs twice and against a retried answer. */
+static void
+test_results(void)
+{
+    static const struct {
+        enum ggw_attempt_result result;
+        enum ggw_outcome outcome;
+        bool idempotent, order;
+    } cases[] = {
+        {GGW_ATTEMPT_OK, GGW_DONE, false, false},
+        {GGW_ATTEMPT_ERROR, GGW_DONE, false, false},
+        {GGW_ATTEMPT_ERROR, GGW_UNKNOWN, false, false},
+        {GGW_ATTEMPT_SHED, GGW_NOT_RUN, true, true},
+        {GGW_ATTEMPT_REFUSED, GGW_NOT_RUN, true, true},
+        {GGW_ATTEMPT_BROKEN, GGW_NOT_RUN, true, true},
+        {GGW_ATTEMPT_BROKEN, GGW_UNKNOWN, true, false},
+        {GGW_ATTEMPT_BROKEN, GGW_DONE, false, false},
+        {GGW_ATTEMPT_SILENT, GGW_UNKNOWN, true, false},
+        {GGW_ATTEMPT_CANCELLED, GGW_UNKNOWN, false, false},
+        {GGW_ATTEMPT_UNUSED, GGW_NOT_RUN, false, false},
+    };
+    struct ggw_retry_request r = request(GGW_IDEMPOTENT);
+    struct ggw_retry_request order = request(GGW_AT_MOST_ONCE);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(decide(&r, cases[i].result, cases[i].outcome),
+                        cases[i].idempotent ? GGW_RETRY : GGW_RETRY_FINAL);
+        CU_ASSERT_EQUAL(decide(&order, cases[i].result, cases[i].outcome),
+                        cases[i].order ? GGW_RETRY : GGW_RETRY_FINAL);
+    }
+}
+
+/* Guards against retries that are useless or multiply those of other hops. */
+static void
+test_request_limits(void)
+{
+    struct ggw_retry_request r = request(GGW_IDEMPOTENT);
+    struct ggw_latency latency = {.p50 = 4};
+    struct ggw_budget b = one_token(10);
+
+    r.above = 1;
+    CU_ASSERT_EQUAL(decide(&r, GGW_ATTEMPT_SHED, GGW_NOT_RUN),
+                    GGW_RETRY_ABOVE);
+    CU_ASSERT_EQUAL(ggw_retry_header(&r), 2);
+    r.above = 0;
+    r.attempts = 3;
+    CU_ASSERT_EQUAL(decide(&r, GGW_ATTEMPT_SHED, GGW_NOT_RUN),
+                    GGW_RETRY_ATTEMPTS);
+    r.attempts = 1;
+    CU_ASSERT_EQUAL(
+        ggw_retry_decide(&b, &r, GGW_ATTEMPT_SHED, GGW_NOT_RUN, &latency, 997),
+        GGW_RETRY_LATE);
+    CU_ASSERT_EQUAL(
+        ggw_retry_decide(&b, &r, GGW_ATTEMPT_SHED, GGW_NOT_RUN, &latency, 995),
+        GGW_RETRY);
+}
+
+/* Retries granted to n calls that all fail, one every @interval ms. */
+static int
+retries(double percent, int n, ggw_ms interval)
+{
+    struct ggw_retry_request r = request(GGW_IDEMPOTENT);
+    struct ggw_budget b;
+    int granted = 0;
+
+    ggw_budget_init(&b, percent, 0);
+    for (int i = 0; i < n; i++) {
+        ggw_ms now = i * interval;
+
+        r.deadline = now + 1000;
+        ggw_budget_call(&b, 0, now);
+        granted += ggw_retry_decide(&b, &r, GGW_ATTEMPT_SHED, GGW_NOT_RUN,
+                                    &no_latency, now) == GGW_RETRY;
+    }
+    return granted;
+}
+
+/* Guards against retry storms, and against a quiet service without retries. */
+static void
+test_budget(void)
+{
+    int busy = retries(10, 100000, 0.1);
+
+    CU_ASSERT_TRUE(busy > 9990 && busy <= 10000);
+    CU_ASSERT_EQUAL(retries(0, 1000, 1000), 0);
+    CU_ASSERT_EQUAL(retries(10, 100, 5000), 49); /* one in 10 s */
+}
+
+struct hop {
+    struct ggw_budget budget;
+};
+
+struct chain {
+    struct hop hops[HOPS];
+    bool attempt_count; /* the rule is in use */
+    uint64_t bottom;    /* requests that reached the last server */
+};
+
+/* Every hop passes a refusal on as one, which is the worst case. */
+static void
+call(struct chain *c, int hop, int above, ggw_ms now)
+{
+    struct ggw_retry_request r = request(GGW_IDEMPOTENT);
+
+    if (hop == HOPS) {
+        c->bottom++;
+        return;
+    }
+    r.above = c->attempt_count ? above : 0;
+    r.max_attempts = 2;
+    r.deadline = now + 1000;
+    r.attempts = 0;
+    ggw_budget_call(&c->hops[hop].budget, r.above, now);
+    do {
+        call(c, hop + 1, ggw_retry_header(&r), now);
+        r.attempts++;
+    } while (ggw_retry_decide(&c->hops[hop].budget, &r, GGW_ATTEMPT_SHED,
+                              GGW_NOT_RUN, &no_latency, now) == GGW_RETRY);
+}
+
+static double
+amplification(double percent, bool attempt_count, int calls)
+{
+    struct chain c = {.attempt_count = attempt_count};
+
+    for (int i = 0; i < HOPS; i++) {
+        ggw_budget_init(&c.hops[i].budget, percent, 0);
+    }
+    for (int i = 0; i < calls; i++) {
+        call(&c, 0, 0, i * 2.0);
+    }
+    return (double)c.bottom / calls;
+}
+
+/* Guards against the collapse of a deep call chain under its retries. */
+static void
+test_amplification(void)
+{
+    double both = amplification(10, true, 20000);
+    double first = amplification(10, true, 15);
+    double budget = amplification(10, false, 20000);
+    double count = amplification(1e6, true, 200);
+    double none = amplification(1e6, false, 4);
+
+    printf("amplification over %d hops: %.3f; without the attempt count "
+           "%.2f; without a budget %.1f; without both %.0f ",
+           HOPS, both, budget, count, none);
+    CU_ASSERT_TRUE(both < 2.5);
+    CU_ASSERT_TRUE(first < 2.5);
+    CU_ASSERT_TRUE(budget > both);
+    CU_ASSERT_TRUE(count > both);
+    CU_ASSERT_TRUE(none > 1000);
+}
+
+/* Guards against hedged orders, early hedges and hedges without a bound. */
+static void
+test_hedge(void)
+{
+    struct ggw_retry_request r = request(GGW_IDEMPOTENT);
+    struct ggw_retry_request order = request(GGW_AT_MOST_ONCE);
+    struct ggw_latency l = {.p50 = 4, .p95 = 12};
+    struct ggw_budget b = one_token(5);
+
+    CU_ASSERT_EQUAL(ggw_hedge_delay(&r, &no_latency), INFINITY);
+    CU_ASSERT_EQUAL(ggw_hedge_delay(&r, &l), 12);
+    CU_ASSERT_EQUAL(ggw_hedge_delay(&order, &l), INFINITY);
+    CU_ASSERT_EQUAL(ggw_hedge_decide(&b, &order, 500, &l, 0), GGW_RETRY_FINAL);
+    CU_ASSERT_EQUAL(ggw_hedge_decide(&b, &r, 11, &l, 0), GGW_RETRY_FINAL);
+    CU_ASSERT_EQUAL(ggw_hedge_decide(&b, &r, 12, &l, 0), GGW_RETRY);
+    CU_ASSERT_EQUAL(ggw_hedge_decide(&b, &r, 12, &l, 0), GGW_RETRY_BUDGET);
+    r.attempts = 2;
+    CU_ASSERT_EQUAL(ggw_hedge_delay(&r, &l), INFINITY);
+    r.attempts = 1;
+    r.above = 1;
+    CU_ASSERT_EQUAL(ggw_hedge_delay(&r, &l), INFINITY);
+}
+
+/* Guards against hedges and retries at the wrong time after a change. */
+static void
+test_latency(void)
+{
+    GRand *rand = g_rand_new_with_seed(SEED);
+    struct ggw_latency l = {0};
+
+    for (int i = 0; i < GGW_LATENCY_MIN - 1; i++) {
+        ggw_latency_add(&l, 4);
+    }
+    CU_ASSERT_EQUAL(l.p95, 0);
+    for (int mean = 4; mean <= 16; mean += 12) {
+        double off[3] = {0};
+
+        for (int i = 0; i < 1000; i++) {
+            ggw_latency_add(&l, -log(1 - g_rand_double(rand)) * mean);
+        }
+        for (int i = 0; i < 10000; i++) {
+            ggw_latency_add(&l, -log(1 - g_rand_double(rand)) * mean);
+            off[0] = MAX(off[0], fabs(log(l.p50 / (mean * log(2)))));
+            off[1] = MAX(off[1], fabs(log(l.p90 / (mean * log(10)))));
+            off[2] = MAX(off[2], fabs(log(l.p95 / (mean * log(20)))));
+        }
+        printf("p50, p90, p95 off by at most %.2f %.2f %.2f ", expm1(off[0]),
+               expm1(off[1]), expm1(off[2]));
+        /* Four standard deviations of the estimate. */
+        CU_ASSERT_TRUE(expm1(MAX(off[0], MAX(off[1], off[2]))) < 0.5);
+    }
+    g_rand_free(rand);
+}
+
+int
+main(void)
+{
+    CU_pSuite suite;
+    unsigned failures;
+
+    CU_initialize_registry();
+    suite = CU_add_suite("retry", NULL, NULL);
+    CU_add_test(suite, "results", test_results);
+    CU_add_test(suite, "request_limits", test_request_limits);
+    CU_add_test(suite, "budget", test_budget);
+    CU_add_test(suite, "amplification", test_amplification);
+    CU_add_test(suite, "hedge", test_hedge);
+    CU_add_test(suite, "latency", test_latency);
+    CU_basic_run_tests();
+    failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failures != 0;
+}
