--- a/http/client.c
+++ b/http/client.c
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include <glib.h>
+#include <math.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -26,9 +27,11 @@
     bool connected;  /* the first byte may have left */
     bool in_client;  /* inside a callback of h2o's client */
     bool dead;       /* destroyed inside such a callback */
+    bool asked;      /* ops->slow was called */
     bool pending;    /* ops->end has to be called after ggw_call_new() */
     bool counted;    /* in pool->used */
     enum ggw_call_end end;
+    ggw_ms started_at;
     ggw_ms sent_at;
     ggw_ms head_at;
 
@@ -80,7 +83,9 @@
 static void
 arm(struct ggw_call *call, ggw_ms delay)
 {
-    uv_timer_start(&call->timer, timer_cb, delay > 0 ? (uint64_t)delay : 0, 0);
+    /* Rounded up: a limit must not end early. */
+    uv_timer_start(&call->timer, timer_cb,
+                   delay > 0 ? (uint64_t)ceil(delay) : 0, 0);
 }
 
 static void
@@ -94,6 +99,15 @@
         call->ops->end(call->data, call->end);
         return;
     }
+    if (call->connected && call->head_at == 0 && !call->asked) {
+        ggw_ms left = call->spec.head_limit - (now_ms() - call->started_at);
+
+        call->asked = true;
+        if (left > 0 && !call->ops->slow(call->data)) {
+            arm(call, left);
+            return;
+        }
+    }
     h2o_http1client_cancel(client);
     end_call(call, call->connected ? GGW_CALL_SILENT : GGW_CALL_NOT_SENT);
 }
@@ -303,8 +317,8 @@
     *reqbufs = call->bufs;
     *reqbufcnt = call->spec.body.len > 0 ? 2 : 1;
     *method_is_head = call->spec.is_head;
-    arm(call, call->spec.head_timeout);
     call->sent_at = now_ms();
+    arm(call, call->spec.patience);
     return on_head;
 }
 
@@ -321,6 +335,7 @@
     uv_timer_init(pool->client->loop, &call->timer);
     call->timer.data = call;
     call->counted = true;
+    call->started_at = now_ms();
     pool->used++;
     arm(call, spec->connect_timeout);
     call->starting = true;
--- a/http/client.h
+++ b/http/client.h
@@ -45,6 +45,7 @@
 
 /**
  * struct ggw_call_ops - what a call tells its caller
+ * @slow: there is no head after the patience; true gives the call up
  * @head: the head has arrived
  * @body: ggw_call_take() would return more bytes now
  * @end: the call has ended; bytes may still wait to be taken. The caller
@@ -53,6 +54,7 @@
  * None is called from inside ggw_call_new().
  */
 struct ggw_call_ops {
+    bool (*slow)(void *data);
     void (*head)(void *data, const struct ggw_call_head *head);
     void (*body)(void *data);
     void (*end)(void *data, enum ggw_call_end end);
@@ -65,7 +67,8 @@
  * @is_head: the method is HEAD, so no body follows
  * @fresh: use a new connection and close it afterwards
  * @connect_timeout: until the connection is open
- * @head_timeout: from sending until the head has arrived
+ * @patience: from sending until the caller is asked whether to wait longer
+ * @head_limit: from the start until the head has arrived
  * @progress_timeout: longest gap between two reads of the body
  *
  * @head and @body must stay valid until the call is destroyed.
@@ -76,7 +79,8 @@
     bool is_head;
     bool fresh;
     ggw_ms connect_timeout;
-    ggw_ms head_timeout;
+    ggw_ms patience;
+    ggw_ms head_limit;
     ggw_ms progress_timeout;
 };
 
--- a/http/exchange.c
+++ b/http/exchange.c
@@ -65,6 +65,7 @@
     if (x->conn != NULL) {
         ggw_connection_finished(x->conn);
     }
+    h2o_buffer_dispose(&x->buffer);
 }
 
 static void
@@ -102,6 +103,7 @@
     x->generator.stop = generator_stop;
     x->req = req;
     x->listener = listener;
+    h2o_buffer_init(&x->buffer, &h2o_socket_buffer_prototype);
     x->fd = h2o_socket_get_fd(req->conn->callbacks->get_socket(req->conn));
     h2o_linklist_insert(list, &x->link);
     return x;
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -32,6 +32,7 @@
  * @sending: ggw_exchange_send() has not been answered by proceed yet
  * @broken: ends with an error as soon as the last bytes are written
  * @seen: by the periodic check for clients that left
+ * @buffer: for the user: the bytes of a send, which must outlive the user
  * @probed: an interim response was sent to a half-closed connection
  */
 struct ggw_exchange {
@@ -48,6 +49,7 @@
     bool finished;
     bool broken;
     bool probed;
+    h2o_buffer_t *buffer;
     h2o_linklist_t link; /* of the exchanges in progress */
 };
 
--- /dev/null
+++ b/proxy/attempt.c
@@ -0,0 +1,342 @@
+#include <string.h>
+
+#include "common/metrics.h"
+#include "proxy/headers.h"
+#include "proxy/state.h"
+
+/* A connection opens in about 1 ms; a lost packet costs 1 s. */
+#define CONNECT_TIMEOUT_MS 500
+
+/* A server is silent after this many times the p95 of its service. */
+#define SILENT_P95 10
+
+/* Pauses of this length are common on busy VMs. */
+#define SILENT_MIN_MS 200
+
+static const char *const result_names[] = {
+    [GGW_ATTEMPT_OK] = "ok",         [GGW_ATTEMPT_ERROR] = "error",
+    [GGW_ATTEMPT_SHED] = "shed",     [GGW_ATTEMPT_REFUSED] = "refused",
+    [GGW_ATTEMPT_BROKEN] = "broken", [GGW_ATTEMPT_SILENT] = "silent",
+    [GGW_ATTEMPT_CANCELLED] = "cancelled", [GGW_ATTEMPT_UNUSED] = "unused",
+};
+
+static void
+count_result(enum ggw_attempt_result result)
+{
+    static uint64_t *counters[G_N_ELEMENTS(result_names)];
+
+    if (counters[result] == NULL) {
+        g_autofree char *name = g_strdup_printf(
+            "ggw_attempts_total{result=\"%s\"}", result_names[result]);
+
+        counters[result] = ggw_counter(name);
+    }
+    (*counters[result])++;
+}
+
+static void
+release(struct ggw_attempt *a, enum ggw_attempt_result result)
+{
+    struct ggw_proxy *proxy = a->request->proxy;
+
+    count_result(result);
+    ggw_kernel_send(proxy->base.kernel, "slots", &proxy->base,
+                    ggw_slot_release_new(a->grant, result,
+                                         a->call != NULL
+                                             ? ggw_call_latency(a->call)
+                                             : 0,
+                                         &a->report));
+}
+
+/* Takes the attempt out of its request and frees it. */
+static void
+attempt_free(struct ggw_attempt *a)
+{
+    struct ggw_request *r = a->request;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
+        if (r->attempts[i] == a) {
+            r->attempts[i] = NULL;
+        }
+    }
+    if (r->winner == a) {
+        r->winner = NULL;
+    }
+    ggw_call_destroy(a->call);
+    g_string_free(a->head, TRUE);
+    g_free(a->vm);
+    g_free(a);
+}
+
+void
+ggw_attempt_cancel(struct ggw_attempt *a)
+{
+    if (!a->ended) {
+        release(a, GGW_ATTEMPT_CANCELLED);
+    }
+    attempt_free(a);
+}
+
+static void
+discard(struct ggw_call *call)
+{
+    h2o_buffer_t *buffer;
+
+    h2o_buffer_init(&buffer, &h2o_socket_buffer_prototype);
+    while (ggw_call_take(call, &buffer)) {
+        h2o_buffer_consume(&buffer, buffer->size);
+    }
+    h2o_buffer_dispose(&buffer);
+}
+
+/* Moves what has arrived on to the client. */
+void
+ggw_attempt_pump(struct ggw_attempt *a)
+{
+    struct ggw_request *r = a->request;
+    struct ggw_exchange *x = r->x;
+
+    if (x == NULL || r->winner != a) {
+        discard(a->call);
+        return;
+    }
+    if (x->sending) {
+        return;
+    }
+    h2o_buffer_consume(&x->buffer, x->buffer->size);
+    if (!ggw_call_take(a->call, &x->buffer) && !a->ended) {
+        return;
+    }
+    if (!a->ended) {
+        ggw_exchange_send(
+            x, h2o_iovec_init(x->buffer->bytes, x->buffer->size), false);
+        return;
+    }
+    r->x = NULL;
+    ggw_exchange_send(x, h2o_iovec_init(x->buffer->bytes, x->buffer->size),
+                      true);
+    attempt_free(a);
+    ggw_request_done(r);
+}
+
+static enum ggw_outcome
+outcome_of(int status)
+{
+    return status >= 502 && status <= 504 ? GGW_UNKNOWN : GGW_DONE;
+}
+
+static void
+settle(struct ggw_request *r, int status)
+{
+    ggw_request_settle(r,
+                       outcome_of(status) == GGW_DONE
+                           ? GGW_CLAIM_END_DONE
+                           : GGW_CLAIM_END_UNKNOWN,
+                       status);
+}
+
+static void
+start_response(struct ggw_attempt *a, const struct ggw_call_head *head)
+{
+    struct ggw_request *r = a->request;
+    struct ggw_proxy *proxy = r->proxy;
+    h2o_req_t *req = r->x->req;
+    h2o_iovec_t reason =
+        h2o_strdup(&req->pool, head->reason.base, head->reason.len);
+
+    req->res.status = head->status;
+    req->res.reason = reason.base;
+    req->res.content_length = head->content_length;
+    ggw_headers_back(req, head->headers, head->headers_len);
+    ggw_exchange_outcome(r->x, outcome_of(head->status), NULL);
+    ggw_request_count(r, outcome_of(head->status), "response");
+    ggw_histogram_add(proxy->added,
+                      ggw_kernel_now(proxy->base.kernel) - r->received -
+                          ggw_call_latency(a->call));
+    ggw_exchange_start(r->x);
+}
+
+static void
+on_head(void *data, const struct ggw_call_head *head)
+{
+    struct ggw_attempt *a = data;
+    struct ggw_request *r = a->request;
+
+    a->has_head = true;
+    a->status = head->status;
+    a->report = ggw_headers_load(head->headers, head->headers_len);
+    a->shed = (head->status == 503 || head->status == 504) &&
+              ggw_headers_not_run(head->headers, head->headers_len);
+    if (a->shed || r->winner != NULL) {
+        return;
+    }
+    if (head->status < 500) {
+        ggw_latency_add(&r->target->latency, ggw_call_latency(a->call));
+    }
+    r->winner = a;
+    uv_timer_stop(&r->timer);
+    for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
+        if (r->attempts[i] != NULL && r->attempts[i] != a) {
+            ggw_attempt_cancel(r->attempts[i]);
+        }
+    }
+    ggw_request_stop_waiting(r); /* a hedge may still wait for a slot */
+    settle(r, head->status);
+    if (r->x != NULL) {
+        start_response(a, head);
+    }
+}
+
+static void
+on_body(void *data)
+{
+    ggw_attempt_pump(data);
+}
+
+static enum ggw_attempt_result
+result_of(const struct ggw_attempt *a, enum ggw_call_end end)
+{
+    switch (end) {
+    case GGW_CALL_NOT_SENT:
+        return GGW_ATTEMPT_REFUSED;
+    case GGW_CALL_SILENT:
+        return a->shed ? GGW_ATTEMPT_SHED : GGW_ATTEMPT_SILENT;
+    case GGW_CALL_BROKEN:
+        return a->shed ? GGW_ATTEMPT_SHED : GGW_ATTEMPT_BROKEN;
+    case GGW_CALL_WHOLE:
+        break;
+    }
+    if (a->shed) {
+        return GGW_ATTEMPT_SHED;
+    }
+    return a->status >= 500 ? GGW_ATTEMPT_ERROR : GGW_ATTEMPT_OK;
+}
+
+static void
+on_end(void *data, enum ggw_call_end end)
+{
+    struct ggw_attempt *a = data;
+    struct ggw_request *r = a->request;
+    enum ggw_attempt_result result = result_of(a, end);
+    bool won = r->winner == a;
+
+    a->ended = true;
+    release(a, result);
+    if (won && end == GGW_CALL_WHOLE) {
+        ggw_attempt_pump(a); /* frees the attempt after the last byte */
+        if (r->x == NULL && r->winner == a) {
+            attempt_free(a);
+            ggw_request_done(r);
+        }
+        return;
+    }
+    if (won) {
+        if (r->x != NULL) {
+            ggw_count("ggw_responses_broken_total");
+            ggw_exchange_break(r->x);
+            r->x = NULL;
+        }
+        attempt_free(a);
+        ggw_request_done(r);
+        return;
+    }
+    attempt_free(a);
+    ggw_request_attempt_failed(
+        r, result,
+        result == GGW_ATTEMPT_SHED || result == GGW_ATTEMPT_REFUSED
+            ? GGW_NOT_RUN
+            : GGW_UNKNOWN);
+}
+
+static bool
+on_slow(void *data)
+{
+    struct ggw_attempt *a = data;
+
+    return ggw_request_attempt_slow(a->request);
+}
+
+static const struct ggw_call_ops call_ops = {
+    .slow = on_slow,
+    .head = on_head,
+    .body = on_body,
+    .end = on_end,
+};
+
+/*
+ * Time after which a silent server is given up if another may be tried. Well
+ * above the usual latency, so that slow work is not thrown away; while that
+ * is not known, half of what is left.
+ */
+static ggw_ms
+patience(const struct ggw_request *r, ggw_ms left)
+{
+    const struct ggw_latency *l = &r->target->latency;
+    ggw_ms usual = MAX(SILENT_P95 * l->p95, SILENT_MIN_MS);
+
+    if (r->kind->idempotency != GGW_IDEMPOTENT) {
+        return left;
+    }
+    return l->p95 > 0 ? MIN(usual, left / 2) : left / 2;
+}
+
+static GString *
+build_head(const struct ggw_request *r, bool fresh)
+{
+    GString *head = g_string_sized_new(256 + r->headers->len);
+
+    g_string_append(head, r->method);
+    g_string_append_c(head, ' ');
+    g_string_append(head, r->path);
+    g_string_append(head, " HTTP/1.1\r\n");
+    g_string_append_len(head, r->headers->str, (gssize)r->headers->len);
+    g_string_append_printf(head,
+                           "greengageway-deadline: %.0f\r\n"
+                           "greengageway-attempt: %d\r\n"
+                           "greengageway-request: %s-%" G_GUINT64_FORMAT
+                           "\r\n%s\r\n",
+                           r->wall_deadline, ggw_retry_header(&r->retry),
+                           r->proxy->options.name, r->id,
+                           fresh ? "connection: close\r\n" : "");
+    return head;
+}
+
+void
+ggw_attempt_start(struct ggw_request *r, const struct ggw_slot_grant *grant)
+{
+    struct ggw_proxy *proxy = r->proxy;
+    ggw_ms now = ggw_kernel_now(proxy->base.kernel);
+    struct ggw_attempt *a = g_new0(struct ggw_attempt, 1);
+    bool hedge = r->attempts[0] != NULL;
+    /*
+     * An order cannot be repeated after a stale connection broke, so it does
+     * not use one that was idle.
+     */
+    bool fresh = r->kind->idempotency == GGW_AT_MOST_ONCE;
+    struct ggw_call_spec spec = {
+        .body = r->body,
+        .is_head = strcmp(r->method, "HEAD") == 0,
+        .fresh = fresh,
+        .progress_timeout = proxy->options.progress_timeout,
+    };
+
+    a->request = r;
+    a->grant = grant->grant;
+    a->vm = g_strdup(grant->vm);
+    a->head = build_head(r, fresh);
+    r->attempts[hedge ? 1 : 0] = a;
+    r->retry.attempts++;
+    g_ptr_array_insert(r->tried, (int)r->tried->len - 1, g_strdup(grant->vm));
+    a->pool = ggw_pools_get(proxy->pools, grant->host, grant->port, now);
+    if (a->pool == NULL || a->pool->used >= MAX(grant->connections, 1)) {
+        release(a, a->pool == NULL ? GGW_ATTEMPT_REFUSED : GGW_ATTEMPT_UNUSED);
+        attempt_free(a);
+        ggw_request_attempt_failed(r, GGW_ATTEMPT_REFUSED, GGW_NOT_RUN);
+        return;
+    }
+    spec.head = h2o_iovec_init(a->head->str, a->head->len);
+    spec.head_limit = r->retry.deadline - now;
+    spec.patience = patience(r, spec.head_limit);
+    spec.connect_timeout = MIN(CONNECT_TIMEOUT_MS, spec.patience);
+    a->call = ggw_call_new(a->pool, &spec, &call_ops, a);
+}
--- /dev/null
+++ b/proxy/headers.c
@@ -0,0 +1,230 @@
+#include "proxy/headers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Headers that describe one connection; RFC 9110, section 7.6.1. */
+static const char *const hop_by_hop[] = {
+    "connection",       "keep-alive",        "proxy-connection",
+    "te",               "trailer",           "transfer-encoding",
+    "upgrade",          "proxy-authenticate", "proxy-authorization",
+    "content-length",   "expect",            "host",
+    "http2-settings",
+};
+
+/* Headers that the gateway and the backend servers exchange. */
+static const char *const own_prefixes[] = {
+    "greengageway-",
+    "backend-load",
+    "backend-outcome",
+};
+
+static bool
+is_own(const h2o_iovec_t *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(own_prefixes); i++) {
+        size_t len = strlen(own_prefixes[i]);
+
+        if (name->len >= len &&
+            g_ascii_strncasecmp(name->base, own_prefixes[i], len) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+name_is(const h2o_iovec_t *name, const char *text)
+{
+    return name->len == strlen(text) &&
+           g_ascii_strncasecmp(name->base, text, name->len) == 0;
+}
+
+static bool
+is_hop_by_hop(const h2o_iovec_t *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(hop_by_hop); i++) {
+        if (name_is(name, hop_by_hop[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether a Connection header names @name as one of this hop. */
+static bool
+named_by_connection(const h2o_header_t *headers, size_t len,
+                    const h2o_iovec_t *name)
+{
+    for (size_t i = 0; i < len; i++) {
+        if (name_is(headers[i].name, "connection") &&
+            h2o_contains_token(headers[i].value.base, headers[i].value.len,
+                               name->base, name->len, ',')) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+may_pass(const h2o_header_t *headers, size_t len, size_t i)
+{
+    return !is_hop_by_hop(headers[i].name) && !is_own(headers[i].name) &&
+           !named_by_connection(headers, len, headers[i].name);
+}
+
+char *
+ggw_headers_find(const h2o_req_t *req, const char *name)
+{
+    for (size_t i = 0; i < req->headers.size; i++) {
+        const h2o_header_t *h = &req->headers.entries[i];
+
+        if (name_is(h->name, name)) {
+            return g_strndup(h->value.base, h->value.len);
+        }
+    }
+    return NULL;
+}
+
+GString *
+ggw_headers_forward(const h2o_req_t *req)
+{
+    GString *out = g_string_sized_new(512);
+
+    g_string_append(out, "host: ");
+    g_string_append_len(out, req->input.authority.base,
+                        (gssize)req->input.authority.len);
+    g_string_append(out, "\r\n");
+    for (size_t i = 0; i < req->headers.size; i++) {
+        const h2o_header_t *h = &req->headers.entries[i];
+
+        if (!may_pass(req->headers.entries, req->headers.size, i)) {
+            continue;
+        }
+        g_string_append_len(out, h->name->base, (gssize)h->name->len);
+        g_string_append(out, ": ");
+        g_string_append_len(out, h->value.base, (gssize)h->value.len);
+        g_string_append(out, "\r\n");
+    }
+    if (req->entity.base != NULL) {
+        g_string_append_printf(out, "content-length: %zu\r\n",
+                               req->entity.len);
+    }
+    return out;
+}
+
+void
+ggw_headers_back(h2o_req_t *req, const h2o_header_t *headers, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        h2o_iovec_t name, value;
+
+        /* h2o writes its own Date and Server. */
+        if (!may_pass(headers, len, i) || name_is(headers[i].name, "date") ||
+            name_is(headers[i].name, "server")) {
+            continue;
+        }
+        name = h2o_strdup(&req->pool, headers[i].name->base,
+                          headers[i].name->len);
+        value = h2o_strdup(&req->pool, headers[i].value.base,
+                           headers[i].value.len);
+        h2o_strtolower(name.base, name.len);
+        h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
+                              name.len, 1, NULL, value.base, value.len);
+    }
+}
+
+static const h2o_iovec_t *
+find(const h2o_header_t *headers, size_t len, const char *name)
+{
+    for (size_t i = 0; i < len; i++) {
+        if (name_is(headers[i].name, name)) {
+            return &headers[i].value;
+        }
+    }
+    return NULL;
+}
+
+bool
+ggw_headers_not_run(const h2o_header_t *headers, size_t len)
+{
+    const h2o_iovec_t *value = find(headers, len, "backend-outcome");
+
+    return value != NULL && name_is(value, "not-run");
+}
+
+static bool
+parse_number(const char *text, uint64_t max, uint64_t *value)
+{
+    char *end;
+
+    if (!g_ascii_isdigit(*text)) {
+        return false;
+    }
+    *value = g_ascii_strtoull(text, &end, 10);
+    return *end == '\0' && *value <= max;
+}
+
+static bool
+set_field(struct ggw_load_report *r, const char *key, const char *text)
+{
+    uint64_t value;
+
+    if (strcmp(key, "incarnation") == 0) {
+        /* Servers that do not number their starts send other text. */
+        if (!parse_number(text, G_MAXUINT64 - 1, &r->incarnation)) {
+            r->incarnation = 0;
+        }
+        return true;
+    }
+    if (!parse_number(text, G_MAXINT, &value)) {
+        return false;
+    }
+    if (strcmp(key, "slots") == 0) {
+        r->slots = (int)value;
+    }
+    else if (strcmp(key, "busy") == 0) {
+        r->busy = (int)value;
+    }
+    else if (strcmp(key, "queue") == 0) {
+        r->queue = (int)value;
+    }
+    else if (strcmp(key, "cold") == 0) {
+        r->cold = value != 0;
+    }
+    else if (strcmp(key, "draining") == 0) {
+        r->draining = value != 0;
+    }
+    return true;
+}
+
+struct ggw_load_report
+ggw_headers_load(const h2o_header_t *headers, size_t len)
+{
+    static const struct ggw_load_report absent;
+    struct ggw_load_report r = {.present = true};
+    const h2o_iovec_t *value = find(headers, len, "backend-load");
+    g_autofree char *text = NULL;
+    g_auto(GStrv) fields = NULL;
+
+    if (value == NULL) {
+        return absent;
+    }
+    text = g_strndup(value->base, value->len);
+    fields = g_strsplit(text, ";", -1);
+    for (char **f = fields; *f != NULL; f++) {
+        char *equals = strchr(*f, '=');
+
+        if (equals == NULL) {
+            if (*g_strstrip(*f) == '\0') {
+                continue;
+            }
+            return absent;
+        }
+        *equals = '\0';
+        if (!set_field(&r, g_strstrip(*f), g_strstrip(equals + 1))) {
+            return absent;
+        }
+    }
+    return r;
+}
--- /dev/null
+++ b/proxy/proxy.c
@@ -0,0 +1,303 @@
+#include "proxy/proxy.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "common/metrics.h"
+#include "proxy/state.h"
+
+#define PART "proxy"
+
+#define HEAD_TIMEOUT_MS 10000
+#define PROGRESS_TIMEOUT_MS 5000
+
+/* Served on after the keep time, for clients with a slow clock. */
+#define LEAVE_EXTRA_MS 1000
+
+/* Interval of the check whether the last request has finished. */
+#define DRAIN_TICK_MS 20
+
+/*
+ * The service "claims" writes the end of an order after the response; the
+ * loop goes on for this time after the last one.
+ */
+#define SETTLE_MS 500
+
+static struct ggw_proxy *
+self(struct ggw_service *service)
+{
+    return (struct ggw_proxy *)service;
+}
+
+static void
+on_request(void *data, struct ggw_exchange *x)
+{
+    ggw_request_begin(data, x);
+}
+
+static bool
+proxy_start(struct ggw_service *service, GError **error)
+{
+    struct ggw_proxy *p = self(service);
+    uv_loop_t *loop = ggw_kernel_loop(service->kernel);
+    struct ggw_listener_options options = {
+        .host = p->options.listen_host,
+        .port = p->options.listen_port,
+        .head_timeout = p->options.head_timeout,
+        .request = on_request,
+        .data = p,
+    };
+
+    p->listener = ggw_listener_new(loop, &options);
+    p->pools = ggw_pools_new(loop, ggw_listener_receiver(p->listener));
+    uv_timer_init(loop, &p->shutdown_timer);
+    p->shutdown_timer.data = p;
+    p->started = true;
+    p->added = ggw_metric_histogram("ggw_added_ms");
+    p->slot_wait = ggw_metric_histogram("ggw_slot_wait_ms");
+    if (!ggw_listener_start(p->listener, error)) {
+        return false;
+    }
+    ggw_log_info(PART, "listens on %s:%u", p->options.listen_host,
+                 (unsigned)ggw_listener_port(p->listener));
+    return true;
+}
+
+static void
+on_config(struct ggw_proxy *p, struct ggw_config_in_force *m)
+{
+    const struct ggw_tree *old = g_hash_table_lookup(p->teams, m->tree->team);
+
+    if (old != NULL && old->revision >= m->tree->revision) {
+        return;
+    }
+    g_hash_table_replace(p->teams, g_strdup(m->tree->team),
+                         ggw_tree_ref(m->tree));
+}
+
+static void
+on_members(struct ggw_proxy *p, struct ggw_members_changed *m)
+{
+    struct ggw_message *copy = ggw_members_changed_new();
+
+    for (guint i = 0; i < m->members->len; i++) {
+        ggw_members_add((struct ggw_members_changed *)copy,
+                        &g_array_index(m->members, struct ggw_member, i));
+    }
+    if (p->members != NULL) {
+        p->members->base.ops->destroy(&p->members->base);
+    }
+    p->members = (struct ggw_members_changed *)copy;
+}
+
+static void
+on_vms(struct ggw_proxy *p, struct ggw_vms_changed *m)
+{
+    if (p->vms != NULL) {
+        ggw_vm_list_unref(p->vms);
+    }
+    p->vms = ggw_vm_list_ref(m->list);
+    ggw_pools_trim(p->pools, ggw_kernel_now(p->base.kernel));
+}
+
+static void
+drain_cb(uv_timer_t *timer)
+{
+    struct ggw_proxy *p = timer->data;
+    ggw_ms now = ggw_kernel_now(p->base.kernel);
+    bool late = now >= p->drain_end;
+
+    if (p->requests > 0 || ggw_listener_connections(p->listener) > 0) {
+        if (!late) {
+            return;
+        }
+        ggw_log_warn(PART,
+                     "drain time is over, %u requests and %u connections "
+                     "are cut",
+                     p->requests, ggw_listener_connections(p->listener));
+    }
+    else if (p->settled > 0 && now - p->settled < SETTLE_MS && !late) {
+        return;
+    }
+    ggw_log_info(PART, "all requests have finished");
+    uv_timer_stop(timer);
+    ggw_kernel_stop(p->base.kernel);
+}
+
+static void
+leave_cb(uv_timer_t *timer)
+{
+    struct ggw_proxy *p = timer->data;
+
+    ggw_log_info(PART, "closes its listener, %u requests in progress",
+                 p->requests);
+    ggw_listener_drain(p->listener);
+    p->drain_end = ggw_kernel_now(p->base.kernel) + p->options.drain;
+    uv_timer_start(&p->shutdown_timer, drain_cb, DRAIN_TICK_MS, DRAIN_TICK_MS);
+}
+
+static void
+on_shutdown(struct ggw_proxy *p)
+{
+    if (p->leaving) {
+        return;
+    }
+    ggw_log_info(PART, "leaves, serves for another %.0f ms",
+                 p->options.keep + LEAVE_EXTRA_MS);
+    p->leaving = true;
+    uv_timer_start(&p->shutdown_timer, leave_cb,
+                   (uint64_t)ceil(p->options.keep + LEAVE_EXTRA_MS), 0);
+}
+
+static void
+proxy_receive(struct ggw_service *service, struct ggw_message *m)
+{
+    struct ggw_proxy *p = self(service);
+    struct ggw_request *r;
+
+    if (p->stopped) {
+        return;
+    }
+    if (m->ops == &ggw_slot_grant_ops || m->ops == &ggw_slot_refuse_ops) {
+        /* Without a waiting request, "slots" has its cancellation. */
+        r = g_hash_table_lookup(p->slot_waits, &m->tag);
+        if (r != NULL && m->ops == &ggw_slot_grant_ops) {
+            ggw_request_granted(r, (struct ggw_slot_grant *)m);
+        }
+        else if (r != NULL) {
+            ggw_request_refused(r, (struct ggw_slot_refuse *)m);
+        }
+    }
+    else if (m->ops == &ggw_claim_result_ops) {
+        r = g_hash_table_lookup(p->claim_waits, &m->tag);
+        if (r != NULL) {
+            ggw_request_claimed(r, (struct ggw_claim_result *)m);
+        }
+    }
+    else if (m->ops == &ggw_config_in_force_ops) {
+        on_config(p, (struct ggw_config_in_force *)m);
+    }
+    else if (m->ops == &ggw_members_changed_ops) {
+        on_members(p, (struct ggw_members_changed *)m);
+    }
+    else if (m->ops == &ggw_vms_changed_ops) {
+        on_vms(p, (struct ggw_vms_changed *)m);
+    }
+    else if (m->ops == &ggw_probe_request_ops) {
+        ggw_proxy_probe(p, (struct ggw_probe_request *)m);
+    }
+    else if (m->ops == &ggw_shutdown_ops) {
+        on_shutdown(p);
+    }
+}
+
+static void
+proxy_stop(struct ggw_service *service)
+{
+    struct ggw_proxy *p = self(service);
+
+    if (!p->started || p->stopped) {
+        return;
+    }
+    p->stopped = true;
+    uv_close((uv_handle_t *)&p->shutdown_timer, NULL);
+    ggw_listener_stop(p->listener);
+    ggw_proxy_cancel_probes(p);
+    ggw_requests_abandon(p);
+    ggw_pools_stop(p->pools);
+}
+
+static void
+target_free(void *data)
+{
+    struct ggw_proxy_target *t = data;
+
+    g_hash_table_destroy(t->kinds);
+    g_free(t);
+}
+
+static void
+kind_free(void *data)
+{
+    struct ggw_proxy_kind *k = data;
+
+    g_free(k->labels);
+    g_free(k);
+}
+
+GHashTable *
+ggw_proxy_kinds_new(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, kind_free);
+}
+
+static void
+proxy_destroy(struct ggw_service *service)
+{
+    struct ggw_proxy *p = self(service);
+
+    ggw_listener_destroy(p->listener);
+    ggw_pools_destroy(p->pools);
+    g_hash_table_destroy(p->teams);
+    g_hash_table_destroy(p->targets);
+    g_hash_table_destroy(p->slot_waits);
+    g_hash_table_destroy(p->claim_waits);
+    g_hash_table_destroy(p->probes);
+    g_hash_table_destroy(p->live);
+    if (p->members != NULL) {
+        p->members->base.ops->destroy(&p->members->base);
+    }
+    if (p->vms != NULL) {
+        ggw_vm_list_unref(p->vms);
+    }
+    g_free((char *)p->options.name);
+    g_free((char *)p->options.failure_domain);
+    g_free((char *)p->options.listen_host);
+    g_free((char *)p->options.advertise_host);
+    g_free(p);
+}
+
+static const struct ggw_service_ops ops = {
+    .name = "proxy",
+    .start = proxy_start,
+    .receive = proxy_receive,
+    .stop = proxy_stop,
+    .destroy = proxy_destroy,
+};
+
+struct ggw_service *
+ggw_proxy_service_new(const struct ggw_proxy_options *options)
+{
+    struct ggw_proxy *p = g_new0(struct ggw_proxy, 1);
+
+    p->base.ops = &ops;
+    p->options = *options;
+    p->options.name = g_strdup(options->name);
+    p->options.failure_domain = g_strdup(options->failure_domain);
+    p->options.listen_host = g_strdup(options->listen_host);
+    p->options.advertise_host = g_strdup(options->advertise_host);
+    if (p->options.head_timeout <= 0) {
+        p->options.head_timeout = HEAD_TIMEOUT_MS;
+    }
+    if (p->options.progress_timeout <= 0) {
+        p->options.progress_timeout = PROGRESS_TIMEOUT_MS;
+    }
+    p->teams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                     (GDestroyNotify)ggw_tree_unref);
+    p->targets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                       target_free);
+    p->slot_waits = g_hash_table_new(g_int64_hash, g_int64_equal);
+    p->claim_waits = g_hash_table_new(g_int64_hash, g_int64_equal);
+    p->probes = g_hash_table_new(NULL, NULL);
+    p->live = g_hash_table_new(NULL, NULL);
+    return &p->base;
+}
+
+uint16_t
+ggw_proxy_port(const struct ggw_service *service)
+{
+    const struct ggw_proxy *p = (const struct ggw_proxy *)service;
+
+    return p->listener != NULL ? ggw_listener_port(p->listener) : 0;
+}
--- /dev/null
+++ b/proxy/proxy.h
@@ -0,0 +1,51 @@
+#ifndef GGW_PROXY_PROXY_H
+#define GGW_PROXY_PROXY_H
+
+#include <stdint.h>
+
+#include "kernel/kernel.h"
+
+/*
+ * Service "proxy": takes the clients' requests and forwards each to the
+ * backend server that the service "slots" grants.
+ */
+
+/**
+ * struct ggw_proxy_options - settings of the service
+ * @name: of this gateway
+ * @failure_domain: of this gateway
+ * @incarnation: start time of this process in Unix ms
+ * @listen_host: IP number
+ * @listen_port: 0 lets the system choose one
+ * @advertise_host: where clients reach this gateway; NULL for @listen_host
+ * @advertise_port: 0 for the port that is listened on
+ * @keep: longest time that clients use an entry response
+ * @drain: longest time for the last requests at shutdown
+ * @head_timeout: longest time for a request's head; 0 for 10 s
+ * @progress_timeout: longest gap in a response's body; 0 for 5 s
+ *
+ * All times in ms. Strings are copied.
+ */
+struct ggw_proxy_options {
+    const char *name;
+    const char *failure_domain;
+    uint64_t incarnation;
+    const char *listen_host;
+    uint16_t listen_port;
+    const char *advertise_host;
+    uint16_t advertise_port;
+    ggw_ms keep;
+    ggw_ms drain;
+    ggw_ms head_timeout;
+    ggw_ms progress_timeout;
+};
+
+struct ggw_service *
+ggw_proxy_service_new(const struct ggw_proxy_options *options);
+
+/**
+ * ggw_proxy_port() - port of the listener; 0 before the service has started
+ */
+uint16_t ggw_proxy_port(const struct ggw_service *service);
+
+#endif
--- /dev/null
+++ b/proxy/request.c
@@ -0,0 +1,650 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "common/metrics.h"
+#include "proxy/headers.h"
+#include "proxy/route.h"
+#include "proxy/state.h"
+
+/* Suggested to a client whose attempts were all shed. */
+#define SHED_RETRY_MS 1000
+
+static void
+handle_closed(uv_handle_t *handle)
+{
+    struct ggw_request *r = handle->data;
+
+    /* The second of the two timers to close frees the request. */
+    if (!r->closing) {
+        r->closing = true;
+        return;
+    }
+    ggw_tree_unref(r->tree);
+    g_free(r->method);
+    g_free(r->path);
+    g_free(r->order);
+    g_free(r->body.base);
+    if (r->headers != NULL) {
+        g_string_free(r->headers, TRUE);
+    }
+    g_ptr_array_free(r->tried, TRUE);
+    g_free(r);
+}
+
+/* Frees the request once nothing refers to it any more. */
+void
+ggw_request_done(struct ggw_request *r)
+{
+    if (r->x != NULL || r->slot_tag != 0 || r->claim_tag != 0 ||
+        r->attempts[0] != NULL || r->attempts[1] != NULL ||
+        uv_is_closing((uv_handle_t *)&r->timer)) {
+        return;
+    }
+    g_hash_table_remove(r->proxy->live, r);
+    r->proxy->requests--;
+    uv_close((uv_handle_t *)&r->timer, handle_closed);
+    uv_close((uv_handle_t *)&r->hedge_timer, handle_closed);
+}
+
+/* Drops what is left when the kernel stops; no message is delivered now. */
+void
+ggw_requests_abandon(struct ggw_proxy *proxy)
+{
+    g_autoptr(GList) live = g_hash_table_get_keys(proxy->live);
+
+    for (GList *l = live; l != NULL; l = l->next) {
+        struct ggw_request *r = l->data;
+
+        if (r->x != NULL) {
+            ggw_exchange_attach(r->x, NULL, NULL);
+            r->x = NULL;
+        }
+        r->slot_tag = 0;
+        r->claim_tag = 0;
+        for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
+            if (r->attempts[i] != NULL) {
+                ggw_attempt_cancel(r->attempts[i]);
+            }
+        }
+        ggw_request_done(r);
+    }
+}
+
+void
+ggw_request_count(struct ggw_request *r, enum ggw_outcome outcome,
+                  const char *reason)
+{
+    g_autofree char *name = NULL;
+
+    r->responded = true;
+    name = g_strdup_printf(
+        "ggw_requests_total{%s,outcome=\"%s\",reason=\"%s\"}",
+        r->metrics->labels, ggw_outcome_name(outcome), reason);
+
+    ggw_count(name);
+    ggw_histogram_add(r->metrics->latency,
+                      ggw_kernel_now(r->proxy->base.kernel) - r->received);
+}
+
+static void
+respond(struct ggw_request *r, int status, const char *reason,
+        enum ggw_outcome outcome, ggw_ms retry_after)
+{
+    struct ggw_exchange *x = r->x;
+
+    if (!r->responded) {
+        ggw_request_count(r, outcome, reason);
+    }
+    if (x != NULL) {
+        ggw_exchange_attach(x, NULL, NULL);
+        r->x = NULL;
+        ggw_exchange_refuse(x, status, reason, outcome, retry_after);
+    }
+}
+
+void
+ggw_request_settle(struct ggw_request *r, enum ggw_claim_end end, int status)
+{
+    struct ggw_proxy *proxy = r->proxy;
+
+    if (!r->claimed) {
+        return;
+    }
+    r->claimed = false;
+    proxy->settled = ggw_kernel_now(proxy->base.kernel);
+    ggw_kernel_send(proxy->base.kernel, "claims", &proxy->base,
+                    ggw_claim_settle_new(r->claim, end, status));
+}
+
+/* Stops waiting for a slot, if it does. */
+void
+ggw_request_stop_waiting(struct ggw_request *r)
+{
+    struct ggw_proxy *proxy = r->proxy;
+
+    uv_timer_stop(&r->hedge_timer);
+    if (r->slot_tag == 0) {
+        return;
+    }
+    g_hash_table_remove(proxy->slot_waits, &r->slot_tag);
+    ggw_kernel_send(proxy->base.kernel, "slots", &proxy->base,
+                    ggw_slot_cancel_new(r->slot_tag));
+    r->slot_tag = 0;
+}
+
+/*
+ * Ends a request that got no response. What is known of its attempts decides:
+ * one that may have run outweighs all that did not.
+ */
+static void
+finish(struct ggw_request *r, int status, const char *reason,
+       ggw_ms retry_after)
+{
+    uv_timer_stop(&r->timer);
+    if (r->unknown_status != 0) {
+        ggw_request_settle(r, GGW_CLAIM_END_UNKNOWN, 0);
+        respond(r, r->unknown_status,
+                r->unknown_status == 504 ? "timeout" : "broken", GGW_UNKNOWN,
+                0);
+    }
+    else {
+        ggw_request_settle(r, GGW_CLAIM_END_NOT_RUN, 0);
+        if (r->retry.attempts > 0) {
+            status = 503;
+            reason = "shed";
+            retry_after = MAX(retry_after, SHED_RETRY_MS);
+        }
+        respond(r, status, reason, GGW_NOT_RUN, retry_after);
+    }
+    ggw_request_done(r);
+}
+
+static void
+ask_slot(struct ggw_request *r)
+{
+    struct ggw_proxy *proxy = r->proxy;
+    struct ggw_message *m = ggw_slot_request_new(
+        r->tree->team, r->rule->name, r->kind->priority, r->retry.deadline,
+        r->tried->len > 1 ? (char **)r->tried->pdata : NULL);
+
+    r->slot_tag = ++proxy->next_id;
+    r->slot_asked = ggw_kernel_now(proxy->base.kernel);
+    m->tag = r->slot_tag;
+    g_hash_table_insert(proxy->slot_waits, &r->slot_tag, r);
+    ggw_kernel_send(proxy->base.kernel, "slots", &proxy->base, m);
+}
+
+static void
+hedge_cb(uv_timer_t *timer)
+{
+    struct ggw_request *r = timer->data;
+    ggw_ms now = ggw_kernel_now(r->proxy->base.kernel);
+    struct ggw_attempt *first = r->attempts[0];
+
+    if (first == NULL || first->has_head || r->attempts[1] != NULL ||
+        r->slot_tag != 0 ||
+        ggw_hedge_decide(&r->target->hedges, &r->retry,
+                         ggw_call_latency(first->call), &r->target->latency,
+                         now) != GGW_RETRY) {
+        return;
+    }
+    ggw_count("ggw_hedges_total");
+    ask_slot(r);
+}
+
+void
+ggw_request_granted(struct ggw_request *r, const struct ggw_slot_grant *grant)
+{
+    struct ggw_proxy *proxy = r->proxy;
+    ggw_ms now = ggw_kernel_now(proxy->base.kernel);
+    ggw_ms delay;
+
+    g_hash_table_remove(proxy->slot_waits, &r->slot_tag);
+    r->slot_tag = 0;
+    ggw_histogram_add(proxy->slot_wait, now - r->slot_asked);
+    if (now >= r->retry.deadline) {
+        ggw_kernel_send(proxy->base.kernel, "slots", &proxy->base,
+                        ggw_slot_release_new(grant->grant, GGW_ATTEMPT_UNUSED,
+                                             0, NULL));
+        if (r->attempts[0] == NULL) {
+            finish(r, 503, "too-late", SHED_RETRY_MS);
+        }
+        return;
+    }
+    ggw_attempt_start(r, grant);
+    if (r->attempts[0] == NULL || r->attempts[1] != NULL) {
+        return;
+    }
+    delay = ggw_hedge_delay(&r->retry, &r->target->latency);
+    if (isfinite(delay)) {
+        /* The timer counts whole ms and must not fire early. */
+        uv_timer_start(&r->hedge_timer, hedge_cb, (uint64_t)ceil(delay) + 1,
+                       0);
+    }
+}
+
+void
+ggw_request_refused(struct ggw_request *r,
+                    const struct ggw_slot_refuse *refuse)
+{
+    static const char *const reasons[] = {
+        [GGW_SLOT_NO_SERVER] = "no-server",
+        [GGW_SLOT_QUEUE_FULL] = "queue-full",
+        [GGW_SLOT_TOO_LATE] = "too-late",
+        [GGW_SLOT_DISPLACED] = "displaced",
+    };
+
+    g_hash_table_remove(r->proxy->slot_waits, &r->slot_tag);
+    r->slot_tag = 0;
+    if (r->attempts[0] != NULL || r->attempts[1] != NULL) {
+        return; /* there is no slot for a hedge; the first goes on */
+    }
+    finish(r, 503, reasons[refuse->reason], MAX(refuse->retry_after, 1));
+}
+
+void
+ggw_request_attempt_failed(struct ggw_request *r,
+                           enum ggw_attempt_result result,
+                           enum ggw_outcome outcome)
+{
+    ggw_ms now = ggw_kernel_now(r->proxy->base.kernel);
+    enum ggw_retry_verdict verdict;
+
+    if (outcome == GGW_UNKNOWN) {
+        r->unknown_status = result == GGW_ATTEMPT_SILENT ? 504 : 502;
+    }
+    if (r->attempts[0] == NULL && r->attempts[1] != NULL) {
+        r->attempts[0] = r->attempts[1];
+        r->attempts[1] = NULL;
+    }
+    if (r->attempts[0] != NULL) {
+        return;
+    }
+    if (r->slot_tag != 0) {
+        return; /* the hedge that waits for a slot takes over */
+    }
+    uv_timer_stop(&r->hedge_timer);
+    if (r->x == NULL) {
+        finish(r, 503, "client-left", 0);
+        return;
+    }
+    verdict = r->retry_granted
+                  ? GGW_RETRY
+                  : ggw_retry_decide(&r->target->retries, &r->retry, result,
+                                     outcome, &r->target->latency, now);
+    r->retry_granted = false;
+    if (verdict == GGW_RETRY) {
+        ggw_count("ggw_retries_total");
+        ask_slot(r);
+        return;
+    }
+    finish(r, 503, "shed", SHED_RETRY_MS);
+}
+
+/*
+ * A server has not responded for a while. Returns whether to give it up,
+ * which is done only if another one may be tried.
+ */
+bool
+ggw_request_attempt_slow(struct ggw_request *r)
+{
+    if (r->x == NULL || r->slot_tag != 0 || r->attempts[1] != NULL) {
+        return false;
+    }
+    r->retry_granted =
+        ggw_retry_decide(&r->target->retries, &r->retry, GGW_ATTEMPT_SILENT,
+                         GGW_UNKNOWN, &r->target->latency,
+                         ggw_kernel_now(r->proxy->base.kernel)) == GGW_RETRY;
+    return r->retry_granted;
+}
+
+static void
+deadline_cb(uv_timer_t *timer)
+{
+    struct ggw_request *r = timer->data;
+
+    if (r->attempts[0] != NULL || r->attempts[1] != NULL) {
+        return; /* its own timeout ends it */
+    }
+    if (r->claim_tag != 0) {
+        /* A claim that is won later is settled when the answer arrives. */
+        respond(r, 503, "claims-unavailable", GGW_NOT_RUN, SHED_RETRY_MS);
+        return;
+    }
+    ggw_request_stop_waiting(r);
+    finish(r, 503, "too-late", SHED_RETRY_MS);
+}
+
+void
+ggw_request_claimed(struct ggw_request *r,
+                    const struct ggw_claim_result *result)
+{
+    struct ggw_exchange *x = r->x;
+    char status[12];
+
+    g_hash_table_remove(r->proxy->claim_waits, &r->claim_tag);
+    r->claim_tag = 0;
+    switch (result->state) {
+    case GGW_CLAIM_WON:
+        r->claim = result->claim;
+        r->claimed = true;
+        if (x == NULL) {
+            finish(r, 503, "client-left", 0);
+            return;
+        }
+        ask_slot(r);
+        return;
+    case GGW_CLAIM_DONE:
+        if (x != NULL) {
+            h2o_iovec_t value;
+
+            g_snprintf(status, sizeof(status), "%d", result->status);
+            value = h2o_strdup(&x->req->pool, status, SIZE_MAX);
+            h2o_add_header_by_str(&x->req->pool, &x->req->res.headers,
+                                  H2O_STRLIT("greengageway-status"), 0, NULL,
+                                  value.base, value.len);
+            respond(r, 409, "already-run", GGW_DONE, 0);
+        }
+        break;
+    case GGW_CLAIM_TAKEN:
+        if (x != NULL) {
+            respond(r, 409, "claimed", GGW_UNKNOWN, 0);
+        }
+        break;
+    case GGW_CLAIM_UNAVAILABLE:
+        if (x != NULL) {
+            respond(r, 503, "claims-unavailable", GGW_NOT_RUN, SHED_RETRY_MS);
+        }
+        break;
+    }
+    uv_timer_stop(&r->timer);
+    ggw_request_done(r);
+}
+
+static void
+on_proceed(void *data)
+{
+    struct ggw_request *r = data;
+
+    if (r->winner != NULL) {
+        ggw_attempt_pump(r->winner);
+    }
+}
+
+/*
+ * The client has left. An order that was sent goes on, so that its result is
+ * known; everything else is cancelled.
+ */
+static void
+on_gone(void *data)
+{
+    struct ggw_request *r = data;
+
+    r->x = NULL;
+    ggw_count("ggw_clients_left_total");
+    if (r->kind->idempotency == GGW_AT_MOST_ONCE) {
+        if (r->attempts[0] != NULL && !r->attempts[0]->ended) {
+            ggw_attempt_pump(r->attempts[0]);
+            return;
+        }
+        if (r->attempts[0] != NULL) {
+            ggw_attempt_cancel(r->attempts[0]); /* all has arrived */
+            ggw_request_done(r);
+            return;
+        }
+        if (r->claim_tag != 0) {
+            return;
+        }
+        ggw_request_stop_waiting(r);
+        finish(r, 503, "client-left", 0);
+        return;
+    }
+    if (!r->responded) {
+        ggw_request_count(r, GGW_UNKNOWN, "client-left");
+    }
+    ggw_request_stop_waiting(r);
+    uv_timer_stop(&r->timer);
+    for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
+        if (r->attempts[i] != NULL) {
+            ggw_attempt_cancel(r->attempts[i]);
+        }
+    }
+    ggw_request_done(r);
+}
+
+static const struct ggw_exchange_ops exchange_ops = {
+    .proceed = on_proceed,
+    .gone = on_gone,
+};
+
+static struct ggw_proxy_target *
+target_of(struct ggw_proxy *proxy, const struct ggw_tree *tree,
+          const struct ggw_service_rule *rule, ggw_ms now)
+{
+    g_autofree char *key = g_strdup_printf("%s/%s", tree->team, rule->name);
+    struct ggw_proxy_target *t = g_hash_table_lookup(proxy->targets, key);
+
+    if (t == NULL) {
+        t = g_new0(struct ggw_proxy_target, 1);
+        ggw_budget_init(&t->retries, rule->retry_percent, now);
+        ggw_budget_init(&t->hedges, rule->hedge_percent, now);
+        t->kinds = ggw_proxy_kinds_new();
+        g_hash_table_insert(proxy->targets, g_strdup(key), t);
+    }
+    ggw_budget_set_percent(&t->retries, rule->retry_percent);
+    ggw_budget_set_percent(&t->hedges, rule->hedge_percent);
+    return t;
+}
+
+static struct ggw_proxy_kind *
+kind_of(struct ggw_proxy_target *t, const struct ggw_tree *tree,
+        const struct ggw_service_rule *rule, const struct ggw_kind *kind)
+{
+    struct ggw_proxy_kind *k = g_hash_table_lookup(t->kinds, kind->name);
+    g_autofree char *name = NULL;
+
+    if (k != NULL) {
+        return k;
+    }
+    k = g_new0(struct ggw_proxy_kind, 1);
+    k->labels = g_strdup_printf("team=\"%s\",service=\"%s\",kind=\"%s\"",
+                                tree->team, rule->name, kind->name);
+    name = g_strdup_printf("ggw_request_ms{%s}", k->labels);
+    k->latency = ggw_metric_histogram(name);
+    g_hash_table_insert(t->kinds, g_strdup(kind->name), k);
+    return k;
+}
+
+/**
+ * struct found - what the settings say about a request
+ */
+struct found {
+    struct ggw_tree *tree;
+    const struct ggw_service_rule *rule;
+    const struct ggw_kind *kind;
+};
+
+/* Returns the reason of a refusal, or NULL. */
+static const char *
+look_up(struct ggw_proxy *proxy, const struct ggw_route *route,
+        const char *method, struct found *f)
+{
+    if (g_hash_table_size(proxy->teams) == 0) {
+        return "no-configuration";
+    }
+    if (route->team == NULL || route->service == NULL) {
+        return "no-route";
+    }
+    f->tree = g_hash_table_lookup(proxy->teams, route->team);
+    f->rule = f->tree != NULL ? ggw_tree_service(f->tree, route->service)
+                              : NULL;
+    f->kind = f->rule != NULL
+                  ? ggw_service_kind(f->rule, method, route->plain)
+                  : NULL;
+    return f->kind != NULL ? NULL : "no-route";
+}
+
+/* Parses a header that holds a whole number; absent is @value unchanged. */
+static bool
+number_header(const h2o_req_t *req, const char *name, double max,
+              double *value)
+{
+    g_autofree char *text = ggw_headers_find(req, name);
+    char *end;
+    double parsed;
+
+    if (text == NULL) {
+        return true;
+    }
+    if (!g_ascii_isdigit(*text)) {
+        return false;
+    }
+    parsed = (double)g_ascii_strtoull(text, &end, 10);
+    if (*end != '\0' || parsed > max) {
+        return false;
+    }
+    *value = parsed;
+    return true;
+}
+
+static void
+refuse(struct ggw_exchange *x, int status, const char *reason,
+       ggw_ms retry_after)
+{
+    g_autofree char *name = g_strdup_printf(
+        "ggw_requests_total{outcome=\"not-run\",reason=\"%s\"}", reason);
+
+    ggw_count(name);
+    ggw_exchange_refuse(x, status, reason, GGW_NOT_RUN, retry_after);
+}
+
+static struct ggw_request *
+request_new(struct ggw_proxy *proxy, struct ggw_exchange *x,
+            const struct found *f, const struct ggw_route *route, ggw_ms now)
+{
+    struct ggw_request *r = g_new0(struct ggw_request, 1);
+    const h2o_req_t *req = x->req;
+
+    proxy->requests++;
+    g_hash_table_add(proxy->live, r);
+    r->proxy = proxy;
+    r->x = x;
+    r->id = ++proxy->next_id;
+    r->received = now;
+    r->tree = ggw_tree_ref(f->tree);
+    r->rule = f->rule;
+    r->kind = f->kind;
+    r->target = target_of(proxy, f->tree, f->rule, now);
+    r->metrics = kind_of(r->target, f->tree, f->rule, f->kind);
+    r->method = g_strndup(req->input.method.base, req->input.method.len);
+    r->path = g_strdup(route->forward);
+    r->headers = ggw_headers_forward(req);
+    if (req->entity.len > 0) {
+        /* Outlives the client's connection if that breaks. */
+        r->body.base = g_memdup2(req->entity.base, req->entity.len);
+        r->body.len = req->entity.len;
+    }
+    r->tried = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(r->tried, NULL);
+    uv_timer_init(ggw_kernel_loop(proxy->base.kernel), &r->timer);
+    uv_timer_init(ggw_kernel_loop(proxy->base.kernel), &r->hedge_timer);
+    r->timer.data = r;
+    r->hedge_timer.data = r;
+    r->retry.idempotency = f->kind->idempotency;
+    r->retry.max_attempts = f->kind->attempts;
+    ggw_exchange_attach(x, &exchange_ops, r);
+    return r;
+}
+
+static void
+claim(struct ggw_request *r)
+{
+    struct ggw_proxy *proxy = r->proxy;
+    struct ggw_message *m = ggw_claim_request_new(
+        r->tree->team, r->rule->name, r->order, r->retry.deadline);
+
+    r->claim_tag = ++proxy->next_id;
+    m->tag = r->claim_tag;
+    g_hash_table_insert(proxy->claim_waits, &r->claim_tag, r);
+    ggw_kernel_send(proxy->base.kernel, "claims", &proxy->base, m);
+}
+
+static void
+begin(struct ggw_proxy *proxy, struct ggw_exchange *x,
+      const struct ggw_route *route)
+{
+    const h2o_req_t *req = x->req;
+    g_autofree char *method =
+        g_strndup(req->input.method.base, req->input.method.len);
+    ggw_ms now = ggw_kernel_now(proxy->base.kernel);
+    ggw_ms wall = ggw_clock_wall(ggw_kernel_clock(proxy->base.kernel));
+    struct found f = {0};
+    const char *reason = look_up(proxy, route, method, &f);
+    g_autofree char *order = NULL;
+    double deadline, above = 0;
+    struct ggw_request *r;
+
+    if (reason != NULL) {
+        refuse(x, strcmp(reason, "no-route") == 0 ? 404 : 503, reason, 0);
+        return;
+    }
+    deadline = wall + f.kind->timeout;
+    if (!number_header(req, "greengageway-deadline", 1e15, &deadline) ||
+        !number_header(req, "greengageway-attempt", 1e6, &above)) {
+        refuse(x, 400, "bad-request", 0);
+        return;
+    }
+    deadline = MIN(deadline, wall + f.kind->timeout);
+    if (deadline <= wall) {
+        refuse(x, 503, "too-late", SHED_RETRY_MS);
+        return;
+    }
+    if (f.kind->idempotency == GGW_AT_MOST_ONCE) {
+        g_autofree char *header =
+            f.kind->order_header != NULL
+                ? ggw_headers_find(req, f.kind->order_header)
+                : NULL;
+
+        order = ggw_route_order(f.kind, route->plain, header);
+        if (order == NULL) {
+            refuse(x, 400, "no-order", 0);
+            return;
+        }
+    }
+    r = request_new(proxy, x, &f, route, now);
+    r->order = g_steal_pointer(&order);
+    r->wall_deadline = floor(deadline);
+    r->retry.above = (int)above;
+    r->retry.deadline = now + (deadline - wall);
+    ggw_budget_call(&r->target->retries, r->retry.above, now);
+    ggw_budget_call(&r->target->hedges, r->retry.above, now);
+    uv_timer_start(&r->timer, deadline_cb,
+                   (uint64_t)ceil(r->retry.deadline - now), 0);
+    if (r->order != NULL) {
+        claim(r);
+    }
+    else {
+        ask_slot(r);
+    }
+}
+
+void
+ggw_request_begin(struct ggw_proxy *proxy, struct ggw_exchange *x)
+{
+    const h2o_iovec_t *path = &x->req->input.path;
+    struct ggw_route route;
+
+    if (path->len >= 3 && memcmp(path->base, "/-/", 3) == 0) {
+        ggw_proxy_page(proxy, x);
+        return;
+    }
+    if (ggw_route_parse(&route, path->base, path->len)) {
+        begin(proxy, x, &route);
+    }
+    else {
+        refuse(x, 400, "bad-request", 0);
+    }
+    ggw_route_clear(&route);
+}
--- /dev/null
+++ b/tests/proxy_env.c
@@ -0,0 +1,809 @@
+#include "tests/proxy_env.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#define WAIT_S 10
+
+struct conn {
+    uv_tcp_t tcp;
+    uv_timer_t timer;
+    struct env_server *server;
+    GString *input;
+    int handles;
+};
+
+static struct env *
+env_of(struct ggw_service *service, size_t offset)
+{
+    return (struct env *)(void *)((char *)service - offset);
+}
+
+static void
+changed(struct env *env)
+{
+    pthread_cond_broadcast(&env->changed);
+    pthread_mutex_unlock(&env->lock);
+}
+
+/* Scripted servers. */
+
+static void
+conn_closed(uv_handle_t *handle)
+{
+    struct conn *c = handle->data;
+
+    if (--c->handles > 0) {
+        return;
+    }
+    g_string_free(c->input, TRUE);
+    g_free(c);
+}
+
+static void
+conn_close(struct conn *c)
+{
+    if (uv_is_closing((uv_handle_t *)&c->tcp)) {
+        return;
+    }
+    uv_close((uv_handle_t *)&c->tcp, conn_closed);
+    uv_close((uv_handle_t *)&c->timer, conn_closed);
+}
+
+static void
+conn_reset(struct conn *c)
+{
+    struct linger hard = {.l_onoff = 1};
+    int fd;
+
+    uv_fileno((uv_handle_t *)&c->tcp, &fd);
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    conn_close(c);
+}
+
+struct out {
+    uv_write_t req;
+    GString *text;
+    bool close;
+};
+
+static void
+written(uv_write_t *req, int status)
+{
+    struct out *o = (struct out *)req;
+    struct conn *c = req->handle->data;
+
+    if (o->close) {
+        conn_close(c);
+    }
+    g_string_free(o->text, TRUE);
+    g_free(o);
+}
+
+static void
+put(struct conn *c, GString *text, bool close)
+{
+    struct out *o = g_new0(struct out, 1);
+    uv_buf_t buf = uv_buf_init(text->str, (unsigned)text->len);
+
+    o->text = text;
+    o->close = close;
+    uv_write(&o->req, (uv_stream_t *)&c->tcp, &buf, 1, written);
+}
+
+static GString *
+head_of(const struct env_server *s, const char *status)
+{
+    GString *text = g_string_new(NULL);
+
+    g_string_printf(text, "HTTP/1.1 %s\r\nX-Server: %s\r\n", status, s->name);
+    if (s->load != NULL) {
+        g_string_append_printf(text, "Backend-Load: %s\r\n", s->load);
+    }
+    return text;
+}
+
+static void
+whole(struct conn *c, const char *status, const char *extra)
+{
+    const struct env_server *s = c->server;
+    GString *text = head_of(s, status);
+
+    g_string_append_printf(text, "%sContent-Length: %zu\r\n\r\n", extra,
+                           s->body_len);
+    g_string_append_len(text, s->body, (gssize)s->body_len);
+    put(c, text, false);
+}
+
+static void
+slow_cb(uv_timer_t *timer)
+{
+    whole(timer->data, "200 OK", "");
+}
+
+static void
+respond(struct conn *c)
+{
+    const struct env_server *s = c->server;
+    GString *text;
+
+    switch (s->script) {
+    case SCRIPT_SHED:
+        whole(c, "503 Busy", "Backend-Outcome: not-run\r\n");
+        break;
+    case SCRIPT_LATE:
+        whole(c, "504 Late", "Backend-Outcome: not-run\r\n");
+        break;
+    case SCRIPT_BARE_503:
+        whole(c, "503 Broken", "");
+        break;
+    case SCRIPT_ERROR_500:
+        whole(c, "500 Error", "");
+        break;
+    case SCRIPT_RESET:
+        conn_reset(c);
+        break;
+    case SCRIPT_RESET_HEAD:
+        put(c, g_string_new("HTTP/1.1 200 O"), true);
+        break;
+    case SCRIPT_SHORT:
+    case SCRIPT_SILENT_BODY:
+        text = head_of(s, "200 OK");
+        g_string_append_printf(text, "Content-Length: %zu\r\n\r\n",
+                               2 * s->body_len);
+        g_string_append_len(text, s->body, (gssize)s->body_len);
+        put(c, text, s->script == SCRIPT_SHORT);
+        break;
+    case SCRIPT_SHORT_CHUNK:
+        text = head_of(s, "200 OK");
+        g_string_append_printf(text,
+                               "Transfer-Encoding: chunked\r\n\r\n%zx\r\n",
+                               s->body_len);
+        g_string_append_len(text, s->body, (gssize)s->body_len);
+        g_string_append(text, "\r\n");
+        put(c, text, true);
+        break;
+    case SCRIPT_CHUNKED:
+        text = head_of(s, "200 OK");
+        g_string_append_printf(
+            text, "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n%zx\r\n",
+            s->body_len);
+        g_string_append_len(text, s->body, (gssize)s->body_len);
+        g_string_append(text, "\r\n0\r\n\r\n");
+        put(c, text, false);
+        break;
+    case SCRIPT_UNFRAMED:
+        text = head_of(s, "200 OK");
+        g_string_append(text, "\r\nhello");
+        put(c, text, true);
+        break;
+    case SCRIPT_BOTH_FRAMED:
+        text = head_of(s, "200 OK");
+        g_string_append(text, "Content-Length: 5\r\nTransfer-Encoding: "
+                              "chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        put(c, text, false);
+        break;
+    case SCRIPT_SLOW:
+        uv_timer_start(&c->timer, slow_cb, s->delay_ms, 0);
+        break;
+    case SCRIPT_EXTRA:
+        whole(c, "200 OK", "");
+        put(c,
+            g_string_new("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"),
+            false);
+        break;
+    case SCRIPT_OK:
+        whole(c, "200 OK", "");
+        break;
+    case SCRIPT_SILENT:
+    case SCRIPT_CLOSED:
+        break;
+    }
+}
+
+/* Length of the first whole request in the input, or 0. */
+static size_t
+request_len(const GString *input)
+{
+    const char *end = strstr(input->str, "\r\n\r\n");
+    const char *length;
+    size_t len;
+
+    if (end == NULL) {
+        return 0;
+    }
+    len = (size_t)(end - input->str) + 4;
+    length = strstr(input->str, "content-length: ");
+    if (length != NULL && length < end) {
+        len += strtoul(length + 16, NULL, 10);
+    }
+    return input->len >= len ? len : 0;
+}
+
+static void
+conn_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+    *buf = uv_buf_init(g_malloc(suggested), (unsigned)suggested);
+}
+
+static void
+conn_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+    struct conn *c = stream->data;
+    struct env_server *s = c->server;
+    size_t len;
+
+    if (n > 0) {
+        g_string_append_len(c->input, buf->base, n);
+    }
+    g_free(buf->base);
+    if (n < 0) {
+        pthread_mutex_lock(&s->env->lock);
+        s->closed++;
+        changed(s->env);
+        conn_close(c);
+        return;
+    }
+    while (!uv_is_closing((uv_handle_t *)stream) &&
+           (len = request_len(c->input)) > 0) {
+        pthread_mutex_lock(&s->env->lock);
+        g_string_append_len(s->seen, c->input->str, (gssize)len);
+        s->requests++;
+        changed(s->env);
+        g_string_erase(c->input, 0, (gssize)len);
+        respond(c);
+    }
+}
+
+static void
+server_accept(uv_stream_t *stream, int status)
+{
+    struct env_server *s = stream->data;
+    struct conn *c = g_new0(struct conn, 1);
+
+    c->server = s;
+    c->input = g_string_new(NULL);
+    c->handles = 2;
+    uv_tcp_init(stream->loop, &c->tcp);
+    uv_timer_init(stream->loop, &c->timer);
+    c->tcp.data = c;
+    c->timer.data = c;
+    uv_accept(stream, (uv_stream_t *)&c->tcp);
+    uv_read_start((uv_stream_t *)&c->tcp, conn_alloc, conn_read);
+    pthread_mutex_lock(&s->env->lock);
+    s->connections++;
+    changed(s->env);
+}
+
+static void
+server_start(struct env_server *s, uv_loop_t *loop)
+{
+    struct sockaddr_in address;
+    int len = sizeof(address);
+
+    uv_tcp_init(loop, &s->tcp);
+    s->tcp.data = s;
+    uv_ip4_addr("127.0.0.1", 0, &address);
+    uv_tcp_bind(&s->tcp, (struct sockaddr *)&address, 0);
+    uv_listen((uv_stream_t *)&s->tcp, 64, server_accept);
+    uv_tcp_getsockname(&s->tcp, (struct sockaddr *)&address, &len);
+    s->port = ntohs(address.sin_port);
+}
+
+/* Fake of "slots". */
+
+static const struct env_server *
+pick(struct env *env, char **avoid)
+{
+    for (size_t i = 0; i < ENV_SERVERS; i++) {
+        if (avoid == NULL ||
+            !g_strv_contains((const char *const *)avoid,
+                             env->servers[i].name)) {
+            return &env->servers[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+slots_receive(struct ggw_service *service, struct ggw_message *m)
+{
+    struct env *env = env_of(service, offsetof(struct env, slots));
+
+    pthread_mutex_lock(&env->lock);
+    if (m->ops == &ggw_slot_request_ops) {
+        const struct env_server *s =
+            pick(env, ((struct ggw_slot_request *)m)->avoid);
+
+        env->slot_requests++;
+        if (env->slots_mode == ENV_HOLD) {
+            /* No answer. */
+        }
+        else if (s == NULL || env->slots_mode == ENV_REFUSE) {
+            ggw_kernel_reply(
+                service, m,
+                ggw_slot_refuse_new(
+                    s == NULL ? GGW_SLOT_NO_SERVER : env->refusal, 1500));
+        }
+        else {
+            /* Port 1 of loopback has no listener. */
+            ggw_kernel_reply(
+                service, m,
+                ggw_slot_grant_new(++env->next_grant, s->name, "fd-a",
+                                   "127.0.0.1",
+                                   s->script == SCRIPT_CLOSED ? 1 : s->port,
+                                   8));
+        }
+    }
+    else if (m->ops == &ggw_slot_release_ops) {
+        g_array_append_val(env->releases, *(struct ggw_slot_release *)m);
+    }
+    else if (m->ops == &ggw_slot_cancel_ops) {
+        env->cancels++;
+    }
+    else if (m->ops == &ggw_probe_result_ops) {
+        g_array_append_val(env->probe_results, *(struct ggw_probe_result *)m);
+    }
+    changed(env);
+}
+
+/* Fake of "claims". */
+
+static void
+claims_receive(struct ggw_service *service, struct ggw_message *m)
+{
+    struct env *env = env_of(service, offsetof(struct env, claims));
+
+    pthread_mutex_lock(&env->lock);
+    if (m->ops == &ggw_claim_request_ops) {
+        env->claims_asked++;
+        env->held_tag = m->tag;
+        if (env->claims_mode == ENV_CLAIM) {
+            struct ggw_claim_result *r = g_new0(struct ggw_claim_result, 1);
+
+            r->base.ops = &ggw_claim_result_ops;
+            r->state = env->claim_state;
+            r->status = 201;
+            r->claim = 77;
+            ggw_kernel_reply(service, m, &r->base);
+        }
+    }
+    else if (m->ops == &ggw_claim_settle_ops) {
+        g_array_append_val(env->settles, *(struct ggw_claim_settle *)m);
+    }
+    changed(env);
+}
+
+/* Driver: starts the servers and passes on what the test posts. */
+
+struct posted {
+    char *to; /* NULL: publish */
+    struct ggw_message *message;
+};
+
+static void
+async_cb(uv_async_t *async)
+{
+    struct env *env = async->data;
+    struct posted *p;
+    bool stop;
+
+    pthread_mutex_lock(&env->lock);
+    while ((p = g_queue_pop_head(&env->posted)) != NULL) {
+        if (p->to == NULL) {
+            ggw_kernel_publish(env->kernel, &env->driver, p->message);
+        }
+        else {
+            ggw_kernel_send(env->kernel, p->to,
+                            strcmp(p->to, "proxy") == 0 ? &env->slots
+                                                        : &env->driver,
+                            p->message);
+        }
+        g_free(p->to);
+        g_free(p);
+    }
+    stop = env->stop;
+    pthread_mutex_unlock(&env->lock);
+    if (stop) {
+        ggw_kernel_stop(env->kernel);
+    }
+}
+
+static bool
+driver_start(struct ggw_service *service, GError **error)
+{
+    struct env *env = env_of(service, offsetof(struct env, driver));
+    uv_loop_t *loop = ggw_kernel_loop(env->kernel);
+
+    uv_async_init(loop, &env->async, async_cb);
+    env->async.data = env;
+    for (size_t i = 0; i < ENV_SERVERS; i++) {
+        server_start(&env->servers[i], loop);
+    }
+    pthread_mutex_lock(&env->lock);
+    env->running = true;
+    changed(env);
+    return true;
+}
+
+static void
+close_conns(uv_handle_t *handle, void *arg)
+{
+    struct env *env = arg;
+    struct conn *c = handle->data;
+
+    if (handle->type != UV_TCP || c == NULL ||
+        uv_is_closing(handle)) {
+        return;
+    }
+    for (size_t i = 0; i < ENV_SERVERS; i++) {
+        if ((void *)c == (void *)&env->servers[i]) {
+            uv_close(handle, NULL);
+            return;
+        }
+    }
+    if (handle == (uv_handle_t *)&c->tcp) {
+        conn_close(c);
+    }
+}
+
+static void
+driver_stop(struct ggw_service *service)
+{
+    struct env *env = env_of(service, offsetof(struct env, driver));
+
+    uv_close((uv_handle_t *)&env->async, NULL);
+    uv_walk(ggw_kernel_loop(env->kernel), close_conns, env);
+}
+
+static const struct ggw_service_ops driver_ops = {
+    .name = "driver", .start = driver_start, .stop = driver_stop};
+static const struct ggw_service_ops slots_ops = {.name = "slots"};
+static const struct ggw_service_ops claims_ops = {.name = "claims"};
+
+static void
+driver_receive(struct ggw_service *service, struct ggw_message *m)
+{
+}
+
+static void *
+run(void *arg)
+{
+    struct env *env = arg;
+
+    ggw_kernel_run(env->kernel, NULL);
+    pthread_mutex_lock(&env->lock);
+    env->ended = true;
+    changed(env);
+    return NULL;
+}
+
+struct ggw_tree *
+env_tree(uint64_t revision, ggw_ms timeout)
+{
+    struct ggw_tree *t = g_new0(struct ggw_tree, 1);
+    struct ggw_service_rule *s = g_new0(struct ggw_service_rule, 1);
+
+    t->refs = 1;
+    t->team = g_strdup("team");
+    t->revision = revision;
+    t->domains_out =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    t->servers_draining =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    t->services = s;
+    t->services_len = 1;
+    s->name = g_strdup("svc");
+    s->slots = 2;
+    s->connections = 8;
+    s->policy = g_strdup("slots");
+    s->retry_percent = 100; /* one call earns one retry */
+    s->hedge_percent = 100;
+    s->queue = 8;
+    s->kinds = g_new0(struct ggw_kind, 3);
+    s->kinds_len = 3;
+    for (int i = 0; i < 3; i++) {
+        s->kinds[i].timeout = timeout;
+        s->kinds[i].attempts = 3;
+    }
+    s->kinds[0].name = g_strdup("read");
+    s->kinds[0].methods = g_strsplit("GET,POST,HEAD", ",", -1);
+    s->kinds[0].path_prefix = g_strdup("/read");
+    s->kinds[1].name = g_strdup("order");
+    s->kinds[1].methods = g_strsplit("POST", ",", -1);
+    s->kinds[1].path_prefix = g_strdup("/order");
+    s->kinds[1].idempotency = GGW_AT_MOST_ONCE;
+    s->kinds[1].order_source = GGW_ORDER_FROM_HEADER;
+    s->kinds[1].order_header = g_strdup("x-order");
+    s->kinds[2].name = g_strdup("other");
+    s->kinds[2].methods = g_strsplit("GET", ",", -1);
+    s->kinds[2].path_prefix = g_strdup("/other");
+    s->kinds[2].attempts = 1;
+    return t;
+}
+
+static struct env *
+start(ggw_ms keep, ggw_ms drain)
+{
+    struct env *env = g_new0(struct env, 1);
+    struct ggw_proxy_options options = {
+        .name = "gw-1",
+        .failure_domain = "fd-a",
+        .incarnation = 42,
+        .listen_host = "127.0.0.1",
+        .keep = keep,
+        .drain = drain,
+        .head_timeout = 300,
+        .progress_timeout = 300,
+    };
+
+    pthread_mutex_init(&env->lock, NULL);
+    pthread_cond_init(&env->changed, NULL);
+    g_queue_init(&env->posted);
+    env->releases =
+        g_array_new(FALSE, FALSE, sizeof(struct ggw_slot_release));
+    env->settles = g_array_new(FALSE, FALSE, sizeof(struct ggw_claim_settle));
+    env->probe_results =
+        g_array_new(FALSE, FALSE, sizeof(struct ggw_probe_result));
+    for (size_t i = 0; i < ENV_SERVERS; i++) {
+        struct env_server *s = &env->servers[i];
+
+        s->env = env;
+        g_snprintf(s->name, sizeof(s->name), "s%zu", i);
+        s->body = "hello";
+        s->body_len = 5;
+        s->seen = g_string_new(NULL);
+    }
+    env->kernel = ggw_kernel_new(ggw_clock_system());
+    env->proxy = ggw_proxy_service_new(&options);
+    ggw_kernel_add(env->kernel, env->proxy);
+    static struct ggw_service_ops d, s, c;
+    d = driver_ops;
+    d.receive = driver_receive;
+    s = slots_ops;
+    s.receive = slots_receive;
+    c = claims_ops;
+    c.receive = claims_receive;
+    env->driver.ops = &d;
+    env->slots.ops = &s;
+    env->claims.ops = &c;
+    ggw_kernel_add(env->kernel, &env->slots);
+    ggw_kernel_add(env->kernel, &env->claims);
+    ggw_kernel_add(env->kernel, &env->driver);
+    pthread_create(&env->thread, NULL, run, env);
+    pthread_mutex_lock(&env->lock);
+    while (!env->running) {
+        pthread_cond_wait(&env->changed, &env->lock);
+    }
+    pthread_mutex_unlock(&env->lock);
+    return env;
+}
+
+struct env *
+env_start_bare(ggw_ms keep)
+{
+    return start(keep, 5000);
+}
+
+struct env *
+env_start(ggw_ms timeout, ggw_ms keep, ggw_ms drain)
+{
+    struct env *env = start(keep, drain);
+    struct ggw_tree *tree = env_tree(7, timeout);
+    bool ready = false;
+
+    env_publish(env, ggw_config_in_force_new(tree));
+    ggw_tree_unref(tree);
+    while (!ready) {
+        GString *r = env_ask(env, "GET /-/ready HTTP/1.1\r\nHost: x\r\n"
+                                  "Connection: close\r\n\r\n");
+
+        ready = env_status(r) == 200;
+        g_string_free(r, TRUE);
+    }
+    return env;
+}
+
+static void
+post(struct env *env, const char *to, struct ggw_message *message)
+{
+    struct posted *p = g_new0(struct posted, 1);
+
+    p->to = g_strdup(to);
+    p->message = message;
+    pthread_mutex_lock(&env->lock);
+    g_queue_push_tail(&env->posted, p);
+    pthread_mutex_unlock(&env->lock);
+    uv_async_send(&env->async);
+}
+
+void
+env_publish(struct env *env, struct ggw_message *message)
+{
+    post(env, NULL, message);
+}
+
+void
+env_send(struct env *env, const char *name, struct ggw_message *message)
+{
+    post(env, name, message);
+}
+
+void
+env_stop(struct env *env)
+{
+    pthread_mutex_lock(&env->lock);
+    env->stop = true;
+    if (!env->ended) {
+        uv_async_send(&env->async);
+    }
+    pthread_mutex_unlock(&env->lock);
+    pthread_join(env->thread, NULL);
+    ggw_kernel_destroy(env->kernel);
+    for (size_t i = 0; i < ENV_SERVERS; i++) {
+        g_string_free(env->servers[i].seen, TRUE);
+    }
+    g_array_free(env->releases, TRUE);
+    g_array_free(env->settles, TRUE);
+    g_array_free(env->probe_results, TRUE);
+    pthread_mutex_destroy(&env->lock);
+    pthread_cond_destroy(&env->changed);
+    g_free(env);
+}
+
+static void
+limit(struct timespec *t)
+{
+    clock_gettime(CLOCK_REALTIME, t);
+    t->tv_sec += WAIT_S;
+}
+
+bool
+env_wait_ended(struct env *env)
+{
+    struct timespec t;
+    int rc = 0;
+
+    limit(&t);
+    pthread_mutex_lock(&env->lock);
+    while (!env->ended && rc == 0) {
+        rc = pthread_cond_timedwait(&env->changed, &env->lock, &t);
+    }
+    pthread_mutex_unlock(&env->lock);
+    return rc == 0;
+}
+
+bool
+env_wait(struct env *env, const int *value, int at_least)
+{
+    struct timespec t;
+    int rc = 0;
+
+    limit(&t);
+    pthread_mutex_lock(&env->lock);
+    while (*value < at_least && rc == 0) {
+        rc = pthread_cond_timedwait(&env->changed, &env->lock, &t);
+    }
+    pthread_mutex_unlock(&env->lock);
+    return rc == 0;
+}
+
+bool
+env_wait_len(struct env *env, GArray **array, guint at_least)
+{
+    struct timespec t;
+    int rc = 0;
+
+    limit(&t);
+    pthread_mutex_lock(&env->lock);
+    while ((*array)->len < at_least && rc == 0) {
+        rc = pthread_cond_timedwait(&env->changed, &env->lock, &t);
+    }
+    pthread_mutex_unlock(&env->lock);
+    return rc == 0;
+}
+
+/* Client. */
+
+int
+env_connect(struct env *env)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(ggw_proxy_port(env->proxy)),
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    struct timeval t = {.tv_sec = WAIT_S};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &t, sizeof(t));
+    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &t, sizeof(t));
+    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+static bool
+response_whole(const GString *r)
+{
+    const char *end = strstr(r->str, "\r\n\r\n");
+    const char *length = env_header(r, "content-length");
+
+    return end != NULL && length != NULL &&
+           r->len >= (size_t)(end - r->str) + 4 + strtoul(length, NULL, 10);
+}
+
+GString *
+env_read(int fd, bool to_end)
+{
+    GString *r = g_string_new(NULL);
+    char buf[65536];
+    ssize_t n;
+
+    while (to_end || !response_whole(r)) {
+        n = recv(fd, buf, sizeof(buf), 0);
+        if (n <= 0) {
+            break;
+        }
+        g_string_append_len(r, buf, n);
+    }
+    return r;
+}
+
+GString *
+env_ask(struct env *env, const char *request)
+{
+    int fd = env_connect(env);
+    GString *r;
+
+    if (fd < 0) {
+        return g_string_new(NULL);
+    }
+    send(fd, request, strlen(request), MSG_NOSIGNAL);
+    r = env_read(fd, false);
+    close(fd);
+    return r;
+}
+
+const char *
+env_header(const GString *response, const char *name)
+{
+    static char value[512];
+    const char *end = strstr(response->str, "\r\n\r\n");
+    size_t len = strlen(name);
+
+    for (const char *line = strchr(response->str, '\n');
+         end != NULL && line != NULL && line < end;
+         line = strchr(line + 1, '\n')) {
+        if (g_ascii_strncasecmp(line + 1, name, len) == 0 &&
+            line[1 + len] == ':') {
+            g_strlcpy(value, line + len + 3, sizeof(value));
+            value[strcspn(value, "\r\n")] = '\0';
+            return value;
+        }
+    }
+    return NULL;
+}
+
+int
+env_status(const GString *response)
+{
+    return response->len > 12 ? atoi(response->str + 9) : 0;
+}
+
+const char *
+env_body(const GString *response, size_t *len)
+{
+    const char *end = strstr(response->str, "\r\n\r\n");
+
+    if (end == NULL) {
+        *len = 0;
+        return "";
+    }
+    *len = response->len - (size_t)(end + 4 - response->str);
+    return end + 4;
+}
