platform: add the service for tables and objects

Requests go through h2o's http1client over a pool of connections: at most 16 in flight, the rest wait until their timeout. A request that never reached a connection is NOT_SENT; any other without a complete answer is UNKNOWN. A connection is closed after a timeout.

ctl/blocking runs the service on a kernel of its own for programs that may block; tests/test_platform.c uses it against the stand-in. Results get constructors so that tests can fake the service.

--- /dev/null
+++ b/ctl/blocking.c
@@ -0,0 +1,109 @@
+#include "ctl/blocking.h"
+
+#include <string.h>
+
+struct asker {
+    struct ggw_service base;
+    struct ggw_blocking *requests;
+    size_t len;
+    size_t answered;
+};
+
+/* The kernel destroys what it delivered, so the contents are moved out. */
+static struct ggw_message *
+move_result(struct ggw_message *message)
+{
+    if (message->ops == &ggw_txn_result_ops) {
+        struct ggw_txn_result *from = (struct ggw_txn_result *)message;
+        struct ggw_txn_result *to = ggw_txn_result_new(from->status);
+        GArray *rows = to->rows;
+
+        to->rows = from->rows;
+        from->rows = rows;
+        return &to->base;
+    }
+    if (message->ops == &ggw_object_result_ops) {
+        struct ggw_object_result *from = (struct ggw_object_result *)message;
+        struct ggw_object_result *to = ggw_object_result_new(from->status);
+
+        to->etag = g_steal_pointer(&from->etag);
+        to->body = g_steal_pointer(&from->body);
+        return &to->base;
+    }
+    return NULL;
+}
+
+static void
+asker_receive(struct ggw_service *service, struct ggw_message *message)
+{
+    struct asker *a = (struct asker *)service;
+    struct ggw_message *result = move_result(message);
+
+    if (result == NULL) {
+        return;
+    }
+    a->requests[message->tag].result = result;
+    a->answered++;
+    if (a->answered == a->len) {
+        ggw_kernel_stop(service->kernel);
+    }
+}
+
+static const struct ggw_service_ops asker_ops = {
+    .name = "asker",
+    .receive = asker_receive,
+};
+
+/* The service for a request's address; one for all requests that share it. */
+static struct ggw_service *
+service_for(struct ggw_kernel *kernel, struct ggw_service **services,
+            const struct ggw_blocking *requests, size_t i)
+{
+    for (size_t j = 0; j < i; j++) {
+        if (strcmp(requests[j].host, requests[i].host) == 0 &&
+            requests[j].port == requests[i].port) {
+            return services[j];
+        }
+    }
+    services[i] = ggw_platform_service_new(requests[i].host, requests[i].port);
+    ggw_kernel_add(kernel, services[i]);
+    return services[i];
+}
+
+bool
+ggw_blocking_run(struct ggw_blocking *requests, size_t len, GError **error)
+{
+    struct ggw_kernel *kernel = ggw_kernel_new(ggw_clock_system());
+    struct asker asker = {
+        .base.ops = &asker_ops,
+        .requests = requests,
+        .len = len,
+    };
+    struct ggw_service **services = g_new0(struct ggw_service *, len + 1);
+    bool ok;
+
+    ggw_kernel_add(kernel, &asker.base);
+    for (size_t i = 0; i < len; i++) {
+        services[i] = service_for(kernel, services, requests, i);
+        requests[i].result = NULL;
+        requests[i].message->tag = i;
+        ggw_kernel_send_id(kernel, services[i]->id, &asker.base,
+                           requests[i].message);
+        requests[i].message = NULL;
+    }
+    ok = len == 0 || ggw_kernel_run(kernel, error);
+    ggw_kernel_destroy(kernel);
+    g_free(services);
+    return ok;
+}
+
+void
+ggw_blocking_clear(struct ggw_blocking *requests, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        if (requests[i].result != NULL) {
+            requests[i].result->ops->destroy(requests[i].result);
+            requests[i].result = NULL;
+        }
+    }
+}
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -130,20 +130,11 @@
     send_error(req, 503, "closed");
 }
 
-static json_t *
-int64_json(int64_t value)
-{
-    char text[24];
-
-    g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, (gint64)value);
-    return json_string(text);
-}
-
 static json_t *
 header_json(void)
 {
     return json_pack("{s:s, s:s, s:o, s:s}", "cluster_id", "1", "member_id",
-                     "1", "revision", int64_json(srv.revision), "raft_term",
+                     "1", "revision", ggw_kv_int64(srv.revision), "raft_term",
                      "1");
 }
 
@@ -151,9 +142,9 @@
 kv_json(const char *key, const struct kv *kv)
 {
     return json_pack("{s:o, s:o, s:o, s:o, s:o}", "key", ggw_kv_base64(key),
-                     "create_revision", int64_json(kv->create_revision),
-                     "mod_revision", int64_json(kv->mod_revision), "version",
-                     int64_json(kv->version), "value",
+                     "create_revision", ggw_kv_int64(kv->create_revision),
+                     "mod_revision", ggw_kv_int64(kv->mod_revision), "version",
+                     ggw_kv_int64(kv->version), "value",
                      ggw_kv_base64(kv->value));
 }
 
@@ -201,7 +192,7 @@
                                   kv_json(key, g_tree_lookup(srv.table, key)));
         }
         json_object_set_new(answer, "kvs", kvs);
-        json_object_set_new(answer, "count", int64_json(keys->len));
+        json_object_set_new(answer, "count", ggw_kv_int64(keys->len));
     }
     g_ptr_array_unref(keys);
     return answer;
@@ -221,7 +212,7 @@
     kv->mod_revision = revision;
     g_tree_replace(srv.table, key, kv);
     return json_pack("{s:{s:{s:o}}}", "response_put", "header", "revision",
-                     int64_json(revision));
+                     ggw_kv_int64(revision));
 }
 
 static json_t *
@@ -234,8 +225,8 @@
         g_tree_remove(srv.table, g_ptr_array_index(keys, i));
     }
     answer = json_pack("{s:{s:{s:o}, s:o}}", "response_delete_range", "header",
-                       "revision", int64_json(revision), "deleted",
-                       int64_json(keys->len));
+                       "revision", ggw_kv_int64(revision), "deleted",
+                       ggw_kv_int64(keys->len));
     g_ptr_array_unref(keys);
     return answer;
 }
@@ -653,19 +644,18 @@
         return 0;
     }
     switch (srv.fault.mode) {
-    case FAULT_NONE:
-        break;
     case FAULT_DOWN:
         drop(req);
         break;
     case FAULT_SLOW:
         delay(req, srv.fault.ms);
         break;
-    case FAULT_SILENT:
-        break;
     case FAULT_LOST_ANSWER:
         serve(req, true);
         break;
+    case FAULT_NONE:
+    case FAULT_SILENT:
+        break;
     }
     return 0;
 }
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,300 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "common/error.h"
+#include "ctl/blocking.h"
+#include "platform/kv_json.h"
+#include "tests/platform_process.h"
+
+/* Limit for answers that must come; generous for a busy machine. */
+#define PATIENT 10000
+
+/* Timeout of requests that are meant to run into it. */
+#define SHORT 200
+
+static struct platform_process process;
+
+static struct ggw_txn_result *
+run_txn(uint16_t port, struct ggw_txn *txn)
+{
+    struct ggw_blocking r = {"127.0.0.1", port, &txn->base, NULL};
+
+    CU_ASSERT_TRUE_FATAL(ggw_blocking_run(&r, 1, NULL));
+    return (struct ggw_txn_result *)r.result;
+}
+
+static enum ggw_platform_status
+run_status(uint16_t port, struct ggw_txn *txn)
+{
+    struct ggw_txn_result *result = run_txn(port, txn);
+    enum ggw_platform_status status = result->status;
+
+    result->base.ops->destroy(&result->base);
+    return status;
+}
+
+static struct ggw_object_result *
+run_object(const char *key, const char *etag)
+{
+    struct ggw_blocking r = {"127.0.0.1", process.port,
+                             ggw_object_request_new(key, etag, PATIENT), NULL};
+
+    CU_ASSERT_TRUE_FATAL(ggw_blocking_run(&r, 1, NULL));
+    return (struct ggw_object_result *)r.result;
+}
+
+static struct ggw_txn *
+insert(const char *key, const char *value, ggw_ms timeout)
+{
+    struct ggw_txn *txn = ggw_txn_new(timeout);
+
+    ggw_txn_compare(txn, key, GGW_COMPARE_CREATE_REVISION, 0);
+    ggw_txn_put(txn, key, value);
+    return txn;
+}
+
+static struct ggw_txn *
+read_of(const char *key)
+{
+    struct ggw_txn *txn = ggw_txn_new(PATIENT);
+
+    ggw_txn_read(txn, key);
+    return txn;
+}
+
+/* Number of rows below a prefix, or with one key. */
+static guint
+count_rows(const char *key)
+{
+    struct ggw_txn_result *result = run_txn(process.port, read_of(key));
+    guint n = result->rows->len;
+
+    CU_ASSERT_EQUAL(result->status, GGW_PLATFORM_OK);
+    result->base.ops->destroy(&result->base);
+    return n;
+}
+
+/* Guards against a compare that is not sent or not obeyed. */
+static void
+test_transactions(void)
+{
+    struct ggw_txn *txn;
+    struct ggw_txn_result *result;
+    const struct ggw_row *row;
+    int64_t revision;
+
+    CU_ASSERT_EQUAL(run_status(process.port, insert("t/a", "1", PATIENT)),
+                    GGW_PLATFORM_OK);
+    txn = insert("t/a", "2", PATIENT);
+    ggw_txn_read(txn, "t/a");
+    result = run_txn(process.port, txn);
+    CU_ASSERT_EQUAL(result->status, GGW_PLATFORM_CONFLICT);
+    CU_ASSERT_EQUAL_FATAL(result->rows->len, 1);
+    row = &g_array_index(result->rows, struct ggw_row, 0);
+    CU_ASSERT_STRING_EQUAL(row->key, "t/a");
+    CU_ASSERT_STRING_EQUAL(row->value, "1");
+    revision = row->mod_revision;
+    result->base.ops->destroy(&result->base);
+
+    txn = ggw_txn_new(PATIENT);
+    ggw_txn_compare(txn, "t/a", GGW_COMPARE_MOD_REVISION, revision);
+    ggw_txn_put(txn, "t/a", "3");
+    ggw_txn_put(txn, "t/b", "");
+    CU_ASSERT_EQUAL(run_status(process.port, txn), GGW_PLATFORM_OK);
+    CU_ASSERT_EQUAL(count_rows("t/"), 2);
+    CU_ASSERT_EQUAL(count_rows("t/b"), 1);
+
+    txn = ggw_txn_new(PATIENT);
+    ggw_txn_compare(txn, "t/a", GGW_COMPARE_MOD_REVISION, revision);
+    ggw_txn_put(txn, "t/a", NULL);
+    CU_ASSERT_EQUAL(run_status(process.port, txn), GGW_PLATFORM_CONFLICT);
+    txn = ggw_txn_new(PATIENT);
+    ggw_txn_put(txn, "t/a", NULL);
+    CU_ASSERT_EQUAL(run_status(process.port, txn), GGW_PLATFORM_OK);
+    CU_ASSERT_EQUAL(count_rows("t/a"), 0);
+}
+
+/* Guards against objects that are read again although nothing changed. */
+static void
+test_objects(void)
+{
+    struct ggw_object_result *o = run_object("bucket/absent", NULL);
+    g_autofree char *etag = NULL;
+
+    CU_ASSERT_EQUAL(o->status, GGW_PLATFORM_OK);
+    CU_ASSERT_PTR_NULL(o->body);
+    o->base.ops->destroy(&o->base);
+
+    platform_process_put_object(&process, "bucket/key", "one");
+    o = run_object("bucket/key", NULL);
+    CU_ASSERT_EQUAL(o->status, GGW_PLATFORM_OK);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(o->body);
+    CU_ASSERT_EQUAL(g_bytes_get_size(o->body), 3);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(o->etag);
+    etag = g_strdup(o->etag);
+    o->base.ops->destroy(&o->base);
+
+    o = run_object("bucket/key", etag);
+    CU_ASSERT_EQUAL(o->status, GGW_PLATFORM_NOT_MODIFIED);
+    o->base.ops->destroy(&o->base);
+
+    platform_process_put_object(&process, "bucket/key", "second");
+    o = run_object("bucket/key", etag);
+    CU_ASSERT_EQUAL(o->status, GGW_PLATFORM_OK);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(o->body);
+    CU_ASSERT_EQUAL(g_bytes_get_size(o->body), 6);
+    o->base.ops->destroy(&o->base);
+}
+
+/* Guards against a refused connection that counts as a possible write. */
+static void
+test_refused(void)
+{
+    CU_ASSERT_EQUAL(run_status(unused_port(), insert("r/a", "1", PATIENT)),
+                    GGW_PLATFORM_NOT_SENT);
+}
+
+/* Guards against a write that was sent and is reported as not sent. */
+static void
+test_faults_after_sending(void)
+{
+    platform_process_fault(&process, "{\"mode\":\"down\",\"count\":1}");
+    CU_ASSERT_EQUAL(run_status(process.port, insert("f/a", "1", PATIENT)),
+                    GGW_PLATFORM_UNKNOWN);
+    CU_ASSERT_EQUAL(count_rows("f/"), 0);
+
+    platform_process_fault(&process, "{\"mode\":\"silent\",\"count\":1}");
+    CU_ASSERT_EQUAL(run_status(process.port, insert("f/b", "1", SHORT)),
+                    GGW_PLATFORM_UNKNOWN);
+    CU_ASSERT_EQUAL(count_rows("f/"), 0);
+
+    platform_process_fault(&process, "{\"mode\":\"lost-answer\",\"count\":1}");
+    CU_ASSERT_EQUAL(run_status(process.port, insert("f/c", "1", PATIENT)),
+                    GGW_PLATFORM_UNKNOWN);
+    CU_ASSERT_EQUAL(count_rows("f/"), 1);
+
+    platform_process_fault(&process,
+                           "{\"mode\":\"slow\",\"ms\":60000,\"count\":1}");
+    CU_ASSERT_EQUAL(run_status(process.port, insert("f/d", "1", SHORT)),
+                    GGW_PLATFORM_UNKNOWN);
+
+    platform_process_fault(&process,
+                           "{\"mode\":\"slow\",\"ms\":50,\"count\":1}");
+    CU_ASSERT_EQUAL(run_status(process.port, insert("f/e", "1", PATIENT)),
+                    GGW_PLATFORM_OK);
+}
+
+/*
+ * Guards against an unbounded number of requests in flight during an outage
+ * and against queued requests that end later than their timeout.
+ */
+static void
+test_bound_in_flight(void)
+{
+    enum {
+        N = 40,
+        IN_FLIGHT = 16
+    };
+    struct ggw_blocking r[N];
+    int unknown = 0, not_sent = 0;
+
+    platform_process_fault(&process, "{\"mode\":\"silent\"}");
+    for (int i = 0; i < N; i++) {
+        g_autofree char *key = g_strdup_printf("b/%d", i);
+        /* Those that wait end before the others make room for them. */
+        ggw_ms timeout = i < IN_FLIGHT ? 1000 : SHORT;
+
+        r[i] = (struct ggw_blocking){"127.0.0.1", process.port,
+                                     &insert(key, "1", timeout)->base, NULL};
+    }
+    CU_ASSERT_TRUE_FATAL(ggw_blocking_run(r, N, NULL));
+    for (int i = 0; i < N; i++) {
+        enum ggw_platform_status s =
+            ((struct ggw_txn_result *)r[i].result)->status;
+
+        unknown += s == GGW_PLATFORM_UNKNOWN;
+        not_sent += s == GGW_PLATFORM_NOT_SENT;
+    }
+    ggw_blocking_clear(r, N);
+    CU_ASSERT_EQUAL(unknown, IN_FLIGHT);
+    CU_ASSERT_EQUAL(not_sent, N - IN_FLIGHT);
+    platform_process_fault(&process, "{\"mode\":\"none\"}");
+}
+
+/* Guards against a silent connection that is used for the next request. */
+static void
+test_no_reuse_after_timeout(void)
+{
+    enum {
+        N = 17
+    };
+    struct ggw_blocking r[N];
+
+    platform_process_fault(&process, "{\"mode\":\"silent\",\"count\":16}");
+    for (int i = 0; i < N; i++) {
+        g_autofree char *key = g_strdup_printf("n/%d", i);
+        ggw_ms timeout = i < N - 1 ? 1000 : PATIENT;
+
+        r[i] = (struct ggw_blocking){"127.0.0.1", process.port,
+                                     &insert(key, "1", timeout)->base, NULL};
+    }
+    CU_ASSERT_TRUE_FATAL(ggw_blocking_run(r, N, NULL));
+    CU_ASSERT_EQUAL(((struct ggw_txn_result *)r[0].result)->status,
+                    GGW_PLATFORM_UNKNOWN);
+    CU_ASSERT_EQUAL(((struct ggw_txn_result *)r[N - 1].result)->status,
+                    GGW_PLATFORM_OK);
+    ggw_blocking_clear(r, N);
+    CU_ASSERT_EQUAL(count_rows("n/"), 1);
+}
+
+static bool
+decodes(const char *text)
+{
+    struct ggw_txn_result *r = ggw_txn_result_new(GGW_PLATFORM_OK);
+    bool succeeded;
+    bool ok = ggw_kv_decode_txn(text, strlen(text), &succeeded, r->rows, NULL);
+
+    r->base.ops->destroy(&r->base);
+    return ok;
+}
+
+/* Guards against an answer of something else that passes as a success. */
+static void
+test_malformed_answers(void)
+{
+    CU_ASSERT_TRUE(decodes("{\"header\":{},\"succeeded\":true}"));
+    CU_ASSERT_FALSE(decodes(""));
+    CU_ASSERT_FALSE(decodes("[]"));
+    CU_ASSERT_FALSE(decodes("{\"succeeded\":true}"));
+    CU_ASSERT_FALSE(decodes("{\"header\":{},\"succeeded\":true"));
+    CU_ASSERT_FALSE(decodes("{\"header\":{},\"responses\":["
+                            "{\"responseRange\":{\"kvs\":{}}}]}"));
+    CU_ASSERT_FALSE(decodes("{\"header\":{},\"responses\":["
+                            "{\"response_range\":{\"kvs\":["
+                            "{\"key\":\"*\"}]}}]}"));
+    CU_ASSERT_FALSE(decodes("{\"header\":{},\"responses\":["
+                            "{\"response_range\":{\"kvs\":[{\"key\":"
+                            "\"YQ==\",\"mod_revision\":\"1x\"}]}}]}"));
+}
+
+int
+main(void)
+{
+    CU_pSuite suite;
+    unsigned failures;
+
+    platform_process_start(&process, NULL);
+    CU_initialize_registry();
+    suite = CU_add_suite("platform", NULL, NULL);
+    CU_add_test(suite, "transactions", test_transactions);
+    CU_add_test(suite, "objects", test_objects);
+    CU_add_test(suite, "refused", test_refused);
+    CU_add_test(suite, "faults after sending", test_faults_after_sending);
+    CU_add_test(suite, "bound in flight", test_bound_in_flight);
+    CU_add_test(suite, "no reuse after timeout", test_no_reuse_after_timeout);
+    CU_add_test(suite, "malformed answers", test_malformed_answers);
+    CU_basic_run_tests();
+    failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failures != 0 || platform_process_stop(&process) != 0;
+}
