--- /dev/null
+++ b/decide/view.c
@@ -0,0 +1,387 @@
+#include "decide/view.h"
+
+#include <math.h>
+#include <string.h>
+
+struct ggw_view {
+    GPtrArray *members; /* of struct ggw_view_member, sorted by name */
+    struct ggw_view_member *self;
+    int seeds;
+    bool has_list;
+    uint64_t list_version;
+    bool changed;
+};
+
+static void
+member_free(gpointer data)
+{
+    struct ggw_view_member *m = data;
+
+    g_free(m->member.name);
+    g_free(m->member.failure_domain);
+    g_free(m->member.host);
+    g_free(m);
+}
+
+static gint
+by_name(gconstpointer a, gconstpointer b)
+{
+    const struct ggw_view_member *const *x = a;
+    const struct ggw_view_member *const *y = b;
+
+    return strcmp((*x)->member.name, (*y)->member.name);
+}
+
+static struct ggw_view_member *
+find(const struct ggw_view *v, const char *name)
+{
+    for (guint i = 0; i < v->members->len; i++) {
+        struct ggw_view_member *m = g_ptr_array_index(v->members, i);
+
+        if (strcmp(m->member.name, name) == 0) {
+            return m;
+        }
+    }
+    return NULL;
+}
+
+static struct ggw_view_member *
+find_or_add(struct ggw_view *v, const char *name, const char *domain)
+{
+    struct ggw_view_member *m = find(v, name);
+
+    if (m == NULL) {
+        m = g_new0(struct ggw_view_member, 1);
+        m->member.name = g_strdup(name);
+        m->member.failure_domain = g_strdup(domain);
+        m->member.host = g_strdup("");
+        m->member.state = GGW_MEMBER_DEAD;
+        m->acked_at = -INFINITY;
+        g_ptr_array_add(v->members, m);
+        g_ptr_array_sort(v->members, by_name);
+    }
+    return m;
+}
+
+static void
+set_state(struct ggw_view *v, struct ggw_view_member *m,
+          enum ggw_member_state state)
+{
+    if (m->member.state != state) {
+        m->member.state = state;
+        v->changed = true;
+    }
+}
+
+static void
+replace_string(char **to, const char *from)
+{
+    if (strcmp(*to, from) != 0) {
+        g_free(*to);
+        *to = g_strdup(from);
+    }
+}
+
+static void
+describe(struct ggw_view_member *m, const struct ggw_view_hello *hello)
+{
+    replace_string(&m->member.failure_domain, hello->failure_domain);
+    replace_string(&m->member.host, hello->host);
+    m->member.port = hello->port;
+    m->member.incarnation = hello->incarnation;
+}
+
+struct ggw_view *
+ggw_view_new(const struct ggw_view_hello *self, int seeds, ggw_ms now)
+{
+    struct ggw_view *v = g_new0(struct ggw_view, 1);
+
+    v->members = g_ptr_array_new_with_free_func(member_free);
+    v->self = find_or_add(v, self->name, self->failure_domain);
+    describe(v->self, self);
+    v->self->member.self = true;
+    v->self->member.state = GGW_MEMBER_ALIVE;
+    v->self->heard_at = now;
+    v->seeds = seeds;
+    v->changed = true;
+    return v;
+}
+
+void
+ggw_view_free(struct ggw_view *v)
+{
+    if (v == NULL) {
+        return;
+    }
+    g_ptr_array_unref(v->members);
+    g_free(v);
+}
+
+/* Marks the current incarnation as one that never returns. */
+static void
+bury(struct ggw_view_member *m)
+{
+    m->gone = MAX(m->gone, m->member.incarnation);
+}
+
+static void
+mark_left(struct ggw_view *v, struct ggw_view_member *m)
+{
+    m->left = true;
+    bury(m);
+    set_state(v, m, GGW_MEMBER_LEAVING);
+}
+
+/* Whether messages of this incarnation still count. */
+static bool
+acceptable(const struct ggw_view_member *m, uint64_t incarnation)
+{
+    bool current = incarnation == m->member.incarnation &&
+                   m->member.state != GGW_MEMBER_DEAD;
+
+    return current ||
+           (incarnation > m->gone && incarnation > m->member.incarnation);
+}
+
+bool
+ggw_view_hello(struct ggw_view *v, const struct ggw_view_hello *hello,
+               ggw_ms now)
+{
+    struct ggw_view_member *m =
+        find_or_add(v, hello->name, hello->failure_domain);
+
+    if (m->member.self || !acceptable(m, hello->incarnation)) {
+        return false;
+    }
+    if (hello->incarnation > m->member.incarnation) {
+        describe(m, hello);
+        m->left = false;
+        m->acked_at = -INFINITY;
+        m->member.state = GGW_MEMBER_ALIVE;
+        v->changed = true;
+    }
+    return ggw_view_heard(v, hello->name, hello->incarnation, hello->leaving,
+                          now);
+}
+
+bool
+ggw_view_heard(struct ggw_view *v, const char *name, uint64_t incarnation,
+               bool leaving, ggw_ms now)
+{
+    struct ggw_view_member *m = find(v, name);
+
+    if (m == NULL || m->member.self || incarnation != m->member.incarnation ||
+        !acceptable(m, incarnation)) {
+        return false;
+    }
+    m->heard_at = now;
+    if (leaving && !m->left) {
+        mark_left(v, m);
+    }
+    else if (!m->left) {
+        set_state(v, m, GGW_MEMBER_ALIVE);
+    }
+    return true;
+}
+
+void
+ggw_view_acked(struct ggw_view *v, const char *name, uint64_t incarnation,
+               ggw_ms sent_at)
+{
+    struct ggw_view_member *m = find(v, name);
+
+    if (m != NULL && m->member.incarnation == incarnation &&
+        sent_at > m->acked_at) {
+        m->acked_at = sent_at;
+    }
+}
+
+static void
+list_entry(struct ggw_view *v, const struct ggw_vm *vm)
+{
+    struct ggw_view_member *m = find_or_add(v, vm->name, vm->failure_domain);
+    bool older =
+        vm->incarnation != 0 && vm->incarnation < m->member.incarnation;
+
+    m->listed = !older || !vm->leaving;
+    m->listed_leaving = vm->leaving && !older;
+}
+
+void
+ggw_view_list(struct ggw_view *v, const struct ggw_vm_list *list)
+{
+    if (v->has_list && list->version < v->list_version) {
+        return;
+    }
+    v->has_list = true;
+    v->list_version = list->version;
+    for (guint i = 0; i < v->members->len; i++) {
+        struct ggw_view_member *m = g_ptr_array_index(v->members, i);
+
+        m->listed = false;
+        m->listed_leaving = false;
+    }
+    for (size_t i = 0; i < list->len; i++) {
+        if (list->vms[i].role == GGW_VM_GATEWAY) {
+            list_entry(v, &list->vms[i]);
+        }
+    }
+    v->changed = true;
+}
+
+/* Returns false when the member may be forgotten. */
+static bool
+tick_member(struct ggw_view *v, struct ggw_view_member *m, ggw_ms now)
+{
+    ggw_ms silence = now - m->heard_at;
+
+    if (m->member.self) {
+        return true;
+    }
+    if (m->member.state == GGW_MEMBER_DEAD) {
+        return m->listed || silence <= GGW_VIEW_KEEP;
+    }
+    if (silence > GGW_DEAD_AFTER) {
+        bury(m);
+        set_state(v, m, GGW_MEMBER_DEAD);
+    }
+    else if (silence > GGW_SUSPECT_AFTER && !m->left) {
+        set_state(v, m, GGW_MEMBER_SUSPECTED);
+    }
+    return true;
+}
+
+void
+ggw_view_tick(struct ggw_view *v, ggw_ms now)
+{
+    for (guint i = v->members->len; i > 0; i--) {
+        if (!tick_member(v, g_ptr_array_index(v->members, i - 1), now)) {
+            g_ptr_array_remove_index(v->members, i - 1);
+            v->changed = true;
+        }
+    }
+}
+
+void
+ggw_view_stalled(struct ggw_view *v, ggw_ms duration)
+{
+    for (guint i = 0; i < v->members->len; i++) {
+        struct ggw_view_member *m = g_ptr_array_index(v->members, i);
+
+        m->heard_at += duration;
+    }
+}
+
+void
+ggw_view_leave(struct ggw_view *v)
+{
+    v->self->left = true;
+    set_state(v, v->self, GGW_MEMBER_LEAVING);
+}
+
+void
+ggw_view_renew(struct ggw_view *v, uint64_t incarnation)
+{
+    if (incarnation > v->self->member.incarnation) {
+        v->self->member.incarnation = incarnation;
+        v->changed = true;
+    }
+}
+
+bool
+ggw_view_changed(struct ggw_view *v)
+{
+    bool changed = v->changed;
+
+    v->changed = false;
+    return changed;
+}
+
+enum ggw_member_state
+ggw_view_state(const struct ggw_view_member *m)
+{
+    if (m->listed_leaving && m->member.state != GGW_MEMBER_DEAD) {
+        return GGW_MEMBER_LEAVING;
+    }
+    return m->member.state;
+}
+
+const struct ggw_view_member *
+ggw_view_find(const struct ggw_view *v, const char *name)
+{
+    return find(v, name);
+}
+
+const struct ggw_view_member *
+ggw_view_self(const struct ggw_view *v)
+{
+    return v->self;
+}
+
+const GPtrArray *
+ggw_view_members(const struct ggw_view *v)
+{
+    return v->members;
+}
+
+static bool
+counts_as_known(const struct ggw_view *v, const struct ggw_view_member *m)
+{
+    if (m->left || m->listed_leaving) {
+        return false;
+    }
+    if (m->member.state != GGW_MEMBER_DEAD || m->listed) {
+        return true;
+    }
+    return !v->has_list && m->member.incarnation != 0;
+}
+
+int
+ggw_view_known(const struct ggw_view *v)
+{
+    int n = 0;
+    int left = 0;
+
+    for (guint i = 0; i < v->members->len; i++) {
+        const struct ggw_view_member *m = g_ptr_array_index(v->members, i);
+
+        n += counts_as_known(v, m);
+        left += m->left;
+    }
+    if (!v->has_list) {
+        n = MAX(n, v->seeds + 1 - left);
+    }
+    return MAX(n, 1);
+}
+
+static gint
+later_first(gconstpointer a, gconstpointer b)
+{
+    ggw_ms x = *(const ggw_ms *)a;
+    ggw_ms y = *(const ggw_ms *)b;
+
+    return (x < y) - (x > y);
+}
+
+ggw_ms
+ggw_view_majority_until(const struct ggw_view *v)
+{
+    guint others = (guint)ggw_view_known(v) / 2; /* besides this gateway */
+    g_autoptr(GArray) acked = g_array_new(FALSE, FALSE, sizeof(ggw_ms));
+
+    if (others == 0) {
+        return INFINITY;
+    }
+    for (guint i = 0; i < v->members->len; i++) {
+        const struct ggw_view_member *m = g_ptr_array_index(v->members, i);
+
+        if (!m->member.self && counts_as_known(v, m)) {
+            g_array_append_val(acked, m->acked_at);
+        }
+    }
+    if (acked->len < others) {
+        return -INFINITY;
+    }
+    g_array_sort(acked, later_first);
+    return g_array_index(acked, ggw_ms, others - 1) + GGW_SUSPECT_AFTER;
+}
--- /dev/null
+++ b/tests/test_view.c
@@ -0,0 +1,231 @@
+#include <CUnit/Basic.h>
+#include <math.h>
+#include <string.h>
+
+#include "decide/view.h"
+
+#define SEED 503
+#define NAMES 4
+
+static const char *const names[NAMES] = {"g1", "g2", "g3", "g4"};
+
+static struct ggw_view *
+new_view(int seeds)
+{
+    struct ggw_view_hello self = {"g0", "cairo-a", "127.0.0.1",
+                                  80,   100,       false};
+
+    return ggw_view_new(&self, seeds, 0);
+}
+
+static bool
+hello(struct ggw_view *v, const char *name, uint64_t incarnation, bool leaving,
+      ggw_ms now)
+{
+    struct ggw_view_hello h = {name, "cairo-b",   "127.0.0.1",
+                               81,   incarnation, leaving};
+
+    return ggw_view_hello(v, &h, now);
+}
+
+static enum ggw_member_state
+state(struct ggw_view *v, const char *name)
+{
+    return ggw_view_state(ggw_view_find(v, name));
+}
+
+/* A list of all names but those in @without; @leaving is listed as such. */
+static void
+apply_list(struct ggw_view *v, uint64_t version, const char *without,
+           const char *leaving, uint64_t incarnation)
+{
+    struct ggw_vm vms[NAMES + 1] = {0};
+    struct ggw_vm_list list = {.refs = 1, .version = version, .vms = vms};
+
+    vms[list.len++] = (struct ggw_vm){.name = (char *)"g0",
+                                      .failure_domain = (char *)"cairo-a"};
+    for (int i = 0; i < NAMES; i++) {
+        if (strcmp(names[i], without) == 0) {
+            continue;
+        }
+        vms[list.len].name = (char *)names[i];
+        vms[list.len].failure_domain = (char *)"cairo-b";
+        vms[list.len].incarnation = incarnation;
+        vms[list.len].leaving = strcmp(names[i], leaving) == 0;
+        list.len++;
+    }
+    ggw_view_list(v, &list);
+}
+
+/* Guards against the wrong times for suspicion and death. */
+static void
+test_silence(void)
+{
+    struct ggw_view *v = new_view(0);
+
+    CU_ASSERT_TRUE(hello(v, "g1", 5, false, 0));
+    ggw_view_tick(v, GGW_SUSPECT_AFTER);
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_ALIVE);
+    ggw_view_tick(v, GGW_SUSPECT_AFTER + 1);
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_SUSPECTED);
+    CU_ASSERT_TRUE(ggw_view_heard(v, "g1", 5, false, 800));
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_ALIVE);
+    ggw_view_stalled(v, 5000);
+    ggw_view_tick(v, 800 + 5000);
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_ALIVE);
+    ggw_view_tick(v, 800 + 5000 + GGW_DEAD_AFTER + 1);
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_DEAD);
+    CU_ASSERT_FALSE(hello(v, "g1", 5, false, 9000));
+    CU_ASSERT_FALSE(ggw_view_heard(v, "g1", 5, false, 9000));
+    CU_ASSERT_TRUE(hello(v, "g1", 6, false, 9000));
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_ALIVE);
+    ggw_view_free(v);
+}
+
+/* Guards against a late list that brings back a member which has left. */
+static void
+test_late_list(void)
+{
+    struct ggw_view *v = new_view(0);
+
+    hello(v, "g1", 500, false, 0);
+    apply_list(v, 2, "", "g1", 500);
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_LEAVING);
+    apply_list(v, 1, "", "", 500);
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_LEAVING);
+    apply_list(v, 3, "", "g1", 400);
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_ALIVE);
+    ggw_view_heard(v, "g1", 500, true, 10);
+    apply_list(v, 4, "", "", 500);
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_LEAVING);
+    CU_ASSERT_FALSE(hello(v, "g1", 499, false, 20));
+    ggw_view_heard(v, "g1", 500, false, 20);
+    CU_ASSERT_EQUAL(state(v, "g1"), GGW_MEMBER_LEAVING);
+    ggw_view_free(v);
+}
+
+/* Guards against a minority, or both halves of a partition, as a majority. */
+static void
+test_majority(void)
+{
+    struct ggw_view *v = new_view(3);
+
+    CU_ASSERT_EQUAL(ggw_view_known(v), 4);
+    CU_ASSERT_EQUAL(ggw_view_majority_until(v), -INFINITY);
+    for (int i = 0; i < 3; i++) {
+        hello(v, names[i], 5, false, 0);
+    }
+    ggw_view_acked(v, "g1", 5, 100);
+    CU_ASSERT_EQUAL(ggw_view_majority_until(v), -INFINITY);
+    ggw_view_acked(v, "g2", 4, 200);
+    CU_ASSERT_EQUAL(ggw_view_majority_until(v), -INFINITY);
+    ggw_view_acked(v, "g2", 5, 200);
+    CU_ASSERT_EQUAL(ggw_view_majority_until(v), 100 + GGW_SUSPECT_AFTER);
+    ggw_view_tick(v, 3000);
+    CU_ASSERT_EQUAL(state(v, "g3"), GGW_MEMBER_DEAD);
+    CU_ASSERT_EQUAL(ggw_view_known(v), 4);
+    apply_list(v, 1, "g3", "", 5);
+    CU_ASSERT_EQUAL(ggw_view_known(v), 4); /* g4 is listed, g3 is not */
+    apply_list(v, 2, "g4", "g3", 5);
+    CU_ASSERT_EQUAL(ggw_view_known(v), 3);
+    ggw_view_free(v);
+    v = new_view(0);
+    CU_ASSERT_EQUAL(ggw_view_majority_until(v), INFINITY);
+    ggw_view_free(v);
+}
+
+struct model {
+    uint64_t incarnation; /* highest seen */
+    uint64_t gone;
+    ggw_ms heard_at;
+};
+
+static void
+random_event(struct ggw_view *v, GRand *r, struct model *model, ggw_ms now)
+{
+    int i = g_rand_int_range(r, 0, NAMES);
+    uint64_t inc = (uint64_t)g_rand_int_range(r, 1, 12);
+    bool leaving = g_rand_int_range(r, 0, 10) == 0;
+    bool accepted = false;
+
+    switch (g_rand_int_range(r, 0, 4)) {
+    case 0:
+        accepted = hello(v, names[i], inc, leaving, now);
+        break;
+    case 1:
+        accepted = ggw_view_heard(v, names[i], inc, leaving, now);
+        break;
+    case 2:
+        apply_list(v, (uint64_t)g_rand_int_range(r, 0, 50),
+                   names[g_rand_int_range(r, 0, NAMES)], names[i], inc);
+        break;
+    default:
+        ggw_view_tick(v, now);
+        break;
+    }
+    if (accepted) {
+        CU_ASSERT_TRUE(inc >= model[i].incarnation);
+        model[i].incarnation = inc;
+        model[i].heard_at = now;
+        if (leaving) {
+            model[i].gone = inc;
+        }
+    }
+}
+
+/*
+ * Guards against any order of late messages that brings back an incarnation
+ * which left, died or was replaced, or that makes a silent member alive.
+ */
+static void
+test_random_histories(void)
+{
+    g_autoptr(GRand) r = g_rand_new_with_seed(SEED);
+
+    for (int history = 0; history < 300; history++) {
+        struct ggw_view *v = new_view(0);
+        struct model model[NAMES] = {0};
+        ggw_ms now = 0;
+
+        for (int step = 0; step < 300; step++) {
+            now += g_rand_double_range(r, 0, 300);
+            random_event(v, r, model, now);
+            ggw_view_tick(v, now);
+            for (int i = 0; i < NAMES; i++) {
+                const struct ggw_view_member *m = ggw_view_find(v, names[i]);
+
+                if (m == NULL) {
+                    continue;
+                }
+                CU_ASSERT_TRUE(m->member.incarnation == model[i].incarnation);
+                if (m->member.state == GGW_MEMBER_DEAD) {
+                    model[i].gone = MAX(model[i].gone, model[i].incarnation);
+                }
+                if (m->member.state == GGW_MEMBER_ALIVE) {
+                    CU_ASSERT_TRUE(m->member.incarnation > model[i].gone);
+                    CU_ASSERT_TRUE(now - model[i].heard_at <=
+                                   GGW_SUSPECT_AFTER);
+                }
+            }
+        }
+        ggw_view_free(v);
+    }
+}
+
+int
+main(void)
+{
+    CU_pSuite suite;
+    unsigned failures;
+
+    CU_initialize_registry();
+    suite = CU_add_suite("view", NULL, NULL);
+    CU_add_test(suite, "silence", test_silence);
+    CU_add_test(suite, "late list", test_late_list);
+    CU_add_test(suite, "majority", test_majority);
+    CU_add_test(suite, "random histories", test_random_histories);
+    CU_basic_run_tests();
+    failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failures != 0;
+}
