--- a/peers/peers.h
+++ b/peers/peers.h
@@ -29,9 +29,9 @@
     char *name;
     char *failure_domain;
     char *host;
-    uint16_t port;
     uint64_t incarnation;
     enum ggw_member_state state;
+    uint16_t port;
     bool self;
 };
 
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -8,6 +8,8 @@
 #define SEED 20261204
 #define FRAMES 3
 
+static const uint64_t numbers[FRAMES] = {1, 1 << 20, UINT64_C(1) << 40};
+
 /* Three frames with payloads of different msgpack types. */
 static GByteArray *
 sample_stream(void)
@@ -20,7 +22,7 @@
 
         ggw_payload_begin(&w, 4);
         ggw_payload_put_string(&w, "cairo-a");
-        ggw_payload_put_uint(&w, UINT64_C(1) << (i * 20));
+        ggw_payload_put_uint(&w, numbers[i]);
         ggw_payload_put_double(&w, 1.5);
         ggw_payload_put_array(&w, 2);
         ggw_payload_put_bool(&w, true);
@@ -39,11 +41,12 @@
     struct ggw_payload_reader r;
     struct ggw_payload_reader inner;
 
+    g_assert(i < FRAMES);
     CU_ASSERT_EQUAL(f->type, i + 1);
     CU_ASSERT_EQUAL(f->request_id, (uint64_t)(1000 + i));
     ggw_payload_open(&r, f->payload, f->payload_len);
     CU_ASSERT_STRING_EQUAL(ggw_payload_string(&r), "cairo-a");
-    CU_ASSERT_EQUAL(ggw_payload_uint(&r), UINT64_C(1) << (i * 20));
+    CU_ASSERT_EQUAL(ggw_payload_uint(&r), numbers[i]);
     CU_ASSERT_EQUAL(ggw_payload_double(&r), 1.5);
     CU_ASSERT_EQUAL(ggw_payload_array(&r, &inner), 2);
     CU_ASSERT_TRUE(ggw_payload_bool(&inner));
@@ -121,7 +124,7 @@
 static void
 test_refused(void)
 {
-    g_autofree char *big = g_malloc0(GGW_FRAME_MAX + 1);
+    static char big[GGW_FRAME_MAX];
     GByteArray *out = g_byte_array_new();
 
     CU_ASSERT_EQUAL(DECODE("\x00\x00\x00\x00"), GGW_FRAME_OVERSIZED);
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -39,7 +39,7 @@
 apply_list(struct ggw_view *v, uint64_t version, const char *without,
            const char *leaving, uint64_t incarnation)
 {
-    struct ggw_vm vms[NAMES + 1] = {0};
+    struct ggw_vm *vms = g_new0(struct ggw_vm, NAMES + 1);
     struct ggw_vm_list list = {.refs = 1, .version = version, .vms = vms};
 
     vms[list.len++] = (struct ggw_vm){.name = (char *)"g0",
@@ -55,6 +55,7 @@
         list.len++;
     }
     ggw_view_list(v, &list);
+    g_free(vms);
 }
 
 /* Guards against the wrong times for suspicion and death. */
