claims: claim an order by a row before it is sent

Cause: an order may be repeated through any gateway while answers of the table service are lost or late, and must run at most once. Deleting the row of an order that did not run was ruled out too: a delayed claim with the same nonce could then take effect after the order was claimed and run by another.

--- a/Makefile
+++ b/Makefile
@@ -71,8 +71,8 @@
 	clang-format -i $(ALL_SRC) $(HEADERS)
 
 lint:
-	clang-format --dry-run -Werror $(ALL_SRC) $(HEADERS)
-	printf '%s\n' $(ALL_SRC) | xargs -P 8 -n 4 sh -c \
+	@clang-format --dry-run -Werror $(ALL_SRC) $(HEADERS)
+	@printf '%s\n' $(ALL_SRC) | xargs -P 8 -n 4 sh -c \
 		'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' _
 
 # The platform, backend servers and gateways that a test needs run from the
--- /dev/null
+++ b/claims/claims.c
@@ -0,0 +1,452 @@
+#include "claims/claims.h"
+
+#include <string.h>
+
+#include "common/log.h"
+#include "common/metrics.h"
+#include "decide/claim.h"
+#include "platform/platform.h"
+
+/*
+ * Claims and settlements are writes to one row each. They wait in one queue
+ * and go to the table service in batches: the platform takes only several
+ * hundred writes a second, and a batch counts as one.
+ */
+
+#define BATCH_MAX 32
+/* One slow transaction must not hold back all the others. */
+#define BATCHES_IN_FLIGHT 4
+#define TXN_TIMEOUT 500.0
+#define RETRY_DELAY 50.0
+/* A settlement is worth less than memory: repeats of its order are then
+ * answered "unknown" instead of "already run". */
+#define SETTLE_LIMIT 30000.0
+
+enum write_phase {
+    WRITE_CLAIM,  /* no result has been sent yet */
+    WRITE_HELD,   /* won; not queued */
+    WRITE_SETTLE, /* done or not run is to be written */
+};
+
+struct write {
+    uint64_t id;
+    enum write_phase phase;
+    char *key;
+    struct ggw_claim_row row;
+    int64_t mod_revision; /* row that may be replaced; 0: no row */
+    bool maybe_written;   /* a write with an unknown end was sent */
+    ggw_service_id client;
+    uint64_t tag;
+    ggw_ms deadline;
+};
+
+struct batch {
+    uint64_t tag;
+    GPtrArray *writes; /* of struct write; owned by priv->writes */
+};
+
+struct priv {
+    struct ggw_service base;
+    char *gateway;
+    uint64_t incarnation;
+    uint64_t last_id;
+    GHashTable *writes;  /* id -> struct write */
+    GQueue queue;        /* of struct write */
+    GHashTable *batches; /* tag -> struct batch */
+    uv_timer_t timer;
+    bool paused; /* the last transaction failed; wait for the timer */
+};
+
+static void
+write_free(void *data)
+{
+    struct write *w = data;
+
+    g_free(w->key);
+    ggw_claim_row_clear(&w->row);
+    g_free(w);
+}
+
+static void
+batch_free(void *data)
+{
+    struct batch *b = data;
+
+    g_ptr_array_unref(b->writes);
+    g_free(b);
+}
+
+static void
+drop_write(struct priv *p, struct write *w)
+{
+    g_hash_table_remove(p->writes, &w->id);
+}
+
+static void
+send_result(struct priv *p, struct write *w, enum ggw_claim_state state,
+            int status)
+{
+    struct ggw_claim_result *m = g_new0(struct ggw_claim_result, 1);
+
+    m->base.ops = &ggw_claim_result_ops;
+    m->base.tag = w->tag;
+    m->state = state;
+    m->status = status;
+    m->claim = w->id;
+    ggw_kernel_send_id(p->base.kernel, w->client, &p->base, &m->base);
+}
+
+static void
+begin_settlement(struct priv *p, struct write *w,
+                 enum ggw_claim_row_state state, int status)
+{
+    w->phase = WRITE_SETTLE;
+    w->row.state = state;
+    w->row.status = status;
+    w->deadline = ggw_kernel_now(p->base.kernel) + SETTLE_LIMIT;
+    g_queue_push_tail(&p->queue, w);
+}
+
+/*
+ * Ends a write whose time is over. A claim that may still take effect is
+ * followed by a row that says not run, because nothing was sent.
+ */
+static void
+expire(struct priv *p, struct write *w)
+{
+    if (w->phase == WRITE_SETTLE) {
+        ggw_count("ggw_claim_settlements_lost_total");
+        drop_write(p, w);
+        return;
+    }
+    ggw_count("ggw_claims_total{state=\"unavailable\"}");
+    send_result(p, w, GGW_CLAIM_UNAVAILABLE, 0);
+    if (w->maybe_written) {
+        begin_settlement(p, w, GGW_CLAIM_ROW_NOT_RUN, 0);
+    }
+    else {
+        drop_write(p, w);
+    }
+}
+
+static void
+add_to_txn(struct ggw_txn *txn, const struct write *w)
+{
+    g_autofree char *text = ggw_claim_row_print(&w->row);
+
+    if (w->mod_revision == 0) {
+        ggw_txn_compare(txn, w->key, GGW_COMPARE_CREATE_REVISION, 0);
+    }
+    else {
+        ggw_txn_compare(txn, w->key, GGW_COMPARE_MOD_REVISION,
+                        w->mod_revision);
+    }
+    ggw_txn_put(txn, w->key, text);
+    ggw_txn_read(txn, w->key);
+}
+
+static bool
+batch_has_key(const struct batch *b, const char *key)
+{
+    for (guint i = 0; i < b->writes->len; i++) {
+        if (strcmp(((struct write *)b->writes->pdata[i])->key, key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Fills a batch from the queue; one transaction writes a key only once. */
+static void
+fill_batch(struct priv *p, struct batch *b, struct ggw_txn *txn)
+{
+    guint n = g_queue_get_length(&p->queue);
+    ggw_ms now = ggw_kernel_now(p->base.kernel);
+
+    while (n-- > 0 && b->writes->len < BATCH_MAX) {
+        struct write *w = g_queue_pop_head(&p->queue);
+
+        if (now >= w->deadline) {
+            expire(p, w);
+        }
+        else if (batch_has_key(b, w->key)) {
+            g_queue_push_tail(&p->queue, w);
+        }
+        else {
+            add_to_txn(txn, w);
+            g_ptr_array_add(b->writes, w);
+        }
+    }
+}
+
+static void
+send_batches(struct priv *p)
+{
+    while (!p->paused && !g_queue_is_empty(&p->queue) &&
+           g_hash_table_size(p->batches) < BATCHES_IN_FLIGHT) {
+        struct batch *b = g_new0(struct batch, 1);
+        struct ggw_txn *txn = ggw_txn_new(TXN_TIMEOUT);
+
+        b->writes = g_ptr_array_new();
+        fill_batch(p, b, txn);
+        if (b->writes->len == 0) {
+            batch_free(b);
+            txn->base.ops->destroy(&txn->base);
+            return;
+        }
+        b->tag = ++p->last_id;
+        txn->base.tag = b->tag;
+        g_hash_table_insert(p->batches, &b->tag, b);
+        ggw_kernel_send(p->base.kernel, "platform", &p->base, &txn->base);
+    }
+}
+
+static void
+finish_write(struct priv *p, struct write *w)
+{
+    if (w->phase == WRITE_SETTLE) {
+        drop_write(p, w);
+        return;
+    }
+    if (ggw_kernel_now(p->base.kernel) >= w->deadline) {
+        w->maybe_written = true;
+        expire(p, w);
+        return;
+    }
+    ggw_count("ggw_claims_total{state=\"won\"}");
+    w->phase = WRITE_HELD;
+    send_result(p, w, GGW_CLAIM_WON, 0);
+}
+
+static void
+lose_write(struct priv *p, struct write *w, enum ggw_claim_verdict verdict,
+           int status)
+{
+    if (w->phase == WRITE_SETTLE) {
+        ggw_log_warn("claims", "settlement of %s found another claim", w->key);
+    }
+    else if (verdict == GGW_CLAIM_VERDICT_DONE) {
+        ggw_count("ggw_claims_total{state=\"done\"}");
+        send_result(p, w, GGW_CLAIM_DONE, status);
+    }
+    else {
+        ggw_count("ggw_claims_total{state=\"taken\"}");
+        send_result(p, w, GGW_CLAIM_TAKEN, 0);
+    }
+    drop_write(p, w);
+}
+
+/* Decides from the row that was read, after a conflict or a lost answer. */
+static void
+judge_write(struct priv *p, struct write *w, const struct ggw_row *row)
+{
+    int status = 0;
+    enum ggw_claim_verdict verdict =
+        ggw_claim_judge(&w->row, row != NULL ? row->value : NULL, &status);
+
+    w->mod_revision = row != NULL ? row->mod_revision : 0;
+    switch (verdict) {
+    case GGW_CLAIM_VERDICT_WRITE:
+        g_queue_push_tail(&p->queue, w);
+        return;
+    case GGW_CLAIM_VERDICT_MINE:
+        finish_write(p, w);
+        return;
+    case GGW_CLAIM_VERDICT_DONE:
+    case GGW_CLAIM_VERDICT_TAKEN:
+        lose_write(p, w, verdict, status);
+        return;
+    }
+}
+
+static const struct ggw_row *
+find_row(const GArray *rows, const char *key)
+{
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        const struct ggw_row *row = &g_array_index(rows, struct ggw_row, i);
+
+        if (strcmp(row->key, key) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+static void
+end_batch(struct priv *p, struct batch *b, const struct ggw_txn_result *r)
+{
+    for (guint i = 0; i < b->writes->len; i++) {
+        struct write *w = b->writes->pdata[i];
+        const struct ggw_row *row = find_row(r->rows, w->key);
+
+        if (r->status == GGW_PLATFORM_OK) {
+            w->mod_revision = row != NULL ? row->mod_revision : -1;
+            finish_write(p, w);
+        }
+        else if (r->status == GGW_PLATFORM_CONFLICT) {
+            judge_write(p, w, row);
+        }
+        else {
+            w->maybe_written |= r->status == GGW_PLATFORM_UNKNOWN;
+            g_queue_push_tail(&p->queue, w);
+            /* A refused connection answers at once; do not spin on it. */
+            p->paused |= r->status == GGW_PLATFORM_NOT_SENT;
+        }
+    }
+}
+
+static void
+expire_queue(struct priv *p)
+{
+    ggw_ms now = ggw_kernel_now(p->base.kernel);
+    guint n = g_queue_get_length(&p->queue);
+
+    while (n-- > 0) {
+        struct write *w = g_queue_pop_head(&p->queue);
+
+        if (now >= w->deadline) {
+            expire(p, w);
+        }
+        else {
+            g_queue_push_tail(&p->queue, w);
+        }
+    }
+}
+
+static void
+timer_cb(uv_timer_t *timer)
+{
+    struct priv *p = timer->data;
+
+    p->paused = false;
+    expire_queue(p);
+    send_batches(p);
+}
+
+static void
+on_txn_result(struct priv *p, const struct ggw_txn_result *r)
+{
+    struct batch *b = g_hash_table_lookup(p->batches, &r->base.tag);
+
+    if (b == NULL) {
+        return;
+    }
+    g_hash_table_steal(p->batches, &r->base.tag);
+    end_batch(p, b, r);
+    batch_free(b);
+    send_batches(p);
+}
+
+static void
+on_request(struct priv *p, const struct ggw_claim_request *m)
+{
+    struct write *w = g_new0(struct write, 1);
+    g_autofree char *order = g_uri_escape_string(m->order, NULL, FALSE);
+
+    w->id = ++p->last_id;
+    w->key = g_strdup_printf("claims/%s/%s/%s", m->team, m->service, order);
+    w->row.gateway = g_strdup(p->gateway);
+    w->row.incarnation = p->incarnation;
+    w->row.nonce = g_uuid_string_random();
+    w->client = m->base.from;
+    w->tag = m->base.tag;
+    w->deadline = m->deadline;
+    g_hash_table_insert(p->writes, &w->id, w);
+    g_queue_push_tail(&p->queue, w);
+    send_batches(p);
+}
+
+static void
+on_settle(struct priv *p, const struct ggw_claim_settle *m)
+{
+    struct write *w = g_hash_table_lookup(p->writes, &m->claim);
+
+    if (w == NULL || w->phase != WRITE_HELD) {
+        return;
+    }
+    if (m->end == GGW_CLAIM_END_UNKNOWN) {
+        drop_write(p, w);
+        return;
+    }
+    begin_settlement(p, w,
+                     m->end == GGW_CLAIM_END_DONE ? GGW_CLAIM_ROW_DONE
+                                                  : GGW_CLAIM_ROW_NOT_RUN,
+                     m->status);
+    send_batches(p);
+}
+
+static void
+receive(struct ggw_service *service, struct ggw_message *message)
+{
+    struct priv *p = (struct priv *)service;
+
+    if (message->ops == &ggw_claim_request_ops) {
+        on_request(p, (struct ggw_claim_request *)message);
+    }
+    else if (message->ops == &ggw_claim_settle_ops) {
+        on_settle(p, (struct ggw_claim_settle *)message);
+    }
+    else if (message->ops == &ggw_txn_result_ops) {
+        on_txn_result(p, (struct ggw_txn_result *)message);
+    }
+}
+
+static bool
+start(struct ggw_service *service, GError **error)
+{
+    struct priv *p = (struct priv *)service;
+
+    uv_timer_init(ggw_kernel_loop(service->kernel), &p->timer);
+    p->timer.data = p;
+    uv_timer_start(&p->timer, timer_cb, (uint64_t)RETRY_DELAY,
+                   (uint64_t)RETRY_DELAY);
+    return true;
+}
+
+static void
+stop(struct ggw_service *service)
+{
+    struct priv *p = (struct priv *)service;
+
+    if (!g_queue_is_empty(&p->queue)) {
+        ggw_log_warn("claims", "stopped with %u writes not sent",
+                     g_queue_get_length(&p->queue));
+    }
+    uv_close((uv_handle_t *)&p->timer, NULL);
+}
+
+static void
+destroy(struct ggw_service *service)
+{
+    struct priv *p = (struct priv *)service;
+
+    g_queue_clear(&p->queue);
+    g_hash_table_destroy(p->batches);
+    g_hash_table_destroy(p->writes);
+    g_free(p->gateway);
+    g_free(p);
+}
+
+static const struct ggw_service_ops claims_ops = {
+    .name = "claims",
+    .start = start,
+    .receive = receive,
+    .stop = stop,
+    .destroy = destroy,
+};
+
+struct ggw_service *
+ggw_claims_service_new(const char *gateway, uint64_t incarnation)
+{
+    struct priv *p = g_new0(struct priv, 1);
+
+    p->base.ops = &claims_ops;
+    p->gateway = g_strdup(gateway);
+    p->incarnation = incarnation;
+    p->writes =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, write_free);
+    p->batches =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, batch_free);
+    g_queue_init(&p->queue);
+    return &p->base;
+}
