--- a/http/client.c
+++ b/http/client.c
@@ -172,6 +172,12 @@
 {
     struct ggw_call *call = client->data;
 
+    if (errstr == h2o_http1client_error_is_eos &&
+        client->sock->bytes_read == 0) {
+        /* h2o takes a close between two chunks for the end of the body. */
+        end_call(call, GGW_CALL_BROKEN);
+        return 0;
+    }
     if (errstr == h2o_http1client_error_is_eos) {
         keep_rest(call, client->sock);
         end_call(call, GGW_CALL_WHOLE);
@@ -237,6 +243,27 @@
     return lengths + chunked == 1;
 }
 
+/*
+ * A server that sends one response too many would answer the next request
+ * with it. Servers that return the id make this visible.
+ */
+static bool
+id_ok(const struct ggw_call *call, const h2o_header_t *headers, size_t len)
+{
+    const h2o_iovec_t *id = &call->spec.id;
+
+    for (size_t i = 0; i < len && id->base != NULL; i++) {
+        const h2o_iovec_t *name = headers[i].name;
+
+        if (h2o_lcstris(name->base, name->len,
+                        H2O_STRLIT("greengageway-request"))) {
+            return h2o_memis(headers[i].value.base, headers[i].value.len,
+                             id->base, id->len);
+        }
+    }
+    return true;
+}
+
 static h2o_http1client_body_cb
 on_head(h2o_http1client_t *client, const char *errstr, int minor_version,
         int status, h2o_iovec_t msg, h2o_header_t *headers, size_t num_headers,
@@ -253,7 +280,8 @@
         end_call(call, GGW_CALL_BROKEN);
         return NULL;
     }
-    if (!framing_ok(call, status, headers, num_headers,
+    if (!id_ok(call, headers, num_headers) ||
+        !framing_ok(call, status, headers, num_headers,
                     &head.content_length)) {
         /* h2o would keep the connection when it expects no body. */
         h2o_socket_close(h2o_http1client_steal_socket(client));
--- a/http/client.h
+++ b/http/client.h
@@ -64,6 +64,8 @@
  * struct ggw_call_spec - a request
  * @head: request line and headers with the closing empty line
  * @body: may be empty
+ * @id: value of Greengageway-Request in @head; a response with another one
+ *      answers another request. NULL base: not compared.
  * @is_head: the method is HEAD, so no body follows
  * @fresh: use a new connection and close it afterwards
  * @connect_timeout: until the connection is open
@@ -76,6 +78,7 @@
 struct ggw_call_spec {
     h2o_iovec_t head;
     h2o_iovec_t body;
+    h2o_iovec_t id;
     bool is_head;
     bool fresh;
     ggw_ms connect_timeout;
--- a/http/connection.c
+++ b/http/connection.c
@@ -230,6 +230,12 @@
     hook_later(conn);
 }
 
+bool
+ggw_connection_draining(const struct ggw_connection *conn)
+{
+    return conn->owner->draining;
+}
+
 static void
 check_slow(struct ggw_connections *c, struct ggw_connection *conn, ggw_ms now)
 {
--- a/http/connection.h
+++ b/http/connection.h
@@ -57,6 +57,11 @@
  */
 void ggw_connection_finished(struct ggw_connection *conn);
 
+/**
+ * ggw_connection_draining() - whether the listener is closed
+ */
+bool ggw_connection_draining(const struct ggw_connection *conn);
+
 /**
  * ggw_connections_stop() - break all responses and close all connections
  */
--- a/http/exchange.c
+++ b/http/exchange.c
@@ -121,6 +121,9 @@
 ggw_exchange_start(struct ggw_exchange *x)
 {
     x->started = true;
+    if (x->conn != NULL && ggw_connection_draining(x->conn)) {
+        x->req->http1_is_persistent = 0;
+    }
     h2o_start_response(x->req, &x->generator);
 }
 
--- a/http/listener.c
+++ b/http/listener.c
@@ -270,7 +270,8 @@
     }
     accept_queue(l);
     close_listener(l);
-    h2o_context_request_shutdown(&l->context);
+    /* h2o's own call would start a timer for HTTP/2 that cannot be stopped. */
+    l->context.shutdown_requested = 1;
     l->connections.draining = true;
 }
 
--- a/http/request_check.c
+++ b/http/request_check.c
@@ -71,7 +71,8 @@
     const char *value;
     size_t name_len, value_len;
 
-    if (colon == NULL || colon == line || ++f->headers > HEADERS_MAX) {
+    f->headers++;
+    if (colon == NULL || colon == line) {
         f->bad = true;
         return;
     }
@@ -169,6 +170,9 @@
         if (f.bad) {
             return GGW_HEAD_BAD;
         }
+        if (f.headers > HEADERS_MAX) {
+            return GGW_HEAD_TOO_LARGE;
+        }
     }
     if (len >= GGW_HEAD_MAX) {
         return GGW_HEAD_TOO_LARGE;
--- a/http/request_check.h
+++ b/http/request_check.h
@@ -38,8 +38,8 @@
  *
  * Bad are: a control character, a folded line, a header line without a name
  * or colon, more than one Content-Length or Transfer-Encoding or both, a
- * Content-Length that is not a number, a transfer coding other than chunked,
- * more headers than h2o accepts.
+ * Content-Length that is not a number, a transfer coding other than chunked.
+ * More headers than h2o accepts make a head too large.
  */
 enum ggw_head_verdict ggw_head_check(const char *bytes, size_t len);
 
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -68,6 +68,7 @@
     ggw_call_destroy(a->call);
     g_string_free(a->head, TRUE);
     g_free(a->vm);
+    g_free(a->id);
     g_free(a);
 }
 
@@ -279,7 +280,7 @@
 }
 
 static GString *
-build_head(const struct ggw_request *r, bool fresh)
+build_head(const struct ggw_request *r, const char *id, bool fresh)
 {
     GString *head = g_string_sized_new(256 + r->headers->len);
 
@@ -288,13 +289,12 @@
     g_string_append(head, r->path);
     g_string_append(head, " HTTP/1.1\r\n");
     g_string_append_len(head, r->headers->str, (gssize)r->headers->len);
-    g_string_append_printf(
-        head,
-        "greengageway-deadline: %.0f\r\n"
-        "greengageway-attempt: %d\r\n"
-        "greengageway-request: %s-%" G_GUINT64_FORMAT "\r\n%s\r\n",
-        r->wall_deadline, ggw_retry_header(&r->retry), r->proxy->options.name,
-        r->id, fresh ? "connection: close\r\n" : "");
+    g_string_append_printf(head,
+                           "greengageway-deadline: %.0f\r\n"
+                           "greengageway-attempt: %d\r\n"
+                           "greengageway-request: %s\r\n%s\r\n",
+                           r->wall_deadline, ggw_retry_header(&r->retry), id,
+                           fresh ? "connection: close\r\n" : "");
     return head;
 }
 
@@ -320,7 +320,9 @@
     a->request = r;
     a->grant = grant->grant;
     a->vm = g_strdup(grant->vm);
-    a->head = build_head(r, fresh);
+    a->id = g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%d", proxy->options.name,
+                            r->id, r->retry.attempts);
+    a->head = build_head(r, a->id, fresh);
     r->attempts[hedge ? 1 : 0] = a;
     r->retry.attempts++;
     g_ptr_array_insert(r->tried, (int)r->tried->len - 1, g_strdup(grant->vm));
@@ -332,6 +334,7 @@
         return;
     }
     spec.head = h2o_iovec_init(a->head->str, a->head->len);
+    spec.id = h2o_iovec_init(a->id, strlen(a->id));
     spec.head_limit = r->retry.deadline - now;
     spec.patience = patience(r, spec.head_limit);
     spec.connect_timeout = MIN(CONNECT_TIMEOUT_MS, spec.patience);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -1,6 +1,7 @@
 #include "proxy/proxy.h"
 
 #include <math.h>
+#include <signal.h>
 #include <string.h>
 
 #include "common/log.h"
@@ -49,6 +50,7 @@
         .data = p,
     };
 
+    signal(SIGPIPE, SIG_IGN); /* raised by writes to a closed connection */
     p->listener = ggw_listener_new(loop, &options);
     p->pools = ggw_pools_new(loop, ggw_listener_receiver(p->listener));
     uv_timer_init(loop, &p->shutdown_timer);
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -83,6 +83,7 @@
 
 /**
  * struct ggw_attempt - one request to one backend server
+ * @id: value of Greengageway-Request
  * @head: text of the request's head
  * @shed: the server said that it did not run the request
  * @has_head: a head has arrived
@@ -93,6 +94,7 @@
     struct ggw_pool *pool;
     uint64_t grant;
     char *vm;
+    char *id;
     GString *head;
     struct ggw_load_report report;
     int status;
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -127,6 +129,17 @@
     whole(timer->data, "200 OK", "");
 }
 
+/* Sends the id of the last request back. */
+static void
+respond_id(struct conn *c)
+{
+    const char *line =
+        g_strrstr(c->server->seen->str, "greengageway-request: ");
+    g_autofree char *id = g_strndup(line, strcspn(line, "\r") + 2);
+
+    whole(c, "200 OK", id);
+}
+
 static void
 respond(struct conn *c)
 {
@@ -197,6 +210,12 @@
             g_string_new("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"),
             false);
         break;
+    case SCRIPT_RIGHT_ID:
+        respond_id(c);
+        break;
+    case SCRIPT_WRONG_ID:
+        whole(c, "200 OK", "Greengageway-Request: gw-1-0\r\n");
+        break;
     case SCRIPT_OK:
         whole(c, "200 OK", "");
         break;
@@ -228,7 +247,9 @@
 static void
 conn_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-    *buf = uv_buf_init(g_malloc(suggested), (unsigned)suggested);
+    static char memory[65536]; /* one loop reads at a time */
+
+    *buf = uv_buf_init(memory, sizeof(memory));
 }
 
 static void
@@ -241,7 +262,6 @@
     if (n > 0) {
         g_string_append_len(c->input, buf->base, n);
     }
-    g_free(buf->base);
     if (n < 0) {
         pthread_mutex_lock(&s->env->lock);
         s->closed++;
@@ -253,10 +273,13 @@
            (len = request_len(c->input)) > 0) {
         pthread_mutex_lock(&s->env->lock);
         g_string_append_len(s->seen, c->input->str, (gssize)len);
-        s->requests++;
-        changed(s->env);
+        pthread_mutex_unlock(&s->env->lock);
         g_string_erase(c->input, 0, (gssize)len);
         respond(c);
+        /* The test may change the script once it sees the count. */
+        pthread_mutex_lock(&s->env->lock);
+        s->requests++;
+        changed(s->env);
     }
 }
 
@@ -274,6 +297,7 @@
     c->tcp.data = c;
     c->timer.data = c;
     uv_accept(stream, (uv_stream_t *)&c->tcp);
+    uv_tcp_nodelay(&c->tcp, 1); /* a second response must not wait */
     uv_read_start((uv_stream_t *)&c->tcp, conn_alloc, conn_read);
     pthread_mutex_lock(&s->env->lock);
     s->connections++;
@@ -788,6 +812,24 @@
     return r;
 }
 
+GString *
+env_read_until(int fd, const char *end)
+{
+    GString *r = g_string_new(NULL);
+    char buf[65536];
+    size_t len = strlen(end);
+    ssize_t n;
+
+    while (r->len < len || memcmp(r->str + r->len - len, end, len) != 0) {
+        n = recv(fd, buf, sizeof(buf), 0);
+        if (n <= 0) {
+            break;
+        }
+        g_string_append_len(r, buf, n);
+    }
+    return r;
+}
+
 GString *
 env_ask(struct env *env, const char *request)
 {
@@ -841,3 +883,42 @@
     *len = response->len - (size_t)(end + 4 - response->str);
     return end + 4;
 }
+
+const char *
+env_header_or(const GString *response, const char *name)
+{
+    const char *value = env_header(response, name);
+
+    return value != NULL ? value : "";
+}
+
+bool
+env_expect(struct env *env, const char *request, int status,
+           const char *outcome, const char *reason)
+{
+    GString *r = env_ask(env, request);
+    bool ok = env_status(r) == status &&
+              strcmp(env_header_or(r, "greengageway-outcome"), outcome) == 0 &&
+              strcmp(env_header_or(r, "greengageway-reason"), reason) == 0;
+
+    if (!ok) {
+        fprintf(stderr, "expected %d %s %s\n%s\n-> %s\n", status, outcome,
+                reason, request, r->str);
+    }
+    g_string_free(r, TRUE);
+    return ok;
+}
+
+enum ggw_attempt_result
+env_result(struct env *env, guint i)
+{
+    enum ggw_attempt_result result = GGW_ATTEMPT_UNUSED;
+
+    if (env_wait_len(env, &env->releases, i + 1)) {
+        pthread_mutex_lock(&env->lock);
+        result =
+            g_array_index(env->releases, struct ggw_slot_release, i).result;
+        pthread_mutex_unlock(&env->lock);
+    }
+    return result;
+}
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -39,6 +39,8 @@
     SCRIPT_SLOW,        /* 200 after delay_ms */
     SCRIPT_CHUNKED,     /* 200 in two chunks */
     SCRIPT_EXTRA,       /* 200 followed by a response nobody asked for */
+    SCRIPT_RIGHT_ID,    /* 200 with the request's id */
+    SCRIPT_WRONG_ID,    /* 200 with the id of another request */
     SCRIPT_CLOSED,      /* nothing listens */
 };
 
@@ -135,11 +137,25 @@
 /* Reads up to the end of the connection, or one whole response. */
 GString *env_read(int fd, bool to_end);
 
+/* Reads until the bytes end with @end. */
+GString *env_read_until(int fd, const char *end);
+
 /* Sends @request on a new connection and returns the whole response. */
 GString *env_ask(struct env *env, const char *request);
 
 /* Value of a header of a response, or NULL; valid until the next call. */
 const char *env_header(const GString *response, const char *name);
+
+/* The same, with "" in place of NULL. */
+const char *env_header_or(const GString *response, const char *name);
+
+/* Asks and compares; prints what differs. */
+bool env_expect(struct env *env, const char *request, int status,
+                const char *outcome, const char *reason);
+
+/* Result in the release with index @i; waits for it. */
+enum ggw_attempt_result env_result(struct env *env, guint i);
+
 int env_status(const GString *response);
 const char *env_body(const GString *response, size_t *len);
 
--- /dev/null
+++ b/tests/test_http_input.c
@@ -0,0 +1,258 @@
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/request_check.h"
+#include "tests/proxy_env.h"
+
+/*
+ * Replays the sessions in tests/golden/input-*.txt against the gateway. A
+ * session has the bytes to send behind "--- send" and the whole expected
+ * response, up to the end of the connection, behind "--- receive". Bytes are
+ * written with C escapes; the ends of lines do not count. "@repeat N TEXT"
+ * stands for N copies, "@half-close" closes the client's direction,
+ * "@forwarded N" states how many requests reach a backend server. The Date
+ * header is left out.
+ */
+
+#define FOLDER "tests/golden"
+
+struct session {
+    GString *send;
+    GString *receive;
+    bool half_close;
+    int forwarded;
+};
+
+static void
+read_line(struct session *s, GString *to, const char *line)
+{
+    if (g_str_has_prefix(line, "@half-close")) {
+        s->half_close = true;
+    }
+    else if (g_str_has_prefix(line, "@forwarded ")) {
+        s->forwarded = atoi(line + 11);
+    }
+    else if (g_str_has_prefix(line, "@repeat ")) {
+        char *text;
+        long n = strtol(line + 8, &text, 10);
+        g_autofree char *bytes = g_strcompress(text + 1);
+
+        for (long i = 0; i < n; i++) {
+            g_string_append(to, bytes);
+        }
+    }
+    else {
+        g_autofree char *bytes = g_strcompress(line);
+
+        g_string_append(to, bytes);
+    }
+}
+
+static bool
+read_session(const char *path, struct session *s)
+{
+    g_autofree char *text = NULL;
+    g_auto(GStrv) lines = NULL;
+    GString *to = NULL;
+
+    s->send = g_string_new(NULL);
+    s->receive = g_string_new(NULL);
+    if (!g_file_get_contents(path, &text, NULL, NULL)) {
+        return false;
+    }
+    lines = g_strsplit(text, "\n", -1);
+    for (char **l = lines; *l != NULL; l++) {
+        if (strcmp(*l, "--- send") == 0) {
+            to = s->send;
+        }
+        else if (strcmp(*l, "--- receive") == 0) {
+            to = s->receive;
+        }
+        else if (to != NULL && **l != '#') {
+            read_line(s, to, *l);
+        }
+    }
+    return to != NULL && to == s->receive && s->send->len > 0;
+}
+
+static void
+drop_date(GString *r)
+{
+    const char *date;
+
+    while ((date = strstr(r->str, "Date: ")) != NULL) {
+        g_string_erase(r, date - r->str, (gssize)(strcspn(date, "\n") + 1));
+    }
+}
+
+static void
+print_response(const char *name, const GString *r)
+{
+    g_autofree char *escaped = g_strescape(r->str, "\"");
+    g_auto(GStrv) lines = g_strsplit(escaped, "\\n", -1);
+    g_autofree char *joined = g_strjoinv("\\n\n", lines);
+
+    printf("\n%s\n--- receive\n%s\n", name, joined);
+}
+
+static void
+replay(struct env *env, const char *name)
+{
+    g_autofree char *path = g_build_filename(FOLDER, name, NULL);
+    struct session s = {0};
+    int before = env->servers[0].requests;
+    int fd;
+    GString *r;
+
+    if (!read_session(path, &s)) {
+        CU_FAIL("a session cannot be read");
+        return;
+    }
+    fd = env_connect(env);
+    send(fd, s.send->str, s.send->len, MSG_NOSIGNAL);
+    if (s.half_close) {
+        shutdown(fd, SHUT_WR);
+    }
+    r = env_read(fd, true);
+    drop_date(r);
+    if (strcmp(r->str, s.receive->str) != 0) {
+        print_response(name, r);
+        CU_FAIL("a response differs from the session");
+    }
+    CU_ASSERT_EQUAL(env->servers[0].requests - before, s.forwarded);
+    g_string_free(r, TRUE);
+    g_string_free(s.send, TRUE);
+    g_string_free(s.receive, TRUE);
+    close(fd);
+}
+
+/* Guards against bad input that is forwarded, or answered otherwise. */
+static void
+test_sessions(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    GDir *dir = g_dir_open(FOLDER, 0, NULL);
+    const char *name;
+    int n = 0;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(dir);
+    while ((name = g_dir_read_name(dir)) != NULL) {
+        if (g_str_has_prefix(name, "input-")) {
+            replay(env, name);
+            n++;
+        }
+    }
+    CU_ASSERT_TRUE(n >= 20);
+    g_dir_close(dir);
+    env_stop(env);
+}
+
+/* Guards against a sender that holds a connection by sending slowly. */
+static void
+test_slow_sender(void)
+{
+    static const char *const parts[] = {
+        "GET /team/svc/other HTTP/1.1\r\nHost:",
+        "POST /team/svc/read HTTP/1.1\r\nContent-Length: 5\r\n\r\nab",
+    };
+    struct env *env = env_start(1000, 100, 1000);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+        int fd = env_connect(env);
+        GString *r;
+
+        send(fd, parts[i], strlen(parts[i]), 0);
+        r = env_read(fd, true);
+        CU_ASSERT_EQUAL(env_status(r), 408);
+        CU_ASSERT_STRING_EQUAL(env_header_or(r, "greengageway-reason"),
+                               "slow-request");
+        g_string_free(r, TRUE);
+        close(fd);
+    }
+    CU_ASSERT_EQUAL(env->servers[0].requests, 0);
+    env_stop(env);
+}
+
+/* Guards against a refusal that is lost because the rest is still sent. */
+static void
+test_refusal_arrives(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+
+    for (int i = 0; i < 10; i++) {
+        GString *bytes = g_string_new(
+            "POST /team/svc/read HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n");
+        int fd = env_connect(env);
+        GString *r;
+
+        while (bytes->len < 4000000) {
+            g_string_append(bytes, "0123456789abcdef");
+        }
+        send(fd, bytes->str, bytes->len, MSG_NOSIGNAL);
+        r = env_read(fd, true);
+        CU_ASSERT_EQUAL(env_status(r), 413);
+        g_string_free(r, TRUE);
+        g_string_free(bytes, TRUE);
+        close(fd);
+    }
+    env_stop(env);
+}
+
+/*
+ * Guards against a reader of heads that depends on how the bytes are cut:
+ * every prefix of a good head is partial, of a bad one never good.
+ */
+static void
+test_prefixes(void)
+{
+    static const char good[] = "\r\nPOST /a?b HTTP/1.1\r\nHost: x\r\n"
+                               "Content-Length: 3\r\nX-Y:\t z \r\n\r\n";
+    static const char *const bad[] = {
+        "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n",
+        ("GET / HTTP/1.1\r\nContent-Length: 1\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n"),
+        "GET / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "GET / HTTP/1.1\r\nA : b\r\n\r\n",
+        "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n",
+        "GET / HTTP/2.0\r\n\r\n",
+        "GET /\r\n\r\n",
+        "\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+    };
+
+    for (size_t i = 0; i < sizeof(good) - 1; i++) {
+        CU_ASSERT_EQUAL(ggw_head_check(good, i), GGW_HEAD_PARTIAL);
+    }
+    CU_ASSERT_EQUAL(ggw_head_check(good, sizeof(good) - 1), GGW_HEAD_OK);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        size_t len = strlen(bad[i]);
+
+        for (size_t j = 0; j < len; j++) {
+            CU_ASSERT_NOT_EQUAL(ggw_head_check(bad[i], j), GGW_HEAD_OK);
+        }
+        CU_ASSERT_EQUAL(ggw_head_check(bad[i], len), GGW_HEAD_BAD);
+    }
+}
+
+int
+main(void)
+{
+    CU_pSuite suite;
+    unsigned failures;
+
+    CU_initialize_registry();
+    suite = CU_add_suite("http input", NULL, NULL);
+    CU_add_test(suite, "sessions", test_sessions);
+    CU_add_test(suite, "slow sender", test_slow_sender);
+    CU_add_test(suite, "refusal arrives", test_refusal_arrives);
+    CU_add_test(suite, "prefixes", test_prefixes);
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failures != 0;
+}
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -1,34 +1,13 @@
 #include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "tests/proxy_env.h"
 
-static void
-expect(struct env *env, const char *request, int status, const char *outcome,
-       const char *reason)
-{
-    GString *r = env_ask(env, request);
-
-    CU_ASSERT_EQUAL(env_status(r), status);
-    CU_ASSERT_STRING_EQUAL(env_header(r, "greengageway-outcome")
-                               ? env_header(r, "greengageway-outcome")
-                               : "",
-                           outcome);
-    if (reason != NULL) {
-        CU_ASSERT_STRING_EQUAL(env_header(r, "greengageway-reason")
-                                   ? env_header(r, "greengageway-reason")
-                                   : "",
-                               reason);
-    }
-    if (env_status(r) != status) {
-        printf("\n%s\n-> %s\n", request, r->str);
-    }
-    g_string_free(r, TRUE);
-}
-
 #define READ "GET /team/svc/read/a?b=c HTTP/1.1\r\nHost: h\r\n\r\n"
+#define OTHER "GET /team/svc/other HTTP/1.1\r\nHost: h\r\n\r\n"
 
 /* Guards against a whole path that does not work at all. */
 static void
@@ -43,14 +22,13 @@
                            "incarnation=9";
     r = env_ask(env, READ);
     CU_ASSERT_EQUAL(env_status(r), 200);
-    CU_ASSERT_STRING_EQUAL(env_header(r, "greengageway-outcome"), "done");
-    CU_ASSERT_STRING_EQUAL(env_header(r, "x-server"), "s0");
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "greengageway-outcome"), "done");
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "x-server"), "s0");
     CU_ASSERT_PTR_NULL(env_header(r, "backend-load"));
     CU_ASSERT_STRING_EQUAL(env_body(r, &len), "hello");
     g_string_free(r, TRUE);
-    CU_ASSERT_TRUE(env_wait_len(env, &env->releases, 1));
+    CU_ASSERT_EQUAL(env_result(env, 0), GGW_ATTEMPT_OK);
     release = &g_array_index(env->releases, struct ggw_slot_release, 0);
-    CU_ASSERT_EQUAL(release->result, GGW_ATTEMPT_OK);
     CU_ASSERT_TRUE(release->latency > 0);
     CU_ASSERT_TRUE(release->report.present);
     CU_ASSERT_EQUAL(release->report.queue, 3);
@@ -62,6 +40,300 @@
     env_stop(env);
 }
 
+/* Guards against refusals with a wrong status, outcome or reason. */
+static void
+test_refusals(void)
+{
+    struct env *env = env_start(300, 100, 1000);
+    GString *r;
+
+    CU_ASSERT_TRUE(env_expect(env, "GET /nobody/svc/read HTTP/1.1\r\n\r\n",
+                              404, "not-run", "no-route"));
+    CU_ASSERT_TRUE(env_expect(env, "GET /team/other/read HTTP/1.1\r\n\r\n",
+                              404, "not-run", "no-route"));
+    CU_ASSERT_TRUE(env_expect(env, "PUT /team/svc/read HTTP/1.1\r\n\r\n", 404,
+                              "not-run", "no-route"));
+    CU_ASSERT_TRUE(env_expect(env, "GET /team HTTP/1.1\r\n\r\n", 404,
+                              "not-run", "no-route"));
+    CU_ASSERT_TRUE(env_expect(env,
+                              "GET /team/svc/other/../order HTTP/1.1\r\n\r\n",
+                              400, "not-run", "bad-request"));
+    CU_ASSERT_TRUE(
+        env_expect(env, "GET /team/svc/other/%2e%2E/order HTTP/1.1\r\n\r\n",
+                   400, "not-run", "bad-request"));
+    CU_ASSERT_TRUE(env_expect(env, "GET /team/svc/read%00 HTTP/1.1\r\n\r\n",
+                              400, "not-run", "bad-request"));
+    CU_ASSERT_TRUE(env_expect(
+        env, "GET /team/svc/read HTTP/1.1\r\nGreengageway-Deadline: x\r\n\r\n",
+        400, "not-run", "bad-request"));
+    CU_ASSERT_TRUE(env_expect(
+        env, "GET /team/svc/read HTTP/1.1\r\nGreengageway-Deadline: 5\r\n\r\n",
+        503, "not-run", "too-late"));
+    env->slots_mode = ENV_REFUSE;
+    env->refusal = GGW_SLOT_NO_SERVER;
+    r = env_ask(env, READ);
+    CU_ASSERT_EQUAL(env_status(r), 503);
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "greengageway-reason"),
+                           "no-server");
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "retry-after"), "2");
+    g_string_free(r, TRUE);
+    env->refusal = GGW_SLOT_QUEUE_FULL;
+    CU_ASSERT_TRUE(env_expect(env, READ, 503, "not-run", "queue-full"));
+    env->refusal = GGW_SLOT_TOO_LATE;
+    CU_ASSERT_TRUE(env_expect(env, READ, 503, "not-run", "too-late"));
+    env->refusal = GGW_SLOT_DISPLACED;
+    CU_ASSERT_TRUE(env_expect(env, READ, 503, "not-run", "displaced"));
+    env->slots_mode = ENV_HOLD;
+    CU_ASSERT_TRUE(env_expect(env, READ, 503, "not-run", "too-late"));
+    CU_ASSERT_TRUE(env_wait(env, &env->cancels, 1));
+    CU_ASSERT_EQUAL(env->servers[0].requests, 0);
+    env_stop(env);
+}
+
+/* Guards against serving without settings. */
+static void
+test_no_configuration(void)
+{
+    struct env *env = env_start_bare(100);
+    GString *r;
+
+    CU_ASSERT_TRUE(env_expect(env, READ, 503, "not-run", "no-configuration"));
+    r = env_ask(env, "GET /-/ready HTTP/1.1\r\n\r\n");
+    CU_ASSERT_EQUAL(env_status(r), 503);
+    g_string_free(r, TRUE);
+    r = env_ask(env, "GET /-/health HTTP/1.1\r\n\r\n");
+    CU_ASSERT_EQUAL(env_status(r), 200);
+    g_string_free(r, TRUE);
+    env_stop(env);
+}
+
+struct failure {
+    enum script script;
+    int status;
+    const char *outcome;
+    const char *reason;
+    enum ggw_attempt_result result;
+};
+
+/*
+ * Guards against a wrong outcome of one failed attempt. The kind "other" has
+ * one attempt, so nothing is retried.
+ */
+static void
+test_single_failures(void)
+{
+    static const struct failure failures[] = {
+        {SCRIPT_RIGHT_ID, 200, "done", "", GGW_ATTEMPT_OK},
+        {SCRIPT_SHED, 503, "not-run", "shed", GGW_ATTEMPT_SHED},
+        {SCRIPT_LATE, 503, "not-run", "shed", GGW_ATTEMPT_SHED},
+        {SCRIPT_CLOSED, 503, "not-run", "shed", GGW_ATTEMPT_REFUSED},
+        {SCRIPT_BARE_503, 503, "unknown", "", GGW_ATTEMPT_ERROR},
+        {SCRIPT_ERROR_500, 500, "done", "", GGW_ATTEMPT_ERROR},
+        {SCRIPT_RESET, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
+        {SCRIPT_RESET_HEAD, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
+        {SCRIPT_UNFRAMED, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
+        {SCRIPT_BOTH_FRAMED, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
+        {SCRIPT_WRONG_ID, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
+        {SCRIPT_SILENT, 504, "unknown", "timeout", GGW_ATTEMPT_SILENT},
+    };
+    struct env *env = env_start(400, 100, 1000);
+
+    for (guint i = 0; i < G_N_ELEMENTS(failures); i++) {
+        const struct failure *f = &failures[i];
+
+        env->servers[0].script = f->script;
+        CU_ASSERT_TRUE(
+            env_expect(env, OTHER, f->status, f->outcome, f->reason));
+        CU_ASSERT_EQUAL(env_result(env, i), f->result);
+    }
+    CU_ASSERT_EQUAL(env->slot_requests, (int)G_N_ELEMENTS(failures));
+    env_stop(env);
+}
+
+/* Guards against an idempotent request that is not tried elsewhere. */
+static void
+test_retry(void)
+{
+    static const enum script scripts[] = {
+        SCRIPT_SHED,       SCRIPT_CLOSED,      SCRIPT_RESET,
+        SCRIPT_RESET_HEAD, SCRIPT_BOTH_FRAMED, SCRIPT_SILENT};
+    struct env *env = env_start(1000, 100, 1000);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+        GString *r;
+
+        env->servers[0].script = scripts[i];
+        r = env_ask(env, READ);
+        CU_ASSERT_EQUAL(env_status(r), 200);
+        CU_ASSERT_STRING_EQUAL(env_header_or(r, "x-server"), "s1");
+        g_string_free(r, TRUE);
+    }
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(env->servers[1].seen->str, "greengageway-attempt: 1\r\n"));
+    CU_ASSERT_PTR_NULL(
+        strstr(env->servers[1].seen->str, "greengageway-attempt: 0\r\n"));
+    env_stop(env);
+}
+
+/* Guards against retries below a hop that has retried. */
+static void
+test_no_retry_below(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+
+    env->servers[0].script = SCRIPT_SHED;
+    CU_ASSERT_TRUE(env_expect(env,
+                              "GET /team/svc/read HTTP/1.1\r\n"
+                              "Greengageway-Attempt: 1\r\n\r\n",
+                              503, "not-run", "shed"));
+    CU_ASSERT_EQUAL(env->slot_requests, 1);
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(env->servers[0].seen->str, "greengageway-attempt: 1\r\n"));
+    env_stop(env);
+}
+
+/* Guards against retries without a bound when all servers fail. */
+static void
+test_attempts_bound(void)
+{
+    struct env *env = env_start(2000, 100, 1000);
+
+    for (size_t i = 0; i < ENV_SERVERS; i++) {
+        env->servers[i].script = SCRIPT_SHED;
+    }
+    /* These earn the budget for two retries of one request. */
+    for (int i = 0; i < 3; i++) {
+        CU_ASSERT_TRUE(env_expect(env, OTHER, 503, "not-run", "shed"));
+    }
+    env->slot_requests = 0;
+    CU_ASSERT_TRUE(env_expect(env, READ, 503, "not-run", "shed"));
+    CU_ASSERT_EQUAL(env->slot_requests, 3);
+    env_stop(env);
+}
+
+/*
+ * Guards against "not-run" for a request of which one attempt may have run,
+ * although the last attempt did not.
+ */
+static void
+test_unknown_outweighs(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+
+    env->servers[0].script = SCRIPT_RESET;
+    for (size_t i = 1; i < ENV_SERVERS; i++) {
+        env->servers[i].script = SCRIPT_SHED;
+    }
+    CU_ASSERT_TRUE(env_expect(env, READ, 502, "unknown", "broken"));
+    CU_ASSERT_EQUAL(env_result(env, 1), GGW_ATTEMPT_SHED);
+    env_stop(env);
+}
+
+/* Guards against a connection that is used again after a timeout. */
+static void
+test_no_reuse(void)
+{
+    struct env *env = env_start(300, 100, 1000);
+
+    CU_ASSERT_TRUE(env_expect(env, OTHER, 200, "done", ""));
+    CU_ASSERT_TRUE(env_expect(env, OTHER, 200, "done", ""));
+    CU_ASSERT_EQUAL(env->servers[0].connections, 1);
+    env->servers[0].script = SCRIPT_SILENT;
+    CU_ASSERT_TRUE(env_expect(env, OTHER, 504, "unknown", "timeout"));
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].closed, 1));
+    env->servers[0].script = SCRIPT_OK;
+    CU_ASSERT_TRUE(env_expect(env, OTHER, 200, "done", ""));
+    CU_ASSERT_EQUAL(env->servers[0].connections, 2);
+    /* A response that nobody asked for must not answer the next request. */
+    env->servers[0].script = SCRIPT_EXTRA;
+    CU_ASSERT_TRUE(env_expect(env, OTHER, 200, "done", ""));
+    env->servers[0].script = SCRIPT_OK;
+    for (int i = 0; i < 20; i++) {
+        GString *r = env_ask(env, OTHER);
+        size_t len;
+
+        CU_ASSERT_STRING_EQUAL(env_body(r, &len), "hello");
+        g_string_free(r, TRUE);
+    }
+    env_stop(env);
+}
+
+/* Guards against headers that must not pass the gateway. */
+static void
+test_headers(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    const char *seen;
+
+    CU_ASSERT_TRUE(env_expect(
+        env,
+        "POST /team/svc/read HTTP/1.1\r\nHost: h:1\r\n"
+        "Connection: X-Hop, close\r\nX-Hop: 1\r\nTE: trailers\r\n"
+        "Upgrade: foo\r\nKeep-Alive: 3\r\nX-End: kept\r\n"
+        "Greengageway-Request: forged\r\nProxy-Authorization: x\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+        200, "done", ""));
+    seen = env->servers[0].seen->str;
+    CU_ASSERT_PTR_NOT_NULL(strstr(seen, "host: h:1\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(seen, "x-end: kept\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(seen, "content-length: 5\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(seen, "\r\n\r\nabcde"));
+    CU_ASSERT_PTR_NULL(strstr(seen, "x-hop"));
+    CU_ASSERT_PTR_NULL(strstr(seen, "te: "));
+    CU_ASSERT_PTR_NULL(strstr(seen, "upgrade"));
+    CU_ASSERT_PTR_NULL(strstr(seen, "keep-alive"));
+    CU_ASSERT_PTR_NULL(strstr(seen, "forged"));
+    CU_ASSERT_PTR_NULL(strstr(seen, "proxy-"));
+    CU_ASSERT_PTR_NULL(strstr(seen, "transfer-encoding"));
+    env_stop(env);
+}
+
+/* Guards against a hedge that is not sent, or whose loser goes on. */
+static void
+test_hedge(void)
+{
+    struct env *env = env_start(3000, 100, 1000);
+    GString *r;
+
+    for (int i = 0; i < 30; i++) {
+        CU_ASSERT_TRUE(env_expect(env, READ, 200, "done", ""));
+    }
+    env->servers[0].script = SCRIPT_SLOW;
+    env->servers[0].delay_ms = 1500;
+    r = env_ask(env, READ);
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "x-server"), "s1");
+    g_string_free(r, TRUE);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].closed, 1));
+    CU_ASSERT_EQUAL(env_result(env, 30), GGW_ATTEMPT_CANCELLED);
+    env_stop(env);
+}
+
+/* Guards against probes that are not answered. */
+static void
+test_probe(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    struct ggw_probe_result *result;
+
+    env->servers[0].load = "slots=2; busy=2; queue=0; cold=1; draining=0; "
+                           "incarnation=5";
+    env_send(
+        env, "proxy",
+        ggw_probe_request_new("s0", "127.0.0.1", env->servers[0].port, 1000));
+    CU_ASSERT_TRUE(env_wait_len(env, &env->probe_results, 1));
+    result = &g_array_index(env->probe_results, struct ggw_probe_result, 0);
+    CU_ASSERT_TRUE(result->answered);
+    CU_ASSERT_TRUE(result->report.cold);
+    env->servers[0].script = SCRIPT_SILENT;
+    env_send(
+        env, "proxy",
+        ggw_probe_request_new("s0", "127.0.0.1", env->servers[0].port, 100));
+    CU_ASSERT_TRUE(env_wait_len(env, &env->probe_results, 2));
+    result = &g_array_index(env->probe_results, struct ggw_probe_result, 1);
+    CU_ASSERT_FALSE(result->answered);
+    env_stop(env);
+}
+
 int
 main(void)
 {
@@ -71,7 +343,17 @@
     CU_initialize_registry();
     suite = CU_add_suite("proxy", NULL, NULL);
     CU_add_test(suite, "whole path", test_whole_path);
-    (void)expect;
+    CU_add_test(suite, "refusals", test_refusals);
+    CU_add_test(suite, "no configuration", test_no_configuration);
+    CU_add_test(suite, "single failures", test_single_failures);
+    CU_add_test(suite, "retry", test_retry);
+    CU_add_test(suite, "no retry below", test_no_retry_below);
+    CU_add_test(suite, "attempts bound", test_attempts_bound);
+    CU_add_test(suite, "unknown outweighs", test_unknown_outweighs);
+    CU_add_test(suite, "no reuse", test_no_reuse);
+    CU_add_test(suite, "headers", test_headers);
+    CU_add_test(suite, "hedge", test_hedge);
+    CU_add_test(suite, "probe", test_probe);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
--- /dev/null
+++ b/tests/test_proxy_pages.c
@@ -0,0 +1,217 @@
+#include <CUnit/Basic.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/proxy_env.h"
+
+#define READ "GET /team/svc/read HTTP/1.1\r\nHost: h\r\n\r\n"
+
+static json_t *
+page(struct env *env, const char *path, int status)
+{
+    g_autofree char *request =
+        g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path);
+    GString *r = env_ask(env, request);
+    json_t *json;
+    size_t len;
+    const char *body = env_body(r, &len);
+
+    CU_ASSERT_EQUAL(env_status(r), status);
+    json = json_loadb(body, len, 0, NULL);
+    g_string_free(r, TRUE);
+    return json;
+}
+
+static char *
+addresses(struct env *env, const char *path)
+{
+    json_t *json = page(env, path, 200);
+    GString *text = g_string_new(NULL);
+    json_t *item;
+    size_t i;
+
+    json_array_foreach(json_object_get(json, "addresses"), i, item)
+    {
+        g_string_append_printf(text, "%s%s", i > 0 ? " " : "",
+                               json_string_value(item));
+    }
+    json_decref(json);
+    return g_string_free(text, FALSE);
+}
+
+static void
+add(struct ggw_message *m, const char *name, const char *domain, uint16_t port,
+    enum ggw_member_state state, bool self)
+{
+    struct ggw_member member = {
+        .name = (char *)name,
+        .failure_domain = (char *)domain,
+        .host = "127.0.0.1",
+        .port = port,
+        .incarnation = 1,
+        .state = state,
+        .self = self,
+    };
+
+    ggw_members_add((struct ggw_members_changed *)m, &member);
+}
+
+/* Guards against clients that are sent to gateways that are not serving. */
+static void
+test_entry(void)
+{
+    struct env *env = env_start(1000, 2000, 1000);
+    struct ggw_message *m = ggw_members_changed_new();
+    struct ggw_tree *tree = env_tree(8, 1000);
+    g_autofree char *own =
+        g_strdup_printf("127.0.0.1:%u", (unsigned)ggw_proxy_port(env->proxy));
+    g_autofree char *expected = NULL;
+    g_autofree char *got = NULL;
+    GString *r;
+
+    got = addresses(env, "/-/entry?team=team&failure_domain=fd-b");
+    CU_ASSERT_STRING_EQUAL(got, own);
+    g_free(got);
+    add(m, "gw-1", "fd-a", 1, GGW_MEMBER_ALIVE, true);
+    add(m, "gw-2", "fd-a", 2, GGW_MEMBER_SUSPECTED, false);
+    add(m, "gw-3", "fd-b", 3, GGW_MEMBER_ALIVE, false);
+    add(m, "gw-4", "fd-b", 4, GGW_MEMBER_LEAVING, false);
+    add(m, "gw-5", "fd-c", 5, GGW_MEMBER_ALIVE, false);
+    add(m, "gw-6", "fd-c", 6, GGW_MEMBER_DEAD, false);
+    env_publish(env, m);
+    g_hash_table_add(tree->domains_out, g_strdup("fd-c"));
+    env_publish(env, ggw_config_in_force_new(tree));
+    ggw_tree_unref(tree);
+    got = addresses(env, "/-/entry?team=team&failure_domain=fd-b");
+    expected = g_strdup_printf("127.0.0.1:3 %s", own);
+    CU_ASSERT_STRING_EQUAL(got, expected);
+    g_free(got);
+    got = addresses(env, "/-/entry?failure_domain=fd-c");
+    g_free(expected);
+    expected = g_strdup_printf("127.0.0.1:5 %s 127.0.0.1:3", own);
+    CU_ASSERT_STRING_EQUAL(got, expected);
+    r = env_ask(env, "GET /-/entry?team=team HTTP/1.1\r\n\r\n");
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "cache-control"), "max-age=2");
+    g_string_free(r, TRUE);
+    CU_ASSERT_TRUE(env_expect(env, "GET /-/entry?team=x HTTP/1.1\r\n\r\n", 404,
+                              "not-run", "no-route"));
+    CU_ASSERT_TRUE(env_expect(env, "GET /-/nothing HTTP/1.1\r\n\r\n", 404,
+                              "not-run", "no-route"));
+    env_stop(env);
+}
+
+/* Guards against a revision that goes back, and a status without content. */
+static void
+test_status(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    struct ggw_tree *old = env_tree(3, 1000);
+    json_t *json;
+    GString *r;
+
+    env_publish(env, ggw_config_in_force_new(old));
+    ggw_tree_unref(old);
+    CU_ASSERT_TRUE(env_expect(env, READ, 200, "done", ""));
+    json = page(env, "/-/status", 200);
+    CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(json, "name")),
+                           "gw-1");
+    CU_ASSERT_EQUAL(json_integer_value(json_object_get(json, "incarnation")),
+                    42);
+    CU_ASSERT_EQUAL(json_integer_value(json_object_get(
+                        json_object_get(json, "revisions"), "team")),
+                    7);
+    CU_ASSERT_TRUE(json_is_array(json_object_get(json, "members")));
+    CU_ASSERT_TRUE(json_is_array(json_object_get(json, "backend_servers")));
+    json_decref(json);
+    r = env_ask(env, "GET /-/metrics HTTP/1.1\r\n\r\n");
+    CU_ASSERT_PTR_NOT_NULL(strstr(
+        r->str, "ggw_requests_total{team=\"team\",service=\"svc\",kind=\"read"
+                "\",outcome=\"done\",reason=\"response\"}"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(r->str, "ggw_added_ms_count"));
+    g_string_free(r, TRUE);
+    env_stop(env);
+}
+
+/*
+ * Guards against a shutdown that refuses, cuts or loses a request: one in
+ * flight, one on an idle connection, one that connects before the end.
+ */
+static void
+test_shutdown(void)
+{
+    struct env *env = env_start(10000, 200, 8000);
+    int slow = env_connect(env);
+    int idle = env_connect(env);
+    GString *r;
+
+    /* Ends after the listener was closed, 200 ms + 1 s after SHUTDOWN. */
+    env->servers[0].script = SCRIPT_SLOW;
+    env->servers[0].delay_ms = 1800;
+    send(slow, READ, strlen(READ), 0);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 1));
+    env->servers[0].script = SCRIPT_OK;
+    env_publish(env, ggw_shutdown_new());
+    do { /* until SHUTDOWN was delivered */
+        r = env_ask(env, "GET /-/ready HTTP/1.1\r\n\r\n");
+        if (env_status(r) == 503) {
+            break;
+        }
+        g_string_free(r, TRUE);
+    } while (true);
+    g_string_free(r, TRUE);
+    CU_ASSERT_TRUE(env_expect(env, READ, 200, "done", ""));
+    send(idle, READ, strlen(READ), 0);
+    r = env_read(idle, false);
+    CU_ASSERT_EQUAL(env_status(r), 200);
+    g_string_free(r, TRUE);
+    r = env_read(slow, true);
+    CU_ASSERT_EQUAL(env_status(r), 200);
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "connection"), "close");
+    g_string_free(r, TRUE);
+    close(slow);
+    r = env_read(idle, true); /* closed without a byte */
+    CU_ASSERT_EQUAL(r->len, 0);
+    g_string_free(r, TRUE);
+    close(idle);
+    CU_ASSERT_TRUE(env_wait_ended(env));
+    CU_ASSERT_EQUAL(env_connect(env), -1);
+    env_stop(env);
+}
+
+/* Guards against a shutdown that never ends. */
+static void
+test_shutdown_bound(void)
+{
+    struct env *env = env_start(60000, 50, 300);
+    int fd = env_connect(env);
+
+    env->servers[0].script = SCRIPT_SILENT;
+    send(fd, "GET /team/svc/other HTTP/1.1\r\n\r\n", 32, 0);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 1));
+    env_publish(env, ggw_shutdown_new());
+    CU_ASSERT_TRUE(env_wait_ended(env));
+    close(fd);
+    env_stop(env);
+}
+
+int
+main(void)
+{
+    CU_pSuite suite;
+    unsigned failures;
+
+    CU_initialize_registry();
+    suite = CU_add_suite("proxy pages", NULL, NULL);
+    CU_add_test(suite, "entry", test_entry);
+    CU_add_test(suite, "status", test_status);
+    CU_add_test(suite, "shutdown", test_shutdown);
+    CU_add_test(suite, "shutdown bound", test_shutdown_bound);
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failures != 0;
+}
--- /dev/null
+++ b/tests/test_proxy_stream.c
@@ -0,0 +1,253 @@
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "tests/proxy_env.h"
+
+#define GET "GET /team/svc/other HTTP/1.1\r\nHost: h\r\n\r\n"
+#define LARGE (32U * 1024 * 1024)
+
+static char *
+large_body(void)
+{
+    char *body = g_malloc(LARGE);
+    uint32_t x = 1;
+
+    for (size_t i = 0; i < LARGE; i++) {
+        x = x * 1664525 + 1013904223;
+        body[i] = (char)(x >> 24);
+    }
+    return body;
+}
+
+/* Guards against bytes that are lost, repeated or out of order. */
+static void
+test_large_body(void)
+{
+    struct env *env = env_start(5000, 100, 1000);
+    char *body = large_body();
+    XXH64_hash_t digest = XXH64(body, LARGE, 0);
+
+    env->servers[0].body = body;
+    env->servers[0].body_len = LARGE;
+    for (int chunked = 0; chunked < 2; chunked++) {
+        int fd = env_connect(env);
+        GString *r;
+        size_t len;
+        const char *got;
+
+        env->servers[0].script = chunked != 0 ? SCRIPT_CHUNKED : SCRIPT_OK;
+        send(fd, GET, strlen(GET), 0);
+        if (chunked != 0) {
+            const char *last = "\r\n0\r\n\r\n";
+
+            r = env_read_until(fd, last);
+            CU_ASSERT_TRUE(r->len > LARGE);
+            CU_ASSERT_TRUE(g_str_has_suffix(r->str, last) ||
+                           memcmp(r->str + r->len - strlen(last), last,
+                                  strlen(last)) == 0);
+        }
+        else {
+            r = env_read(fd, false);
+            got = env_body(r, &len);
+            CU_ASSERT_EQUAL(len, LARGE);
+            CU_ASSERT_EQUAL(XXH64(got, len, 0), digest);
+        }
+        g_string_free(r, TRUE);
+        close(fd);
+    }
+    env_stop(env);
+    g_free(body);
+}
+
+/* Memory that the process holds, in bytes. */
+static size_t
+resident(void)
+{
+    g_autofree char *text = NULL;
+    unsigned long pages = 0;
+
+    if (g_file_get_contents("/proc/self/statm", &text, NULL, NULL)) {
+        sscanf(text, "%*s %lu", &pages);
+    }
+    return pages * (size_t)sysconf(_SC_PAGESIZE);
+}
+
+/*
+ * Guards against a response that is collected in memory while the client does
+ * not read, and against a progress timeout (300 ms here) that counts the time
+ * in which the gateway itself does not read.
+ */
+static void
+test_slow_client(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    char *body = large_body();
+    XXH64_hash_t digest = XXH64(body, LARGE, 0);
+    int fd = env_connect(env);
+    size_t before, len;
+    GString *r, *other;
+    const char *got;
+
+    env->servers[0].body = body;
+    env->servers[0].body_len = LARGE;
+    before = resident();
+    send(fd, GET, strlen(GET), 0);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 1));
+    /* The second response is late by more than the progress timeout. */
+    env->servers[0].script = SCRIPT_SLOW;
+    env->servers[0].delay_ms = 700;
+    env->servers[0].body = "late";
+    env->servers[0].body_len = 4;
+    other = env_ask(env, GET);
+    CU_ASSERT_EQUAL(env_status(other), 200);
+    g_string_free(other, TRUE);
+    /* The scripted server holds the response once. */
+    CU_ASSERT_TRUE(resident() < before + LARGE + LARGE / 2);
+    r = env_read(fd, false);
+    got = env_body(r, &len);
+    CU_ASSERT_EQUAL(len, LARGE);
+    CU_ASSERT_EQUAL(XXH64(got, len, 0), digest);
+    g_string_free(r, TRUE);
+    close(fd);
+    env_stop(env);
+    g_free(body);
+}
+
+/* Guards against a short response that looks whole. */
+static void
+test_short(void)
+{
+    static const enum script scripts[] = {SCRIPT_SHORT, SCRIPT_SHORT_CHUNK,
+                                          SCRIPT_SILENT_BODY};
+    struct env *env = env_start(1000, 100, 1000);
+
+    for (guint i = 0; i < G_N_ELEMENTS(scripts); i++) {
+        int fd = env_connect(env);
+        GString *r;
+        size_t len;
+
+        env->servers[0].script = scripts[i];
+        send(fd, GET, strlen(GET), 0);
+        r = env_read(fd, true);
+        CU_ASSERT_EQUAL(env_status(r), 200);
+        env_body(r, &len);
+        if (scripts[i] == SCRIPT_SHORT_CHUNK) {
+            CU_ASSERT_PTR_NULL(strstr(r->str, "\r\n0\r\n"));
+        }
+        else {
+            CU_ASSERT_EQUAL(atoi(env_header_or(r, "content-length")), 10);
+            CU_ASSERT_TRUE(len < 10);
+        }
+        CU_ASSERT_EQUAL(env_result(env, i), scripts[i] == SCRIPT_SILENT_BODY
+                                                ? GGW_ATTEMPT_SILENT
+                                                : GGW_ATTEMPT_BROKEN);
+        g_string_free(r, TRUE);
+        close(fd);
+    }
+    env_stop(env);
+}
+
+/* Guards against an attempt that goes on after its client has left. */
+static void
+test_client_leaves(void)
+{
+    struct env *env = env_start(5000, 100, 1000);
+    int fd;
+
+    env->servers[0].script = SCRIPT_SILENT;
+    fd = env_connect(env);
+    send(fd, GET, strlen(GET), 0);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 1));
+    close(fd);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].closed, 1));
+    CU_ASSERT_EQUAL(env_result(env, 0), GGW_ATTEMPT_CANCELLED);
+
+    /* In the middle of a body. */
+    env->servers[0].script = SCRIPT_OK;
+    env->servers[0].body = large_body();
+    env->servers[0].body_len = LARGE;
+    fd = env_connect(env);
+    send(fd, GET, strlen(GET), 0);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 2));
+    close(fd);
+    CU_ASSERT_EQUAL(env_result(env, 1), GGW_ATTEMPT_CANCELLED);
+
+    /* While waiting for a slot. */
+    env->slots_mode = ENV_HOLD;
+    fd = env_connect(env);
+    send(fd, GET, strlen(GET), 0);
+    CU_ASSERT_TRUE(env_wait(env, &env->slot_requests, 3));
+    close(fd);
+    CU_ASSERT_TRUE(env_wait(env, &env->cancels, 1));
+    g_free((char *)env->servers[0].body);
+    env_stop(env);
+}
+
+/* Guards against a half-closed client that gets no response. */
+static void
+test_half_closed(void)
+{
+    struct env *env = env_start(5000, 100, 1000);
+    int fd = env_connect(env);
+    GString *r;
+
+    env->servers[0].script = SCRIPT_SLOW;
+    env->servers[0].delay_ms = 200;
+    send(fd, GET, strlen(GET), 0);
+    shutdown(fd, SHUT_WR);
+    r = env_read(fd, true);
+    CU_ASSERT_PTR_NOT_NULL(strstr(r->str, "HTTP/1.1 200 OK\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(r->str, "\r\n\r\nhello"));
+    g_string_free(r, TRUE);
+    close(fd);
+    env_stop(env);
+}
+
+/* Guards against mixed up responses on a pipelined connection. */
+static void
+test_pipelined(void)
+{
+    static const char two[] =
+        "GET /team/svc/other/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        "GET /team/svc/nothing HTTP/1.1\r\nHost: h\r\n"
+        "Connection: close\r\n\r\n";
+    struct env *env = env_start(1000, 100, 1000);
+    int fd = env_connect(env);
+    GString *r;
+    const char *first, *second;
+
+    send(fd, two, sizeof(two) - 1, 0);
+    r = env_read(fd, true);
+    first = strstr(r->str, "hello");
+    second = strstr(r->str, "HTTP/1.1 404");
+    CU_ASSERT_TRUE(first != NULL && second != NULL && first < second);
+    g_string_free(r, TRUE);
+    close(fd);
+    env_stop(env);
+}
+
+int
+main(void)
+{
+    CU_pSuite suite;
+    unsigned failures;
+
+    CU_initialize_registry();
+    suite = CU_add_suite("proxy streams", NULL, NULL);
+    CU_add_test(suite, "large body", test_large_body);
+    CU_add_test(suite, "slow client", test_slow_client);
+    CU_add_test(suite, "short", test_short);
+    CU_add_test(suite, "client leaves", test_client_leaves);
+    CU_add_test(suite, "half closed", test_half_closed);
+    CU_add_test(suite, "pipelined", test_pipelined);
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failures != 0;
+}
