--- /dev/null
+++ b/config/tree.c
@@ -0,0 +1,162 @@
+#include "config/tree.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/error.h"
+#include "config/schema.h"
+
+/*
+ * Gateways pass the settings on in one frame of at most 64 KiB. Larger
+ * settings would not reach a gateway while the platform is down.
+ */
+#define MAX_JSON 60000
+
+/* The longest prefix first; then by name, so that the order is defined. */
+static int
+compare_kinds(const void *a, const void *b)
+{
+    const struct ggw_kind *x = a, *y = b;
+    size_t xlen = strlen(x->path_prefix), ylen = strlen(y->path_prefix);
+
+    if (xlen != ylen) {
+        return xlen > ylen ? -1 : 1;
+    }
+    return strcmp(x->name, y->name);
+}
+
+static int
+compare_services(const void *a, const void *b)
+{
+    const struct ggw_service_rule *x = a, *y = b;
+
+    return strcmp(x->name, y->name);
+}
+
+static void
+sort(struct ggw_tree *tree)
+{
+    if (tree->services_len > 0) {
+        qsort(tree->services, tree->services_len, sizeof(*tree->services),
+              compare_services);
+    }
+    for (size_t i = 0; i < tree->services_len; i++) {
+        struct ggw_service_rule *rule = &tree->services[i];
+
+        if (rule->kinds_len > 0) {
+            qsort(rule->kinds, rule->kinds_len, sizeof(*rule->kinds),
+                  compare_kinds);
+        }
+    }
+}
+
+static json_t *
+load(const char *text, GError **error)
+{
+    json_error_t e;
+    json_t *root;
+
+    if (strlen(text) > MAX_JSON) {
+        g_set_error(error, GGW_ERROR, GGW_ERROR_INVALID,
+                    "settings: %zu bytes of JSON are not in 2..%d",
+                    strlen(text), MAX_JSON);
+        return NULL;
+    }
+    root = json_loads(text, JSON_REJECT_DUPLICATES, &e);
+    if (root == NULL) {
+        g_set_error(error, GGW_ERROR, GGW_ERROR_INVALID,
+                    "settings: not JSON: line %d: %s", e.line, e.text);
+    }
+    return root;
+}
+
+struct ggw_tree *
+ggw_tree_parse(const char *team, uint64_t revision, const char *json,
+               GError **error)
+{
+    json_t *root = load(json, error);
+    struct ggw_tree *tree;
+
+    if (root == NULL) {
+        return NULL;
+    }
+    tree = g_new0(struct ggw_tree, 1);
+    tree->refs = 1;
+    tree->team = g_strdup(team);
+    tree->revision = revision;
+    tree->domains_out =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    tree->servers_draining =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    if (ggw_schema_parse(root, tree, error)) {
+        sort(tree);
+    }
+    else {
+        g_clear_pointer(&tree, ggw_tree_unref);
+    }
+    json_decref(root);
+    return tree;
+}
+
+struct ggw_tree *
+ggw_tree_ref(struct ggw_tree *tree)
+{
+    tree->refs++;
+    return tree;
+}
+
+void
+ggw_tree_unref(struct ggw_tree *tree)
+{
+    if (tree == NULL || --tree->refs > 0) {
+        return;
+    }
+    for (size_t i = 0; i < tree->services_len; i++) {
+        ggw_service_rule_clear(&tree->services[i]);
+    }
+    g_free(tree->services);
+    g_hash_table_destroy(tree->domains_out);
+    g_hash_table_destroy(tree->servers_draining);
+    g_free(tree->team);
+    g_free(tree);
+}
+
+const struct ggw_service_rule *
+ggw_tree_service(const struct ggw_tree *tree, const char *service)
+{
+    struct ggw_service_rule key = {.name = (char *)service};
+
+    if (tree->services_len == 0) {
+        return NULL;
+    }
+    return bsearch(&key, tree->services, tree->services_len,
+                   sizeof(*tree->services), compare_services);
+}
+
+const struct ggw_kind *
+ggw_service_kind(const struct ggw_service_rule *rule, const char *method,
+                 const char *path)
+{
+    for (size_t i = 0; i < rule->kinds_len; i++) {
+        const struct ggw_kind *kind = &rule->kinds[i];
+
+        if (g_str_has_prefix(path, kind->path_prefix) &&
+            g_strv_contains((const char *const *)kind->methods, method)) {
+            return kind;
+        }
+    }
+    return NULL;
+}
+
+bool
+ggw_tree_domain_out(const struct ggw_tree *tree, const char *failure_domain)
+{
+    return g_hash_table_contains(tree->domains_out, failure_domain);
+}
+
+bool
+ggw_tree_server_draining(const struct ggw_tree *tree, const char *vm)
+{
+    return g_hash_table_contains(tree->servers_draining, vm);
+}
--- a/config/tree.h
+++ b/config/tree.h
@@ -61,7 +61,8 @@
  * @retry_percent: budget for retries as a share of calls
  * @hedge_percent: budget for hedged requests as a share of calls
  * @queue: requests that may wait for a slot in one failure domain
- * @kinds: rules, the first that matches a request applies
+ * @kinds: rules, the first that matches a request applies; the longest path
+ *         prefix comes first, since members of a JSON object have no order
  */
 struct ggw_service_rule {
     char *name;
--- /dev/null
+++ b/tests/test_tree.c
@@ -0,0 +1,193 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "common/error.h"
+#include "config/tree.h"
+
+static const char example[] =
+    "{\"failure_domains\":{\"cairo-a\":{\"state\":\"out\"},\"cairo-b\":{}},"
+    "\"backend_servers\":{\"strand-1\":{\"state\":\"draining\"},"
+    "\"strand-2\":{\"state\":\"in\"}},"
+    "\"services\":{\"strand-status\":{\"slots\":4},"
+    "\"repair-orders\":{\"retry_percent\":2.5,\"kinds\":{"
+    "\"rest\":{\"path_prefix\":\"/\",\"methods\":[\"GET\",\"POST\"]},"
+    "\"confirm\":{\"path_prefix\":\"/confirm\",\"methods\":[\"POST\"],"
+    "\"idempotency\":\"order\",\"order_from\":\"path:2\",\"attempts\":1},"
+    "\"pay\":{\"path_prefix\":\"/pay\",\"methods\":[\"POST\"],"
+    "\"idempotency\":\"order\",\"order_from\":\"header:X-Order-Id\"}}}}}";
+
+/* Guards against defaults that are not those of the reference. */
+static void
+test_defaults(void)
+{
+    struct ggw_tree *t = ggw_tree_parse("nile-strand", 7, example, NULL);
+    const struct ggw_service_rule *rule;
+
+    g_assert_nonnull(t);
+    CU_ASSERT_STRING_EQUAL(t->team, "nile-strand");
+    CU_ASSERT_EQUAL(t->revision, 7);
+    CU_ASSERT_PTR_NULL(ggw_tree_service(t, "absent"));
+    rule = ggw_tree_service(t, "strand-status");
+    g_assert_nonnull(rule);
+    CU_ASSERT_EQUAL(rule->slots, 4);
+    CU_ASSERT_EQUAL(rule->connections, 200);
+    CU_ASSERT_EQUAL(rule->cold_limit, 1);
+    CU_ASSERT_EQUAL(rule->cold_time, 5000);
+    CU_ASSERT_STRING_EQUAL(rule->policy, "slots");
+    CU_ASSERT_EQUAL(rule->measure_percent, 1);
+    CU_ASSERT_EQUAL(rule->retry_percent, 10);
+    CU_ASSERT_EQUAL(rule->hedge_percent, 5);
+    CU_ASSERT_EQUAL(rule->queue, 64);
+    CU_ASSERT_EQUAL(rule->kinds_len, 0);
+    CU_ASSERT_PTR_NULL(ggw_service_kind(rule, "GET", "/"));
+    ggw_tree_unref(t);
+}
+
+/* Guards against a kind that depends on the order of JSON members. */
+static void
+test_kinds(void)
+{
+    struct ggw_tree *t = ggw_tree_parse("nile-strand", 1, example, NULL);
+    const struct ggw_service_rule *rule = ggw_tree_service(t, "repair-orders");
+    const struct ggw_kind *kind = ggw_service_kind(rule, "POST", "/confirm/9");
+
+    g_assert_nonnull(kind);
+    CU_ASSERT_STRING_EQUAL(kind->name, "confirm");
+    CU_ASSERT_EQUAL(kind->idempotency, GGW_AT_MOST_ONCE);
+    CU_ASSERT_EQUAL(kind->order_source, GGW_ORDER_FROM_PATH);
+    CU_ASSERT_EQUAL(kind->order_segment, 2);
+    CU_ASSERT_EQUAL(kind->attempts, 1);
+    kind = ggw_service_kind(rule, "POST", "/pay");
+    g_assert_nonnull(kind);
+    CU_ASSERT_EQUAL(kind->order_source, GGW_ORDER_FROM_HEADER);
+    CU_ASSERT_STRING_EQUAL(kind->order_header, "X-Order-Id");
+    kind = ggw_service_kind(rule, "GET", "/confirm/9");
+    g_assert_nonnull(kind);
+    CU_ASSERT_STRING_EQUAL(kind->name, "rest");
+    CU_ASSERT_EQUAL(kind->timeout, 1000);
+    CU_ASSERT_PTR_NULL(ggw_service_kind(rule, "DELETE", "/confirm/9"));
+    ggw_tree_unref(t);
+}
+
+static void
+test_states(void)
+{
+    struct ggw_tree *t = ggw_tree_parse("nile-strand", 1, example, NULL);
+
+    CU_ASSERT_TRUE(ggw_tree_domain_out(t, "cairo-a"));
+    CU_ASSERT_FALSE(ggw_tree_domain_out(t, "cairo-b"));
+    CU_ASSERT_FALSE(ggw_tree_domain_out(t, "absent"));
+    CU_ASSERT_TRUE(ggw_tree_server_draining(t, "strand-1"));
+    CU_ASSERT_FALSE(ggw_tree_server_draining(t, "strand-2"));
+    ggw_tree_unref(ggw_tree_ref(t));
+    CU_ASSERT_TRUE(ggw_tree_domain_out(t, "cairo-a"));
+    ggw_tree_unref(t);
+}
+
+struct refusal {
+    const char *json;
+    const char *message;
+};
+
+#define SERVICE(settings) "{\"services\":{\"s\":{" settings "}}}"
+#define KIND(settings) SERVICE("\"kinds\":{\"k\":{" settings "}}")
+
+static const struct refusal refusals[] = {
+    {"[]", "settings: is not an object"},
+    {"{", "settings: not JSON: line 1: string or '}' expected near end of "
+          "file"},
+    {"{\"services\":{},\"services\":{}}",
+     "settings: not JSON: line 1: duplicate object key near '\"services\"'"},
+    {"{\"servces\":{}}", "servces: no such setting"},
+    {"{\"services\":{\"a.b\":{}}}",
+     "services: the name \"a.b\" is not 1..64 letters, digits, \"_\" or "
+     "\"-\""},
+    {"{\"failure_domains\":{\"d\":{\"state\":\"off\"}}}",
+     "failure_domains.d.state: \"off\" is not one of in, out"},
+    {"{\"backend_servers\":{\"v\":{\"state\":true}}}",
+     "backend_servers.v.state: true is not one of in, draining"},
+    {SERVICE("\"slots\":0"), "services.s.slots: 0 is not in 1..1024"},
+    {SERVICE("\"slots\":\"2\""),
+     "services.s.slots: \"2\" is not a whole number in 1..1024"},
+    {SERVICE("\"slots\":2.5"),
+     "services.s.slots: 2.5 is not a whole number in 1..1024"},
+    {SERVICE("\"slot\":2"), "services.s.slot: no such setting"},
+    {SERVICE("\"cold_limit\":3"),
+     "services.s.cold_limit: 3 is not in 1..2, the slots"},
+    {SERVICE("\"measure_percent\":1.5"),
+     "services.s.measure_percent: 1.5 is not in 0..1"},
+    {SERVICE("\"policy\":\"best\""),
+     "services.s.policy: \"best\" is not one of slots, random, round_robin, "
+     "least_outstanding, power_of_two"},
+    {SERVICE("\"kinds\":[]"), "services.s.kinds: is not an object"},
+    {KIND("\"methods\":[]"),
+     "services.s.kinds.k.methods: [] is not a list of some of GET, HEAD, "
+     "POST, PUT, PATCH, DELETE, OPTIONS"},
+    {KIND("\"path_prefix\":\"x\""),
+     "services.s.kinds.k.path_prefix: \"x\" is not a path that begins with "
+     "\"/\" and has at most 256 bytes"},
+    {KIND("\"idempotency\":\"order\""),
+     "services.s.kinds.k.order_from: must be set because idempotency is "
+     "\"order\""},
+    {KIND("\"order_from\":\"path:32\""),
+     "services.s.kinds.k.order_from: \"path:32\" is not \"header:NAME\" or "
+     "\"path:N\" with N in 0..31"},
+    {KIND("\"order_from\":\"header:a b\""),
+     "services.s.kinds.k.order_from: \"header:a b\" is not \"header:NAME\" "
+     "or \"path:N\" with N in 0..31"},
+    {KIND("\"timeout_ms\":0"),
+     "services.s.kinds.k.timeout_ms: 0 is not in 1..600000"},
+};
+
+/* Guards against refusals that name no path or no allowed range. */
+static void
+test_refusals(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+        GError *error = NULL;
+
+        CU_ASSERT_PTR_NULL(
+            ggw_tree_parse("team", 1, refusals[i].json, &error));
+        g_assert_nonnull(error);
+        CU_ASSERT_TRUE(g_error_matches(error, GGW_ERROR, GGW_ERROR_INVALID));
+        CU_ASSERT_STRING_EQUAL(error->message, refusals[i].message);
+        if (strcmp(error->message, refusals[i].message) != 0) {
+            g_printerr("got: %s\n", error->message);
+        }
+        g_error_free(error);
+    }
+}
+
+/* Guards against settings too large to pass from gateway to gateway. */
+static void
+test_size(void)
+{
+    g_autofree char *blank = g_strnfill(60000, ' ');
+    g_autofree char *json = g_strconcat("{", blank, "}", NULL);
+    GError *error = NULL;
+
+    CU_ASSERT_PTR_NULL(ggw_tree_parse("team", 1, json, &error));
+    g_assert_nonnull(error);
+    CU_ASSERT_STRING_EQUAL(
+        error->message, "settings: 60002 bytes of JSON are not in 2..60000");
+    g_error_free(error);
+}
+
+int
+main(void)
+{
+    CU_pSuite suite;
+    unsigned failures;
+
+    CU_initialize_registry();
+    suite = CU_add_suite("tree", NULL, NULL);
+    CU_add_test(suite, "defaults", test_defaults);
+    CU_add_test(suite, "kinds", test_kinds);
+    CU_add_test(suite, "states", test_states);
+    CU_add_test(suite, "refusals", test_refusals);
+    CU_add_test(suite, "size", test_size);
+    CU_basic_run_tests();
+    failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failures != 0;
+}
