--- /dev/null
+++ b/config/exchange.c
@@ -0,0 +1,210 @@
+#include "config/exchange.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    size_t len = strlen(text);
+
+    msgpack_pack_str(packer, len);
+    msgpack_pack_str_body(packer, text, len);
+}
+
+static GBytes *
+take_buffer(msgpack_sbuffer *buffer)
+{
+    GBytes *bytes = g_bytes_new(buffer->data, buffer->size);
+
+    msgpack_sbuffer_destroy(buffer);
+    return bytes;
+}
+
+GBytes *
+ggw_config_query_pack(const struct ggw_config_query *query)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    GHashTableIter iter;
+    void *team, *revision;
+
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    if (query->team != NULL) {
+        pack_text(&packer, query->team);
+        return take_buffer(&buffer);
+    }
+    msgpack_pack_map(&packer, g_hash_table_size(query->known));
+    g_hash_table_iter_init(&iter, query->known);
+    while (g_hash_table_iter_next(&iter, &team, &revision)) {
+        pack_text(&packer, team);
+        msgpack_pack_uint64(&packer, *(guint64 *)revision);
+    }
+    return take_buffer(&buffer);
+}
+
+void
+ggw_config_query_init(struct ggw_config_query *query)
+{
+    query->team = NULL;
+    query->known =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+ggw_config_query_clear(struct ggw_config_query *query)
+{
+    g_free(query->team);
+    g_hash_table_destroy(query->known);
+}
+
+void
+ggw_config_query_add(struct ggw_config_query *query, const char *team,
+                     uint64_t revision)
+{
+    guint64 *value = g_new(guint64, 1);
+
+    *value = revision;
+    g_hash_table_insert(query->known, g_strdup(team), value);
+}
+
+bool
+ggw_config_query_wants(const struct ggw_config_query *query, const char *team,
+                       uint64_t revision)
+{
+    const guint64 *known = g_hash_table_lookup(query->known, team);
+
+    if (query->team != NULL && strcmp(query->team, team) != 0) {
+        return false;
+    }
+    return known == NULL || *known < revision;
+}
+
+/* Text without NUL bytes, or NULL. */
+static char *
+unpack_text(const msgpack_object *o)
+{
+    if (o->type != MSGPACK_OBJECT_STR ||
+        memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL) {
+        return NULL;
+    }
+    return g_strndup(o->via.str.ptr, o->via.str.size);
+}
+
+static bool
+unpack_known(const msgpack_object *o, struct ggw_config_query *query)
+{
+    for (uint32_t i = 0; i < o->via.map.size; i++) {
+        const msgpack_object_kv *kv = &o->via.map.ptr[i];
+        g_autofree char *team = unpack_text(&kv->key);
+
+        if (team == NULL || kv->val.type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+            return false;
+        }
+        ggw_config_query_add(query, team, kv->val.via.u64);
+    }
+    return true;
+}
+
+static bool
+unpack(msgpack_unpacked *unpacked, GBytes *payload)
+{
+    size_t len;
+    const char *data = g_bytes_get_data(payload, &len);
+
+    msgpack_unpacked_init(unpacked);
+    return msgpack_unpack_next(unpacked, data, len, NULL) ==
+           MSGPACK_UNPACK_SUCCESS;
+}
+
+bool
+ggw_config_query_unpack(GBytes *payload, struct ggw_config_query *query)
+{
+    msgpack_unpacked unpacked;
+    bool ok = unpack(&unpacked, payload);
+
+    ggw_config_query_init(query);
+    if (ok) {
+        switch (unpacked.data.type) {
+        case MSGPACK_OBJECT_NIL:
+            break;
+        case MSGPACK_OBJECT_STR:
+            query->team = unpack_text(&unpacked.data);
+            ok = query->team != NULL;
+            break;
+        case MSGPACK_OBJECT_MAP:
+            ok = unpack_known(&unpacked.data, query);
+            break;
+        default:
+            ok = false;
+            break;
+        }
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return ok;
+}
+
+GBytes *
+ggw_config_offer_pack(const struct ggw_config_offer *offer)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_map(&packer, 3);
+    pack_text(&packer, "team");
+    pack_text(&packer, offer->team);
+    pack_text(&packer, "revision");
+    msgpack_pack_uint64(&packer, offer->revision);
+    pack_text(&packer, "json");
+    pack_text(&packer, offer->json);
+    return take_buffer(&buffer);
+}
+
+static bool
+is_key(const msgpack_object *key, const char *name)
+{
+    return key->type == MSGPACK_OBJECT_STR &&
+           key->via.str.size == strlen(name) &&
+           memcmp(key->via.str.ptr, name, key->via.str.size) == 0;
+}
+
+static void
+unpack_member(const msgpack_object_kv *kv, struct ggw_config_offer *offer)
+{
+    if (is_key(&kv->key, "team") && offer->team == NULL) {
+        offer->team = unpack_text(&kv->val);
+    }
+    else if (is_key(&kv->key, "json") && offer->json == NULL) {
+        offer->json = unpack_text(&kv->val);
+    }
+    else if (is_key(&kv->key, "revision") &&
+             kv->val.type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        offer->revision = kv->val.via.u64;
+    }
+}
+
+bool
+ggw_config_offer_unpack(GBytes *payload, struct ggw_config_offer *offer)
+{
+    msgpack_unpacked unpacked;
+    bool ok = unpack(&unpacked, payload);
+
+    memset(offer, 0, sizeof(*offer));
+    if (ok && unpacked.data.type == MSGPACK_OBJECT_MAP) {
+        for (uint32_t i = 0; i < unpacked.data.via.map.size; i++) {
+            unpack_member(&unpacked.data.via.map.ptr[i], offer);
+        }
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return offer->team != NULL && offer->json != NULL && offer->revision > 0;
+}
+
+void
+ggw_config_offer_clear(struct ggw_config_offer *offer)
+{
+    g_free(offer->team);
+    g_free(offer->json);
+}
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -178,8 +178,9 @@
 {
     GPtrArray *keys = keys_in_range(request);
     json_t *kvs, *answer;
+    int64_t min;
 
-    if (keys == NULL) {
+    if (keys == NULL || !ggw_kv_int(request, "minModRevision", &min)) {
         return NULL;
     }
     answer = json_pack("{s:o}", "header", header_json());
