--- a/standins/control.h
+++ b/standins/control.h
@@ -145,7 +145,7 @@
     if (answer == NULL) {
         return -1; /* h2o answers 404 */
     }
-    text = json_dumps(answer, JSON_COMPACT | JSON_SORT_KEYS);
+    text = json_dumps(answer, JSON_COMPACT);
     json_decref(answer);
     return control_send(req, 200, text);
 }
