--- a/standins/backend.c
+++ b/standins/backend.c
@@ -87,6 +87,9 @@
              s->slots, shot.busy, shot.queue, is_cold(s) ? 1 : 0,
              s->draining ? 1 : 0, s->incarnation);
     add_header(req, "backend-load", text);
+    if (is_cold(s) && s->cold_told == 0) {
+        s->cold_told = now_ms();
+    }
 }
 
 static void
@@ -324,6 +327,9 @@
         reap_closed(s);
     }
     *most = MAX(*most, (int)s->calls.length);
+    if (cold && s->cold_told > 0 && now_ms() > s->cold_told + COLD_TOLD_MS) {
+        s->max_cold_told = MAX(s->max_cold_told, (int)s->calls.length);
+    }
 }
 
 static void
@@ -468,6 +474,7 @@
     struct conn *conn = data;
 
     conn->server->connections--;
+    g_queue_remove(&conn->server->conns, conn);
     uv_close((uv_handle_t *)&conn->poll, conn_handle_closed);
     uv_close((uv_handle_t *)&conn->open_timer, conn_handle_closed);
 }
@@ -483,6 +490,21 @@
     }
 }
 
+/* A restart of the server ends its connections and the requests on them. */
+static void
+close_connections(struct server *s)
+{
+    struct call *c;
+
+    for (GList *i = s->conns.head; i != NULL; i = i->next) {
+        shutdown(((struct conn *)i->data)->fd, SHUT_RDWR);
+    }
+    while ((c = g_queue_peek_head(&s->calls)) != NULL) {
+        c->req->http1_is_persistent = 0;
+        answer_bare(c, 503);
+    }
+}
+
 static void
 conn_opened_cb(uv_timer_t *timer)
 {
@@ -509,6 +531,7 @@
     }
     conn = g_new0(struct conn, 1);
     s->connections++;
+    g_queue_push_tail(&s->conns, conn);
     conn->server = s;
     conn->sock = sock;
     conn->handles = 2;
--- a/standins/server_state.h
+++ b/standins/server_state.h
@@ -18,6 +18,12 @@
 
 #define SNAPSHOTS 512 /* load reports kept for the lag option */
 
+/*
+ * A server that turns cold without warning can only count on gateways after
+ * one of them has read a report and told the others.
+ */
+#define COLD_TOLD_MS 100
+
 struct snapshot {
     ggw_ms when;
     int busy, queue;
@@ -39,12 +45,15 @@
     ggw_ms cold_until, unusable_until, spell_start, spell_end;
     GQueue calls;   /* struct call, all that have not ended */
     GQueue waiting; /* struct call, in the order of arrival */
+    GQueue conns;   /* struct conn */
     int busy, connections;
     struct snapshot snapshots[SNAPSHOTS];
     unsigned snapshots_len;
     /* counts */
     uint64_t started, ran, shed, late, cancelled, probes, refused_connections;
     int max_cold, max_warm;
+    int max_cold_told; /* max_cold from COLD_TOLD_MS after the first report */
+    ggw_ms cold_told;  /* when the first report with cold=1 left; 0: not yet */
     ggw_ms last_new;
     GHashTable *runs; /* order to its number of runs */
 };
@@ -143,7 +152,8 @@
 {
     s->incarnation = (uint64_t)ggw_clock_wall(ggw_clock_system());
     s->cold_until = now_ms() + cold_ms;
-    s->max_cold = 0;
+    s->max_cold = s->max_cold_told = 0;
+    s->cold_told = 0;
 }
 
 static inline struct server *
@@ -187,7 +197,7 @@
 {
     return json_pack(
         "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:b, s:f,"
-        " s:I, s:o}",
+        " s:I, s:i, s:o}",
         "started", (json_int_t)s->started, "ran", (json_int_t)s->ran, "shed",
         (json_int_t)s->shed, "late", (json_int_t)s->late, "cancelled",
         (json_int_t)s->cancelled, "probes", (json_int_t)s->probes,
@@ -195,7 +205,7 @@
         s->busy, "max_cold", s->max_cold, "max_warm", s->max_warm,
         "connections", s->connections, "cold", is_cold(s) ? 1 : 0,
         "last_new_ms", s->last_new, "incarnation", (json_int_t)s->incarnation,
-        "runs", runs_json(s));
+        "max_cold_told", s->max_cold_told, "runs", runs_json(s));
 }
 
 static inline void
@@ -203,19 +213,23 @@
 {
     s->started = s->ran = s->shed = s->late = s->cancelled = s->probes = 0;
     s->refused_connections = 0;
-    s->max_cold = s->max_warm = 0;
+    s->max_cold = s->max_warm = s->max_cold_told = 0;
     s->last_new = 0;
     g_hash_table_remove_all(s->runs);
 }
 
+static void close_connections(struct server *s);
+
 /* A false or 0 for "cold" makes the server warm; a number is a time in ms. */
 static inline void
 set_cold(struct server *s, const json_t *value)
 {
     if (json_is_true(value)) {
+        close_connections(s);
         server_restart(s, opt.cold_ms > 0 ? opt.cold_ms : 5000);
     }
     else if (json_number_value(value) > 0) {
+        close_connections(s);
         server_restart(s, json_number_value(value));
     }
     else {
