--- a/tests/client.c
+++ b/tests/client.c
@@ -124,29 +124,41 @@
     }
 }
 
-struct reply *
-client_raw(const char *address, const char *bytes, size_t len)
+int
+client_open(const char *address, const char *bytes, size_t len)
 {
-    struct reply *r = g_new0(struct reply, 1);
     int fd = connect_to(address);
     size_t sent = 0;
     ssize_t n;
 
-    r->head = g_string_new(NULL);
-    r->body = g_byte_array_new();
-    if (fd < 0) {
-        return r;
-    }
     /* A gateway may answer and close before it has read everything. */
-    while (sent < len &&
+    while (fd >= 0 && sent < len &&
            (n = send(fd, bytes + sent, len - sent, MSG_NOSIGNAL)) > 0) {
         sent += (size_t)n;
     }
-    read_reply(fd, r);
-    close(fd);
+    return fd;
+}
+
+struct reply *
+client_read(int fd)
+{
+    struct reply *r = g_new0(struct reply, 1);
+
+    r->head = g_string_new(NULL);
+    r->body = g_byte_array_new();
+    if (fd >= 0) {
+        read_reply(fd, r);
+        close(fd);
+    }
     return r;
 }
 
+struct reply *
+client_raw(const char *address, const char *bytes, size_t len)
+{
+    return client_read(client_open(address, bytes, len));
+}
+
 struct reply *
 client_request(const char *address, const char *method, const char *path,
                const char *headers, const char *body)
--- a/tests/system.c
+++ b/tests/system.c
@@ -366,7 +366,9 @@
         start_backend(s, options->services[i]);
     }
     system_publish_vms(s);
-    apply_settings(s);
+    if (options->settings != NULL) {
+        apply_settings(s);
+    }
     for (int i = 0; i < gateways_len; i++) {
         system_start_gateway(s, i);
     }
--- a/tests/system.h
+++ b/tests/system.h
@@ -19,7 +19,7 @@
 
 /**
  * struct system_options - what to start
- * @settings: file with the team's settings
+ * @settings: file with the team's settings, or NULL
  * @cold_ms: in place of the settings' cold_ms; 0 keeps them
  * @servers: backend servers of each service
  * @backend_flags: flags for every backend process, NULL-terminated, or NULL
