peers: add links, heartbeats and the service

One link per pair of gateways; both dial, and when two links arise at once both ends use the one that the lower name dialled.

build/asan/tests/test_peers: 7 tests pass, among them pause and resume, cut and heal, silent links and bad frames.

--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -205,7 +205,7 @@
 }
 
 bool
-ggw_kernel_run(struct ggw_kernel *kernel, GError **error)
+ggw_kernel_start(struct ggw_kernel *kernel, GError **error)
 {
     bool ok = true;
 
@@ -220,6 +220,14 @@
     if (!ok) {
         ggw_kernel_stop(kernel);
     }
+    return ok;
+}
+
+bool
+ggw_kernel_run(struct ggw_kernel *kernel, GError **error)
+{
+    bool ok = ggw_kernel_start(kernel, error);
+
     uv_run(&kernel->loop, UV_RUN_DEFAULT);
     return ok;
 }
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -124,6 +124,16 @@
 const struct ggw_clock *ggw_kernel_clock(const struct ggw_kernel *kernel);
 ggw_ms ggw_kernel_now(const struct ggw_kernel *kernel);
 
+/**
+ * ggw_kernel_start() - start all services
+ *
+ * For programs that drive the loop of ggw_kernel_loop() themselves, such as
+ * tests with several kernels.
+ *
+ * Return: false with the error set when a service did not start.
+ */
+bool ggw_kernel_start(struct ggw_kernel *kernel, GError **error);
+
 /**
  * ggw_kernel_run() - start all services and run until ggw_kernel_stop()
  *
--- /dev/null
+++ b/peers/peers.c
@@ -0,0 +1,548 @@
+#include "peers/peers.h"
+
+#include <string.h>
+
+#include "common/error.h"
+#include "common/log.h"
+#include "common/metrics.h"
+#include "config/config.h"
+#include "config/vms.h"
+#include "peers/internal.h"
+
+/* Period of the timer; dialling and suspicion are that late at most. */
+#define TICK 50.0
+
+/* Links opened within this time of each other count as simultaneous. */
+#define SIMULTANEOUS 1000.0
+
+static struct ggw_peers *
+self_of(struct ggw_service *service)
+{
+    return (struct ggw_peers *)service;
+}
+
+static void
+peer_free(gpointer data)
+{
+    struct ggw_peer *peer = data;
+
+    g_ptr_array_unref(peer->conns);
+    g_free(peer->name);
+    g_free(peer);
+}
+
+/*
+ * The link that frames to a peer are sent on. When both ends have dialled at
+ * the same time, both pick the one of the gateway with the lower name;
+ * otherwise the newer link, since the older one was silent when it was
+ * dialled. The other link gets no heartbeats and is closed as silent.
+ */
+static struct ggw_conn *
+preferred(const struct ggw_peer *peer)
+{
+    struct ggw_conn *best = NULL;
+
+    for (guint i = 0; peer != NULL && i < peer->conns->len; i++) {
+        struct ggw_conn *c = g_ptr_array_index(peer->conns, i);
+
+        if (best == NULL || c->opened_at - best->opened_at > SIMULTANEOUS ||
+            c->by_lower >= best->by_lower) {
+            best = c;
+        }
+    }
+    return best;
+}
+
+static void
+flush_destroy(struct ggw_message *message)
+{
+    g_free(message);
+}
+
+/* A message to itself, so that frames of one turn leave in one write. */
+static const struct ggw_message_ops flush_ops = {
+    .name = "PEER_FLUSH",
+    .destroy = flush_destroy,
+};
+
+static void
+flush_later(struct ggw_peers *p)
+{
+    struct ggw_message *m;
+
+    if (p->flush_queued) {
+        return;
+    }
+    m = g_new0(struct ggw_message, 1);
+    m->ops = &flush_ops;
+    p->flush_queued = true;
+    ggw_kernel_send_id(p->base.kernel, p->base.id, &p->base, m);
+}
+
+static void
+flush_all(struct ggw_peers *p)
+{
+    p->flush_queued = false;
+    for (guint i = p->conns->len; i > 0; i--) {
+        struct ggw_conn *c = g_ptr_array_index(p->conns, i - 1);
+
+        if (c->dirty) {
+            c->dirty = false;
+            ggw_link_flush(c->link); /* may remove the connection */
+        }
+    }
+}
+
+bool
+ggw_peers_send(struct ggw_conn *conn, enum ggw_peer_type type,
+               uint64_t request_id, GBytes *payload)
+{
+    gsize len;
+    gconstpointer data = g_bytes_get_data(payload, &len);
+
+    if (!ggw_link_send(conn->link, (int)type, request_id, data, len)) {
+        ggw_count("ggw_peer_frames_too_long_total");
+        return false;
+    }
+    conn->dirty = true;
+    flush_later(conn->peers);
+    return true;
+}
+
+void
+ggw_peers_publish(struct ggw_peers *p)
+{
+    const GPtrArray *members = ggw_view_members(p->view);
+    struct ggw_message *message;
+    struct ggw_members_changed *m;
+
+    if (!ggw_view_changed(p->view)) {
+        return;
+    }
+    message = ggw_members_changed_new();
+    m = (struct ggw_members_changed *)message;
+    m->known = ggw_view_known(p->view);
+    m->majority_until = ggw_view_majority_until(p->view);
+    for (guint i = 0; i < members->len; i++) {
+        const struct ggw_view_member *vm = g_ptr_array_index(members, i);
+        struct ggw_member member = vm->member;
+
+        if (member.incarnation != 0) {
+            member.state = ggw_view_state(vm);
+            ggw_members_add(m, &member);
+        }
+    }
+    ggw_kernel_publish(p->base.kernel, &p->base, message);
+}
+
+struct ggw_conn *
+ggw_peers_conn_add(struct ggw_peers *p)
+{
+    struct ggw_conn *c = g_new0(struct ggw_conn, 1);
+
+    c->peers = p;
+    c->opened_at = ggw_kernel_now(p->base.kernel);
+    c->heard_at = c->opened_at;
+    g_ptr_array_add(p->conns, c);
+    return c;
+}
+
+static void
+link_opened(struct ggw_link *link)
+{
+    struct ggw_conn *c = link->data;
+
+    c->link = link;
+    c->opened_at = ggw_kernel_now(c->peers->base.kernel);
+    c->heard_at = c->opened_at;
+    ggw_peers_send_hello(c, 0);
+}
+
+static const char *
+service_of(int type)
+{
+    switch (type) {
+    case GGW_PEER_SLOT_ACQUIRE:
+    case GGW_PEER_SLOT_GRANT:
+    case GGW_PEER_SLOT_REFUSE:
+    case GGW_PEER_SLOT_RELEASE:
+    case GGW_PEER_SLOT_CANCEL:
+    case GGW_PEER_SLOT_SYNC:
+    case GGW_PEER_SLOT_LOAD:
+    case GGW_PEER_SLOT_QUEUED:
+        return "slots";
+    case GGW_PEER_CONFIG_GET:
+    case GGW_PEER_CONFIG_PUT:
+        return "config";
+    default:
+        return NULL;
+    }
+}
+
+static bool
+link_frame(struct ggw_link *link, const struct ggw_frame *frame)
+{
+    struct ggw_conn *c = link->data;
+    struct ggw_peers *p = c->peers;
+    const char *service = service_of(frame->type);
+
+    c->heard_at = ggw_kernel_now(p->base.kernel);
+    if (frame->type == GGW_PEER_HELLO) {
+        return ggw_peers_on_hello(c, frame);
+    }
+    if (c->peer == NULL) {
+        return false;
+    }
+    if (frame->type == GGW_PEER_HEARTBEAT) {
+        return ggw_peers_on_heartbeat(c, frame);
+    }
+    if (service == NULL) {
+        ggw_count("ggw_peer_frames_unknown_total");
+        return true;
+    }
+    ggw_kernel_send(p->base.kernel, service, &p->base,
+                    ggw_peer_received_new(c->peer->name, frame));
+    return true;
+}
+
+static void
+link_closed(struct ggw_link *link, const char *reason)
+{
+    struct ggw_conn *c = link->data;
+    struct ggw_peers *p = c->peers;
+    g_autofree char *metric =
+        g_strdup_printf("ggw_peer_links_closed_total{reason=\"%s\"}", reason);
+
+    ggw_count(metric);
+    ggw_log_debug("peers", "link to %s closed: %s",
+                  c->peer != NULL ? c->peer->name : "unknown", reason);
+    if (c->target != NULL) {
+        ggw_peers_dial_failed(p, c->target);
+    }
+    if (c->peer != NULL) {
+        g_ptr_array_remove(c->peer->conns, c);
+        if (c->peer->conns->len == 0) {
+            ggw_kernel_publish(p->base.kernel, &p->base,
+                               ggw_peer_lost_new(c->peer->name));
+        }
+    }
+    g_ptr_array_remove(p->conns, c);
+}
+
+static const struct ggw_link_ops link_ops = {
+    .opened = link_opened,
+    .frame = link_frame,
+    .closed = link_closed,
+};
+
+const struct ggw_link_ops *
+ggw_peers_link_ops(void)
+{
+    return &link_ops;
+}
+
+static void
+connection_cb(uv_stream_t *listener, int status)
+{
+    struct ggw_peers *p = listener->data;
+    struct ggw_conn *c;
+
+    if (status < 0) {
+        return;
+    }
+    c = ggw_peers_conn_add(p);
+    if (ggw_link_accept(listener, &link_ops, c) == NULL) {
+        g_ptr_array_remove(p->conns, c);
+    }
+}
+
+static void
+send_heartbeats(struct ggw_peers *p, ggw_ms now)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_conn *c = preferred(value);
+
+        if (c != NULL) {
+            ggw_peers_send_heartbeat(value, c, now);
+        }
+    }
+    p->next_heartbeat = now + GGW_HEARTBEAT_INTERVAL;
+}
+
+static void
+close_silent_links(struct ggw_peers *p, ggw_ms now)
+{
+    for (guint i = p->conns->len; i > 0; i--) {
+        struct ggw_conn *c = g_ptr_array_index(p->conns, i - 1);
+
+        if (now - c->heard_at > GGW_DEAD_AFTER) {
+            ggw_link_close(c->link, "silent");
+        }
+    }
+}
+
+static gboolean
+is_forgotten(gpointer key, gpointer value, gpointer data)
+{
+    const struct ggw_peer *peer = value;
+    struct ggw_peers *p = data;
+
+    return peer->conns->len == 0 && ggw_view_find(p->view, key) == NULL;
+}
+
+/* The silence of others while this process did not run means nothing. */
+static void
+allow_for_stall(struct ggw_peers *p, ggw_ms now)
+{
+    ggw_ms stalled = now - p->ticked_at - TICK;
+
+    p->ticked_at = now;
+    if (stalled < GGW_HEARTBEAT_INTERVAL) {
+        return;
+    }
+    ggw_view_stalled(p->view, stalled);
+    for (guint i = 0; i < p->conns->len; i++) {
+        struct ggw_conn *c = g_ptr_array_index(p->conns, i);
+
+        c->heard_at += stalled;
+    }
+}
+
+static void
+timer_cb(uv_timer_t *timer)
+{
+    struct ggw_peers *p = timer->data;
+    ggw_ms now = ggw_kernel_now(p->base.kernel);
+
+    allow_for_stall(p, now);
+    ggw_view_tick(p->view, now);
+    g_hash_table_foreach_remove(p->peers, is_forgotten, p);
+    close_silent_links(p, now);
+    ggw_peers_dial(p, now);
+    if (now >= p->next_heartbeat) {
+        send_heartbeats(p, now);
+    }
+    ggw_peers_publish(p);
+}
+
+static bool
+listen_on(struct ggw_peers *p, GError **error)
+{
+    struct sockaddr_in address;
+    int len = sizeof(address);
+    int r = uv_ip4_addr(p->listen_host, p->listen_port, &address);
+
+    if (r == 0) {
+        r = uv_tcp_bind(&p->listener, (struct sockaddr *)&address, 0);
+    }
+    if (r == 0) {
+        r = uv_listen((uv_stream_t *)&p->listener, 128, connection_cb);
+    }
+    if (r == 0) {
+        r = uv_tcp_getsockname(&p->listener, (struct sockaddr *)&address,
+                               &len);
+        p->listen_port = ntohs(address.sin_port);
+    }
+    if (r != 0) {
+        g_set_error(error, GGW_ERROR, GGW_ERROR_IO,
+                    "cannot listen for gateways on %s:%u: %s", p->listen_host,
+                    p->listen_port, uv_strerror(r));
+    }
+    return r == 0;
+}
+
+static bool
+start(struct ggw_service *service, GError **error)
+{
+    struct ggw_peers *p = self_of(service);
+    uv_loop_t *loop = ggw_kernel_loop(service->kernel);
+    g_autofree char *own = NULL;
+    struct ggw_target *t;
+
+    uv_tcp_init(loop, &p->listener);
+    uv_timer_init(loop, &p->timer);
+    p->listener.data = p;
+    p->timer.data = p;
+    p->ticked_at = ggw_kernel_now(service->kernel);
+    if (!listen_on(p, error)) {
+        return false;
+    }
+    own = g_strdup_printf("%s:%u", p->peer_host, p->listen_port);
+    t = g_hash_table_lookup(p->targets, own);
+    if (t != NULL) {
+        t->self = true;
+    }
+    ggw_view_renew(
+        p->view, (uint64_t)ggw_clock_wall(ggw_kernel_clock(service->kernel)));
+    uv_timer_start(&p->timer, timer_cb, 0, (uint64_t)TICK);
+    ggw_peers_publish(p);
+    return true;
+}
+
+static void
+on_send(struct ggw_peers *p, const struct ggw_peer_send *m)
+{
+    GHashTableIter iter;
+    gpointer value;
+    struct ggw_conn *c;
+
+    if (m->peer != NULL) {
+        c = preferred(g_hash_table_lookup(p->peers, m->peer));
+        if (c == NULL) {
+            ggw_kernel_reply(&p->base, &m->base, ggw_peer_lost_new(m->peer));
+            return;
+        }
+        ggw_peers_send(c, m->type, m->request_id, m->payload);
+        return;
+    }
+    g_hash_table_iter_init(&iter, p->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        c = preferred(value);
+        if (c != NULL) {
+            ggw_peers_send(c, m->type, m->request_id, m->payload);
+        }
+    }
+}
+
+static void
+receive(struct ggw_service *service, struct ggw_message *message)
+{
+    struct ggw_peers *p = self_of(service);
+
+    if (p->stopping) {
+        return;
+    }
+    if (message->ops == &flush_ops) {
+        flush_all(p);
+    }
+    else if (message->ops == &ggw_peer_send_ops) {
+        on_send(p, (struct ggw_peer_send *)message);
+    }
+    else if (message->ops == &ggw_vms_changed_ops) {
+        struct ggw_vms_changed *m = (struct ggw_vms_changed *)message;
+
+        p->has_list = true;
+        ggw_view_list(p->view, m->list);
+        ggw_peers_apply_list(p, m->list);
+        ggw_peers_publish(p);
+    }
+    else if (message->ops == &ggw_config_in_force_ops) {
+        struct ggw_tree *t = ((struct ggw_config_in_force *)message)->tree;
+
+        g_hash_table_replace(p->revisions, g_strdup(t->team),
+                             g_memdup2(&t->revision, sizeof(t->revision)));
+    }
+    else if (message->ops == &ggw_shutdown_ops) {
+        ggw_view_leave(p->view);
+        send_heartbeats(p, ggw_kernel_now(service->kernel));
+        ggw_peers_publish(p);
+    }
+}
+
+static void
+stop(struct ggw_service *service)
+{
+    struct ggw_peers *p = self_of(service);
+
+    p->stopping = true;
+    for (guint i = p->conns->len; i > 0; i--) {
+        struct ggw_conn *c = g_ptr_array_index(p->conns, i - 1);
+
+        ggw_link_flush(c->link);
+    }
+    while (p->conns->len > 0) {
+        struct ggw_conn *c = g_ptr_array_index(p->conns, 0);
+
+        ggw_link_close(c->link, "stopped");
+    }
+    uv_close((uv_handle_t *)&p->listener, NULL);
+    uv_close((uv_handle_t *)&p->timer, NULL);
+}
+
+static void
+destroy(struct ggw_service *service)
+{
+    struct ggw_peers *p = self_of(service);
+
+    ggw_view_free(p->view);
+    g_hash_table_destroy(p->peers);
+    g_hash_table_destroy(p->targets);
+    g_hash_table_destroy(p->revisions);
+    g_ptr_array_unref(p->conns);
+    g_rand_free(p->rand);
+    g_free(p->name);
+    g_free(p->listen_host);
+    g_free(p->peer_host);
+    g_free(p);
+}
+
+static const struct ggw_service_ops peers_ops = {
+    .name = "peers",
+    .start = start,
+    .receive = receive,
+    .stop = stop,
+    .destroy = destroy,
+};
+
+static void
+add_seeds(struct ggw_peers *p, char **seeds)
+{
+    for (char **s = seeds; s != NULL && *s != NULL; s++) {
+        if (!ggw_peers_add_seed(p, *s)) {
+            ggw_log_warn("peers", "seed \"%s\" is not an IP:PORT", *s);
+        }
+    }
+}
+
+static int
+count_other_seeds(struct ggw_peers *p)
+{
+    GHashTableIter iter;
+    gpointer value;
+    int n = 0;
+
+    g_hash_table_iter_init(&iter, p->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        n += !((struct ggw_target *)value)->self;
+    }
+    return n;
+}
+
+struct ggw_service *
+ggw_peers_service_new(const struct ggw_peers_options *options)
+{
+    struct ggw_peers *p = g_new0(struct ggw_peers, 1);
+    struct ggw_view_hello self;
+
+    p->base.ops = &peers_ops;
+    p->name = g_strdup(options->name);
+    p->listen_host = g_strdup(options->listen_host);
+    p->listen_port = options->listen_port;
+    p->peer_host = g_strdup(options->advertise_host);
+    p->rand = g_rand_new();
+    p->conns = g_ptr_array_new_with_free_func(g_free);
+    p->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+    p->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                       ggw_peers_target_free);
+    p->revisions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    add_seeds(p, options->seeds);
+    self = (struct ggw_view_hello){
+        .name = p->name,
+        .failure_domain = options->failure_domain,
+        .host = options->advertise_host,
+        .port = options->advertise_port,
+    };
+    p->view = ggw_view_new(&self, count_other_seeds(p), 0);
+    return &p->base;
+}
+
+uint16_t
+ggw_peers_port(const struct ggw_service *peers)
+{
+    return ((const struct ggw_peers *)peers)->listen_port;
+}
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -38,10 +38,15 @@
 /**
  * struct ggw_members_changed - published when the view of gateways changed
  * @members: of struct ggw_member, sorted by name, this gateway included
+ * @known: gateways that exist as far as is known, alive or not; a majority
+ *         is counted of them
+ * @majority_until: see struct ggw_peer_heard
  */
 struct ggw_members_changed {
     struct ggw_message base;
     GArray *members;
+    int known;
+    ggw_ms majority_until;
 };
 
 extern const struct ggw_message_ops ggw_members_changed_ops;
@@ -64,6 +69,7 @@
     GGW_PEER_SLOT_LOAD,
     GGW_PEER_CONFIG_GET,
     GGW_PEER_CONFIG_PUT,
+    GGW_PEER_SLOT_QUEUED, /* the owner has queued a SLOT_ACQUIRE */
 };
 
 /**
@@ -113,8 +119,42 @@
 
 extern const struct ggw_message_ops ggw_peer_lost_ops;
 
+/**
+ * struct ggw_peer_heard - sent to "slots" when a gateway acknowledged a
+ *                         heartbeat
+ * @rtt: round trip time to it
+ * @majority_until: until when a majority of the known gateways certainly
+ *                  counts this one as alive; monotonic ms
+ */
+struct ggw_peer_heard {
+    struct ggw_message base;
+    char *peer;
+    ggw_ms rtt;
+    ggw_ms majority_until;
+};
+
+extern const struct ggw_message_ops ggw_peer_heard_ops;
+
+/**
+ * struct ggw_peer_revision - sent to "config" when a heartbeat names a higher
+ *                            revision of a team than the one in force here
+ *
+ * Repeated with each heartbeat until the higher revision is in force.
+ */
+struct ggw_peer_revision {
+    struct ggw_message base;
+    char *peer;
+    char *team;
+    uint64_t revision;
+};
+
+extern const struct ggw_message_ops ggw_peer_revision_ops;
+
 /**
  * struct ggw_peers_options - settings of the service
+ * @listen_host, @listen_port: listener for gateways; port 0 picks a free one
+ * @advertise_host: IP number where clients and other gateways reach this one
+ * @advertise_port: port for clients
  * @seeds: NULL-terminated list of "IP:PORT" of peer listeners
  */
 struct ggw_peers_options {
@@ -130,4 +170,11 @@
 struct ggw_service *
 ggw_peers_service_new(const struct ggw_peers_options *options);
 
+/**
+ * ggw_peers_port() - port of the listener, also when the settings said 0
+ *
+ * Return: 0 before the service has started.
+ */
+uint16_t ggw_peers_port(const struct ggw_service *peers);
+
 #endif
--- /dev/null
+++ b/tests/cluster.c
@@ -0,0 +1,223 @@
+#include "tests/cluster.h"
+
+#include <CUnit/CUnit.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+
+static void
+on_members(struct client *c, const struct ggw_members_changed *m)
+{
+    g_ptr_array_set_size(c->members, 0);
+    for (guint i = 0; i < m->members->len; i++) {
+        const struct ggw_member *member =
+            &g_array_index(m->members, struct ggw_member, i);
+
+        g_ptr_array_add(c->members, g_strdup_printf("%s %d", member->name,
+                                                    (int)member->state));
+    }
+    c->known = m->known;
+}
+
+static void
+client_receive(struct ggw_service *service, struct ggw_message *message)
+{
+    struct client *c = (struct client *)service;
+
+    if (message->ops == &ggw_members_changed_ops) {
+        on_members(c, (struct ggw_members_changed *)message);
+    }
+    else if (message->ops == &ggw_peer_lost_ops) {
+        c->lost++;
+    }
+    else if (c->on_message != NULL) {
+        c->on_message(c->node, message);
+    }
+}
+
+static void
+client_destroy(struct ggw_service *service)
+{
+    struct client *c = (struct client *)service;
+
+    g_ptr_array_unref(c->members);
+    g_free(c);
+}
+
+static const struct ggw_service_ops client_ops = {
+    .name = "proxy",
+    .receive = client_receive,
+    .destroy = client_destroy,
+};
+
+void
+cluster_init(struct cluster *c)
+{
+    memset(c, 0, sizeof(*c));
+    uv_loop_init(&c->relays);
+}
+
+/*
+ * A gateway listens on 127.0.1.N and tells the others 127.0.2.N, where its
+ * relay listens on the same port.
+ */
+static void
+start_relay(struct cluster *c, struct node *n, const char *listen_host,
+            const char *relay_host)
+{
+    struct sockaddr_in from;
+    struct sockaddr_in to;
+
+    uv_ip4_addr(relay_host, ggw_peers_port(n->peers), &from);
+    uv_ip4_addr(listen_host, ggw_peers_port(n->peers), &to);
+    relay_start(&n->relay, &c->relays, &from, &to);
+}
+
+struct node *
+cluster_add(struct cluster *c, const char *domain, struct ggw_service *slots,
+            void (*on_message)(struct node *, struct ggw_message *))
+{
+    struct node *n = &c->nodes[c->len];
+    g_autofree char *listen_host = g_strdup_printf("127.0.1.%d", c->len + 1);
+    g_autofree char *relay_host = g_strdup_printf("127.0.2.%d", c->len + 1);
+    g_autofree char *seed =
+        c->len > 0 ? g_strdup_printf("127.0.2.1:%u",
+                                     ggw_peers_port(c->nodes[0].peers))
+                   : NULL;
+    char *seeds[] = {seed, NULL};
+    struct ggw_peers_options options = {
+        .name = n->name,
+        .failure_domain = n->domain,
+        .listen_host = listen_host,
+        .advertise_host = relay_host,
+        .advertise_port = 80,
+        .seeds = seeds,
+    };
+
+    g_assert(c->len < CLUSTER_MAX);
+    memset(n, 0, sizeof(*n));
+    snprintf(n->name, sizeof(n->name), "gw-%d", c->len++);
+    g_strlcpy(n->domain, domain, sizeof(n->domain));
+    n->kernel = ggw_kernel_new(ggw_clock_system());
+    n->peers = ggw_peers_service_new(&options);
+    n->client = g_new0(struct client, 1);
+    n->client->base.ops = &client_ops;
+    n->client->node = n;
+    n->client->members = g_ptr_array_new_with_free_func(g_free);
+    n->client->on_message = on_message;
+    ggw_kernel_add(n->kernel, n->peers);
+    ggw_kernel_add(n->kernel, &n->client->base);
+    if (slots != NULL) {
+        ggw_kernel_add(n->kernel, slots);
+    }
+    CU_ASSERT_TRUE_FATAL(ggw_kernel_start(n->kernel, NULL));
+    start_relay(c, n, listen_host, relay_host);
+    return n;
+}
+
+static int
+loops(struct cluster *c, uv_loop_t **out)
+{
+    int n = 0;
+
+    for (int i = 0; i < c->len; i++) {
+        if (c->nodes[i].kernel != NULL && !c->nodes[i].paused) {
+            out[n++] = ggw_kernel_loop(c->nodes[i].kernel);
+        }
+    }
+    out[n++] = &c->relays;
+    return n;
+}
+
+void
+cluster_turn(struct cluster *c)
+{
+    uv_loop_t *run[CLUSTER_MAX + 1];
+    struct pollfd fds[CLUSTER_MAX + 1];
+    int n = loops(c, run);
+    int timeout = 100;
+
+    for (int i = 0; i < n; i++) {
+        int t;
+
+        uv_update_time(run[i]);
+        t = uv_backend_timeout(run[i]);
+        fds[i].fd = uv_backend_fd(run[i]);
+        fds[i].events = POLLIN;
+        timeout = t >= 0 ? MIN(timeout, t) : timeout;
+    }
+    poll(fds, (nfds_t)n, timeout);
+    for (int i = 0; i < n; i++) {
+        uv_run(run[i], UV_RUN_NOWAIT);
+    }
+}
+
+bool
+cluster_wait(struct cluster *c, bool (*condition)(struct cluster *))
+{
+    ggw_ms end = ggw_clock_now(ggw_clock_system()) + CLUSTER_LIMIT;
+
+    while (!condition(c)) {
+        if (ggw_clock_now(ggw_clock_system()) > end) {
+            return false;
+        }
+        cluster_turn(c);
+    }
+    return true;
+}
+
+void
+cluster_run(struct cluster *c, ggw_ms span)
+{
+    ggw_ms end = ggw_clock_now(ggw_clock_system()) + span;
+
+    while (ggw_clock_now(ggw_clock_system()) < end) {
+        cluster_turn(c);
+    }
+}
+
+void
+cluster_remove(struct cluster *c, struct node *node)
+{
+    ggw_kernel_destroy(node->kernel);
+    node->kernel = NULL;
+    relay_stop(&node->relay);
+    uv_run(&c->relays, UV_RUN_NOWAIT);
+}
+
+void
+cluster_destroy(struct cluster *c)
+{
+    for (int i = 0; i < c->len; i++) {
+        if (c->nodes[i].kernel != NULL) {
+            cluster_remove(c, &c->nodes[i]);
+        }
+    }
+    uv_run(&c->relays, UV_RUN_DEFAULT);
+    uv_loop_close(&c->relays);
+}
+
+bool
+node_sees(const struct node *node, const char *name,
+          enum ggw_member_state state)
+{
+    g_autofree char *wanted = g_strdup_printf("%s %d", name, (int)state);
+
+    return g_ptr_array_find_with_equal_func(node->client->members, wanted,
+                                            g_str_equal, NULL);
+}
+
+bool
+cluster_joined(struct cluster *c)
+{
+    for (int i = 0; i < c->len; i++) {
+        for (int j = 0; j < c->len; j++) {
+            if (c->nodes[i].kernel != NULL && c->nodes[j].kernel != NULL &&
+                !c->nodes[i].paused &&
+                !node_sees(&c->nodes[i], c->nodes[j].name, GGW_MEMBER_ALIVE)) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
