ctl: add the operators' verbs

Also repairs two faults of test programs: a failed test left the stand-in running, which now ends with its parent.

--- /dev/null
+++ b/ctl/args.c
@@ -0,0 +1,255 @@
+#include "ctl/args.h"
+
+#include <argp.h>
+#include <glib.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uv.h>
+
+#include "ctl/ctl.h"
+
+#define DEFAULT_TIMEOUT 12000 /* the promised time to be in effect */
+#define DEFAULT_REQUEST_TIMEOUT 3000
+
+enum option_key {
+    KEY_TEAM = 't',
+    KEY_PLATFORM = 'p',
+    KEY_GATEWAY = 'g',
+    KEY_WHO = 'w',
+    KEY_WAIT = 0x100,
+    KEY_TIMEOUT,
+    KEY_REQUEST_TIMEOUT,
+};
+
+static const struct argp_option team_option = {
+    "team", KEY_TEAM, "TEAM", 0, "team (GREENGAGEWAY_TEAM)", 0};
+static const struct argp_option platform_option = {
+    "platform", KEY_PLATFORM, "IP:PORT", 0, "platform (GREENGAGEWAY_PLATFORM)",
+    0};
+static const struct argp_option gateway_option = {
+    "gateway", KEY_GATEWAY, "IP:PORT", 0, "any gateway (GREENGAGEWAY_GATEWAY)",
+    0};
+static const struct argp_option who_option = {
+    "who",
+    KEY_WHO,
+    "NAME",
+    0,
+    "operator, for the audit trail (GREENGAGEWAY_WHO, else the login name)",
+    0};
+static const struct argp_option wait_option = {
+    "wait", KEY_WAIT, NULL, 0, "wait until every gateway has the change", 0};
+static const struct argp_option timeout_option = {
+    "timeout",
+    KEY_TIMEOUT,
+    "MS",
+    0,
+    "longest wait for gateways or for a lost answer (12000)",
+    0};
+static const struct argp_option request_timeout_option = {
+    "request-timeout",
+    KEY_REQUEST_TIMEOUT,
+    "MS",
+    0,
+    "longest wait for one answer (3000)",
+    0};
+
+bool
+ggw_ctl_address_parse(const char *text, struct ggw_ctl_address *address)
+{
+    const char *colon = strrchr(text, ':');
+    struct sockaddr_storage sa;
+    guint64 port;
+    size_t len;
+
+    if (colon == NULL ||
+        !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL)) {
+        return false;
+    }
+    len = (size_t)(colon - text);
+    if (len >= sizeof(address->host)) {
+        return false;
+    }
+    memcpy(address->host, text, len);
+    address->host[len] = '\0';
+    address->port = (uint16_t)port;
+    return uv_ip4_addr(address->host, 0, (struct sockaddr_in *)&sa) == 0 ||
+           uv_ip6_addr(address->host, 0, (struct sockaddr_in6 *)&sa) == 0;
+}
+
+static bool
+set_address(struct argp_state *state, const char *flag, const char *text,
+            struct ggw_ctl_address *address)
+{
+    if (!ggw_ctl_address_parse(text, address)) {
+        argp_error(state, "%s: \"%s\" is not IP:PORT", flag, text);
+        return false;
+    }
+    return true;
+}
+
+static void
+set_ms(struct argp_state *state, const char *flag, const char *text,
+       ggw_ms *place)
+{
+    guint64 value;
+
+    if (!g_ascii_string_to_unsigned(text, 10, 1, 3600000, &value, NULL)) {
+        argp_error(state, "%s: \"%s\" is not in 1..3600000", flag, text);
+        return;
+    }
+    *place = (ggw_ms)value;
+}
+
+/* What no flag gave comes from the environment. */
+static void
+read_environment(struct argp_state *state, struct ggw_ctl_args *a)
+{
+    const char *platform = g_getenv("GREENGAGEWAY_PLATFORM");
+    const char *gateway = g_getenv("GREENGAGEWAY_GATEWAY");
+
+    if (a->team == NULL) {
+        a->team = g_getenv("GREENGAGEWAY_TEAM");
+    }
+    if (a->who == NULL) {
+        a->who = g_getenv("GREENGAGEWAY_WHO");
+    }
+    if (a->who == NULL) {
+        a->who = g_get_user_name();
+    }
+    if (!a->has_platform && platform != NULL) {
+        a->has_platform = set_address(state, "GREENGAGEWAY_PLATFORM", platform,
+                                      &a->platform);
+    }
+    if (!a->has_gateway && gateway != NULL) {
+        a->has_gateway =
+            set_address(state, "GREENGAGEWAY_GATEWAY", gateway, &a->gateway);
+    }
+}
+
+static void
+check(struct argp_state *state, struct ggw_ctl_args *a)
+{
+    unsigned takes = a->usage->takes;
+
+    read_environment(state, a);
+    if (a->operands_len < a->usage->operands_len) {
+        argp_error(state, "needs %s", a->usage->operands);
+    }
+    /* The team is part of keys; "/" would name another row. */
+    if (a->team != NULL && (*a->team == '\0' || strchr(a->team, '/'))) {
+        argp_error(state, "--team: \"%s\" is not the name of a team", a->team);
+    }
+    if ((takes & GGW_CTL_TEAM) != 0 && a->team == NULL) {
+        argp_error(state, "needs --team or GREENGAGEWAY_TEAM");
+    }
+    if ((takes & GGW_CTL_PLATFORM) != 0 && !a->has_platform) {
+        argp_error(state, "needs --platform or GREENGAGEWAY_PLATFORM");
+    }
+    if (((takes & GGW_CTL_GATEWAY) != 0 || a->wait) && !a->has_gateway) {
+        argp_error(state, "needs --gateway or GREENGAGEWAY_GATEWAY");
+    }
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    struct ggw_ctl_args *a = state->input;
+
+    switch (key) {
+    case KEY_TEAM:
+        a->team = arg;
+        return 0;
+    case KEY_PLATFORM:
+        a->has_platform = set_address(state, "--platform", arg, &a->platform);
+        return 0;
+    case KEY_GATEWAY:
+        a->has_gateway = set_address(state, "--gateway", arg, &a->gateway);
+        return 0;
+    case KEY_WHO:
+        a->who = arg;
+        return 0;
+    case KEY_WAIT:
+        a->wait = true;
+        return 0;
+    case KEY_TIMEOUT:
+        set_ms(state, "--timeout", arg, &a->timeout);
+        return 0;
+    case KEY_REQUEST_TIMEOUT:
+        set_ms(state, "--request-timeout", arg, &a->request_timeout);
+        return 0;
+    case ARGP_KEY_ARG:
+        if (a->operands_len == a->usage->operands_len) {
+            argp_error(state, "unexpected \"%s\"", arg);
+            return EINVAL;
+        }
+        a->operands[a->operands_len++] = arg;
+        return 0;
+    case ARGP_KEY_END:
+        check(state, a);
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+fill_options(unsigned takes, struct argp_option *options)
+{
+    if ((takes & (GGW_CTL_TEAM | GGW_CTL_TEAM_FILTER)) != 0) {
+        *options++ = team_option;
+    }
+    if ((takes & GGW_CTL_PLATFORM) != 0) {
+        *options++ = platform_option;
+    }
+    if ((takes & (GGW_CTL_GATEWAY | GGW_CTL_CHANGE)) != 0) {
+        *options++ = gateway_option;
+        *options++ = timeout_option;
+    }
+    if ((takes & GGW_CTL_CHANGE) != 0) {
+        *options++ = who_option;
+        *options++ = wait_option;
+    }
+    if (takes != 0) {
+        *options++ = request_timeout_option;
+    }
+}
+
+void
+ggw_ctl_parse(const struct ggw_ctl_usage *usage, int argc, char **argv,
+              struct ggw_ctl_args *args)
+{
+    static char name[64];
+    struct argp_option options[8] = {{0}};
+    struct argp argp = {
+        .options = options,
+        .parser = parse_option,
+        .args_doc = usage->operands,
+        .doc = usage->doc,
+    };
+
+    memset(args, 0, sizeof(*args));
+    args->usage = usage;
+    args->timeout = DEFAULT_TIMEOUT;
+    args->request_timeout = DEFAULT_REQUEST_TIMEOUT;
+    fill_options(usage->takes, options);
+    snprintf(name, sizeof(name), "greengageway %s", usage->verb);
+    argv[0] = name;
+    argp_err_exit_status = GGW_CTL_REFUSED;
+    argp_parse(&argp, argc, argv, 0, NULL, args);
+}
+
+int
+ggw_ctl_fail(const struct ggw_ctl_args *args, int status, const char *format,
+             ...)
+{
+    va_list ap;
+
+    fprintf(stderr, "greengageway %s: ", args->usage->verb);
+    va_start(ap, format);
+    vfprintf(stderr, format, ap);
+    va_end(ap);
+    fputc('\n', stderr);
+    return status;
+}
--- a/ctl/blocking.c
+++ b/ctl/blocking.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Addresses of one round; the kernel has a bounded table of services. */
+#define MAX_ADDRESSES 24
+
 struct asker {
     struct ggw_service base;
     struct ggw_blocking *requests;
@@ -54,24 +57,36 @@
     .receive = asker_receive,
 };
 
-/* The service for a request's address; one for all requests that share it. */
-static struct ggw_service *
-service_for(struct ggw_kernel *kernel, struct ggw_service **services,
-            const struct ggw_blocking *requests, size_t i)
+/* The first request with the same address. */
+static size_t
+first_with_address(const struct ggw_blocking *requests, size_t i)
 {
     for (size_t j = 0; j < i; j++) {
         if (strcmp(requests[j].host, requests[i].host) == 0 &&
             requests[j].port == requests[i].port) {
-            return services[j];
+            return j;
         }
     }
-    services[i] = ggw_platform_service_new(requests[i].host, requests[i].port);
-    ggw_kernel_add(kernel, services[i]);
-    return services[i];
+    return i;
 }
 
-bool
-ggw_blocking_run(struct ggw_blocking *requests, size_t len, GError **error)
+/* Number of requests, from the first on, that fit into one round. */
+static size_t
+round_len(const struct ggw_blocking *requests, size_t len)
+{
+    size_t addresses = 0;
+
+    for (size_t i = 0; i < len; i++) {
+        addresses += first_with_address(requests, i) == i ? 1 : 0;
+        if (addresses > MAX_ADDRESSES) {
+            return i;
+        }
+    }
+    return len;
+}
+
+static bool
+run_round(struct ggw_blocking *requests, size_t len, GError **error)
 {
     struct ggw_kernel *kernel = ggw_kernel_new(ggw_clock_system());
     struct asker asker = {
@@ -79,24 +94,44 @@
         .requests = requests,
         .len = len,
     };
-    struct ggw_service **services = g_new0(struct ggw_service *, len + 1);
+    struct ggw_service **services = g_new0(struct ggw_service *, len);
     bool ok;
 
     ggw_kernel_add(kernel, &asker.base);
     for (size_t i = 0; i < len; i++) {
-        services[i] = service_for(kernel, services, requests, i);
+        size_t first = first_with_address(requests, i);
+
+        services[i] = services[first];
+        if (first == i) {
+            services[i] =
+                ggw_platform_service_new(requests[i].host, requests[i].port);
+            ggw_kernel_add(kernel, services[i]);
+        }
         requests[i].result = NULL;
         requests[i].message->tag = i;
         ggw_kernel_send_id(kernel, services[i]->id, &asker.base,
                            requests[i].message);
         requests[i].message = NULL;
     }
-    ok = len == 0 || ggw_kernel_run(kernel, error);
+    ok = ggw_kernel_run(kernel, error);
     ggw_kernel_destroy(kernel);
     g_free(services);
     return ok;
 }
 
+bool
+ggw_blocking_run(struct ggw_blocking *requests, size_t len, GError **error)
+{
+    bool ok = true;
+
+    for (size_t i = 0, n; i < len; i += n) {
+        n = round_len(requests + i, len - i);
+        /* Every round runs, so that every message is taken. */
+        ok = run_round(requests + i, n, ok ? error : NULL) && ok;
+    }
+    return ok;
+}
+
 void
 ggw_blocking_clear(struct ggw_blocking *requests, size_t len)
 {
--- a/ctl/blocking.h
+++ b/ctl/blocking.h
@@ -24,6 +24,8 @@
 /**
  * ggw_blocking_run() - make requests at the same time, wait for all answers
  *
+ * Requests to more than 24 addresses are made in rounds.
+ *
  * Runs the service "platform" on a kernel of its own, so that gateways and
  * the operators' client share one HTTP client.
  *
--- /dev/null
+++ b/ctl/verbs_read.c
@@ -0,0 +1,162 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/schema.h"
+#include "ctl/ctl.h"
+#include "ctl/path.h"
+#include "ctl/table.h"
+#include "ctl/verbs.h"
+
+int
+ggw_ctl_show(int argc, char **argv)
+{
+    static const struct ggw_ctl_usage usage = {
+        .verb = "show",
+        .doc = "Print the settings of a team as JSON, and their revision to "
+               "standard error.",
+        .takes = GGW_CTL_TEAM | GGW_CTL_PLATFORM,
+    };
+    struct ggw_ctl_args args;
+    struct ggw_ctl_settings settings;
+
+    ggw_ctl_parse(&usage, argc, argv, &args);
+    if (!ggw_ctl_read_settings(&args, &settings)) {
+        return GGW_CTL_UNREACHABLE;
+    }
+    if (settings.row.revision > 0) {
+        fprintf(stderr, "%s: revision %" G_GUINT64_FORMAT " by %s at %s\n",
+                args.team, (guint64)settings.row.revision, settings.row.who,
+                settings.row.when);
+    }
+    else {
+        fprintf(stderr, "%s: no settings yet\n", args.team);
+    }
+    json_dumpf(settings.row.tree, stdout, JSON_INDENT(2));
+    putchar('\n');
+    ggw_config_row_clear(&settings.row);
+    return GGW_CTL_DONE;
+}
+
+static void
+print_differences(const json_t *before, const json_t *after)
+{
+    GArray *paths = ggw_tree_compare(before, after);
+
+    for (guint i = 0; i < paths->len; i++) {
+        const struct ggw_difference *d =
+            &g_array_index(paths, struct ggw_difference, i);
+
+        printf("%s: %s -> %s\n", d->path,
+               d->before != NULL ? d->before : "unset",
+               d->after != NULL ? d->after : "unset");
+    }
+    g_array_unref(paths);
+}
+
+int
+ggw_ctl_diff(int argc, char **argv)
+{
+    static const struct ggw_ctl_usage usage = {
+        .verb = "diff",
+        .operands = "FILE",
+        .operands_len = 1,
+        .doc = "Print each path whose value would change with \"apply FILE\".",
+        .takes = GGW_CTL_TEAM | GGW_CTL_PLATFORM,
+    };
+    struct ggw_ctl_args args;
+    struct ggw_ctl_settings settings;
+    json_t *file;
+    int status = GGW_CTL_REFUSED;
+
+    ggw_ctl_parse(&usage, argc, argv, &args);
+    file = ggw_ctl_read_file(&args, args.operands[0]);
+    if (file != NULL && ggw_ctl_check(&args, 1, file)) {
+        status = GGW_CTL_UNREACHABLE;
+        if (ggw_ctl_read_settings(&args, &settings)) {
+            print_differences(settings.row.tree, file);
+            ggw_config_row_clear(&settings.row);
+            status = GGW_CTL_DONE;
+        }
+    }
+    json_decref(file);
+    return status;
+}
+
+static void
+print_audit_row(const struct ggw_row *row)
+{
+    json_t *root = json_loads(row->value, 0, NULL);
+    json_t *paths = json_object_get(root, "paths");
+    const char *who = json_string_value(json_object_get(root, "who"));
+    const char *when = json_string_value(json_object_get(root, "when"));
+    const char *verb = json_string_value(json_object_get(root, "verb"));
+    const char *change = json_string_value(json_object_get(root, "change"));
+
+    if (who == NULL || when == NULL || verb == NULL || change == NULL) {
+        printf("%s: malformed\n", row->key);
+        json_decref(root);
+        return;
+    }
+    printf("%" JSON_INTEGER_FORMAT " %s %s %s %s",
+           json_integer_value(json_object_get(root, "to")), when, who, verb,
+           change);
+    for (size_t i = 0; i < json_array_size(paths); i++) {
+        const char *path = json_string_value(json_array_get(paths, i));
+
+        printf(" %s", path != NULL ? path : "?");
+    }
+    putchar('\n');
+    json_decref(root);
+}
+
+int
+ggw_ctl_audit(int argc, char **argv)
+{
+    static const struct ggw_ctl_usage usage = {
+        .verb = "audit",
+        .doc = "Print the changes of a team, one a line: revision, time, "
+               "operator, verb, change id, changed paths.",
+        .takes = GGW_CTL_TEAM | GGW_CTL_PLATFORM,
+    };
+    struct ggw_ctl_args args;
+    struct ggw_txn *txn;
+    struct ggw_txn_result *result;
+    g_autofree char *prefix = NULL;
+    int status = GGW_CTL_DONE;
+
+    ggw_ctl_parse(&usage, argc, argv, &args);
+    prefix = g_strdup_printf("audit/%s/", args.team);
+    txn = ggw_txn_new(args.request_timeout);
+    ggw_txn_read(txn, prefix);
+    result = ggw_ctl_txn(&args, txn);
+    if (result->status == GGW_PLATFORM_OK) {
+        for (guint i = 0; i < result->rows->len; i++) {
+            print_audit_row(&g_array_index(result->rows, struct ggw_row, i));
+        }
+    }
+    else {
+        status = ggw_ctl_fail(&args, GGW_CTL_UNREACHABLE,
+                              "platform %s:%u gives no answer",
+                              args.platform.host, args.platform.port);
+    }
+    ggw_ctl_result_free(result);
+    return status;
+}
+
+int
+ggw_ctl_settings(int argc, char **argv)
+{
+    static const struct ggw_ctl_usage usage = {
+        .verb = "settings",
+        .doc = "Print the reference of all settings as Markdown.",
+    };
+    struct ggw_ctl_args args;
+    GString *text = g_string_new(NULL);
+
+    ggw_ctl_parse(&usage, argc, argv, &args);
+    ggw_schema_print(text);
+    fputs(text->str, stdout);
+    g_string_free(text, TRUE);
+    return GGW_CTL_DONE;
+}
--- a/tests/platform_process.c
+++ b/tests/platform_process.c
@@ -6,10 +6,18 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+/* A test that aborts must not leave the process behind. */
+static void
+die_with_parent(void *data)
+{
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 void
 platform_process_start(struct platform_process *p, const char *lag)
 {
@@ -23,8 +31,8 @@
     char line[32] = "";
 
     if (!g_spawn_async_with_pipes(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-                                  NULL, NULL, &p->pid, NULL, &fd, NULL,
-                                  NULL)) {
+                                  die_with_parent, NULL, &p->pid, NULL, &fd,
+                                  NULL, NULL)) {
         g_error("cannot start %s", path);
     }
     out = fdopen(fd, "r");
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -296,5 +296,6 @@
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
-    return failures != 0 || platform_process_stop(&process) != 0;
+    failures += platform_process_stop(&process) != 0;
+    return failures != 0;
 }
