http: bound slow readers and reset short responses to HTTP/1.0

A client that takes no byte for 30 s is cut, so it cannot hold a slot. A short response without length is reset for HTTP/1.0 clients, to which a close would look like its end. Pages answer HEAD without a body.

--- a/http/connection.c
+++ b/http/connection.c
@@ -23,6 +23,9 @@
 /* While draining, a connection without a request is closed after this time. */
 #define DRAIN_IDLE_MS 500
 
+/* A client that takes no byte for this time holds a slot for nothing. */
+#define CLIENT_PROGRESS_MS 30000
+
 /* A request that keeps arriving is refused after this many head timeouts. */
 #define BODY_TIMEOUTS 6
 
@@ -305,6 +308,7 @@
 {
     GArray *fds = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
     GPtrArray *exchanges = g_ptr_array_new();
+    ggw_ms now = now_ms(c);
 
     for (h2o_linklist_t *link = c->exchanges.next; link != &c->exchanges;
          link = link->next) {
@@ -312,7 +316,7 @@
             H2O_STRUCT_FROM_MEMBER(struct ggw_exchange, link, link);
         struct pollfd p = {.fd = x->fd, .events = POLLRDHUP};
 
-        if (x->finished) {
+        if (x->finished && !x->sending) {
             continue;
         }
         if (!x->seen) {
@@ -323,13 +327,14 @@
         g_ptr_array_add(exchanges, x);
     }
     if (fds->len > 0 &&
-        poll((struct pollfd *)(void *)fds->data, fds->len, 0) > 0) {
+        poll((struct pollfd *)(void *)fds->data, fds->len, 0) >= 0) {
         for (guint i = 0; i < fds->len; i++) {
             short events = g_array_index(fds, struct pollfd, i).revents;
             struct ggw_exchange *x = g_ptr_array_index(exchanges, i);
 
-            if ((events & (POLLHUP | POLLERR | POLLNVAL)) != 0) {
-                ggw_exchange_client_left(x);
+            if ((events & (POLLHUP | POLLERR | POLLNVAL)) != 0 ||
+                (x->sending && now - x->sent_at > CLIENT_PROGRESS_MS)) {
+                ggw_exchange_abort(x, "client-left");
             }
             else if ((events & POLLRDHUP) != 0) {
                 probe(x);
@@ -402,7 +407,7 @@
             H2O_STRUCT_FROM_MEMBER(struct ggw_exchange, link, link);
 
         link = link->next;
-        ggw_exchange_client_left(x);
+        ggw_exchange_abort(x, "stopping");
     }
     link = c->list.next;
     while (link != &c->list) {
--- a/http/exchange.c
+++ b/http/exchange.c
@@ -131,6 +131,7 @@
 ggw_exchange_send(struct ggw_exchange *x, h2o_iovec_t bytes, bool last)
 {
     x->sending = true;
+    x->sent_at = (ggw_ms)uv_now(x->req->conn->ctx->loop);
     if (last) {
         x->finished = true;
         x->ops = NULL;
@@ -152,6 +153,12 @@
     }
     x->finished = true;
     x->req->http1_is_persistent = 0;
+    if (x->req->version < 0x101 && x->req->res.content_length == SIZE_MAX) {
+        /* The end of the connection is the end of the body: reset it. */
+        struct linger hard = {.l_onoff = 1};
+
+        setsockopt(x->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    }
     h2o_send(x->req, NULL, 0, H2O_SEND_STATE_ERROR);
 }
 
@@ -187,6 +194,10 @@
                        NULL, type, strlen(type));
     }
     ggw_exchange_start(x);
+    if (h2o_memis(req->input.method.base, req->input.method.len,
+                  H2O_STRLIT("HEAD"))) {
+        bytes.len = 0;
+    }
     ggw_exchange_send(x, bytes, true);
 }
 
@@ -214,23 +225,22 @@
 }
 
 void
-ggw_exchange_client_left(struct ggw_exchange *x)
+ggw_exchange_abort(struct ggw_exchange *x, const char *reason)
 {
-    if (x->finished) {
-        return;
-    }
     tell_gone(x);
     x->req->http1_is_persistent = 0;
-    if (!x->started) {
-        /* Nobody reads it; h2o closes the connection after writing. */
-        ggw_exchange_refuse(x, 408, "client-left", GGW_UNKNOWN, 0);
-    }
-    else if (x->sending) {
+    if (x->sending) {
         /* The write in progress fails, and h2o closes the connection. */
-        x->broken = true;
+        x->broken = !x->finished;
         shutdown(x->fd, SHUT_RDWR);
     }
-    else {
+    else if (x->finished) {
+        return;
+    }
+    else if (x->started) {
         ggw_exchange_break(x);
     }
+    else {
+        ggw_exchange_refuse(x, 503, reason, GGW_UNKNOWN, 0);
+    }
 }
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -32,6 +32,7 @@
  * @sending: ggw_exchange_send() has not been answered by proceed yet
  * @broken: ends with an error as soon as the last bytes are written
  * @seen: by the periodic check for clients that left
+ * @sent_at: time of the last ggw_exchange_send(), of the loop
  * @buffer: for the user: the bytes of a send, which must outlive the user
  * @probed: an interim response was sent to a half-closed connection
  */
@@ -49,6 +50,7 @@
     bool finished;
     bool broken;
     bool probed;
+    ggw_ms sent_at;
     h2o_buffer_t *buffer;
     h2o_linklist_t link; /* of the exchanges in progress */
 };
@@ -110,9 +112,12 @@
                           const char *reason);
 
 /**
- * ggw_exchange_client_left() - the connection is known to be closed
+ * ggw_exchange_abort() - end an exchange in any state and close its connection
+ * @reason: of the refusal, if the response has not started
+ *
+ * Tells the user that the client has left.
  */
-void ggw_exchange_client_left(struct ggw_exchange *x);
+void ggw_exchange_abort(struct ggw_exchange *x, const char *reason);
 
 /**
  * ggw_status_text() - reason phrase of a status
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -216,6 +216,20 @@
     case SCRIPT_WRONG_ID:
         whole(c, "200 OK", "Greengageway-Request: gw-1-0\r\n");
         break;
+    case SCRIPT_NO_BODY:
+        text = head_of(s, "204 No Content");
+        g_string_append(text, "\r\n");
+        put(c, text, false);
+        break;
+    case SCRIPT_HEAD:
+        text = head_of(s, "200 OK");
+        g_string_append(text, "Content-Length: 5\r\n\r\n");
+        put(c, text, false);
+        break;
+    case SCRIPT_INTERIM:
+        put(c, g_string_new("HTTP/1.1 100 Continue\r\n\r\n"), false);
+        whole(c, "200 OK", "");
+        break;
     case SCRIPT_OK:
         whole(c, "200 OK", "");
         break;
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -41,6 +41,9 @@
     SCRIPT_EXTRA,       /* 200 followed by a response nobody asked for */
     SCRIPT_RIGHT_ID,    /* 200 with the request's id */
     SCRIPT_WRONG_ID,    /* 200 with the id of another request */
+    SCRIPT_NO_BODY,     /* 204 */
+    SCRIPT_HEAD,        /* 200 without the body that its head states */
+    SCRIPT_INTERIM,     /* 100, then 200 */
     SCRIPT_CLOSED,      /* nothing listens */
 };
 
--- a/tests/test_http_input.c
+++ b/tests/test_http_input.c
@@ -150,6 +150,47 @@
     env_stop(env);
 }
 
+/* Guards against input that stops the gateway: changed copies of sessions. */
+static void
+test_changed_sessions(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    GRand *rand = g_rand_new_with_seed(7);
+    GDir *dir = g_dir_open(FOLDER, 0, NULL);
+    const char *name;
+
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        g_autofree char *path = g_build_filename(FOLDER, name, NULL);
+        struct session s = {0};
+        bool use = g_str_has_prefix(name, "input-") && read_session(path, &s);
+
+        for (int i = 0; use && i < 20; i++) {
+            GString *bytes =
+                g_string_new_len(s.send->str, (gssize)MIN(s.send->len, 20000));
+            int fd = env_connect(env);
+
+            for (int j = g_rand_int_range(rand, 1, 4); j > 0; j--) {
+                bytes->str[g_rand_int_range(rand, 0, (gint32)bytes->len)] =
+                    (char)g_rand_int_range(rand, 0, 256);
+            }
+            send(fd, bytes->str, bytes->len, MSG_NOSIGNAL);
+            shutdown(fd, SHUT_WR);
+            g_string_free(env_read(fd, true), TRUE);
+            g_string_free(bytes, TRUE);
+            close(fd);
+        }
+        if (s.send != NULL) {
+            g_string_free(s.send, TRUE);
+            g_string_free(s.receive, TRUE);
+        }
+    }
+    CU_ASSERT_TRUE(env_expect(env, "GET /team/svc/other HTTP/1.1\r\n\r\n", 200,
+                              "done", ""));
+    g_clear_pointer(&dir, g_dir_close);
+    g_rand_free(rand);
+    env_stop(env);
+}
+
 /* Guards against a sender that holds a connection by sending slowly. */
 static void
 test_slow_sender(void)
@@ -243,6 +284,7 @@
 {
     CU_TestInfo tests[] = {
         {"sessions", test_sessions},
+        {"changed sessions", test_changed_sessions},
         {"slow sender", test_slow_sender},
         {"refusal arrives", test_refusal_arrives},
         {"prefixes", test_prefixes},
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -288,6 +288,39 @@
     env_stop(env);
 }
 
+/* Guards against responses without a body that stall or get one. */
+static void
+test_no_body(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    GString *r;
+
+    for (int i = 0; i < 3; i++) {
+        env->servers[0].script = SCRIPT_NO_BODY;
+        r = env_ask(env, "GET /team/svc/other HTTP/1.1\r\n"
+                         "Connection: close\r\n\r\n");
+        CU_ASSERT_EQUAL(env_status(r), 204);
+        CU_ASSERT_TRUE(g_str_has_suffix(r->str, "\r\n\r\n"));
+        CU_ASSERT_PTR_NULL(env_header(r, "transfer-encoding"));
+        g_string_free(r, TRUE);
+        env->servers[0].script = SCRIPT_HEAD;
+        r = env_ask(env, "HEAD /team/svc/read HTTP/1.1\r\n"
+                         "Connection: close\r\n\r\n");
+        CU_ASSERT_EQUAL(env_status(r), 200);
+        CU_ASSERT_STRING_EQUAL(env_header_or(r, "content-length"), "5");
+        CU_ASSERT_TRUE(g_str_has_suffix(r->str, "\r\n\r\n"));
+        g_string_free(r, TRUE);
+    }
+    CU_ASSERT_EQUAL(env->servers[0].connections, 1);
+    r = env_ask(env, "HEAD /-/health HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CU_ASSERT_EQUAL(env_status(r), 200);
+    CU_ASSERT_TRUE(g_str_has_suffix(r->str, "\r\n\r\n"));
+    g_string_free(r, TRUE);
+    env->servers[0].script = SCRIPT_INTERIM;
+    CU_ASSERT_TRUE(env_expect(env, OTHER, 200, "done", ""));
+    env_stop(env);
+}
+
 /* Guards against a hedge that is not sent, or whose loser goes on. */
 static void
 test_hedge(void)
@@ -348,6 +381,7 @@
         {"unknown outweighs", test_unknown_outweighs},
         {"no reuse", test_no_reuse},
         {"headers", test_headers},
+        {"no body", test_no_body},
         {"hedge", test_hedge},
         {"probe", test_probe},
         CU_TEST_INFO_NULL,
--- a/tests/test_proxy_stream.c
+++ b/tests/test_proxy_stream.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
@@ -152,6 +153,30 @@
     env_stop(env);
 }
 
+/*
+ * Guards against a short response that looks whole to an HTTP/1.0 client, for
+ * which the end of the connection is the end of the body.
+ */
+static void
+test_short_old_client(void)
+{
+    static const char request[] = "GET /team/svc/other HTTP/1.0\r\n\r\n";
+    struct env *env = env_start(1000, 100, 1000);
+    int fd = env_connect(env);
+    char buf[4096];
+    ssize_t n;
+
+    env->servers[0].script = SCRIPT_SHORT_CHUNK;
+    send(fd, request, sizeof(request) - 1, 0);
+    do {
+        n = recv(fd, buf, sizeof(buf), 0);
+    } while (n > 0);
+    CU_ASSERT_EQUAL(n, -1);
+    CU_ASSERT_EQUAL(errno, ECONNRESET);
+    close(fd);
+    env_stop(env);
+}
+
 /* Guards against an attempt that goes on after its client has left. */
 static void
 test_client_leaves(void)
@@ -238,6 +263,7 @@
         {"large body", test_large_body},
         {"slow client", test_slow_client},
         {"short", test_short},
+        {"short to an old client", test_short_old_client},
         {"client leaves", test_client_leaves},
         {"half closed", test_half_closed},
         {"pipelined", test_pipelined},
