main: run a gateway and serve the thin whole path

Cause: the parts stood alone; no request had gone from a client to a backend server through separate processes. Change: `greengageway gateway` with settings from flags and environment, all checked at start; logs without log4c's own prefix. Found on the way: the option table took argp's own keys (ARGP_KEY_INIT) for flags and wrote out of bounds; tests/test_options failed on it and passes now. Ruled out: short flags, since their keys would have to be kept apart from argp's.

--- a/common/log.c
+++ b/common/log.c
@@ -41,6 +41,15 @@
     return line;
 }
 
+/* log4c's own stream appender puts its name before each line. */
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    return fputs(event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t appender_type = {"ggw", NULL, append_line,
+                                                    NULL};
 static const log4c_layout_type_t layout_type = {"ggw", format_line};
 
 bool
@@ -69,7 +78,9 @@
         log4c_layout_type_set(&layout_type);
         layout = log4c_layout_get("ggw");
         log4c_layout_set_type(layout, &layout_type);
-        appender = log4c_appender_get("stderr");
+        log4c_appender_type_set(&appender_type);
+        appender = log4c_appender_get("ggw");
+        log4c_appender_set_type(appender, &appender_type);
         log4c_appender_set_layout(appender, layout);
         root = log4c_category_get("root");
         log4c_category_set_appender(root, appender);
--- a/common/options.c
+++ b/common/options.c
@@ -12,6 +12,7 @@
 struct parse {
     const struct ggw_option *table;
     const char **texts; /* from flags, by index in the table */
+    int len;
 };
 
 char *
@@ -28,7 +29,8 @@
 {
     struct parse *parse = state->input;
 
-    if (key >= FIRST_KEY) {
+    /* argp's own keys, such as ARGP_KEY_INIT, lie far above. */
+    if (key >= FIRST_KEY && key < FIRST_KEY + parse->len) {
         parse->texts[key - FIRST_KEY] = arg;
         return 0;
     }
@@ -154,6 +156,7 @@
     while (table[n].name != NULL) {
         n++;
     }
+    parse.len = (int)n;
     options = g_new0(struct argp_option, n + 1);
     parse.texts = g_new0(const char *, n + 1);
     for (size_t i = 0; i < n; i++) {
--- /dev/null
+++ b/main/cmd_gateway.h
@@ -0,0 +1,11 @@
+#ifndef GGW_MAIN_CMD_GATEWAY_H
+#define GGW_MAIN_CMD_GATEWAY_H
+
+/**
+ * ggw_cmd_gateway() - run the gateway daemon until SIGTERM or SIGINT
+ *
+ * Return: exit status; 2 for a refused setting.
+ */
+int ggw_cmd_gateway(int argc, char **argv);
+
+#endif
--- a/main/main.c
+++ b/main/main.c
@@ -1,12 +1,14 @@
-#include <argp.h>
+#include <stdio.h>
+#include <string.h>
 
-const char *argp_program_version = "greengageway 0.1.0";
+#include "main/cmd_gateway.h"
 
 int
 main(int argc, char **argv)
 {
-    static const struct argp argp = {.doc = "HTTP load balancer"};
-
-    argp_parse(&argp, argc, argv, 0, NULL, NULL);
-    return 0;
+    if (argc < 2 || strcmp(argv[1], "gateway") != 0) {
+        fprintf(stderr, "Usage: greengageway gateway [OPTION...]\n");
+        return 2;
+    }
+    return ggw_cmd_gateway(argc - 1, argv + 1);
 }
