main: offer the operators' verbs; status: one form of addresses

Ruled out: reading both forms in the verbs; two forms of one fact drift apart. Change: the page gives "address"; ggw_address_text() writes it in one place; main dispatches to the verbs.

--- a/bench/bench_proxy.c
+++ b/bench/bench_proxy.c
@@ -187,13 +187,14 @@
     int server = c->direct ? dial(server_port) : -1;
 
     for (int i = 0; i < c->calls; i++) {
-        ggw_ms through = call(
-            gateway, "GET /team/svc/a HTTP/1.1\r\nHost: h\r\n\r\n", &c->failed);
+        ggw_ms through =
+            call(gateway, "GET /team/svc/a HTTP/1.1\r\nHost: h\r\n\r\n",
+                 &c->failed);
 
         ggw_histogram_add(&c->gateway, through);
         if (c->direct) {
-            ggw_ms direct = call(server, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
-                                 &c->failed);
+            ggw_ms direct =
+                call(server, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", &c->failed);
 
             ggw_histogram_add(&c->server, direct);
             ggw_histogram_add(&c->added, through - direct);
--- a/common/address.c
+++ b/common/address.c
@@ -41,3 +41,11 @@
                 "\"%s\" is not IP:PORT with a port in 0..65535", text);
     return false;
 }
+
+char *
+ggw_address_text(const char *host, uint16_t port)
+{
+    return strchr(host, ':') != NULL
+               ? g_strdup_printf("[%s]:%u", host, (unsigned)port)
+               : g_strdup_printf("%s:%u", host, (unsigned)port);
+}
--- a/common/address.h
+++ b/common/address.h
@@ -22,4 +22,11 @@
 bool ggw_address_parse(const char *text, struct ggw_address *out,
                        GError **error);
 
+/**
+ * ggw_address_text() - write an IP number and a port as "IP:PORT"
+ *
+ * Return: new text, "[IPv6]:PORT" for an IPv6 number.
+ */
+char *ggw_address_text(const char *host, uint16_t port);
+
 #endif
--- a/main/main.c
+++ b/main/main.c
@@ -1,14 +1,87 @@
+#include <argp.h>
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "ctl/ctl.h"
 #include "main/cmd_gateway.h"
 
+const char *argp_program_version = "greengageway 0.1.0";
+
+struct command {
+    const char *name;
+    const char *help;
+    int (*run)(int argc, char **argv);
+};
+
+static const struct command gateway_command = {
+    "gateway", "run one gateway until SIGTERM", ggw_cmd_gateway};
+
+struct invocation {
+    int index; /* of the command in argv; 0: none given */
+};
+
+/* Stops at the first word: the rest belongs to the command. */
+static error_t
+parse_word(int key, char *arg, struct argp_state *state)
+{
+    struct invocation *invocation = state->input;
+
+    if (key == ARGP_KEY_ARG) {
+        invocation->index = state->next - 1;
+        state->next = state->argc;
+        return 0;
+    }
+    if (key == ARGP_KEY_NO_ARGS) {
+        argp_usage(state);
+    }
+    return ARGP_ERR_UNKNOWN;
+}
+
+static char *
+command_list(void)
+{
+    GString *doc = g_string_new("HTTP load balancer.\v"
+                                "Commands (see COMMAND --help):\n");
+
+    g_string_append_printf(doc, "  %-12s %s\n", gateway_command.name,
+                           gateway_command.help);
+    for (const struct ggw_ctl_verb *v = ggw_ctl_verbs; v->name != NULL; v++) {
+        g_string_append_printf(doc, "  %-12s %s\n", v->name, v->help);
+    }
+    return g_string_free(doc, FALSE);
+}
+
+static int
+run_command(int argc, char **argv)
+{
+    g_autofree char *name = NULL;
+    const char *word = argv[0];
+
+    /* argp prints argv[0] in usage and error messages. */
+    name = g_strdup_printf("greengageway %s", word);
+    argv[0] = name;
+    if (strcmp(word, gateway_command.name) == 0) {
+        return gateway_command.run(argc, argv);
+    }
+    for (const struct ggw_ctl_verb *v = ggw_ctl_verbs; v->name != NULL; v++) {
+        if (strcmp(word, v->name) == 0) {
+            return v->run(argc, argv);
+        }
+    }
+    fprintf(stderr, "greengageway: no command \"%s\"; see --help\n", word);
+    return 2;
+}
+
 int
 main(int argc, char **argv)
 {
-    if (argc < 2 || strcmp(argv[1], "gateway") != 0) {
-        fprintf(stderr, "Usage: greengageway gateway [OPTION...]\n");
-        return 2;
-    }
-    return ggw_cmd_gateway(argc - 1, argv + 1);
+    g_autofree char *doc = command_list();
+    struct argp argp = {NULL, parse_word, "COMMAND [ARGUMENT...]", doc, NULL,
+                        NULL, NULL};
+    struct invocation invocation = {0};
+
+    argp_err_exit_status = 2;
+    argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &invocation);
+    return run_command(argc - invocation.index, argv + invocation.index);
 }
--- a/proxy/pages.c
+++ b/proxy/pages.c
@@ -1,6 +1,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "common/address.h"
 #include "common/metrics.h"
 #include "proxy/headers.h"
 #include "proxy/state.h"
@@ -55,10 +56,7 @@
 add_gateway(json_t *addresses, json_t *gateways, const char *name,
             const char *domain, const char *host, uint16_t port)
 {
-    g_autofree char *address =
-        strchr(host, ':') != NULL
-            ? g_strdup_printf("[%s]:%u", host, (unsigned)port)
-            : g_strdup_printf("%s:%u", host, (unsigned)port);
+    g_autofree char *address = ggw_address_text(host, port);
 
     json_array_append_new(addresses, json_string(address));
     json_array_append_new(gateways,
@@ -161,13 +159,13 @@
          proxy->members != NULL && i < proxy->members->members->len; i++) {
         const struct ggw_member *m =
             &g_array_index(proxy->members->members, struct ggw_member, i);
+        g_autofree char *address = ggw_address_text(m->host, m->port);
 
         json_array_append_new(
-            list, json_pack("{s:s,s:s,s:s,s:i,s:I,s:s}", "name", m->name,
-                            "failure_domain", m->failure_domain, "host",
-                            m->host, "port", (int)m->port, "incarnation",
-                            (json_int_t)m->incarnation, "state",
-                            member_states[m->state]));
+            list, json_pack("{s:s,s:s,s:s,s:I,s:s}", "name", m->name,
+                            "failure_domain", m->failure_domain, "address",
+                            address, "incarnation", (json_int_t)m->incarnation,
+                            "state", member_states[m->state]));
     }
     return list;
 }
@@ -179,17 +177,18 @@
 
     for (size_t i = 0; proxy->vms != NULL && i < proxy->vms->len; i++) {
         const struct ggw_vm *vm = &proxy->vms->vms[i];
+        g_autofree char *address = ggw_address_text(vm->host, vm->port);
 
         if (vm->role != GGW_VM_BACKEND_SERVER) {
             continue;
         }
         json_array_append_new(
-            list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:I,s:s}", "name",
-                            vm->name, "team", vm->team, "service", vm->service,
-                            "failure_domain", vm->failure_domain, "host",
-                            vm->host, "port", (int)vm->port, "incarnation",
-                            (json_int_t)vm->incarnation, "state",
-                            vm->leaving ? "leaving" : "live"));
+            list,
+            json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:s}", "name", vm->name,
+                      "team", vm->team, "service", vm->service,
+                      "failure_domain", vm->failure_domain, "address", address,
+                      "incarnation", (json_int_t)vm->incarnation, "state",
+                      vm->leaving ? "leaving" : "live"));
     }
     return list;
 }
