tests: compare refusals with a NULL-safe call

Cause: clang-tidy saw a NULL message reach strcmp when no refusal came. Ruled out: CU_ASSERT_PTR_NOT_NULL_FATAL, which the analyser does not follow.

--- a/tests/test_options.c
+++ b/tests/test_options.c
@@ -64,8 +64,7 @@
     struct settings s;
     g_autofree char *message = parse(&s, words);
 
-    CU_ASSERT_PTR_NOT_NULL_FATAL(message);
-    CU_ASSERT_STRING_EQUAL(message, expected);
+    CU_ASSERT_EQUAL(g_strcmp0(message, expected), 0);
 }
 
 /* Guards against a gateway that starts with a value it cannot use. */
