--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,5 +1,9 @@
 #include <CUnit/Basic.h>
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "common/error.h"
 #include "ctl/blocking.h"
@@ -277,6 +281,115 @@
                             "\"YQ==\",\"mod_revision\":\"1x\"}]}}]}"));
 }
 
+static int
+listen_on(int backlog, uint16_t *port)
+{
+    struct sockaddr_in sa = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t len = sizeof(sa);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    g_assert_true(bind(fd, (struct sockaddr *)&sa, len) == 0);
+    g_assert_true(listen(fd, backlog) == 0);
+    g_assert_true(getsockname(fd, (struct sockaddr *)&sa, &len) == 0);
+    *port = ntohs(sa.sin_port);
+    return fd;
+}
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+#define CHUNKED OK_HEAD "transfer-encoding: chunked\r\n\r\n"
+
+static const char *const broken_answers[] = {
+    "",
+    "H",
+    "not HTTP\r\n\r\n",
+    OK_HEAD "content-length: 30\r\n",
+    OK_HEAD "content-length: 30\r\n\r\n{\"header\":{}}",
+    CHUNKED "c\r\n{\"header\":{}\r\n",
+    CHUNKED "20\r\n{\"header\":{}}",
+    CHUNKED "zz\r\n{\"header\":{}}\r\n0\r\n\r\n",
+    OK_HEAD "content-length: 2\r\n\r\n{}",
+    OK_HEAD "\r\n{\"header\":{}",
+    "HTTP/1.1 204 No Content\r\n\r\n",
+    "HTTP/1.1 400 Bad Request\r\ncontent-length: 2\r\n\r\n{}",
+    "HTTP/1.1 500 Error\r\ncontent-length: 13\r\n\r\n{\"header\":{}}",
+};
+
+/* Answers each connection with the next broken answer and closes it. */
+static void
+serve_broken_answers(int listener)
+{
+    char buf[4096];
+
+    for (size_t i = 0; i < G_N_ELEMENTS(broken_answers); i++) {
+        const char *answer = broken_answers[i];
+        int fd = accept(listener, NULL, NULL);
+
+        if (read(fd, buf, sizeof(buf)) < 0 ||
+            write(fd, answer, strlen(answer)) < 0) {
+            _exit(1);
+        }
+        close(fd);
+    }
+    _exit(0);
+}
+
+/* Guards against a broken answer that passes as proof of anything. */
+static void
+test_broken_answers(void)
+{
+    uint16_t port;
+    int status, fd = listen_on(8, &port);
+    pid_t pid = fork();
+
+    if (pid == 0) {
+        serve_broken_answers(fd);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(broken_answers); i++) {
+        enum ggw_platform_status s =
+            run_status(port, insert("x/a", "1", PATIENT));
+
+        CU_ASSERT_EQUAL(s, GGW_PLATFORM_UNKNOWN);
+        if (s != GGW_PLATFORM_UNKNOWN) {
+            fprintf(stderr, "answer %zu: status %d\n", i, (int)s);
+        }
+    }
+    waitpid(pid, &status, 0);
+    CU_ASSERT_EQUAL(status, 0);
+    close(fd);
+}
+
+/* Guards against a connection attempt that never ends. */
+static void
+test_connect_hangs(void)
+{
+    enum {
+        FILLERS = 4,
+    };
+    struct sockaddr_in sa = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    int fillers[FILLERS];
+    uint16_t port;
+    int fd = listen_on(0, &port);
+
+    /* A full backlog drops further connection attempts. */
+    sa.sin_port = htons(port);
+    for (int i = 0; i < FILLERS; i++) {
+        fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        (void)connect(fillers[i], (struct sockaddr *)&sa, sizeof(sa));
+    }
+    CU_ASSERT_EQUAL(run_status(port, insert("x/a", "1", SHORT)),
+                    GGW_PLATFORM_NOT_SENT);
+    for (int i = 0; i < FILLERS; i++) {
+        close(fillers[i]);
+    }
+    close(fd);
+}
+
 int
 main(void)
 {
@@ -293,6 +406,8 @@
     CU_add_test(suite, "bound in flight", test_bound_in_flight);
     CU_add_test(suite, "no reuse after timeout", test_no_reuse_after_timeout);
     CU_add_test(suite, "malformed answers", test_malformed_answers);
+    CU_add_test(suite, "broken answers", test_broken_answers);
+    CU_add_test(suite, "connect hangs", test_connect_hangs);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
