--- a/standins/load.c
+++ b/standins/load.c
@@ -154,7 +154,7 @@
 entry_parse(const GByteArray *body)
 {
     json_t *answer = json_loadb((char *)body->data, body->len, 0, NULL);
-    json_t *list = json_object_get(answer, "addresses");
+    json_t *list = json_object_get(answer, "gateways");
     size_t i;
     json_t *item;
     bool ok = json_array_size(list) > 0;
