--- a/config/vms.c
+++ b/config/vms.c
@@ -3,6 +3,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "common/address.h"
 #include "common/error.h"
 #include "common/log.h"
 #include "common/metrics.h"
@@ -43,19 +44,15 @@
               uint16_t *port)
 {
     const char *text = json_string_value(json_object_get(entry, member));
-    const char *colon = text != NULL ? strrchr(text, ':') : NULL;
-    struct sockaddr_storage sa;
-    guint64 number;
+    struct ggw_address address;
 
-    if (colon == NULL ||
-        !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &number, NULL)) {
+    if (text == NULL || !ggw_address_parse(text, &address, NULL) ||
+        address.port == 0) {
         return false;
     }
-    g_free(*host);
-    *host = g_strndup(text, (gsize)(colon - text));
-    *port = (uint16_t)number;
-    return uv_ip4_addr(*host, 0, (struct sockaddr_in *)&sa) == 0 ||
-           uv_ip6_addr(*host, 0, (struct sockaddr_in6 *)&sa) == 0;
+    *host = g_strdup(address.host);
+    *port = address.port;
+    return true;
 }
 
 /* A number, or its text; empty text and a missing member are 0. */
--- a/ctl/args.c
+++ b/ctl/args.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <uv.h>
 
 #include "ctl/ctl.h"
 
@@ -55,34 +54,11 @@
     "longest wait for one answer (3000)",
     0};
 
-bool
-ggw_ctl_address_parse(const char *text, struct ggw_ctl_address *address)
-{
-    const char *colon = strrchr(text, ':');
-    struct sockaddr_storage sa;
-    guint64 port;
-    size_t len;
-
-    if (colon == NULL ||
-        !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL)) {
-        return false;
-    }
-    len = (size_t)(colon - text);
-    if (len >= sizeof(address->host)) {
-        return false;
-    }
-    memcpy(address->host, text, len);
-    address->host[len] = '\0';
-    address->port = (uint16_t)port;
-    return uv_ip4_addr(address->host, 0, (struct sockaddr_in *)&sa) == 0 ||
-           uv_ip6_addr(address->host, 0, (struct sockaddr_in6 *)&sa) == 0;
-}
-
 static bool
 set_address(struct argp_state *state, const char *flag, const char *text,
-            struct ggw_ctl_address *address)
+            struct ggw_address *address)
 {
-    if (!ggw_ctl_address_parse(text, address)) {
+    if (!ggw_address_parse(text, address, NULL) || address->port == 0) {
         argp_error(state, "%s: \"%s\" is not IP:PORT", flag, text);
         return false;
     }
--- a/ctl/args.h
+++ b/ctl/args.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common/address.h"
 #include "kernel/clock.h"
 
 /* What a verb takes. */
@@ -30,11 +31,6 @@
     unsigned takes;
 };
 
-struct ggw_ctl_address {
-    char host[64];
-    uint16_t port;
-};
-
 /**
  * struct ggw_ctl_args - checked command line
  * @timeout: longest wait for gateways, or for a lost answer to be settled
@@ -43,8 +39,8 @@
 struct ggw_ctl_args {
     const struct ggw_ctl_usage *usage;
     const char *team;
-    struct ggw_ctl_address platform;
-    struct ggw_ctl_address gateway;
+    struct ggw_address platform;
+    struct ggw_address gateway;
     bool has_platform;
     bool has_gateway;
     const char *who;
@@ -64,11 +60,6 @@
 void ggw_ctl_parse(const struct ggw_ctl_usage *usage, int argc, char **argv,
                    struct ggw_ctl_args *args);
 
-/**
- * ggw_ctl_address_parse() - read "IP:PORT"
- */
-bool ggw_ctl_address_parse(const char *text, struct ggw_ctl_address *address);
-
 /**
  * ggw_ctl_fail() - print "greengageway VERB: text" to standard error
  *
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -46,7 +46,7 @@
 
 static struct ggw_blocking
 page_request(const struct ggw_ctl_args *args,
-             const struct ggw_ctl_address *address)
+             const struct ggw_address *address)
 {
     return (struct ggw_blocking){
         .host = address->host,
@@ -106,7 +106,7 @@
 {
     guint n = gateways->len;
     struct ggw_blocking *requests = g_new0(struct ggw_blocking, n + 1);
-    struct ggw_ctl_address *addresses = g_new0(struct ggw_ctl_address, n + 1);
+    struct ggw_address *addresses = g_new0(struct ggw_address, n + 1);
     guint *places = g_new0(guint, n + 1);
     size_t len = 0;
 
@@ -115,7 +115,7 @@
             &g_array_index(gateways, struct ggw_gateway_status, i);
 
         if (strcmp(g->state, "dead") != 0 &&
-            ggw_ctl_address_parse(g->address, &addresses[len])) {
+            ggw_address_parse(g->address, &addresses[len], NULL)) {
             requests[len] = page_request(args, &addresses[len]);
             places[len++] = i;
         }
