decide: test old results, the step count and the trial interval

Three changes to decide/limit.c went unnoticed by the tests when tried on a copy: no check of the start of an attempt, no reset of the successes at a step, no reset of the trial interval once warm.

--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -60,6 +60,8 @@
     result(&l, GGW_ATTEMPT_OK, 4, 1);
     CU_ASSERT_EQUAL(l.state, GGW_LIMIT_WARMING);
     CU_ASSERT_EQUAL(ggw_limit_slots(&l), 2);
+    results(&l, 19, GGW_ATTEMPT_OK, 4, 2);
+    CU_ASSERT_EQUAL(ggw_limit_slots(&l), 2);
     /* A quarter of the cold time later one success is enough. */
     result(&l, GGW_ATTEMPT_OK, 4, 1252);
     CU_ASSERT_EQUAL(l.state, GGW_LIMIT_WARM);
@@ -130,8 +132,11 @@
         old.result = i % 2 != 0 ? GGW_ATTEMPT_OK : GGW_ATTEMPT_BROKEN;
         ggw_limit_result(&l, &old, 11);
     }
+    CU_ASSERT_EQUAL(l.state, GGW_LIMIT_COLD);
     old.result = GGW_ATTEMPT_SHED;
-    ggw_limit_result(&l, &old, 12);
+    for (int i = 0; i < 5; i++) {
+        ggw_limit_result(&l, &old, 12);
+    }
     CU_ASSERT_EQUAL(l.state, GGW_LIMIT_COLD);
     results(&l, 3, GGW_ATTEMPT_ERROR, 1, 20);
     ggw_limit_result(&l, &old, 21);
@@ -187,6 +192,13 @@
     ggw_limit_started(&l, last);
     result(&l, GGW_ATTEMPT_OK, 4, last);
     CU_ASSERT_EQUAL(l.state, GGW_LIMIT_COLD); /* may be a new process */
+    results(&l, 3, GGW_ATTEMPT_ERROR, 0.1, last);
+    CU_ASSERT_EQUAL(ggw_limit_next_trial(&l), last + 10000); /* not warm */
+    ggw_limit_started(&l, last + 10000);
+    results(&l, 41, GGW_ATTEMPT_OK, 4, last + 10000);
+    CU_ASSERT_EQUAL(l.state, GGW_LIMIT_WARM);
+    results(&l, 3, GGW_ATTEMPT_ERROR, 0.1, last + 10000);
+    CU_ASSERT_EQUAL(ggw_limit_next_trial(&l), last + 10500);
 }
 
 /* Guards against a trial that is lost or repeated without a wait. */
