http: bound the head of a response

h2o's client collects a head without limit; one above 64 KiB now ends the call as broken. The scripts of the test servers are a table of responses.

--- a/http/client.c
+++ b/http/client.c
@@ -11,6 +11,12 @@
 /* A response is not read further while this many bytes wait for the client. */
 #define PAUSE_BYTES 65536
 
+/* Longest head of a response; h2o itself has no limit. */
+#define HEAD_MAX 65536
+
+/* Interval at which the size of an incomplete head is checked. */
+#define HEAD_TICK_MS 50
+
 /* Milliseconds of unacknowledged data after which a connection is dropped. */
 #define TCP_USER_TIMEOUT_MS 5000
 
@@ -88,28 +94,58 @@
                    delay > 0 ? (uint64_t)ceil(delay) : 0, 0);
 }
 
+/* Time until the caller is asked, or until the head is due. */
+static ggw_ms
+head_due(const struct ggw_call *call)
+{
+    ggw_ms now = now_ms();
+    ggw_ms limit = call->started_at + call->spec.head_limit - now;
+
+    return call->asked ? limit
+                       : MIN(limit, call->sent_at + call->spec.patience - now);
+}
+
+/* Returns whether to go on waiting for the head. */
+static bool
+wait_for_head(struct ggw_call *call)
+{
+    ggw_ms due = head_due(call);
+
+    if (due <= 0 && !call->asked) {
+        call->asked = true;
+        due = call->ops->slow(call->data) ? 0 : head_due(call);
+    }
+    if (due <= 0) {
+        return false;
+    }
+    arm(call, MIN(due, HEAD_TICK_MS));
+    return true;
+}
+
 static void
 timer_cb(uv_timer_t *timer)
 {
     struct ggw_call *call = timer->data;
-    h2o_http1client_t *client = call->client;
+    enum ggw_call_end end = GGW_CALL_NOT_SENT;
 
     if (call->pending) {
         call->pending = false;
         call->ops->end(call->data, call->end);
         return;
     }
-    if (call->connected && call->head_at == 0 && !call->asked) {
-        ggw_ms left = call->spec.head_limit - (now_ms() - call->started_at);
-
-        call->asked = true;
-        if (left > 0 && !call->ops->slow(call->data)) {
-            arm(call, left);
+    if (call->connected) {
+        end = GGW_CALL_SILENT;
+    }
+    if (call->connected && call->head_at == 0) {
+        if (call->client->sock->input->size > HEAD_MAX) {
+            end = GGW_CALL_BROKEN;
+        }
+        else if (wait_for_head(call)) {
             return;
         }
     }
-    h2o_http1client_cancel(client);
-    end_call(call, call->connected ? GGW_CALL_SILENT : GGW_CALL_NOT_SENT);
+    h2o_http1client_cancel(call->client);
+    end_call(call, end);
 }
 
 static void
@@ -347,7 +383,7 @@
     *reqbufcnt = call->spec.body.len > 0 ? 2 : 1;
     *method_is_head = call->spec.is_head;
     call->sent_at = now_ms();
-    arm(call, call->spec.patience);
+    arm(call, MIN(call->spec.patience, HEAD_TICK_MS));
     return on_head;
 }
 
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -99,144 +99,128 @@
     uv_write(req, (uv_stream_t *)&c->tcp, &buf, 1, written);
 }
 
-static GString *
-head_of(const struct env_server *s, const char *status)
-{
-    GString *text = g_string_new(NULL);
+/**
+ * struct response - what a script sends
+ * @text: @h stands for the server's own headers, @n and @x for the length of
+ *        its body, @d for twice that, @b for the body, @i for the header that
+ *        repeats the id of the request, @a for a large header
+ */
+struct response {
+    const char *text;
+    enum {
+        KEEP,
+        CLOSE,
+        RESET
+    } after;
+};
 
-    g_string_printf(text, "HTTP/1.1 %s\r\nX-Server: %s\r\n", status, s->name);
-    if (s->load != NULL) {
-        g_string_append_printf(text, "Backend-Load: %s\r\n", s->load);
-    }
-    return text;
-}
+#define SIZED "@hContent-Length: @n\r\n\r\n@b"
+#define CHUNKED "@hTransfer-Encoding: chunked\r\n\r\n"
+
+static const struct response responses[] = {
+    [SCRIPT_OK] = {"HTTP/1.1 200 OK\r\n" SIZED, KEEP},
+    [SCRIPT_SHED] = {"HTTP/1.1 503 Busy\r\nBackend-Outcome: not-run\r\n" SIZED,
+                     KEEP},
+    [SCRIPT_LATE] = {"HTTP/1.1 504 Late\r\nBackend-Outcome: not-run\r\n" SIZED,
+                     KEEP},
+    [SCRIPT_BARE_503] = {"HTTP/1.1 503 Broken\r\n" SIZED, KEEP},
+    [SCRIPT_ERROR_500] = {"HTTP/1.1 500 Error\r\n" SIZED, KEEP},
+    [SCRIPT_RESET] = {"", RESET},
+    [SCRIPT_RESET_HEAD] = {"HTTP/1.1 200 O", CLOSE},
+    [SCRIPT_LARGE_HEAD] = {"HTTP/1.1 200 OK\r\nX-A: @a", KEEP},
+    [SCRIPT_SHORT] = {"HTTP/1.1 200 OK\r\n@hContent-Length: @d\r\n\r\n@b",
+                      CLOSE},
+    [SCRIPT_SHORT_CHUNK] = {"HTTP/1.1 200 OK\r\n" CHUNKED "@x\r\n@b\r\n",
+                            CLOSE},
+    [SCRIPT_UNFRAMED] = {"HTTP/1.1 200 OK\r\n@h\r\n@b", CLOSE},
+    [SCRIPT_BOTH_FRAMED] = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" CHUNKED
+                            "5\r\nhello\r\n0\r\n\r\n",
+                            KEEP},
+    [SCRIPT_SILENT] = {"", KEEP},
+    [SCRIPT_SILENT_BODY] = {"HTTP/1.1 200 OK\r\n@hContent-Length: @d\r\n\r\n"
+                            "@b",
+                            KEEP},
+    [SCRIPT_SLOW] = {"HTTP/1.1 200 OK\r\n" SIZED, KEEP},
+    [SCRIPT_CHUNKED] = {"HTTP/1.1 200 OK\r\n" CHUNKED
+                        "3\r\nabc\r\n@x\r\n@b\r\n0\r\n\r\n",
+                        KEEP},
+    [SCRIPT_EXTRA] = {"HTTP/1.1 200 OK\r\n" SIZED
+                      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
+                      KEEP},
+    [SCRIPT_RIGHT_ID] = {"HTTP/1.1 200 OK\r\n@i" SIZED, KEEP},
+    [SCRIPT_WRONG_ID] =
+        {"HTTP/1.1 200 OK\r\nGreengageway-Request: gw-1-0\r\n" SIZED, KEEP},
+    [SCRIPT_NO_BODY] = {"HTTP/1.1 204 No Content\r\n@h\r\n", KEEP},
+    [SCRIPT_HEAD] = {"HTTP/1.1 200 OK\r\n@hContent-Length: @n\r\n\r\n", KEEP},
+    [SCRIPT_INTERIM] =
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" SIZED, KEEP},
+    [SCRIPT_CLOSED] = {"", KEEP},
+};
 
 static void
-whole(struct conn *c, const char *status, const char *extra)
+expand(GString *out, const struct env_server *s, char what)
 {
-    const struct env_server *s = c->server;
-    GString *text = head_of(s, status);
-
-    g_string_append_printf(text, "%sContent-Length: %zu\r\n\r\n", extra,
-                           s->body_len);
-    g_string_append_len(text, s->body, (gssize)s->body_len);
-    put(c, text, false);
-}
+    const char *id;
 
-static void
-slow_cb(uv_timer_t *timer)
-{
-    whole(timer->data, "200 OK", "");
+    switch (what) {
+    case 'h':
+        g_string_append_printf(out, "X-Server: %s\r\n", s->name);
+        if (s->load != NULL) {
+            g_string_append_printf(out, "Backend-Load: %s\r\n", s->load);
+        }
+        break;
+    case 'n':
+        g_string_append_printf(out, "%zu", s->body_len);
+        break;
+    case 'd':
+        g_string_append_printf(out, "%zu", 2 * s->body_len);
+        break;
+    case 'x':
+        g_string_append_printf(out, "%zx", s->body_len);
+        break;
+    case 'b':
+        g_string_append_len(out, s->body, (gssize)s->body_len);
+        break;
+    case 'i':
+        id = g_strrstr(s->seen->str, "greengageway-request: ");
+        g_string_append_len(out, id, (gssize)strcspn(id, "\n") + 1);
+        break;
+    case 'a':
+        for (int i = 0; i < 20000; i++) {
+            g_string_append(out, "0123456789");
+        }
+        break;
+    default:
+        abort();
+    }
 }
 
-/* Sends the id of the last request back. */
 static void
-respond_id(struct conn *c)
+respond(struct conn *c)
 {
-    const char *line =
-        g_strrstr(c->server->seen->str, "greengageway-request: ");
-    g_autofree char *id = g_strndup(line, strcspn(line, "\r") + 2);
+    const struct response *r = &responses[c->server->script];
+    GString *text = g_string_new(NULL);
 
-    whole(c, "200 OK", id);
+    for (const char *t = r->text; *t != '\0'; t++) {
+        if (*t == '@') {
+            expand(text, c->server, *++t);
+        }
+        else {
+            g_string_append_c(text, *t);
+        }
+    }
+    if (r->after == RESET) {
+        g_string_free(text, TRUE);
+        conn_reset(c);
+        return;
+    }
+    put(c, text, r->after == CLOSE);
 }
 
 static void
-respond(struct conn *c)
+slow_cb(uv_timer_t *timer)
 {
-    const struct env_server *s = c->server;
-    GString *text;
-
-    switch (s->script) {
-    case SCRIPT_SHED:
-        whole(c, "503 Busy", "Backend-Outcome: not-run\r\n");
-        break;
-    case SCRIPT_LATE:
-        whole(c, "504 Late", "Backend-Outcome: not-run\r\n");
-        break;
-    case SCRIPT_BARE_503:
-        whole(c, "503 Broken", "");
-        break;
-    case SCRIPT_ERROR_500:
-        whole(c, "500 Error", "");
-        break;
-    case SCRIPT_RESET:
-        conn_reset(c);
-        break;
-    case SCRIPT_RESET_HEAD:
-        put(c, g_string_new("HTTP/1.1 200 O"), true);
-        break;
-    case SCRIPT_SHORT:
-    case SCRIPT_SILENT_BODY:
-        text = head_of(s, "200 OK");
-        g_string_append_printf(text, "Content-Length: %zu\r\n\r\n",
-                               2 * s->body_len);
-        g_string_append_len(text, s->body, (gssize)s->body_len);
-        put(c, text, s->script == SCRIPT_SHORT);
-        break;
-    case SCRIPT_SHORT_CHUNK:
-        text = head_of(s, "200 OK");
-        g_string_append_printf(
-            text, "Transfer-Encoding: chunked\r\n\r\n%zx\r\n", s->body_len);
-        g_string_append_len(text, s->body, (gssize)s->body_len);
-        g_string_append(text, "\r\n");
-        put(c, text, true);
-        break;
-    case SCRIPT_CHUNKED:
-        text = head_of(s, "200 OK");
-        g_string_append_printf(
-            text, "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n%zx\r\n",
-            s->body_len);
-        g_string_append_len(text, s->body, (gssize)s->body_len);
-        g_string_append(text, "\r\n0\r\n\r\n");
-        put(c, text, false);
-        break;
-    case SCRIPT_UNFRAMED:
-        text = head_of(s, "200 OK");
-        g_string_append(text, "\r\nhello");
-        put(c, text, true);
-        break;
-    case SCRIPT_BOTH_FRAMED:
-        text = head_of(s, "200 OK");
-        g_string_append(text, "Content-Length: 5\r\nTransfer-Encoding: "
-                              "chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
-        put(c, text, false);
-        break;
-    case SCRIPT_SLOW:
-        uv_timer_start(&c->timer, slow_cb, s->delay_ms, 0);
-        break;
-    case SCRIPT_EXTRA:
-        whole(c, "200 OK", "");
-        put(c,
-            g_string_new("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"),
-            false);
-        break;
-    case SCRIPT_RIGHT_ID:
-        respond_id(c);
-        break;
-    case SCRIPT_WRONG_ID:
-        whole(c, "200 OK", "Greengageway-Request: gw-1-0\r\n");
-        break;
-    case SCRIPT_NO_BODY:
-        text = head_of(s, "204 No Content");
-        g_string_append(text, "\r\n");
-        put(c, text, false);
-        break;
-    case SCRIPT_HEAD:
-        text = head_of(s, "200 OK");
-        g_string_append(text, "Content-Length: 5\r\n\r\n");
-        put(c, text, false);
-        break;
-    case SCRIPT_INTERIM:
-        put(c, g_string_new("HTTP/1.1 100 Continue\r\n\r\n"), false);
-        whole(c, "200 OK", "");
-        break;
-    case SCRIPT_OK:
-        whole(c, "200 OK", "");
-        break;
-    case SCRIPT_SILENT:
-    case SCRIPT_CLOSED:
-        break;
-    }
+    respond(timer->data);
 }
 
 /* Length of the first whole request in the input, or 0. */
@@ -289,7 +273,12 @@
         g_string_append_len(s->seen, c->input->str, (gssize)len);
         pthread_mutex_unlock(&s->env->lock);
         g_string_erase(c->input, 0, (gssize)len);
-        respond(c);
+        if (s->script == SCRIPT_SLOW) {
+            uv_timer_start(&c->timer, slow_cb, s->delay_ms, 0);
+        }
+        else {
+            respond(c);
+        }
         /* The test may change the script once it sees the count. */
         pthread_mutex_lock(&s->env->lock);
         s->requests++;
@@ -529,7 +518,7 @@
         pthread_mutex_unlock(&worker_lock);
         ggw_kernel_run(env->kernel, NULL);
         pthread_mutex_lock(&env->lock);
-        env->ended = true;
+        env->ended = 1;
         changed(env);
     }
     return NULL;
@@ -694,7 +683,7 @@
 {
     pthread_mutex_lock(&env->lock);
     env->stop = true;
-    if (!env->ended) {
+    if (env->ended == 0) {
         uv_async_send(&env->async);
     }
     pthread_mutex_unlock(&env->lock);
@@ -713,22 +702,17 @@
     g_free(env);
 }
 
-static void
-limit(struct timespec *t)
-{
-    clock_gettime(CLOCK_REALTIME, t);
-    t->tv_sec += WAIT_S;
-}
-
-bool
-env_wait_ended(struct env *env)
+/* Waits under the lock until @value, an int or a guint, is large enough. */
+static bool
+wait_value(struct env *env, const volatile int *value, int at_least)
 {
     struct timespec t;
     int rc = 0;
 
-    limit(&t);
+    clock_gettime(CLOCK_REALTIME, &t);
+    t.tv_sec += WAIT_S;
     pthread_mutex_lock(&env->lock);
-    while (!env->ended && rc == 0) {
+    while (*value < at_least && rc == 0) {
         rc = pthread_cond_timedwait(&env->changed, &env->lock, &t);
     }
     pthread_mutex_unlock(&env->lock);
@@ -738,31 +722,19 @@
 bool
 env_wait(struct env *env, const int *value, int at_least)
 {
-    struct timespec t;
-    int rc = 0;
-
-    limit(&t);
-    pthread_mutex_lock(&env->lock);
-    while (*value < at_least && rc == 0) {
-        rc = pthread_cond_timedwait(&env->changed, &env->lock, &t);
-    }
-    pthread_mutex_unlock(&env->lock);
-    return rc == 0;
+    return wait_value(env, value, at_least);
 }
 
 bool
-env_wait_len(struct env *env, GArray **array, guint at_least)
+env_wait_len(struct env *env, GArray *array, int at_least)
 {
-    struct timespec t;
-    int rc = 0;
+    return wait_value(env, (const volatile int *)&array->len, at_least);
+}
 
-    limit(&t);
-    pthread_mutex_lock(&env->lock);
-    while ((*array)->len < at_least && rc == 0) {
-        rc = pthread_cond_timedwait(&env->changed, &env->lock, &t);
-    }
-    pthread_mutex_unlock(&env->lock);
-    return rc == 0;
+bool
+env_wait_ended(struct env *env)
+{
+    return wait_value(env, &env->ended, 1);
 }
 
 /* Client. */
@@ -915,7 +887,7 @@
 {
     enum ggw_attempt_result result = GGW_ATTEMPT_UNUSED;
 
-    if (env_wait_len(env, &env->releases, i + 1)) {
+    if (env_wait_len(env, env->releases, (int)i + 1)) {
         pthread_mutex_lock(&env->lock);
         result =
             g_array_index(env->releases, struct ggw_slot_release, i).result;
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -30,6 +30,7 @@
     SCRIPT_ERROR_500,
     SCRIPT_RESET,       /* resets after the request, without a byte */
     SCRIPT_RESET_HEAD,  /* resets inside the head */
+    SCRIPT_LARGE_HEAD,  /* a head without an end */
     SCRIPT_SHORT,       /* closes before Content-Length is reached */
     SCRIPT_SHORT_CHUNK, /* closes before the last chunk */
     SCRIPT_UNFRAMED,    /* neither length nor chunks */
@@ -83,7 +84,7 @@
     GQueue posted;
     bool stop;
     bool running;
-    bool ended;
+    int ended;
 
     struct env_server servers[ENV_SERVERS];
     enum {
@@ -133,7 +134,7 @@
 
 /* Waits for a condition on @value under the lock; false after 10 s. */
 bool env_wait(struct env *env, const int *value, int at_least);
-bool env_wait_len(struct env *env, GArray **array, guint at_least);
+bool env_wait_len(struct env *env, GArray *array, int at_least);
 
 /* Opens a connection to the gateway. */
 int env_connect(struct env *env);
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -131,6 +131,7 @@
         {SCRIPT_ERROR_500, 500, "done", "", GGW_ATTEMPT_ERROR},
         {SCRIPT_RESET, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
         {SCRIPT_RESET_HEAD, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
+        {SCRIPT_LARGE_HEAD, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
         {SCRIPT_UNFRAMED, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
         {SCRIPT_BOTH_FRAMED, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
         {SCRIPT_WRONG_ID, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
@@ -353,7 +354,7 @@
     env_send(
         env, "proxy",
         ggw_probe_request_new("s0", "127.0.0.1", env->servers[0].port, 1000));
-    CU_ASSERT_TRUE(env_wait_len(env, &env->probe_results, 1));
+    CU_ASSERT_TRUE(env_wait_len(env, env->probe_results, 1));
     result = &g_array_index(env->probe_results, struct ggw_probe_result, 0);
     CU_ASSERT_TRUE(result->answered);
     CU_ASSERT_TRUE(result->report.cold);
@@ -361,7 +362,7 @@
     env_send(
         env, "proxy",
         ggw_probe_request_new("s0", "127.0.0.1", env->servers[0].port, 100));
-    CU_ASSERT_TRUE(env_wait_len(env, &env->probe_results, 2));
+    CU_ASSERT_TRUE(env_wait_len(env, env->probe_results, 2));
     result = &g_array_index(env->probe_results, struct ggw_probe_result, 1);
     CU_ASSERT_FALSE(result->answered);
     env_stop(env);
--- a/tests/test_proxy_order.c
+++ b/tests/test_proxy_order.c
@@ -16,7 +16,7 @@
     enum ggw_claim_end end = GGW_CLAIM_END_UNKNOWN;
 
     *status = -1;
-    if (env_wait_len(env, &env->settles, i + 1)) {
+    if (env_wait_len(env, env->settles, (int)i + 1)) {
         pthread_mutex_lock(&env->lock);
         end = g_array_index(env->settles, struct ggw_claim_settle, i).end;
         *status =
