proxy: refuse orders whose name is ambiguous

An escaped slash in the path or a repeated order header could give one order two claims, or two orders one. A hedge that waits for a slot no longer outlives the deadline.

--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -94,6 +94,17 @@
     return NULL;
 }
 
+char *
+ggw_headers_only(const h2o_req_t *req, const char *name)
+{
+    int found = 0;
+
+    for (size_t i = 0; i < req->headers.size; i++) {
+        found += name_is(req->headers.entries[i].name, name) ? 1 : 0;
+    }
+    return found == 1 ? ggw_headers_find(req, name) : NULL;
+}
+
 GString *
 ggw_headers_forward(const h2o_req_t *req)
 {
--- a/proxy/headers.h
+++ b/proxy/headers.h
@@ -17,6 +17,13 @@
  */
 char *ggw_headers_find(const h2o_req_t *req, const char *name);
 
+/**
+ * ggw_headers_only() - value of a header that a request must not repeat
+ *
+ * Return: NULL without it or with more than one; the caller frees it.
+ */
+char *ggw_headers_only(const h2o_req_t *req, const char *name);
+
 /**
  * ggw_headers_forward() - headers of a request for the backend server
  *
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -262,10 +262,10 @@
     if (r->attempts[0] != NULL) {
         return;
     }
-    if (r->slot_tag != 0) {
+    if (r->slot_tag != 0 && now < r->retry.deadline) {
         return; /* the hedge that waits for a slot takes over */
     }
-    uv_timer_stop(&r->hedge_timer);
+    ggw_request_stop_waiting(r);
     if (r->x == NULL) {
         finish(r, 503, "client-left", 0);
         return;
@@ -603,10 +603,10 @@
     if (f.kind->idempotency == GGW_AT_MOST_ONCE) {
         g_autofree char *header =
             f.kind->order_header != NULL
-                ? ggw_headers_find(req, f.kind->order_header)
+                ? ggw_headers_only(req, f.kind->order_header)
                 : NULL;
 
-        order = ggw_route_order(f.kind, route->plain, header);
+        order = ggw_route_order(f.kind, route, header);
         if (order == NULL) {
             refuse(x, 400, "no-order", 0);
             return;
--- a/proxy/route.c
+++ b/proxy/route.c
@@ -111,11 +111,31 @@
     memset(route, 0, sizeof(*route));
 }
 
+/*
+ * Servers disagree on whether an escaped slash divides segments, so a path
+ * with one does not name an order.
+ */
+static bool
+has_escaped_slash(const char *forward)
+{
+    size_t len = strcspn(forward, "?");
+
+    for (size_t i = 0; i + 2 < len; i++) {
+        if (g_ascii_strncasecmp(forward + i, "%2f", 3) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static char *
-path_segment(const char *plain, int index)
+path_segment(const struct ggw_route *route, int index)
 {
-    g_auto(GStrv) segments = g_strsplit(plain, "/", -1);
+    g_auto(GStrv) segments = g_strsplit(route->plain, "/", -1);
 
+    if (has_escaped_slash(route->forward)) {
+        return NULL;
+    }
     /* The first element stands before the leading slash. */
     for (int i = 0; segments[i] != NULL; i++) {
         if (i == index + 1) {
@@ -126,12 +146,12 @@
 }
 
 char *
-ggw_route_order(const struct ggw_kind *kind, const char *plain,
+ggw_route_order(const struct ggw_kind *kind, const struct ggw_route *route,
                 const char *header)
 {
     char *order = kind->order_source == GGW_ORDER_FROM_HEADER
                       ? g_strdup(header)
-                      : path_segment(plain, kind->order_segment);
+                      : path_segment(route, kind->order_segment);
 
     if (order == NULL) {
         return NULL;
--- a/proxy/route.h
+++ b/proxy/route.h
@@ -38,9 +38,10 @@
  * ggw_route_order() - the identifier of an order
  * @header: value of the kind's header, or NULL
  *
- * Return: NULL when the request has none; the caller frees it.
+ * Return: NULL when the request has none, or when the segments of its path
+ * are ambiguous; the caller frees it.
  */
-char *ggw_route_order(const struct ggw_kind *kind, const char *plain,
-                      const char *header);
+char *ggw_route_order(const struct ggw_kind *kind,
+                      const struct ggw_route *route, const char *header);
 
 #endif
--- a/tests/test_proxy_order.c
+++ b/tests/test_proxy_order.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "proxy/route.h"
 #include "tests/proxy_env.h"
 #include "tests/suite.h"
 
@@ -103,6 +104,10 @@
     CU_ASSERT_TRUE(env_expect(
         env, "POST /team/svc/order HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400,
         "not-run", "no-order"));
+    CU_ASSERT_TRUE(env_expect(env,
+                              "POST /team/svc/order HTTP/1.1\r\nX-Order: 1\r\n"
+                              "X-Order: 2\r\nContent-Length: 0\r\n\r\n",
+                              400, "not-run", "no-order"));
     CU_ASSERT_EQUAL(env->claims_asked, 0);
     env->claim_state = GGW_CLAIM_DONE;
     r = env_ask(env, ORDER);
@@ -126,6 +131,34 @@
     env_stop(env);
 }
 
+/* Guards against two orders with one claim, or one order with two. */
+static void
+test_order_names(void)
+{
+    static const struct {
+        const char *path;
+        const char *order;
+    } cases[] = {
+        {"/t/s/order/A1/x", "A1"},     {"/t/s/order/%411?q", "A1"},
+        {"/t/s/order/A%2F1", NULL},    {"/t/s/order", NULL},
+        {"/t/s/order/?x/A1", NULL},    {"/t/s/order/%20", NULL},
+        {"/t/s/order/A1?a=%2f", "A1"},
+    };
+    const struct ggw_kind kind = {.order_source = GGW_ORDER_FROM_PATH,
+                                  .order_segment = 1};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ggw_route route;
+        g_autofree char *order = NULL;
+
+        CU_ASSERT_TRUE(
+            ggw_route_parse(&route, cases[i].path, strlen(cases[i].path)));
+        order = ggw_route_order(&kind, &route, NULL);
+        CU_ASSERT_EQUAL(g_strcmp0(order, cases[i].order), 0);
+        ggw_route_clear(&route);
+    }
+}
+
 /*
  * Guards against another kind of request that reaches the path of an order
  * in an escaped form, past the claim.
@@ -203,6 +236,7 @@
         {"results", test_results},
         {"not run", test_not_run},
         {"claims", test_claims},
+        {"order names", test_order_names},
         {"escaped path", test_escaped_path},
         {"client leaves", test_client_leaves},
         {"late claim", test_late_claim},
