--- a/proxy/pages.c
+++ b/proxy/pages.c
@@ -1,4 +1,5 @@
 #include <jansson.h>
+#include <math.h>
 #include <string.h>
 
 #include "common/address.h"
@@ -139,9 +140,7 @@
     add_gateways(proxy, tree, domain, true, addresses, gateways);
     add_gateways(proxy, tree, domain, false, addresses, gateways);
     g_snprintf(age, sizeof(age), "max-age=%.0f",
-               proxy->options.keep / 1e3 - 0.5 < 0
-                   ? 0
-                   : (double)(long)(proxy->options.keep / 1e3));
+               floor(proxy->options.keep / 1e3));
     value = h2o_strdup(&req->pool, age, SIZE_MAX);
     h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CACHE_CONTROL,
                    NULL, value.base, value.len);
