config: keep polling while earlier reads are unanswered

A read without an answer held back the next one for its timeout of 2 s. Now up to 4 reads of the settings, and of the list of VMs, are open at a time.

--- a/config/config.c
+++ b/config/config.c
@@ -13,8 +13,12 @@
 
 #define PART "config"
 
-/* An unanswered read must not delay the next for long. */
+/*
+ * A slow platform may take this long; the next reads do not wait for it, so
+ * that a silent one delays a change by little when it answers again.
+ */
 #define READ_TIMEOUT 2000
+#define MAX_READS 4
 
 /* Repairs a CONFIG_PUT lost with a link; the target is 3 s to everywhere. */
 #define ASK_PEERS_MS 2000
@@ -49,7 +53,8 @@
     GHashTable *teams; /* name, struct team */
     int64_t seen;      /* highest mod_revision read */
     unsigned reads;
-    unsigned alive; /* other gateways */
+    unsigned reads_open; /* without a result yet */
+    unsigned alive;      /* other gateways */
     uint64_t next_request;
 };
 
@@ -180,6 +185,7 @@
     if (p->reads++ % FULL_READ_EVERY != 0) {
         txn->min_mod_revision = p->seen + 1;
     }
+    p->reads_open++;
     ggw_txn_read(txn, GGW_CONFIG_PREFIX);
     ggw_kernel_send(p->base.kernel, "platform", &p->base, &txn->base);
 }
@@ -187,7 +193,13 @@
 static void
 poll_cb(uv_timer_t *timer)
 {
-    read_table(timer->data);
+    struct priv *p = timer->data;
+    double jitter = g_rand_double_range(p->rand, 0.9, 1.1);
+
+    if (p->reads_open < MAX_READS) {
+        read_table(p);
+    }
+    uv_timer_start(timer, poll_cb, (uint64_t)(p->poll * jitter), 0);
 }
 
 static void
@@ -213,8 +225,7 @@
 static void
 receive_rows(struct priv *p, const struct ggw_txn_result *result)
 {
-    double jitter = g_rand_double_range(p->rand, 0.9, 1.1);
-
+    p->reads_open--;
     if (result->status == GGW_PLATFORM_OK) {
         for (guint i = 0; i < result->rows->len; i++) {
             const struct ggw_row *row =
@@ -226,7 +237,6 @@
             }
         }
     }
-    uv_timer_start(&p->poll_timer, poll_cb, (uint64_t)(p->poll * jitter), 0);
 }
 
 /* Asks all peers for what is newer than the settings in force. */
@@ -352,7 +362,7 @@
     uv_timer_init(loop, &p->ask_timer);
     p->ask_timer.data = p;
     uv_timer_start(&p->ask_timer, ask_cb, 0, ASK_PEERS_MS);
-    read_table(p);
+    uv_timer_start(&p->poll_timer, poll_cb, 0, 0);
     return true;
 }
 
--- a/config/vms.c
+++ b/config/vms.c
@@ -11,15 +11,17 @@
 
 #define PART "vms"
 
-/* An unanswered read must not delay the next for long. */
+/* As for the settings: a silent read must not delay the next ones. */
 #define READ_TIMEOUT 2000
+#define MAX_READS 4
 
 struct priv {
     struct ggw_service base;
     char *key;
     ggw_ms poll;
     uv_timer_t timer;
-    char *etag; /* of the last list that was read without error */
+    unsigned reads_open; /* without a result yet */
+    char *etag;          /* of the last list that was read without error */
     struct ggw_vm_list *list;
 };
 
@@ -224,17 +226,16 @@
     return &m->base;
 }
 
-static void
-read_list(struct priv *p)
-{
-    ggw_kernel_send(p->base.kernel, "platform", &p->base,
-                    ggw_object_request_new(p->key, p->etag, READ_TIMEOUT));
-}
-
 static void
 timer_cb(uv_timer_t *timer)
 {
-    read_list(timer->data);
+    struct priv *p = timer->data;
+
+    if (p->reads_open < MAX_READS) {
+        p->reads_open++;
+        ggw_kernel_send(p->base.kernel, "platform", &p->base,
+                        ggw_object_request_new(p->key, p->etag, READ_TIMEOUT));
+    }
 }
 
 /* Versions never go back, although the object store may serve an old one. */
@@ -287,10 +288,10 @@
     if (message->ops != &ggw_object_result_ops) {
         return;
     }
+    p->reads_open--;
     if (result->status == GGW_PLATFORM_OK && result->body != NULL) {
         read_body(p, result);
     }
-    uv_timer_start(&p->timer, timer_cb, (uint64_t)p->poll, 0);
 }
 
 static bool
@@ -300,7 +301,7 @@
 
     uv_timer_init(ggw_kernel_loop(service->kernel), &p->timer);
     p->timer.data = p;
-    read_list(p);
+    uv_timer_start(&p->timer, timer_cb, 0, (uint64_t)p->poll);
     return true;
 }
 
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -12,11 +12,15 @@
 #define BAD_TREE "{\"failure_domain\":{}}"
 #define MAX_SEEN 16
 
-/* One answer of the fake table service; revision 0 has no row. */
+/*
+ * One answer of the fake table service; revision 0 has no row. A silent one
+ * never comes.
+ */
 struct answer {
     enum ggw_platform_status status;
     uint64_t revision;
     const char *tree;
+    bool silent;
 };
 
 /* A frame that the fake service "peers" delivers at the start. */
@@ -60,6 +64,9 @@
     }
     w->min_mod[w->reads] = txn->min_mod_revision;
     a = &w->answers[w->reads++];
+    if (a->silent) {
+        return;
+    }
     result = ggw_txn_result_new(a->status);
     if (a->revision > 0) {
         row.key = g_strdup("config/team");
@@ -223,10 +230,13 @@
 test_platform_never_reverts(void)
 {
     static const struct answer answers[] = {
-        {GGW_PLATFORM_OK, 0, NULL},      {GGW_PLATFORM_OK, 5, TREE},
-        {GGW_PLATFORM_UNKNOWN, 9, TREE}, {GGW_PLATFORM_OK, 4, TREE},
-        {GGW_PLATFORM_OK, 6, BAD_TREE},  {GGW_PLATFORM_OK, 5, TREE},
-        {GGW_PLATFORM_OK, 7, TREE},
+        {GGW_PLATFORM_OK, 0, NULL, false},
+        {GGW_PLATFORM_OK, 5, TREE, false},
+        {GGW_PLATFORM_UNKNOWN, 9, TREE, false},
+        {GGW_PLATFORM_OK, 4, TREE, false},
+        {GGW_PLATFORM_OK, 6, BAD_TREE, false},
+        {GGW_PLATFORM_OK, 5, TREE, false},
+        {GGW_PLATFORM_OK, 7, TREE, false},
     };
     struct world w = {
         .answers = answers,
@@ -255,9 +265,9 @@
 test_outage_at_start(void)
 {
     static const struct answer answers[] = {
-        {GGW_PLATFORM_NOT_SENT, 0, NULL},
-        {GGW_PLATFORM_UNKNOWN, 0, NULL},
-        {GGW_PLATFORM_NOT_SENT, 0, NULL},
+        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
+        {GGW_PLATFORM_UNKNOWN, 0, NULL, false},
+        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
     };
     struct world w = {
         .answers = answers,
@@ -288,13 +298,13 @@
 test_spreads_during_outage(void)
 {
     static const struct answer first_answers[] = {
-        {GGW_PLATFORM_OK, 1, TREE},
-        {GGW_PLATFORM_OK, 2, TREE},
-        {GGW_PLATFORM_NOT_SENT, 0, NULL},
+        {GGW_PLATFORM_OK, 1, TREE, false},
+        {GGW_PLATFORM_OK, 2, TREE, false},
+        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
     };
     static const struct answer second_answers[] = {
-        {GGW_PLATFORM_NOT_SENT, 0, NULL},
-        {GGW_PLATFORM_NOT_SENT, 0, NULL},
+        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
+        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
     };
     struct world first = {
         .answers = first_answers,
@@ -328,6 +338,27 @@
     world_clear(&second);
 }
 
+/* Guards against a silent read that holds back the next ones. */
+static void
+test_silent_platform(void)
+{
+    static const struct answer answers[] = {
+        {.silent = true},
+        {.silent = true},
+        {GGW_PLATFORM_OK, 1, TREE, false},
+        {GGW_PLATFORM_OK, 2, TREE, false},
+    };
+    struct world w = {
+        .answers = answers,
+        .answers_len = G_N_ELEMENTS(answers),
+    };
+
+    run(&w);
+    CU_ASSERT_EQUAL_FATAL(w.in_force_len, 2);
+    CU_ASSERT_EQUAL(w.in_force[1], 2);
+    world_clear(&w);
+}
+
 /* Guards against a row that was cut off or written by something else. */
 static void
 test_malformed_rows(void)
@@ -361,6 +392,7 @@
     CU_add_test(suite, "never reverts", test_platform_never_reverts);
     CU_add_test(suite, "outage at start", test_outage_at_start);
     CU_add_test(suite, "spreads in outage", test_spreads_during_outage);
+    CU_add_test(suite, "silent platform", test_silent_platform);
     CU_add_test(suite, "malformed rows", test_malformed_rows);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
