--- a/tests/session.c
+++ b/tests/session.c
@@ -19,6 +19,7 @@
     {"\\b1[0-9]{12}\\b", "UNIX_MS"},
     {"\\b[0-9a-f]{16,}\\b", "ID"},
     {"(busy|queue|cold)=\\d+", "\\1=N"},
+    {"\\bgw\\d+-\\d+\\b", "ID"},
     {"/tmp/\\S+", "FILE"},
     {"x-backend-server: \\S+", "x-backend-server: SERVER"},
     {"\"server\":\"[^\"]+\"", "\"server\":\"SERVER\""},
--- a/tests/system.c
+++ b/tests/system.c
@@ -7,6 +7,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "config/row.h"
+
 /* Start of a process under a sanitizer on a busy machine. */
 #define START_LIMIT_MS 20000
 
@@ -257,7 +259,6 @@
     add_args(argv, args);
     add_flag(argv, "--team", s->options.team);
     add_flag(argv, "--platform", s->platform_address);
-    add_flag(argv, "--gateway", s->gateways[0].address);
     add_flag(argv, "--who", "tester");
     g_ptr_array_add(argv, NULL);
     g_spawn_sync(NULL, (char **)argv->pdata, NULL, G_SPAWN_DEFAULT, NULL, NULL,
@@ -269,15 +270,41 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-/* Applies the settings of the example with the options' changes. */
+/* Writes a row of the table service as the etcd v3 JSON mapping has it. */
 static void
-apply_settings(struct system *s)
+put_row(struct system *s, const char *key, const char *value)
+{
+    g_autofree char *k = g_base64_encode((const guchar *)key, strlen(key));
+    g_autofree char *v = g_base64_encode((const guchar *)value, strlen(value));
+    g_autofree char *txn = g_strdup_printf(
+        "{\"success\":[{\"requestPut\":{\"key\":\"%s\",\"value\":\"%s\"}}]}",
+        k, v);
+    struct reply *r =
+        client_request(s->platform_address, "POST", "/v3/kv/txn", NULL, txn);
+
+    if (r->status != 200) {
+        g_error("the platform refused a row: %s", reply_text(r));
+    }
+    reply_free(r);
+}
+
+/* Writes the settings of the example, with the options' changes, as the first
+ * revision. */
+static void
+write_settings(struct system *s)
 {
     json_t *tree = json_load_file(s->options.settings, 0, NULL);
-    g_autofree char *path = NULL, *out = NULL;
+    g_autofree char *key = g_strconcat("config/", s->options.team, NULL);
+    struct ggw_config_row row = {
+        .revision = 1,
+        .change = (char *)"start",
+        .who = (char *)"tester",
+        .when = (char *)"2026-01-01T00:00:00Z",
+        .tree = tree,
+    };
+    g_autofree char *text = NULL;
     const char *name;
     json_t *service;
-    int fd = g_file_open_tmp("ggw-settings-XXXXXX", &path, NULL);
 
     json_object_foreach(json_object_get(tree, "services"), name, service)
     {
@@ -286,13 +313,9 @@
                                 json_integer(s->options.cold_ms));
         }
     }
-    json_dumpfd(tree, fd, JSON_COMPACT);
-    close(fd);
+    text = ggw_config_row_text(&row);
+    put_row(s, key, text);
     json_decref(tree);
-    if (system_verb(s, &out, (const char *[]){"apply", path, NULL}) != 0) {
-        g_error("the settings were not applied: %s", out);
-    }
-    unlink(path);
 }
 
 void
@@ -367,7 +390,7 @@
     }
     system_publish_vms(s);
     if (options->settings != NULL) {
-        apply_settings(s);
+        write_settings(s);
     }
     for (int i = 0; i < gateways_len; i++) {
         system_start_gateway(s, i);
@@ -574,18 +597,36 @@
     return value != NULL ? *value : 0;
 }
 
-double
-system_load_served(const struct system_load *load, const char *kind)
+/* One count of the control page; @result is NULL for a count of its own. */
+static double
+load_count(const struct system_load *load, const char *kind,
+           const char *member, const char *result)
 {
     struct reply *r =
         client_request(load->control, "GET", "/-/counts", NULL, NULL);
     json_t *counts = json_loads(reply_text(r), 0, NULL);
-    double served = json_number_value(
-        json_object_get(json_object_get(counts, kind), "served"));
+    const json_t *value =
+        json_object_get(json_object_get(counts, kind), member);
+    double number;
 
+    value = result != NULL ? json_object_get(value, result) : value;
+    number = json_number_value(value);
     json_decref(counts);
     reply_free(r);
-    return served;
+    return number;
+}
+
+double
+system_load_served(const struct system_load *load, const char *kind)
+{
+    return load_count(load, kind, "served", NULL);
+}
+
+double
+system_load_result(const struct system_load *load, const char *kind,
+                   const char *result)
+{
+    return load_count(load, kind, "results", result);
 }
 
 void
--- a/tests/system.h
+++ b/tests/system.h
@@ -137,6 +137,10 @@
 
 /* Requests of a kind served so far. */
 double system_load_served(const struct system_load *load, const char *kind);
+
+/* Requests of a kind with another result so far, such as "refused_shed". */
+double system_load_result(const struct system_load *load, const char *kind,
+                          const char *result);
 void system_load_free(struct system_load *load);
 
 #endif
--- /dev/null
+++ b/tests/test_proof_leave.c
@@ -0,0 +1,207 @@
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "tests/suite.h"
+#include "tests/system.h"
+
+/* Requirements R3 and R7. */
+#define BOUND_MS 3000
+
+/* Time of the observation: well past the bound. */
+#define WATCH_MS (BOUND_MS + 2000)
+
+/* SIGTERM: serve for keep time (2 s) + 1 s, then finish requests. */
+#define STOP_LIMIT_MS 15000
+
+static const char *const mix[] = {
+    "--kind", "status,3,GET,/nile-strand/strand-status/status/{id}?id={id}",
+    "--kind", "order,1,POST,/nile-strand/repair-orders/orders/{id}",
+    "--kind", "record,1,GET,/nile-strand/archive/body/{size}?id={id},20000",
+    "--rate", "150",
+    NULL,
+};
+
+static const char *const kinds[] = {"status", "order", "record"};
+
+static double watch_until;
+
+static bool
+watched(void *data)
+{
+    return system_wall_ms() >= watch_until;
+}
+
+struct work {
+    struct system *s;
+    const char *domain;
+    double started;
+};
+
+static bool
+has_started(void *data)
+{
+    const struct work *w = data;
+
+    return system_sum(w->s, "started", NULL, w->domain) >= w->started;
+}
+
+static bool
+await_work(struct system *s, const char *domain, double more)
+{
+    struct work w = {s, domain, system_sum(s, "started", NULL, domain) + more};
+
+    return client_await(has_started, &w, 30000);
+}
+
+static void
+check_no_failures(const struct system_load *load)
+{
+    for (guint i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        g_autofree char *sent = g_strconcat(kinds[i], "_sent", NULL);
+        g_autofree char *served = g_strconcat(kinds[i], "_served", NULL);
+
+        CU_ASSERT_EQUAL(system_load_figure(load, sent),
+                        system_load_figure(load, served));
+    }
+}
+
+static int
+gateways_with_revision(struct system *s, int revision)
+{
+    int n = 0;
+
+    for (int i = 0; i < SYSTEM_GATEWAYS; i++) {
+        struct reply *r = client_request(s->gateways[i].address, "GET",
+                                         "/-/status", NULL, NULL);
+        json_t *status = json_loads(reply_text(r), 0, NULL);
+        const json_t *revisions = json_object_get(status, "revisions");
+
+        n += json_integer_value(json_object_get(revisions, s->options.team)) >=
+             revision;
+        json_decref(status);
+        reply_free(r);
+    }
+    return n;
+}
+
+static bool
+any_has_revision(void *data)
+{
+    return gateways_with_revision(data, 2) > 0;
+}
+
+/* R3, R9. Guards against a domain that gets new work after the bound when the
+ * platform goes down as soon as the first gateway has read the change. */
+static void
+test_domain_out(void)
+{
+    struct system *s = system_new(&system_cairo, SYSTEM_GATEWAYS);
+    struct system_load *load = system_load_start(s, mix);
+    double begin, last, others;
+
+    CU_ASSERT(await_work(s, "cairo-b", 50));
+    begin = system_wall_ms();
+    CU_ASSERT_EQUAL(
+        system_verb(s, NULL, (const char *[]){"domain-out", "cairo-b", NULL}),
+        0);
+    printf("    domain_out_verb %.0f ms\n", system_wall_ms() - begin);
+    CU_ASSERT(client_await(any_has_revision, s, BOUND_MS));
+    system_platform_fault(s, "{\"mode\":\"down\",\"prefix\":\"config/\"}");
+    printf("    domain_out_platform_down %.0f ms, gateways that know %d\n",
+           system_wall_ms() - begin, gateways_with_revision(s, 2));
+    watch_until = begin + WATCH_MS;
+    CU_ASSERT(client_await(watched, NULL, WATCH_MS + 1000));
+    last = system_max(s, "last_new_ms", NULL, "cairo-b");
+    others = system_max(s, "last_new_ms", NULL, "cairo-a");
+    printf("    domain_out_last_new %.0f ms, gateways that know %d\n",
+           last - begin, gateways_with_revision(s, 2));
+    CU_ASSERT(last - begin <= BOUND_MS);
+    CU_ASSERT(others > begin + BOUND_MS);
+    system_platform_fault(s, "{\"mode\":\"none\"}");
+    system_load_finish(load);
+    CU_ASSERT_EQUAL(system_load_figure(load, "orders_ran_twice"), 0);
+    system_load_free(load);
+    CU_ASSERT(system_free(s));
+}
+
+/* R7. Guards against new work for a server that only the VM list calls
+ * leaving. */
+static void
+test_leaving_in_list(void)
+{
+    struct system *s = system_new(&system_cairo, SYSTEM_GATEWAYS);
+    struct system_load *load = system_load_start(s, mix);
+    double begin, last;
+
+    CU_ASSERT(await_work(s, "cairo-b", 50));
+    for (guint i = 0; i < s->servers->len; i++) {
+        struct system_server *server = g_ptr_array_index(s->servers, i);
+
+        server->leaving = strcmp(server->domain, "cairo-b") == 0 &&
+                          strcmp(server->service, "archive") != 0;
+    }
+    begin = system_wall_ms();
+    system_publish_vms(s);
+    watch_until = begin + WATCH_MS;
+    CU_ASSERT(client_await(watched, NULL, WATCH_MS + 1000));
+    last = MAX(system_max(s, "last_new_ms", "strand-status", "cairo-b"),
+               system_max(s, "last_new_ms", "repair-orders", "cairo-b"));
+    printf("    leaving_last_new %.0f ms\n", last - begin);
+    CU_ASSERT(last - begin <= BOUND_MS);
+    CU_ASSERT(system_max(s, "last_new_ms", "archive", "cairo-b") >
+              begin + BOUND_MS);
+    system_load_finish(load);
+    check_no_failures(load);
+    system_load_free(load);
+    CU_ASSERT(system_free(s));
+}
+
+struct stopping {
+    struct system *s;
+    int gateway;
+};
+
+static bool
+has_ended(void *data)
+{
+    const struct stopping *st = data;
+    siginfo_t info = {0};
+
+    waitid(P_PID, (id_t)st->s->gateways[st->gateway].process.pid, &info,
+           WEXITED | WNOHANG | WNOWAIT);
+    return info.si_pid != 0;
+}
+
+/* R8. Guards against requests that a gateway drops when it is asked to
+ * stop. */
+static void
+test_graceful_stop(void)
+{
+    struct system *s = system_new(&system_cairo, SYSTEM_GATEWAYS);
+    struct system_load *load = system_load_start(s, mix);
+    struct stopping st = {s, 1};
+
+    CU_ASSERT(await_work(s, NULL, 100));
+    system_signal_gateway(s, 1, SIGTERM);
+    CU_ASSERT_FATAL(client_await(has_ended, &st, STOP_LIMIT_MS));
+    CU_ASSERT_EQUAL(system_wait_gateway(s, 1), 0);
+    CU_ASSERT(await_work(s, NULL, 100));
+    CU_ASSERT_EQUAL(system_load_finish(load), 0);
+    check_no_failures(load);
+    system_load_free(load);
+    CU_ASSERT(system_free(s));
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"failure domain taken out", test_domain_out},
+        {"server leaving in the VM list", test_leaving_in_list},
+        {"graceful stop", test_graceful_stop},
+        CU_TEST_INFO_NULL,
+    };
+
+    return suite_run("proof of leaving", tests);
+}
