--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -18,9 +18,9 @@
  */
 struct answer {
     enum ggw_platform_status status;
+    bool silent;
     uint64_t revision;
     const char *tree;
-    bool silent;
 };
 
 /* A frame that the fake service "peers" delivers at the start. */
@@ -230,13 +230,13 @@
 test_platform_never_reverts(void)
 {
     static const struct answer answers[] = {
-        {GGW_PLATFORM_OK, 0, NULL, false},
-        {GGW_PLATFORM_OK, 5, TREE, false},
-        {GGW_PLATFORM_UNKNOWN, 9, TREE, false},
-        {GGW_PLATFORM_OK, 4, TREE, false},
-        {GGW_PLATFORM_OK, 6, BAD_TREE, false},
-        {GGW_PLATFORM_OK, 5, TREE, false},
-        {GGW_PLATFORM_OK, 7, TREE, false},
+        {GGW_PLATFORM_OK, false, 0, NULL},
+        {GGW_PLATFORM_OK, false, 5, TREE},
+        {GGW_PLATFORM_UNKNOWN, false, 9, TREE},
+        {GGW_PLATFORM_OK, false, 4, TREE},
+        {GGW_PLATFORM_OK, false, 6, BAD_TREE},
+        {GGW_PLATFORM_OK, false, 5, TREE},
+        {GGW_PLATFORM_OK, false, 7, TREE},
     };
     struct world w = {
         .answers = answers,
@@ -265,9 +265,9 @@
 test_outage_at_start(void)
 {
     static const struct answer answers[] = {
-        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
-        {GGW_PLATFORM_UNKNOWN, 0, NULL, false},
-        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
+        {GGW_PLATFORM_NOT_SENT, false, 0, NULL},
+        {GGW_PLATFORM_UNKNOWN, false, 0, NULL},
+        {GGW_PLATFORM_NOT_SENT, false, 0, NULL},
     };
     struct world w = {
         .answers = answers,
@@ -298,13 +298,13 @@
 test_spreads_during_outage(void)
 {
     static const struct answer first_answers[] = {
-        {GGW_PLATFORM_OK, 1, TREE, false},
-        {GGW_PLATFORM_OK, 2, TREE, false},
-        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
+        {GGW_PLATFORM_OK, false, 1, TREE},
+        {GGW_PLATFORM_OK, false, 2, TREE},
+        {GGW_PLATFORM_NOT_SENT, false, 0, NULL},
     };
     static const struct answer second_answers[] = {
-        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
-        {GGW_PLATFORM_NOT_SENT, 0, NULL, false},
+        {GGW_PLATFORM_NOT_SENT, false, 0, NULL},
+        {GGW_PLATFORM_NOT_SENT, false, 0, NULL},
     };
     struct world first = {
         .answers = first_answers,
@@ -345,8 +345,8 @@
     static const struct answer answers[] = {
         {.silent = true},
         {.silent = true},
-        {GGW_PLATFORM_OK, 1, TREE, false},
-        {GGW_PLATFORM_OK, 2, TREE, false},
+        {GGW_PLATFORM_OK, false, 1, TREE},
+        {GGW_PLATFORM_OK, false, 2, TREE},
     };
     struct world w = {
         .answers = answers,
