--- /dev/null
+++ b/decide/ledger.h
@@ -0,0 +1,83 @@
+#ifndef GGW_DECIDE_LEDGER_H
+#define GGW_DECIDE_LEDGER_H
+
+#include "decide/admission.h"
+#include "decide/latency.h"
+#include "decide/policy.h"
+#include "decide/slots.h"
+
+/* State that decide/slots.c and decide/ledger.c share. */
+
+struct ggw_ledger_entry {
+    char *name;
+    struct ggw_limit limit;
+    bool closed;
+    bool out;
+    bool listed;  /* mark while the list is applied */
+    bool touched; /* this owner has had a result or report of it */
+    int in_flight;
+    bool reported;
+    int load;
+    ggw_ms reported_at;
+    ggw_ms latency;
+};
+
+struct ggw_ledger_key {
+    char *holder;
+    uint64_t id;
+};
+
+/* @done: the attempt failed fast and still counts for a while */
+struct ggw_ledger_grant {
+    struct ggw_ledger_key key;
+    struct ggw_ledger_entry *server;
+    ggw_ms started;
+    ggw_ms expires;
+    GSequenceIter *iter;
+    bool done;
+};
+
+struct ggw_ledger_waiting {
+    struct ggw_ledger_key key;
+    uint64_t seq; /* its id in the queue */
+    int priority;
+    ggw_ms deadline;
+    char **avoid;
+};
+
+struct ggw_ledger {
+    const struct ggw_ledger_gate *gate;
+    GRand *rand;
+    struct ggw_limit_rule rule;
+    GPtrArray *servers; /* of struct ggw_ledger_entry */
+    GHashTable *grants; /* struct ggw_ledger_key to struct ggw_ledger_grant */
+    GSequence *by_expiry; /* of struct ggw_ledger_grant */
+    GHashTable
+        *waiting;   /* struct ggw_ledger_key to struct ggw_ledger_waiting */
+    GQueue blocked; /* of struct ggw_ledger_waiting that avoid what is free */
+    struct ggw_admission *queue;
+    struct ggw_latency latency;
+    struct ggw_policy policy;
+    GQueue decisions;
+    GArray *candidates;
+    uint64_t next_seq;
+    ggw_ms hold_until;
+};
+
+/* decide/slots.c */
+struct ggw_ledger_entry *ggw_ledger_find_server(const struct ggw_ledger *l,
+                                                const char *name);
+
+/* Whether anything may be granted on a server, apart from its limit. */
+bool ggw_ledger_is_open(const struct ggw_ledger *l,
+                        const struct ggw_ledger_entry *s, ggw_ms now);
+void ggw_ledger_add_grant(struct ggw_ledger *l,
+                          const struct ggw_ledger_key *key,
+                          struct ggw_ledger_entry *s, ggw_ms expires,
+                          ggw_ms now);
+void ggw_ledger_drop_grant(struct ggw_ledger *l, struct ggw_ledger_grant *g);
+
+/* Gives free slots to waiting requests. */
+void ggw_ledger_serve(struct ggw_ledger *l, ggw_ms now);
+
+#endif
--- /dev/null
+++ b/decide/slots.c
@@ -0,0 +1,657 @@
+#include <string.h>
+
+#include "decide/ledger.h"
+
+static guint
+key_hash(gconstpointer p)
+{
+    const struct ggw_ledger_key *k = p;
+
+    return g_str_hash(k->holder) ^ (guint)k->id ^ (guint)(k->id >> 32);
+}
+
+static gboolean
+key_equal(gconstpointer a, gconstpointer b)
+{
+    const struct ggw_ledger_key *x = a;
+    const struct ggw_ledger_key *y = b;
+
+    return x->id == y->id && strcmp(x->holder, y->holder) == 0;
+}
+
+static void
+server_free(gpointer data)
+{
+    struct ggw_ledger_entry *s = data;
+
+    g_free(s->name);
+    g_free(s);
+}
+
+static void
+waiting_free(gpointer data)
+{
+    struct ggw_ledger_waiting *w = data;
+
+    g_free(w->key.holder);
+    g_strfreev(w->avoid);
+    g_free(w);
+}
+
+static void
+grant_free(gpointer data)
+{
+    struct ggw_ledger_grant *g = data;
+
+    g_free(g->key.holder);
+    g_free(g);
+}
+
+struct ggw_ledger *
+ggw_ledger_new(const struct ggw_ledger_gate *gate, GRand *rand, ggw_ms now)
+{
+    struct ggw_ledger *l = g_new0(struct ggw_ledger, 1);
+
+    l->gate = gate;
+    l->rand = rand;
+    l->servers = g_ptr_array_new_with_free_func(server_free);
+    l->grants = g_hash_table_new_full(key_hash, key_equal, NULL, grant_free);
+    l->by_expiry = g_sequence_new(NULL);
+    l->waiting =
+        g_hash_table_new_full(key_hash, key_equal, NULL, waiting_free);
+    g_queue_init(&l->blocked);
+    g_queue_init(&l->decisions);
+    l->queue = ggw_admission_new(0);
+    l->candidates = g_array_new(FALSE, TRUE, sizeof(struct ggw_candidate));
+    l->policy.ops = ggw_policy_find("slots");
+    l->policy.rand = rand;
+    l->hold_until = now + GGW_LEDGER_HOLD_DOWN;
+    return l;
+}
+
+void
+ggw_ledger_free(struct ggw_ledger *l)
+{
+    struct ggw_ledger_decision d;
+
+    if (l == NULL) {
+        return;
+    }
+    while (ggw_ledger_decision(l, &d)) {
+        g_free(d.holder);
+        g_free(d.server);
+    }
+    g_queue_clear(&l->blocked);
+    ggw_admission_free(l->queue);
+    g_hash_table_destroy(l->waiting);
+    g_sequence_free(l->by_expiry);
+    g_hash_table_destroy(l->grants);
+    g_ptr_array_unref(l->servers);
+    g_array_unref(l->candidates);
+    g_free(l);
+}
+
+static void
+decide(struct ggw_ledger *l, const struct ggw_ledger_key *key,
+       enum ggw_ledger_answer answer, const char *server,
+       enum ggw_slot_refusal reason, ggw_ms retry_after)
+{
+    struct ggw_ledger_decision *d = g_new0(struct ggw_ledger_decision, 1);
+
+    d->holder = g_strdup(key->holder);
+    d->id = key->id;
+    d->answer = answer;
+    d->server = g_strdup(server);
+    d->reason = reason;
+    d->retry_after = retry_after;
+    g_queue_push_tail(&l->decisions, d);
+}
+
+static void
+refuse(struct ggw_ledger *l, const struct ggw_ledger_key *key, int priority,
+       enum ggw_slot_refusal reason)
+{
+    decide(
+        l, key, GGW_LEDGER_REFUSED, NULL, reason,
+        ggw_admission_retry_after(l->queue, priority, g_rand_double(l->rand)));
+}
+
+bool
+ggw_ledger_decision(struct ggw_ledger *l, struct ggw_ledger_decision *decision)
+{
+    struct ggw_ledger_decision *d = g_queue_pop_head(&l->decisions);
+
+    if (d == NULL) {
+        return false;
+    }
+    *decision = *d;
+    g_free(d);
+    return true;
+}
+
+struct ggw_ledger_entry *
+ggw_ledger_find_server(const struct ggw_ledger *l, const char *name)
+{
+    for (guint i = 0; i < l->servers->len; i++) {
+        struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+
+        if (strcmp(s->name, name) == 0) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+/* Whether anything may be granted on a server, apart from its limit. */
+bool
+ggw_ledger_is_open(const struct ggw_ledger *l,
+                   const struct ggw_ledger_entry *s, ggw_ms now)
+{
+    if (s->closed || now < l->gate->stopped_until) {
+        return false;
+    }
+    return s->limit.state == GGW_LIMIT_WARM ||
+           (now >= l->hold_until && now < l->gate->majority_until);
+}
+
+static bool
+is_avoided(char *const *avoid, const char *name)
+{
+    for (char *const *a = avoid; a != NULL && *a != NULL; a++) {
+        if (strcmp(*a, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether every server that takes work is to be avoided. */
+static bool
+all_avoided(const struct ggw_ledger *l, char *const *avoid)
+{
+    for (guint i = 0; i < l->servers->len; i++) {
+        const struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+
+        if (!s->closed && s->limit.state != GGW_LIMIT_EJECTED &&
+            !is_avoided(avoid, s->name)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * A server for one request. An ejected server that is due for a trial gets
+ * it first, but an order only when nothing else is free.
+ */
+static struct ggw_ledger_entry *
+pick(struct ggw_ledger *l, int priority, char *const *avoid, ggw_ms now)
+{
+    struct ggw_ledger_entry *trial = NULL;
+    size_t i;
+
+    if (avoid != NULL && all_avoided(l, avoid)) {
+        avoid = NULL;
+    }
+    g_array_set_size(l->candidates, l->servers->len);
+    for (i = 0; i < l->servers->len; i++) {
+        struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+        bool may = ggw_ledger_is_open(l, s, now) &&
+                   ggw_limit_may_start(&s->limit, s->in_flight, now);
+
+        if (may && s->limit.state == GGW_LIMIT_EJECTED &&
+            !is_avoided(avoid, s->name)) {
+            trial = s;
+            may = false;
+        }
+        g_array_index(l->candidates, struct ggw_candidate, i) =
+            (struct ggw_candidate){
+                .in_flight = s->in_flight,
+                .limit = may ? ggw_limit_slots(&s->limit) : 0,
+                .avoid = is_avoided(avoid, s->name),
+                .reported = s->reported,
+                .load = s->load,
+                .reported_at = s->reported_at,
+                .latency = s->latency,
+            };
+    }
+    if (trial != NULL && priority > 0) {
+        return trial;
+    }
+    i = ggw_policy_pick(&l->policy,
+                        (struct ggw_candidate *)l->candidates->data,
+                        l->servers->len, now);
+    return i != GGW_POLICY_NONE ? g_ptr_array_index(l->servers, i) : trial;
+}
+
+static gint
+by_expiry(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const struct ggw_ledger_grant *x = a;
+    const struct ggw_ledger_grant *y = b;
+
+    return (x->expires > y->expires) - (x->expires < y->expires);
+}
+
+void
+ggw_ledger_add_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key,
+                     struct ggw_ledger_entry *s, ggw_ms expires, ggw_ms now)
+{
+    struct ggw_ledger_grant *g = g_new0(struct ggw_ledger_grant, 1);
+
+    g->key.holder = g_strdup(key->holder);
+    g->key.id = key->id;
+    g->server = s;
+    g->started = now;
+    g->expires = expires;
+    g->iter = g_sequence_insert_sorted(l->by_expiry, g, by_expiry, NULL);
+    g_hash_table_insert(l->grants, &g->key, g);
+    s->in_flight++;
+}
+
+void
+ggw_ledger_drop_grant(struct ggw_ledger *l, struct ggw_ledger_grant *g)
+{
+    g->server->in_flight--;
+    g_sequence_remove(g->iter);
+    g_hash_table_remove(l->grants, &g->key);
+}
+
+static bool
+try_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key, int priority,
+          ggw_ms deadline, char *const *avoid, ggw_ms now)
+{
+    struct ggw_ledger_entry *s = pick(l, priority, avoid, now);
+
+    if (s == NULL) {
+        return false;
+    }
+    ggw_limit_started(&s->limit, now);
+    ggw_ledger_add_grant(l, key, s, deadline + GGW_LEDGER_MARGIN, now);
+    decide(l, key, GGW_LEDGER_GRANTED, s->name, GGW_SLOT_NO_SERVER, 0);
+    return true;
+}
+
+static void
+count_slots(struct ggw_ledger *l)
+{
+    int slots = 0;
+
+    for (guint i = 0; i < l->servers->len; i++) {
+        const struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+
+        if (!s->closed) {
+            slots += ggw_limit_slots(&s->limit);
+        }
+    }
+    ggw_admission_set_slots(l->queue, slots);
+}
+
+static bool
+any_server(const struct ggw_ledger *l)
+{
+    for (guint i = 0; i < l->servers->len; i++) {
+        const struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+
+        if (!s->closed && !s->limit.drain_reported) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+forget_waiting(struct ggw_ledger *l, struct ggw_ledger_waiting *w)
+{
+    g_hash_table_remove(l->waiting, &w->key);
+}
+
+static void
+refuse_waiting(struct ggw_ledger *l, struct ggw_ledger_waiting *w,
+               enum ggw_slot_refusal reason)
+{
+    refuse(l, &w->key, w->priority, reason);
+    forget_waiting(l, w);
+}
+
+static void
+refuse_all(struct ggw_ledger *l, enum ggw_slot_refusal reason)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, l->waiting);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_ledger_waiting *w = value;
+        struct ggw_waiter out;
+
+        refuse(l, &w->key, w->priority, reason);
+        ggw_admission_cancel(l->queue, w->seq, &out);
+        g_hash_table_iter_remove(&iter);
+    }
+    g_queue_clear(&l->blocked);
+}
+
+static void
+expire_waiting(struct ggw_ledger *l, ggw_ms now)
+{
+    struct ggw_waiter out;
+    GList *next;
+
+    while (ggw_admission_expire(l->queue, now, &out)) {
+        refuse_waiting(l, out.data, GGW_SLOT_TOO_LATE);
+    }
+    for (GList *i = l->blocked.head; i != NULL; i = next) {
+        struct ggw_ledger_waiting *w = i->data;
+
+        next = i->next;
+        if (now >= w->deadline) {
+            g_queue_delete_link(&l->blocked, i);
+            refuse_waiting(l, w, GGW_SLOT_TOO_LATE);
+        }
+    }
+}
+
+/* Requests that avoid every free server are kept in their order. */
+static void
+serve_blocked(struct ggw_ledger *l, ggw_ms now)
+{
+    GList *next;
+
+    for (GList *i = l->blocked.head; i != NULL; i = next) {
+        struct ggw_ledger_waiting *w = i->data;
+
+        next = i->next;
+        if (try_grant(l, &w->key, w->priority, w->deadline, w->avoid, now)) {
+            g_queue_delete_link(&l->blocked, i);
+            forget_waiting(l, w);
+        }
+    }
+}
+
+void
+ggw_ledger_serve(struct ggw_ledger *l, ggw_ms now)
+{
+    struct ggw_waiter out;
+
+    count_slots(l);
+    expire_waiting(l, now);
+    if (g_hash_table_size(l->waiting) == 0) {
+        return;
+    }
+    if (!any_server(l)) {
+        refuse_all(l, GGW_SLOT_NO_SERVER);
+        return;
+    }
+    serve_blocked(l, now);
+    while (ggw_admission_len(l->queue) > 0 && pick(l, 1, NULL, now) != NULL &&
+           ggw_admission_pop(l->queue, now, &out)) {
+        struct ggw_ledger_waiting *w = out.data;
+
+        if (try_grant(l, &w->key, w->priority, w->deadline, w->avoid, now)) {
+            forget_waiting(l, w);
+        }
+        else {
+            g_queue_push_tail(&l->blocked, w);
+        }
+    }
+}
+
+static void
+push(struct ggw_ledger *l, const struct ggw_ledger_ask *ask, ggw_ms now)
+{
+    struct ggw_ledger_key key = {(char *)ask->holder, ask->id};
+    struct ggw_ledger_waiting *w = g_new0(struct ggw_ledger_waiting, 1);
+    struct ggw_waiter waiter = {++l->next_seq, ask->priority, ask->deadline,
+                                w};
+    struct ggw_waiter displaced;
+
+    w->key.holder = g_strdup(ask->holder);
+    w->key.id = ask->id;
+    w->seq = waiter.id;
+    w->priority = ask->priority;
+    w->deadline = ask->deadline;
+    w->avoid = g_strdupv((char **)ask->avoid);
+    switch (ggw_admission_push(l->queue, &waiter, now, &displaced)) {
+    case GGW_ADMISSION_DISPLACED:
+        refuse_waiting(l, displaced.data, GGW_SLOT_DISPLACED);
+        break;
+    case GGW_ADMISSION_QUEUED:
+        break;
+    case GGW_ADMISSION_FULL:
+        refuse(l, &key, ask->priority, GGW_SLOT_QUEUE_FULL);
+        waiting_free(w);
+        return;
+    case GGW_ADMISSION_TOO_LATE:
+        refuse(l, &key, ask->priority, GGW_SLOT_TOO_LATE);
+        waiting_free(w);
+        return;
+    }
+    g_hash_table_insert(l->waiting, &w->key, w);
+    decide(l, &key, GGW_LEDGER_QUEUED, NULL, GGW_SLOT_NO_SERVER, 0);
+}
+
+void
+ggw_ledger_ask(struct ggw_ledger *l, const struct ggw_ledger_ask *ask,
+               ggw_ms now)
+{
+    struct ggw_ledger_key key = {(char *)ask->holder, ask->id};
+    const struct ggw_ledger_grant *g = g_hash_table_lookup(l->grants, &key);
+    bool behind = g_hash_table_size(l->waiting) > 0;
+
+    if (g != NULL && !g->done) {
+        decide(l, &key, GGW_LEDGER_GRANTED, g->server->name,
+               GGW_SLOT_NO_SERVER, 0);
+    }
+    else if (g_hash_table_contains(l->waiting, &key)) {
+        decide(l, &key, GGW_LEDGER_QUEUED, NULL, GGW_SLOT_NO_SERVER, 0);
+    }
+    else if (!any_server(l)) {
+        refuse(l, &key, ask->priority, GGW_SLOT_NO_SERVER);
+    }
+    else if (now >= ask->deadline) {
+        refuse(l, &key, ask->priority, GGW_SLOT_TOO_LATE);
+    }
+    else if (!behind && try_grant(l, &key, ask->priority, ask->deadline,
+                                  ask->avoid, now)) {
+        return;
+    }
+    else if (!ask->may_queue) {
+        refuse(l, &key, ask->priority, GGW_SLOT_QUEUE_FULL);
+    }
+    else {
+        push(l, ask, now);
+        ggw_ledger_serve(l, now);
+    }
+}
+
+static bool
+remove_waiting(struct ggw_ledger *l, const struct ggw_ledger_key *key)
+{
+    struct ggw_ledger_waiting *w = g_hash_table_lookup(l->waiting, key);
+    struct ggw_waiter out;
+
+    if (w == NULL) {
+        return false;
+    }
+    if (!ggw_admission_cancel(l->queue, w->seq, &out)) {
+        g_queue_remove(&l->blocked, w);
+    }
+    forget_waiting(l, w);
+    return true;
+}
+
+void
+ggw_ledger_cancel(struct ggw_ledger *l, const char *holder, uint64_t id,
+                  ggw_ms now)
+{
+    struct ggw_ledger_key key = {(char *)holder, id};
+
+    if (!remove_waiting(l, &key)) {
+        ggw_ledger_release(l, holder, id, "", GGW_ATTEMPT_UNUSED, 0, NULL,
+                           now);
+    }
+}
+
+static int
+count_ejected(const struct ggw_ledger *l)
+{
+    int n = 0;
+
+    for (guint i = 0; i < l->servers->len; i++) {
+        const struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+
+        n += s->limit.state == GGW_LIMIT_EJECTED;
+    }
+    return n;
+}
+
+static void
+apply_result(struct ggw_ledger *l, struct ggw_ledger_entry *s,
+             enum ggw_attempt_result result, ggw_ms started, ggw_ms latency,
+             ggw_ms now)
+{
+    struct ggw_limit_sample sample = {
+        .result = result,
+        .started = started,
+        .latency = latency,
+        .median = l->latency.p50,
+        .keep = ggw_limit_keep((int)l->servers->len, count_ejected(l)),
+    };
+
+    ggw_limit_result(&s->limit, &sample, now);
+    if (result == GGW_ATTEMPT_UNUSED) {
+        return;
+    }
+    s->touched = true;
+    if (result == GGW_ATTEMPT_OK) {
+        ggw_latency_add(&l->latency, latency);
+    }
+    if (result != GGW_ATTEMPT_CANCELLED) {
+        s->latency =
+            ggw_policy_latency(s->latency, result, latency, l->latency.p90);
+    }
+}
+
+static void
+apply_report(struct ggw_ledger_entry *s, const struct ggw_load_report *report,
+             ggw_ms now)
+{
+    if (report == NULL || !report->present) {
+        return;
+    }
+    s->touched = true;
+    s->reported = true;
+    s->load = report->busy + report->queue;
+    s->reported_at = now;
+    ggw_limit_report(&s->limit, report, now);
+}
+
+void
+ggw_ledger_release(struct ggw_ledger *l, const char *holder, uint64_t id,
+                   const char *server, enum ggw_attempt_result result,
+                   ggw_ms latency, const struct ggw_load_report *report,
+                   ggw_ms now)
+{
+    struct ggw_ledger_key key = {(char *)holder, id};
+    struct ggw_ledger_grant *g = g_hash_table_lookup(l->grants, &key);
+    struct ggw_ledger_entry *s =
+        g != NULL ? g->server : ggw_ledger_find_server(l, server);
+    ggw_ms hold;
+
+    if (s == NULL || (g != NULL && g->done)) {
+        return;
+    }
+    apply_report(s, report, now);
+    if (g == NULL) {
+        apply_result(l, s, result, now - latency, latency, now);
+        ggw_ledger_serve(l, now);
+        return;
+    }
+    apply_result(l, s, result, g->started, latency, now);
+    if (result != GGW_ATTEMPT_UNUSED) {
+        ggw_admission_held(l->queue, now - g->started);
+    }
+    hold = ggw_limit_hold(result, latency, l->latency.p90);
+    if (ggw_attempt_failed(result) && g->started + hold > now) {
+        g->done = true;
+        g->expires = MIN(g->expires, g->started + hold);
+        g_sequence_sort_changed(g->iter, by_expiry, NULL);
+    }
+    else {
+        ggw_ledger_drop_grant(l, g);
+    }
+    ggw_ledger_serve(l, now);
+}
+
+void
+ggw_ledger_report(struct ggw_ledger *l, const char *server,
+                  const struct ggw_load_report *report, ggw_ms now)
+{
+    struct ggw_ledger_entry *s = ggw_ledger_find_server(l, server);
+
+    if (s != NULL) {
+        apply_report(s, report, now);
+        ggw_ledger_serve(l, now);
+    }
+}
+
+void
+ggw_ledger_lost(struct ggw_ledger *l, const char *holder, ggw_ms now)
+{
+    g_autoptr(GPtrArray) gone = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, l->waiting);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_ledger_waiting *w = value;
+
+        if (strcmp(w->key.holder, holder) == 0) {
+            g_ptr_array_add(gone, w);
+        }
+    }
+    for (guint i = 0; i < gone->len; i++) {
+        struct ggw_ledger_waiting *w = g_ptr_array_index(gone, i);
+
+        remove_waiting(l, &w->key);
+    }
+    ggw_ledger_serve(l, now);
+}
+
+void
+ggw_ledger_tick(struct ggw_ledger *l, ggw_ms now)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(l->by_expiry);
+
+    while (!g_sequence_iter_is_end(first)) {
+        struct ggw_ledger_grant *g = g_sequence_get(first);
+
+        if (g->expires > now) {
+            break;
+        }
+        if (!g->done) {
+            apply_result(l, g->server, GGW_ATTEMPT_CANCELLED, g->started,
+                         now - g->started, now);
+        }
+        ggw_ledger_drop_grant(l, g);
+        first = g_sequence_get_begin_iter(l->by_expiry);
+    }
+    ggw_ledger_serve(l, now);
+}
+
+ggw_ms
+ggw_ledger_next(const struct ggw_ledger *l)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(l->by_expiry);
+    ggw_ms next = ggw_admission_next_deadline(l->queue);
+
+    if (!g_sequence_iter_is_end(first)) {
+        next = MIN(
+            next, ((struct ggw_ledger_grant *)g_sequence_get(first))->expires);
+    }
+    for (GList *i = l->blocked.head; i != NULL; i = i->next) {
+        next = MIN(next, ((struct ggw_ledger_waiting *)i->data)->deadline);
+    }
+    return next;
+}
--- /dev/null
+++ b/decide/slots.h
@@ -0,0 +1,220 @@
+#ifndef GGW_DECIDE_SLOTS_H
+#define GGW_DECIDE_SLOTS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "decide/limit.h"
+#include "kernel/clock.h"
+#include "slots/slots.h"
+
+/*
+ * The owner's ledger of one service in one failure domain (design 5.1): its
+ * servers, the grants in flight to all gateways and the requests that wait.
+ * Pure: time and random numbers are arguments.
+ */
+
+/* A new owner grants no slot of a server that is not warm for this time. */
+#define GGW_LEDGER_HOLD_DOWN 1000.0
+
+/*
+ * A grant whose release does not arrive is given back this long after its
+ * deadline, which the holder and the backend server enforce.
+ */
+#define GGW_LEDGER_MARGIN 500.0
+
+/**
+ * struct ggw_ledger_gate - limits on granting for all ledgers of a gateway
+ * @stopped_until: no grants at all, because the loop stalled
+ * @majority_until: until then a majority counts this gateway as alive;
+ *                  servers that are not warm get no grants later
+ */
+struct ggw_ledger_gate {
+    ggw_ms stopped_until;
+    ggw_ms majority_until;
+};
+
+/**
+ * struct ggw_ledger_server - a server as the list of VMs and the settings
+ *                            have it
+ * @closed: leaving, draining or its failure domain is out
+ * @out: its failure domain is out; when it returns, the server is cold
+ * @warm: another owner has announced it as warm
+ */
+struct ggw_ledger_server {
+    const char *name;
+    uint64_t incarnation;
+    bool closed;
+    bool out;
+    bool warm;
+};
+
+/**
+ * struct ggw_ledger_ask - a request for a slot
+ * @holder: gateway that asks; with @id it names the grant
+ * @avoid: names of servers that the request already tried, or NULL
+ * @may_queue: false refuses it when no slot is free now
+ */
+struct ggw_ledger_ask {
+    const char *holder;
+    uint64_t id;
+    int priority;
+    ggw_ms deadline;
+    char *const *avoid;
+    bool may_queue;
+};
+
+enum ggw_ledger_answer {
+    GGW_LEDGER_GRANTED,
+    GGW_LEDGER_QUEUED,
+    GGW_LEDGER_REFUSED,
+};
+
+/**
+ * struct ggw_ledger_decision - what to tell the holder of a request
+ * @holder: free with g_free()
+ * @server: for a grant; free with g_free()
+ * @reason, @retry_after: for a refusal
+ */
+struct ggw_ledger_decision {
+    char *holder;
+    uint64_t id;
+    enum ggw_ledger_answer answer;
+    char *server;
+    enum ggw_slot_refusal reason;
+    ggw_ms retry_after;
+};
+
+/**
+ * struct ggw_ledger_state - a server or a grant, for the next owner
+ * @holder: NULL for the state of a server
+ * @warm: the server may take all its slots
+ * @expires_in: for a grant, ms until it is given back
+ */
+struct ggw_ledger_state {
+    const char *server;
+    uint64_t incarnation;
+    bool warm;
+    const char *holder;
+    uint64_t id;
+    ggw_ms expires_in;
+};
+
+struct ggw_ledger;
+
+/**
+ * ggw_ledger_new() - start to own
+ * @gate: shared; must outlive the ledger
+ * @rand: owned by the caller
+ */
+struct ggw_ledger *ggw_ledger_new(const struct ggw_ledger_gate *gate,
+                                  GRand *rand, ggw_ms now);
+void ggw_ledger_free(struct ggw_ledger *l);
+
+/**
+ * ggw_ledger_configure() - apply settings and the list of servers
+ *
+ * Waiting requests are refused when no server is left.
+ */
+void ggw_ledger_configure(struct ggw_ledger *l,
+                          const struct ggw_limit_rule *rule, int queue,
+                          const struct ggw_ledger_server *servers, size_t len,
+                          ggw_ms now);
+
+/**
+ * ggw_ledger_hold() - grant no slot of servers that are not warm until then
+ */
+void ggw_ledger_hold(struct ggw_ledger *l, ggw_ms until);
+
+/**
+ * ggw_ledger_ask() - ask for a slot
+ *
+ * The answer is among the decisions. Asking again for the same holder and id
+ * repeats the answer.
+ */
+void ggw_ledger_ask(struct ggw_ledger *l, const struct ggw_ledger_ask *ask,
+                    ggw_ms now);
+
+/**
+ * ggw_ledger_cancel() - the request needs no slot; gives back its grant too
+ */
+void ggw_ledger_cancel(struct ggw_ledger *l, const char *holder, uint64_t id,
+                       ggw_ms now);
+
+/**
+ * ggw_ledger_release() - an attempt has ended
+ * @server: where; needed when this owner does not know of the grant
+ */
+void ggw_ledger_release(struct ggw_ledger *l, const char *holder, uint64_t id,
+                        const char *server, enum ggw_attempt_result result,
+                        ggw_ms latency, const struct ggw_load_report *report,
+                        ggw_ms now);
+
+/**
+ * ggw_ledger_report() - a load report of a probe
+ */
+void ggw_ledger_report(struct ggw_ledger *l, const char *server,
+                       const struct ggw_load_report *report, ggw_ms now);
+
+/**
+ * ggw_ledger_lost() - a gateway is gone
+ *
+ * Its waiting requests are dropped. Its grants stay until they expire,
+ * because its requests may still run.
+ */
+void ggw_ledger_lost(struct ggw_ledger *l, const char *holder, ggw_ms now);
+
+/**
+ * ggw_ledger_adopt() - learn a server's state or a grant of another owner
+ *
+ * Grants count even above the limit. A state is used only while this owner
+ * has seen nothing of the server itself.
+ */
+void ggw_ledger_adopt(struct ggw_ledger *l,
+                      const struct ggw_ledger_state *state, ggw_ms now);
+
+/**
+ * ggw_ledger_export() - what the next owner needs
+ *
+ * Return: array of struct ggw_ledger_state whose strings belong to the
+ * ledger; the caller frees the array.
+ */
+GArray *ggw_ledger_export(const struct ggw_ledger *l, ggw_ms now);
+
+/**
+ * ggw_ledger_tick() - expire grants and waiting requests, then grant again
+ */
+void ggw_ledger_tick(struct ggw_ledger *l, ggw_ms now);
+
+/**
+ * ggw_ledger_next() - when ggw_ledger_tick() has something to do
+ */
+ggw_ms ggw_ledger_next(const struct ggw_ledger *l);
+
+/**
+ * ggw_ledger_decision() - take the next decision
+ *
+ * Return: false when there is none.
+ */
+bool ggw_ledger_decision(struct ggw_ledger *l,
+                         struct ggw_ledger_decision *decision);
+
+/**
+ * ggw_ledger_free_slots() - slots that could be granted now
+ */
+int ggw_ledger_free_slots(const struct ggw_ledger *l, ggw_ms now);
+
+size_t ggw_ledger_waiting(const struct ggw_ledger *l);
+
+/**
+ * ggw_ledger_server_limit() - limit and use of a server, for tests and pages
+ *
+ * Return: false for an unknown server.
+ */
+bool ggw_ledger_server_limit(const struct ggw_ledger *l, const char *server,
+                             int *in_flight, int *limit,
+                             enum ggw_limit_state *state);
+
+#endif
--- /dev/null
+++ b/slots/fallback.c
@@ -0,0 +1,89 @@
+#include <string.h>
+
+#include "slots/internal.h"
+
+/* Choices that a gateway makes by itself, without the owner of the slots. */
+
+static void
+fill(const struct ggw_slots_server *s, const struct ggw_slot_request *r,
+     int limit, struct ggw_candidate *c)
+{
+    bool avoid = r->avoid != NULL &&
+                 g_strv_contains((const char *const *)r->avoid, s->name);
+
+    *c = (struct ggw_candidate){
+        .in_flight = s->own,
+        .limit = limit,
+        .avoid = avoid,
+        .reported = s->reported,
+        .load = s->load,
+        .reported_at = s->reported_at,
+        .latency = s->latency,
+    };
+}
+
+/*
+ * The own share of a server's slots. With all gateways in fallback a server
+ * gets at most its slots, rounded up to a multiple of the gateways.
+ */
+static int
+share_of_slots(const struct ggw_slots *p, const struct ggw_slots_group *g)
+{
+    int gateways = MAX(p->known, 1);
+
+    return (g->rule->slots + gateways - 1) / gateways;
+}
+
+/*
+ * Servers of the own failure domain come first; those of others only when
+ * the own one has none that is warm.
+ */
+struct ggw_slots_server *
+ggw_slots_fallback(struct ggw_slots *p, const struct ggw_slots_pending *pd)
+{
+    struct ggw_slots_group *g = pd->group;
+    struct ggw_candidate *c = g_new0(struct ggw_candidate, g->servers->len);
+    struct ggw_policy policy = {ggw_policy_find("power_of_two"), p->rand, 0};
+    int limit = share_of_slots(p, g);
+    size_t i = GGW_POLICY_NONE;
+
+    for (int pass = 0; pass < 2; pass++) {
+        bool any = false;
+
+        for (guint j = 0; j < g->servers->len; j++) {
+            const struct ggw_slots_server *s =
+                g_ptr_array_index(g->servers, j);
+            bool home = strcmp(s->domain->name, p->domain) == 0;
+            bool usable = ggw_slots_server_open(s) && s->warm && !s->doubted &&
+                          (home || pass == 1);
+
+            fill(s, pd->request, usable ? limit : 0, &c[j]);
+            any |= usable;
+        }
+        i = any ? ggw_policy_pick(&policy, c, g->servers->len,
+                                  ggw_slots_now(p))
+                : GGW_POLICY_NONE;
+        if (any) {
+            break;
+        }
+    }
+    g_free(c);
+    return i != GGW_POLICY_NONE ? g_ptr_array_index(g->servers, i) : NULL;
+}
+
+struct ggw_slots_server *
+ggw_slots_baseline(struct ggw_slots *p, struct ggw_slots_group *g,
+                   const struct ggw_slot_request *r)
+{
+    struct ggw_candidate *c = g_new0(struct ggw_candidate, g->servers->len);
+    size_t i;
+
+    for (guint j = 0; j < g->servers->len; j++) {
+        const struct ggw_slots_server *s = g_ptr_array_index(g->servers, j);
+
+        fill(s, r, ggw_slots_server_open(s) ? G_MAXINT : 0, &c[j]);
+    }
+    i = ggw_policy_pick(&g->policy, c, g->servers->len, ggw_slots_now(p));
+    g_free(c);
+    return i != GGW_POLICY_NONE ? g_ptr_array_index(g->servers, i) : NULL;
+}
--- /dev/null
+++ b/slots/groups.c
@@ -0,0 +1,280 @@
+#include <string.h>
+
+#include "slots/internal.h"
+
+/* What the settings and the list of VMs say of servers. */
+
+static void
+server_free(gpointer data)
+{
+    struct ggw_slots_server *s = data;
+
+    g_free(s->name);
+    g_free(s->host);
+    g_free(s);
+}
+
+static void
+domain_free(gpointer data)
+{
+    struct ggw_slots_domain *d = data;
+
+    ggw_ledger_free(d->ledger);
+    g_clear_pointer(&d->announced, g_bytes_unref);
+    g_free(d->name);
+    g_free(d->owner);
+    g_free(d);
+}
+
+void
+ggw_slots_group_free(gpointer data)
+{
+    struct ggw_slots_group *g = data;
+
+    g_ptr_array_unref(g->servers);
+    g_ptr_array_unref(g->domains);
+    g_clear_pointer(&g->tree, ggw_tree_unref);
+    g_free(g->team);
+    g_free(g->service);
+    g_free(g);
+}
+
+struct ggw_slots_server *
+ggw_slots_find_server(const struct ggw_slots_group *g, const char *name)
+{
+    for (guint i = 0; i < g->servers->len; i++) {
+        struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
+
+        if (strcmp(s->name, name) == 0) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+struct ggw_slots_domain *
+ggw_slots_find_domain(const struct ggw_slots_group *g, const char *name)
+{
+    for (guint i = 0; i < g->domains->len; i++) {
+        struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+
+        if (strcmp(d->name, name) == 0) {
+            return d;
+        }
+    }
+    return NULL;
+}
+
+/* Reads team, service and failure domain; NULL when they are not known. */
+struct ggw_slots_domain *
+ggw_slots_read_domain(struct ggw_slots *p, struct ggw_payload_reader *r)
+{
+    const char *team = ggw_payload_string(r);
+    const char *service = ggw_payload_string(r);
+    const char *domain = ggw_payload_string(r);
+    struct ggw_slots_group *g =
+        r->ok ? ggw_slots_group(p, team, service) : NULL;
+
+    return g != NULL ? ggw_slots_find_domain(g, domain) : NULL;
+}
+
+bool
+ggw_slots_server_open(const struct ggw_slots_server *s)
+{
+    return !s->closed && !s->out;
+}
+
+bool
+ggw_slots_domain_open(const struct ggw_slots_domain *d)
+{
+    for (guint i = 0; i < d->group->servers->len; i++) {
+        const struct ggw_slots_server *s =
+            g_ptr_array_index(d->group->servers, i);
+
+        if (s->domain == d && ggw_slots_server_open(s)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static struct ggw_slots_domain *
+domain_of(struct ggw_slots_group *g, const char *name)
+{
+    struct ggw_slots_domain *d = ggw_slots_find_domain(g, name);
+
+    if (d == NULL) {
+        d = g_new0(struct ggw_slots_domain, 1);
+        d->group = g;
+        d->name = g_strdup(name);
+        g_ptr_array_add(g->domains, d);
+    }
+    return d;
+}
+
+static struct ggw_slots_group *
+group_of(struct ggw_slots *p, const char *team, const char *service)
+{
+    struct ggw_slots_group *g = ggw_slots_group(p, team, service);
+
+    if (g == NULL) {
+        g = g_new0(struct ggw_slots_group, 1);
+        g->team = g_strdup(team);
+        g->service = g_strdup(service);
+        g->servers = g_ptr_array_new_with_free_func(server_free);
+        g->domains = g_ptr_array_new_with_free_func(domain_free);
+        g->policy.rand = p->rand;
+        ggw_probe_budget_init(&g->budget, 0, ggw_slots_now(p));
+        g_hash_table_insert(p->groups, g_strdup_printf("%s/%s", team, service),
+                            g);
+    }
+    return g;
+}
+
+static void
+apply_vm(struct ggw_slots *p, const struct ggw_vm *vm)
+{
+    struct ggw_slots_group *g = group_of(p, vm->team, vm->service);
+    struct ggw_slots_server *s = ggw_slots_find_server(g, vm->name);
+
+    if (s == NULL) {
+        s = g_new0(struct ggw_slots_server, 1);
+        s->name = g_strdup(vm->name);
+        s->probed_at = ggw_slots_now(p);
+        g_ptr_array_add(g->servers, s);
+    }
+    if (vm->incarnation > s->incarnation) {
+        s->warm = false;
+        s->reported = false;
+        s->incarnation = vm->incarnation;
+    }
+    s->domain = domain_of(g, vm->failure_domain);
+    g_free(s->host);
+    s->host = g_strdup(vm->host);
+    s->port = vm->port;
+    s->closed = vm->leaving;
+    s->listed = true;
+}
+
+static void
+apply_tree(struct ggw_slots *p, struct ggw_slots_group *g)
+{
+    struct ggw_tree *tree = g_hash_table_lookup(p->trees, g->team);
+
+    if (tree == NULL) {
+        return;
+    }
+    if (tree != g->tree) {
+        g_clear_pointer(&g->tree, ggw_tree_unref);
+        g->tree = ggw_tree_ref(tree);
+        g->rule = ggw_tree_service(tree, g->service);
+        g->policy.ops =
+            g->rule != NULL ? ggw_policy_find(g->rule->policy) : NULL;
+    }
+    for (guint i = 0; i < g->servers->len; i++) {
+        struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
+
+        s->closed = s->closed || ggw_tree_server_draining(tree, s->name);
+        s->out = ggw_tree_domain_out(tree, s->domain->name);
+        if (s->out) {
+            s->warm = false; /* cold when it returns */
+        }
+    }
+}
+
+void
+ggw_slots_configure_ledger(struct ggw_slots *p, struct ggw_slots_domain *d)
+{
+    struct ggw_slots_group *g = d->group;
+    g_autoptr(GArray) servers =
+        g_array_new(FALSE, TRUE, sizeof(struct ggw_ledger_server));
+    struct ggw_limit_rule rule = {0};
+
+    if (g->rule != NULL) {
+        rule.slots = g->rule->slots;
+        rule.cold_limit = g->rule->cold_limit;
+        rule.cold_time = g->rule->cold_time;
+    }
+    for (guint i = 0; i < g->servers->len; i++) {
+        const struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
+        struct ggw_ledger_server info = {s->name, s->incarnation,
+                                         s->closed || g->rule == NULL, s->out,
+                                         s->warm && !s->doubted};
+
+        if (s->domain == d) {
+            g_array_append_val(servers, info);
+        }
+    }
+    ggw_ledger_configure(d->ledger, &rule,
+                         g->rule != NULL ? g->rule->queue : 0,
+                         (struct ggw_ledger_server *)servers->data,
+                         servers->len, ggw_slots_now(p));
+}
+
+static void
+remove_unlisted(struct ggw_slots_group *g)
+{
+    for (guint i = g->servers->len; i > 0; i--) {
+        struct ggw_slots_server *s = g_ptr_array_index(g->servers, i - 1);
+
+        if (!s->listed) {
+            g_ptr_array_remove_index(g->servers, i - 1);
+        }
+    }
+}
+
+static void
+configure_owned(struct ggw_slots *p, struct ggw_slots_group *g)
+{
+    int slots = 0;
+
+    for (guint i = 0; i < g->domains->len; i++) {
+        struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+
+        if (d->ledger != NULL) {
+            ggw_slots_configure_ledger(p, d);
+            ggw_slots_drain(p, d);
+        }
+    }
+    for (guint i = 0; g->rule != NULL && i < g->servers->len; i++) {
+        const struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
+
+        slots += s->domain->ledger != NULL ? g->rule->slots : 0;
+    }
+    ggw_probe_budget_set(&g->budget,
+                         g->rule != NULL ? g->rule->measure_percent : 0, slots,
+                         ggw_slots_now(p));
+}
+
+void
+ggw_slots_update(struct ggw_slots *p)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_group *g = value;
+
+        for (guint i = 0; i < g->servers->len; i++) {
+            struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
+
+            s->listed = false;
+        }
+    }
+    for (size_t i = 0; p->vms != NULL && i < p->vms->len; i++) {
+        if (p->vms->vms[i].role == GGW_VM_BACKEND_SERVER) {
+            apply_vm(p, &p->vms->vms[i]);
+        }
+    }
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        remove_unlisted(value);
+        apply_tree(p, value);
+    }
+    ggw_slots_reassign(p, NULL);
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        configure_owned(p, value);
+    }
+}
--- /dev/null
+++ b/slots/held.c
@@ -0,0 +1,190 @@
+#include <math.h>
+#include <string.h>
+
+#include "slots/internal.h"
+
+/* Grants that "proxy" uses, and what their ends say of servers and peers. */
+
+void
+ggw_slots_held_free(gpointer data)
+{
+    struct ggw_slots_held *h = data;
+
+    g_free(h->server);
+    g_free(h->domain);
+    g_free(h->owner);
+    g_free(h);
+}
+
+uint64_t
+ggw_slots_hold(struct ggw_slots *p, uint64_t id,
+               const struct ggw_slots_pending *pd, struct ggw_slots_server *s,
+               const char *owner)
+{
+    struct ggw_slots_held *h = g_new0(struct ggw_slots_held, 1);
+
+    h->id = id;
+    h->group = pd->group;
+    h->server = g_strdup(s->name);
+    h->domain = g_strdup(s->domain->name);
+    h->owner = g_strdup(owner);
+    h->from = pd->request->base.from;
+    h->tag = pd->request->base.tag;
+    h->expires = pd->request->deadline + GGW_LEDGER_MARGIN;
+    g_hash_table_insert(p->held, &h->id, h);
+    s->own++;
+    return id;
+}
+
+static void
+write_release(struct ggw_payload_writer *w, const struct ggw_slots_group *g,
+              const char *domain, const char *server,
+              enum ggw_attempt_result result, ggw_ms latency,
+              const struct ggw_load_report *report)
+{
+    ggw_payload_begin(w, 13);
+    ggw_payload_put_string(w, g->team);
+    ggw_payload_put_string(w, g->service);
+    ggw_payload_put_string(w, domain);
+    ggw_payload_put_string(w, server);
+    ggw_payload_put_uint(w, (uint64_t)result);
+    ggw_payload_put_double(w, latency);
+    ggw_payload_put_bool(w, report->present);
+    ggw_payload_put_uint(w, (uint64_t)MAX(report->slots, 0));
+    ggw_payload_put_uint(w, (uint64_t)MAX(report->busy, 0));
+    ggw_payload_put_uint(w, (uint64_t)MAX(report->queue, 0));
+    ggw_payload_put_bool(w, report->cold);
+    ggw_payload_put_bool(w, report->draining);
+    ggw_payload_put_uint(w, report->incarnation);
+}
+
+void
+ggw_slots_release_unused(struct ggw_slots *p, const char *owner, uint64_t id,
+                         const struct ggw_slots_domain *d, const char *server)
+{
+    static const struct ggw_load_report none;
+    struct ggw_payload_writer w;
+
+    write_release(&w, d->group, d->name, server, GGW_ATTEMPT_UNUSED, 0, &none);
+    ggw_slots_to_peer(p, owner, GGW_PEER_SLOT_RELEASE, id, &w);
+}
+
+static void
+learn(struct ggw_slots *p, struct ggw_slots_server *s,
+      const struct ggw_slot_release *r)
+{
+    s->own = MAX(s->own - 1, 0);
+    if (r->result == GGW_ATTEMPT_UNUSED) {
+        return;
+    }
+    if (r->report.present) {
+        s->reported = true;
+        s->load = r->report.busy + r->report.queue;
+        s->reported_at = ggw_slots_now(p);
+    }
+    if (ggw_attempt_failed(r->result) ||
+        (r->report.present && (r->report.cold || r->report.draining))) {
+        s->doubted = true;
+    }
+    if (r->result != GGW_ATTEMPT_CANCELLED) {
+        s->latency = ggw_policy_latency(s->latency, r->result, r->latency, 0);
+    }
+}
+
+/* Tells the owner, and also the one that granted when it has changed. */
+static void
+tell_owner(struct ggw_slots *p, const struct ggw_slots_held *h,
+           struct ggw_slots_domain *d, const struct ggw_slot_release *r)
+{
+    struct ggw_payload_writer w;
+
+    if (d->ledger != NULL) {
+        ggw_ledger_release(d->ledger, p->self, h->id, h->server, r->result,
+                           r->latency, &r->report, ggw_slots_now(p));
+        ggw_slots_drain(p, d);
+    }
+    else if (d->owner != NULL) {
+        write_release(&w, h->group, h->domain, h->server, r->result,
+                      r->latency, &r->report);
+        ggw_slots_to_peer(p, d->owner, GGW_PEER_SLOT_RELEASE, h->id, &w);
+    }
+    if (h->owner != NULL && strcmp(h->owner, p->self) != 0 &&
+        g_strcmp0(h->owner, d->owner) != 0) {
+        write_release(&w, h->group, h->domain, h->server, r->result,
+                      r->latency, &r->report);
+        ggw_slots_to_peer(p, h->owner, GGW_PEER_SLOT_RELEASE, h->id, &w);
+    }
+}
+
+void
+ggw_slots_release(struct ggw_slots *p, const struct ggw_slot_release *r)
+{
+    struct ggw_slots_held *h = g_hash_table_lookup(p->held, &r->grant);
+    struct ggw_slots_server *s;
+    struct ggw_slots_domain *d;
+
+    if (h == NULL) {
+        return;
+    }
+    g_hash_table_steal(p->held, &r->grant);
+    s = ggw_slots_find_server(h->group, h->server);
+    d = ggw_slots_find_domain(h->group, h->domain);
+    if (s != NULL) {
+        learn(p, s, r);
+    }
+    if (d != NULL) {
+        tell_owner(p, h, d, r);
+    }
+    ggw_slots_held_free(h);
+    if (p->local_len > 0) {
+        ggw_slots_wake(p, ggw_slots_now(p));
+    }
+}
+
+struct ggw_slots_peer *
+ggw_slots_peer(struct ggw_slots *p, const char *name)
+{
+    struct ggw_slots_peer *peer = g_hash_table_lookup(p->peers, name);
+
+    if (peer == NULL) {
+        peer = g_new0(struct ggw_slots_peer, 1);
+        g_hash_table_insert(p->peers, g_strdup(name), peer);
+    }
+    return peer;
+}
+
+/* Tells an owner that is back of the grants that it does not count. */
+static void
+report_uncounted(struct ggw_slots *p, const char *name)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_group *g = value;
+
+        for (guint i = 0; i < g->domains->len; i++) {
+            struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+
+            if (g_strcmp0(d->owner, name) == 0) {
+                ggw_slots_send_sync(p, d, name);
+            }
+        }
+    }
+}
+
+void
+ggw_slots_peer_heard(struct ggw_slots *p, const char *name, ggw_ms rtt)
+{
+    struct ggw_slots_peer *peer = ggw_slots_peer(p, name);
+
+    peer->heard_at = ggw_slots_now(p);
+    if (rtt >= 0) {
+        peer->rtt = peer->rtt == 0 ? rtt : peer->rtt * 0.8 + rtt * 0.2;
+    }
+    if (peer->silent) {
+        peer->silent = false;
+        report_uncounted(p, name);
+    }
+}
--- /dev/null
+++ b/slots/internal.h
@@ -0,0 +1,250 @@
+#ifndef GGW_SLOTS_INTERNAL_H
+#define GGW_SLOTS_INTERNAL_H
+
+#include <glib.h>
+#include <uv.h>
+
+#include "config/tree.h"
+#include "config/vms.h"
+#include "decide/measure.h"
+#include "decide/policy.h"
+#include "decide/slots.h"
+#include "peers/payload.h"
+#include "peers/peers.h"
+#include "slots/slots.h"
+
+/* State that the files of this folder share. */
+
+/* Reason in SLOT_REFUSE besides enum ggw_slot_refusal: ask the owner. */
+#define GGW_SLOTS_NOT_OWNER 100
+
+/* A request that waits in this gateway looks for a slot this often. */
+#define GGW_SLOTS_RETRY 10.0
+
+/**
+ * struct ggw_slots_server - one backend server, as every gateway has it
+ * @closed: leaving or draining
+ * @out: its failure domain is out of service
+ * @warm: the owner announced it as warm, with this incarnation
+ * @doubted: an own request has failed there since
+ * @own: requests of this gateway in flight there
+ */
+struct ggw_slots_server {
+    char *name;
+    char *host;
+    struct ggw_slots_domain *domain;
+    uint64_t incarnation;
+    uint16_t port;
+    bool closed;
+    bool out;
+    bool warm;
+    bool doubted;
+    bool listed; /* mark while a list is applied */
+    int own;
+    bool reported;
+    int load;
+    ggw_ms reported_at;
+    ggw_ms latency;
+    ggw_ms probed_at;
+    bool probing;
+};
+
+/**
+ * struct ggw_slots_domain - a service in one failure domain
+ * @owner: name of the gateway that grants its slots; NULL for none
+ * @ledger: not NULL while this gateway is the owner
+ * @free: slots that the owner announced
+ * @free_at: when it announced them
+ * @spent: of them, what this gateway asked for in the current tick
+ * @announced: last SLOT_LOAD sent
+ */
+struct ggw_slots_domain {
+    struct ggw_slots_group *group;
+    char *name;
+    char *owner;
+    struct ggw_ledger *ledger;
+    int free;
+    int spent;
+    ggw_ms free_at;
+    GBytes *announced;
+};
+
+/**
+ * struct ggw_slots_group - the servers of one service of a team
+ * @tree: holds @rule; NULL before settings are in force
+ */
+struct ggw_slots_group {
+    char *team;
+    char *service;
+    struct ggw_tree *tree;
+    const struct ggw_service_rule *rule;
+    GPtrArray *servers; /* of struct ggw_slots_server */
+    GPtrArray *domains; /* of struct ggw_slots_domain */
+    struct ggw_policy policy;
+    struct ggw_probe_budget budget;
+};
+
+/**
+ * struct ggw_slots_ask - one question to one owner
+ * @due: when to stop waiting for an answer, or to ask again if @queued
+ * @asked_again: a repeated question has not been answered
+ */
+struct ggw_slots_ask {
+    uint64_t id;
+    struct ggw_slots_pending *pending;
+    struct ggw_slots_domain *domain;
+    char *owner;
+    ggw_ms sent_at;
+    ggw_ms due;
+    bool queued;
+    bool asked_again;
+};
+
+/**
+ * struct ggw_slots_pending - a request of "proxy" without an answer
+ * @home: question to the owner of the own failure domain
+ * @spill: question to the owner of another one
+ * @local: waits in this gateway, until @retry_at
+ * @refused: the home owner refused it with @reason
+ */
+struct ggw_slots_pending {
+    struct ggw_slot_request *request;
+    struct ggw_slots_group *group;
+    struct ggw_slots_ask *home;
+    struct ggw_slots_ask *spill;
+    bool local;
+    ggw_ms retry_at;
+    bool refused;
+    enum ggw_slot_refusal reason;
+    ggw_ms retry_after;
+    GSequenceIter *iter; /* in the sequence by due time */
+    ggw_ms due;
+};
+
+/**
+ * struct ggw_slots_held - a grant that "proxy" uses
+ * @owner: gateway that counts it; NULL while none does
+ */
+struct ggw_slots_held {
+    uint64_t id;
+    struct ggw_slots_group *group;
+    char *server;
+    char *domain;
+    char *owner;
+    ggw_ms expires;
+    ggw_service_id from; /* of the request that it answered */
+    uint64_t tag;
+};
+
+/**
+ * struct ggw_slots_peer - another gateway
+ * @rtt: smoothed round trip time
+ * @silent: gave no answer in time; asked again once it is heard
+ */
+struct ggw_slots_peer {
+    ggw_ms rtt;
+    ggw_ms heard_at;
+    bool silent;
+};
+
+struct ggw_slots {
+    struct ggw_service base;
+    char *self;
+    char *domain;
+    GRand *rand;
+    GHashTable *trees;  /* team to struct ggw_tree */
+    GHashTable *groups; /* "team/service" to struct ggw_slots_group */
+    struct ggw_vm_list *vms;
+    GArray *members; /* of struct ggw_member */
+    int known;
+    struct ggw_ledger_gate gate;
+    GHashTable *peers;  /* name to struct ggw_slots_peer */
+    GHashTable *asks;   /* id to struct ggw_slots_ask */
+    GHashTable *held;   /* id to struct ggw_slots_held */
+    GSequence *pending; /* of struct ggw_slots_pending, by due time */
+    int local_len;      /* of them, those that wait in this gateway */
+    GHashTable *probes; /* id to name of the server */
+    uint64_t next_id;
+    uv_timer_t tick;
+    uv_timer_t wake;
+    ggw_ms wake_at;
+    ggw_ms seen_at; /* last time the loop ran */
+};
+
+/* slots/slots.c */
+ggw_ms ggw_slots_now(const struct ggw_slots *p);
+void ggw_slots_wake(struct ggw_slots *p, ggw_ms at);
+void ggw_slots_to_peer(struct ggw_slots *p, const char *peer,
+                       enum ggw_peer_type type, uint64_t id,
+                       struct ggw_payload_writer *w);
+struct ggw_slots_group *ggw_slots_group(struct ggw_slots *p, const char *team,
+                                        const char *service);
+
+/* slots/groups.c */
+struct ggw_slots_domain *ggw_slots_read_domain(struct ggw_slots *p,
+                                               struct ggw_payload_reader *r);
+void ggw_slots_update(struct ggw_slots *p);
+void ggw_slots_group_free(gpointer group);
+struct ggw_slots_server *ggw_slots_find_server(const struct ggw_slots_group *g,
+                                               const char *name);
+struct ggw_slots_domain *ggw_slots_find_domain(const struct ggw_slots_group *g,
+                                               const char *name);
+bool ggw_slots_domain_open(const struct ggw_slots_domain *d);
+bool ggw_slots_server_open(const struct ggw_slots_server *s);
+void ggw_slots_configure_ledger(struct ggw_slots *p,
+                                struct ggw_slots_domain *d);
+
+/* slots/owned.c */
+void ggw_slots_reassign(struct ggw_slots *p, const GArray *old_members);
+void ggw_slots_drain(struct ggw_slots *p, struct ggw_slots_domain *d);
+void ggw_slots_owner_frame(struct ggw_slots *p,
+                           const struct ggw_peer_received *frame);
+void ggw_slots_owner_tick(struct ggw_slots *p, ggw_ms now);
+ggw_ms ggw_slots_ledgers_tick(struct ggw_slots *p, ggw_ms now);
+void ggw_slots_probe_result(struct ggw_slots *p,
+                            const struct ggw_probe_result *m);
+
+/* slots/handover.c */
+void ggw_slots_request_sync(struct ggw_slots *p, struct ggw_slots_domain *d,
+                            const char *peer);
+void ggw_slots_send_sync(struct ggw_slots *p, struct ggw_slots_domain *d,
+                         const char *peer);
+void ggw_slots_on_sync(struct ggw_slots *p,
+                       const struct ggw_peer_received *frame);
+void ggw_slots_adopt_held(struct ggw_slots *p, struct ggw_slots_domain *d);
+
+/* slots/remote.c */
+void ggw_slots_request(struct ggw_slots *p,
+                       const struct ggw_slot_request *request);
+void ggw_slots_cancel(struct ggw_slots *p, const struct ggw_message *message);
+void ggw_slots_answer(struct ggw_slots *p, const char *from, uint64_t id,
+                      enum ggw_ledger_answer answer, const char *server,
+                      int reason, ggw_ms retry_after);
+void ggw_slots_answer_frame(struct ggw_slots *p,
+                            const struct ggw_peer_received *frame);
+void ggw_slots_owner_changed(struct ggw_slots *p, struct ggw_slots_domain *d,
+                             const char *old_owner);
+void ggw_slots_peer_silent(struct ggw_slots *p, const char *peer);
+void ggw_slots_due(struct ggw_slots *p, ggw_ms now);
+void ggw_slots_drop_all(struct ggw_slots *p);
+
+/* slots/held.c */
+uint64_t ggw_slots_hold(struct ggw_slots *p, uint64_t id,
+                        const struct ggw_slots_pending *pd,
+                        struct ggw_slots_server *s, const char *owner);
+void ggw_slots_release(struct ggw_slots *p, const struct ggw_slot_release *r);
+void ggw_slots_release_unused(struct ggw_slots *p, const char *owner,
+                              uint64_t id, const struct ggw_slots_domain *d,
+                              const char *server);
+void ggw_slots_held_free(gpointer held);
+struct ggw_slots_peer *ggw_slots_peer(struct ggw_slots *p, const char *name);
+void ggw_slots_peer_heard(struct ggw_slots *p, const char *name, ggw_ms rtt);
+
+/* slots/fallback.c */
+struct ggw_slots_server *
+ggw_slots_fallback(struct ggw_slots *p, const struct ggw_slots_pending *pd);
+struct ggw_slots_server *ggw_slots_baseline(struct ggw_slots *p,
+                                            struct ggw_slots_group *g,
+                                            const struct ggw_slot_request *r);
+
+#endif
--- /dev/null
+++ b/slots/owned.c
@@ -0,0 +1,473 @@
+#include <math.h>
+#include <string.h>
+
+#include "common/metrics.h"
+#include "decide/owner.h"
+#include "slots/internal.h"
+
+/* What this gateway owns: ledgers, questions of others, announcements. */
+
+#define PROBE_TIMEOUT 100.0
+
+/* Expected time of a probe; corrected when it has ended. */
+#define PROBE_COST 1.0
+
+static void
+send_refusal(struct ggw_slots *p, const char *peer, uint64_t id, int reason,
+             ggw_ms retry_after)
+{
+    struct ggw_payload_writer w;
+
+    ggw_payload_begin(&w, 2);
+    ggw_payload_put_uint(&w, (uint64_t)reason);
+    ggw_payload_put_double(&w, retry_after);
+    ggw_slots_to_peer(p, peer, GGW_PEER_SLOT_REFUSE, id, &w);
+}
+
+static void
+send_decision(struct ggw_slots *p, const struct ggw_ledger_decision *d)
+{
+    struct ggw_payload_writer w;
+
+    switch (d->answer) {
+    case GGW_LEDGER_GRANTED:
+        ggw_payload_begin(&w, 1);
+        ggw_payload_put_string(&w, d->server);
+        ggw_slots_to_peer(p, d->holder, GGW_PEER_SLOT_GRANT, d->id, &w);
+        break;
+    case GGW_LEDGER_QUEUED:
+        ggw_payload_begin(&w, 0);
+        ggw_slots_to_peer(p, d->holder, GGW_PEER_SLOT_QUEUED, d->id, &w);
+        break;
+    case GGW_LEDGER_REFUSED:
+        send_refusal(p, d->holder, d->id, (int)d->reason, d->retry_after);
+        break;
+    }
+}
+
+void
+ggw_slots_drain(struct ggw_slots *p, struct ggw_slots_domain *d)
+{
+    struct ggw_ledger_decision decision;
+
+    while (d->ledger != NULL && ggw_ledger_decision(d->ledger, &decision)) {
+        if (strcmp(decision.holder, p->self) == 0) {
+            ggw_slots_answer(p, p->self, decision.id, decision.answer,
+                             decision.server, (int)decision.reason,
+                             decision.retry_after);
+        }
+        else {
+            send_decision(p, &decision);
+        }
+        g_free(decision.holder);
+        g_free(decision.server);
+    }
+    if (d->ledger != NULL) {
+        ggw_slots_wake(p, ggw_ledger_next(d->ledger));
+    }
+}
+
+static void
+take_over(struct ggw_slots *p, struct ggw_slots_domain *d)
+{
+    ggw_count("ggw_slots_takeovers_total");
+    d->ledger = ggw_ledger_new(&p->gate, p->rand, ggw_slots_now(p));
+    ggw_slots_configure_ledger(p, d);
+    ggw_slots_adopt_held(p, d);
+    g_clear_pointer(&d->announced, g_bytes_unref);
+    ggw_slots_request_sync(p, d, NULL);
+}
+
+/* Hands over; requests of others that wait here have to ask the new owner. */
+static void
+give_up(struct ggw_slots *p, struct ggw_slots_domain *d)
+{
+    struct ggw_limit_rule rule = {0};
+    struct ggw_ledger_decision decision;
+
+    if (d->owner != NULL) {
+        ggw_slots_send_sync(p, d, d->owner);
+    }
+    ggw_ledger_configure(d->ledger, &rule, 0, NULL, 0, ggw_slots_now(p));
+    while (ggw_ledger_decision(d->ledger, &decision)) {
+        if (strcmp(decision.holder, p->self) != 0) {
+            send_refusal(p, decision.holder, decision.id, GGW_SLOTS_NOT_OWNER,
+                         0);
+        }
+        g_free(decision.holder);
+        g_free(decision.server);
+    }
+    g_clear_pointer(&d->ledger, ggw_ledger_free);
+}
+
+static const char *
+owner_of(struct ggw_slots *p, const struct ggw_slots_domain *d)
+{
+    const struct ggw_member *members =
+        (const struct ggw_member *)p->members->data;
+    size_t i = ggw_owner_pick(d->group->team, d->group->service, d->name,
+                              members, p->members->len);
+
+    return i != (size_t)-1 ? members[i].name : NULL;
+}
+
+static bool
+was_alive(const GArray *members, const char *name)
+{
+    for (guint i = 0; i < members->len; i++) {
+        const struct ggw_member *m =
+            &g_array_index(members, struct ggw_member, i);
+
+        if (strcmp(m->name, name) == 0) {
+            return m->state == GGW_MEMBER_ALIVE;
+        }
+    }
+    return false;
+}
+
+/*
+ * A gateway that appears may have granted slots as the owner while it was out
+ * of reach, so servers that are not warm wait until it has told.
+ */
+static void
+greet_new_members(struct ggw_slots *p, struct ggw_slots_domain *d,
+                  const GArray *old)
+{
+    for (guint i = 0; i < p->members->len; i++) {
+        const struct ggw_member *m =
+            &g_array_index(p->members, struct ggw_member, i);
+
+        if (m->self || m->state != GGW_MEMBER_ALIVE ||
+            was_alive(old, m->name)) {
+            continue;
+        }
+        g_clear_pointer(&d->announced, g_bytes_unref);
+        ggw_slots_request_sync(p, d, m->name);
+        ggw_ledger_hold(d->ledger, ggw_slots_now(p) + GGW_LEDGER_HOLD_DOWN);
+    }
+}
+
+static void
+reassign_domain(struct ggw_slots *p, struct ggw_slots_domain *d,
+                const GArray *old_members)
+{
+    const char *owner = owner_of(p, d);
+    bool mine = g_strcmp0(owner, p->self) == 0;
+
+    if (g_strcmp0(owner, d->owner) != 0) {
+        g_autofree char *old = d->owner;
+
+        d->owner = g_strdup(owner);
+        d->free = 0;
+        if (d->ledger != NULL && !mine) {
+            give_up(p, d);
+        }
+        else if (mine) {
+            take_over(p, d);
+        }
+        ggw_slots_owner_changed(p, d, old);
+    }
+    else if (mine && old_members != NULL) {
+        greet_new_members(p, d, old_members);
+    }
+    if (d->ledger != NULL) {
+        ggw_slots_drain(p, d);
+    }
+}
+
+void
+ggw_slots_reassign(struct ggw_slots *p, const GArray *old_members)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_group *g = value;
+
+        for (guint i = 0; i < g->domains->len; i++) {
+            reassign_domain(p, g_ptr_array_index(g->domains, i), old_members);
+        }
+    }
+}
+
+/* MIN() would read the field twice. */
+static int
+read_int(struct ggw_payload_reader *r, int max)
+{
+    uint64_t value = ggw_payload_uint(r);
+
+    return value < (uint64_t)max ? (int)value : max;
+}
+
+static void
+on_acquire(struct ggw_slots *p, const struct ggw_peer_received *frame,
+           struct ggw_payload_reader *r)
+{
+    struct ggw_slots_domain *d = ggw_slots_read_domain(p, r);
+    struct ggw_payload_reader list;
+    struct ggw_ledger_ask ask = {.holder = frame->peer,
+                                 .id = frame->request_id};
+    g_autoptr(GPtrArray) avoid = g_ptr_array_new();
+    uint32_t n;
+
+    ask.priority = read_int(r, 100);
+    ask.deadline = ggw_slots_now(p) + ggw_payload_double(r);
+    ask.may_queue = ggw_payload_bool(r);
+    n = ggw_payload_array(r, &list);
+    for (uint32_t i = 0; i < n && list.ok; i++) {
+        g_ptr_array_add(avoid, (gpointer)ggw_payload_string(&list));
+    }
+    if (!r->ok) {
+        ggw_count("ggw_slots_frames_malformed_total");
+        return;
+    }
+    if (d == NULL || d->ledger == NULL ||
+        ggw_slots_now(p) < p->gate.stopped_until) {
+        send_refusal(p, frame->peer, frame->request_id, GGW_SLOTS_NOT_OWNER,
+                     0);
+        return;
+    }
+    g_ptr_array_add(avoid, NULL);
+    ask.avoid = n > 0 ? (char *const *)avoid->pdata : NULL;
+    ggw_ledger_ask(d->ledger, &ask, ggw_slots_now(p));
+    ggw_slots_drain(p, d);
+}
+
+static void
+on_release(struct ggw_slots *p, const struct ggw_peer_received *frame,
+           struct ggw_payload_reader *r)
+{
+    struct ggw_slots_domain *d = ggw_slots_read_domain(p, r);
+    const char *server = ggw_payload_string(r);
+    uint64_t result = ggw_payload_uint(r);
+    ggw_ms latency = ggw_payload_double(r);
+    struct ggw_load_report report = {0};
+    struct ggw_slots_server *s;
+
+    report.present = ggw_payload_bool(r);
+    report.slots = read_int(r, INT16_MAX);
+    report.busy = read_int(r, INT16_MAX);
+    report.queue = read_int(r, INT16_MAX);
+    report.cold = ggw_payload_bool(r);
+    report.draining = ggw_payload_bool(r);
+    report.incarnation = ggw_payload_uint(r);
+    if (!r->ok || result > GGW_ATTEMPT_UNUSED || latency < 0) {
+        ggw_count("ggw_slots_frames_malformed_total");
+        return;
+    }
+    if (d == NULL || d->ledger == NULL) {
+        return;
+    }
+    s = ggw_slots_find_server(d->group, server);
+    if (s != NULL && report.present) {
+        s->reported_at = ggw_slots_now(p);
+    }
+    ggw_ledger_release(d->ledger, frame->peer, frame->request_id, server,
+                       (enum ggw_attempt_result)result, latency, &report,
+                       ggw_slots_now(p));
+    ggw_slots_drain(p, d);
+}
+
+static void
+on_cancel(struct ggw_slots *p, const struct ggw_peer_received *frame,
+          struct ggw_payload_reader *r)
+{
+    struct ggw_slots_domain *d = ggw_slots_read_domain(p, r);
+
+    if (r->ok && d != NULL && d->ledger != NULL) {
+        ggw_ledger_cancel(d->ledger, frame->peer, frame->request_id,
+                          ggw_slots_now(p));
+        ggw_slots_drain(p, d);
+    }
+}
+
+void
+ggw_slots_owner_frame(struct ggw_slots *p,
+                      const struct ggw_peer_received *frame)
+{
+    gsize len;
+    gconstpointer data = g_bytes_get_data(frame->payload, &len);
+    struct ggw_payload_reader r;
+
+    ggw_payload_open(&r, data, len);
+    switch (frame->type) {
+    case GGW_PEER_SLOT_ACQUIRE:
+        on_acquire(p, frame, &r);
+        break;
+    case GGW_PEER_SLOT_RELEASE:
+        on_release(p, frame, &r);
+        break;
+    default:
+        on_cancel(p, frame, &r);
+        break;
+    }
+    ggw_payload_close(&r);
+}
+
+/* Tells all gateways of free slots and warm servers when they changed. */
+static void
+announce(struct ggw_slots *p, struct ggw_slots_domain *d, ggw_ms now)
+{
+    struct ggw_slots_group *g = d->group;
+    struct ggw_payload_writer w;
+    g_autoptr(GPtrArray) warm = g_ptr_array_new();
+    GBytes *payload;
+
+    for (guint i = 0; i < g->servers->len; i++) {
+        struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
+        enum ggw_limit_state state;
+        int in_flight;
+        int limit;
+
+        if (s->domain != d ||
+            !ggw_ledger_server_limit(d->ledger, s->name, &in_flight, &limit,
+                                     &state)) {
+            continue;
+        }
+        s->warm = state == GGW_LIMIT_WARM && !s->out;
+        s->doubted = false;
+        if (s->warm) {
+            g_ptr_array_add(warm, s->name);
+        }
+    }
+    ggw_payload_begin(&w, 5);
+    ggw_payload_put_string(&w, g->team);
+    ggw_payload_put_string(&w, g->service);
+    ggw_payload_put_string(&w, d->name);
+    ggw_payload_put_uint(&w, (uint64_t)ggw_ledger_free_slots(d->ledger, now));
+    ggw_payload_put_array(&w, warm->len);
+    for (guint i = 0; i < warm->len; i++) {
+        ggw_payload_put_string(&w, g_ptr_array_index(warm, i));
+    }
+    payload = ggw_payload_end(&w);
+    if (d->announced != NULL && g_bytes_equal(payload, d->announced)) {
+        g_bytes_unref(payload);
+        return;
+    }
+    g_clear_pointer(&d->announced, g_bytes_unref);
+    d->announced = payload;
+    ggw_kernel_send(p->base.kernel, "peers", &p->base,
+                    ggw_peer_send_new(NULL, GGW_PEER_SLOT_LOAD, 0, payload));
+}
+
+static void
+send_probe(struct ggw_slots *p, struct ggw_slots_server *s, ggw_ms now)
+{
+    uint64_t *id = g_new(uint64_t, 1);
+    struct ggw_message *m =
+        ggw_probe_request_new(s->name, s->host, s->port, PROBE_TIMEOUT);
+
+    *id = ++p->next_id;
+    m->tag = *id;
+    s->probing = true;
+    s->probed_at = now;
+    g_hash_table_insert(p->probes, id, g_strdup(s->name));
+    ggw_count("ggw_slots_probes_total");
+    ggw_kernel_send(p->base.kernel, "proxy", &p->base, m);
+}
+
+static void
+probe(struct ggw_slots *p, struct ggw_slots_group *g, ggw_ms now)
+{
+    g_autoptr(GPtrArray) owned = g_ptr_array_new();
+    struct ggw_probe_candidate *c =
+        g_new0(struct ggw_probe_candidate, g->servers->len);
+    size_t i;
+
+    for (guint j = 0; j < g->servers->len; j++) {
+        struct ggw_slots_server *s = g_ptr_array_index(g->servers, j);
+
+        if (s->domain->ledger != NULL && ggw_slots_server_open(s)) {
+            c[owned->len].heard_at = MAX(s->reported_at, s->probed_at);
+            c[owned->len].pending = s->probing;
+            g_ptr_array_add(owned, s);
+        }
+    }
+    i = ggw_probe_pick(c, owned->len, now);
+    g_free(c);
+    if (i != (size_t)-1 && ggw_probe_take(&g->budget, PROBE_COST, now)) {
+        send_probe(p, g_ptr_array_index(owned, i), now);
+    }
+}
+
+void
+ggw_slots_probe_result(struct ggw_slots *p, const struct ggw_probe_result *m)
+{
+    const char *name = g_hash_table_lookup(p->probes, &m->base.tag);
+    GHashTableIter iter;
+    gpointer value;
+
+    if (name == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_group *g = value;
+        struct ggw_slots_server *s = ggw_slots_find_server(g, name);
+
+        if (s == NULL) {
+            continue;
+        }
+        s->probing = false;
+        ggw_probe_settle(&g->budget, PROBE_COST,
+                         ggw_slots_now(p) - s->probed_at);
+        if (m->answered && s->domain->ledger != NULL) {
+            s->reported_at = ggw_slots_now(p);
+            ggw_ledger_report(s->domain->ledger, name, &m->report,
+                              ggw_slots_now(p));
+            ggw_slots_drain(p, s->domain);
+        }
+    }
+    g_hash_table_remove(p->probes, &m->base.tag);
+}
+
+void
+ggw_slots_owner_tick(struct ggw_slots *p, ggw_ms now)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_group *g = value;
+
+        for (guint i = 0; i < g->domains->len; i++) {
+            struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+
+            if (d->ledger != NULL) {
+                ggw_ledger_tick(d->ledger, now);
+                ggw_slots_drain(p, d);
+                announce(p, d, now);
+            }
+        }
+        probe(p, g, now);
+    }
+}
+
+ggw_ms
+ggw_slots_ledgers_tick(struct ggw_slots *p, ggw_ms now)
+{
+    ggw_ms next = INFINITY;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_group *g = value;
+
+        for (guint i = 0; i < g->domains->len; i++) {
+            struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+
+            if (d->ledger == NULL) {
+                continue;
+            }
+            if (ggw_ledger_next(d->ledger) <= now) {
+                ggw_ledger_tick(d->ledger, now);
+                ggw_slots_drain(p, d);
+            }
+            next = MIN(next, ggw_ledger_next(d->ledger));
+        }
+    }
+    return next;
+}
--- /dev/null
+++ b/slots/remote.c
@@ -0,0 +1,696 @@
+#include <math.h>
+#include <string.h>
+
+#include "common/metrics.h"
+#include "slots/internal.h"
+
+/* Requests of "proxy": questions to owners, spill, and waiting here. */
+
+/* An owner has at least this long to answer. */
+#define ANSWER_MIN 5.0
+
+/* A queued request asks again this often whether its owner still runs. */
+#define ASK_AGAIN 50.0
+
+#define RETRY_AFTER 100.0
+
+/* An announced number of free slots loses half of its weight in this time. */
+#define FREE_HALF_LIFE 400.0
+
+static void start(struct ggw_slots *p, struct ggw_slots_pending *pd);
+static void go_local(struct ggw_slots *p, struct ggw_slots_pending *pd);
+
+static gint
+by_due(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const struct ggw_slots_pending *x = a;
+    const struct ggw_slots_pending *y = b;
+
+    return (x->due > y->due) - (x->due < y->due);
+}
+
+static void
+reschedule(struct ggw_slots *p, struct ggw_slots_pending *pd)
+{
+    ggw_ms due = pd->request->deadline;
+
+    due = pd->home != NULL ? MIN(due, pd->home->due) : due;
+    due = pd->spill != NULL ? MIN(due, pd->spill->due) : due;
+    due = pd->local ? MIN(due, pd->retry_at) : due;
+    if (due != pd->due) {
+        pd->due = due;
+        g_sequence_sort_changed(pd->iter, by_due, NULL);
+        ggw_slots_wake(p, due);
+    }
+}
+
+static void
+ask_free(struct ggw_slots *p, struct ggw_slots_ask *a)
+{
+    if (a->pending->home == a) {
+        a->pending->home = NULL;
+    }
+    if (a->pending->spill == a) {
+        a->pending->spill = NULL;
+    }
+    g_hash_table_remove(p->asks, &a->id);
+    g_free(a->owner);
+    g_free(a);
+}
+
+/* Takes a question back. */
+static void
+withdraw(struct ggw_slots *p, struct ggw_slots_ask *a)
+{
+    struct ggw_slots_domain *d = a->domain;
+    struct ggw_payload_writer w;
+    uint64_t id = a->id;
+    g_autofree char *owner = g_strdup(a->owner);
+
+    ask_free(p, a);
+    if (strcmp(owner, p->self) == 0) {
+        if (d->ledger != NULL) {
+            ggw_ledger_cancel(d->ledger, p->self, id, ggw_slots_now(p));
+            ggw_slots_drain(p, d);
+        }
+        return;
+    }
+    ggw_payload_begin(&w, 3);
+    ggw_payload_put_string(&w, d->group->team);
+    ggw_payload_put_string(&w, d->group->service);
+    ggw_payload_put_string(&w, d->name);
+    ggw_slots_to_peer(p, owner, GGW_PEER_SLOT_CANCEL, id, &w);
+}
+
+static void
+pending_free(struct ggw_slots *p, struct ggw_slots_pending *pd)
+{
+    struct ggw_slots_ask *home = pd->home;
+    struct ggw_slots_ask *spill = pd->spill;
+
+    p->local_len -= pd->local;
+    g_sequence_remove(pd->iter);
+    pd->home = NULL;
+    pd->spill = NULL;
+    if (home != NULL) {
+        ask_free(p, home);
+    }
+    if (spill != NULL) {
+        ask_free(p, spill);
+    }
+    pd->request->base.ops->destroy(&pd->request->base);
+    g_free(pd);
+}
+
+static void
+withdraw_all(struct ggw_slots *p, struct ggw_slots_pending *pd)
+{
+    struct ggw_slots_ask *home = pd->home;
+    struct ggw_slots_ask *spill = pd->spill;
+
+    pd->home = NULL;
+    pd->spill = NULL;
+    if (home != NULL) {
+        withdraw(p, home);
+    }
+    if (spill != NULL) {
+        withdraw(p, spill);
+    }
+}
+
+static void
+refuse(struct ggw_slots *p, struct ggw_slots_pending *pd,
+       enum ggw_slot_refusal reason, ggw_ms retry_after)
+{
+    withdraw_all(p, pd);
+    ggw_kernel_reply(&p->base, &pd->request->base,
+                     ggw_slot_refuse_new(reason, retry_after));
+    pending_free(p, pd);
+}
+
+static void
+grant(struct ggw_slots *p, struct ggw_slots_pending *pd, uint64_t id,
+      struct ggw_slots_server *s, const char *owner)
+{
+    int share = MAX(pd->group->rule->connections / MAX(p->known, 1), 1);
+
+    withdraw_all(p, pd);
+    ggw_slots_hold(p, id, pd, s, owner);
+    ggw_kernel_reply(&p->base, &pd->request->base,
+                     ggw_slot_grant_new(id, s->name, s->domain->name, s->host,
+                                        s->port, share));
+    pending_free(p, pd);
+}
+
+static void
+send_acquire(struct ggw_slots *p, const struct ggw_slots_ask *a)
+{
+    const struct ggw_slot_request *r = a->pending->request;
+    uint32_t avoid = r->avoid != NULL ? g_strv_length(r->avoid) : 0;
+    struct ggw_payload_writer w;
+
+    ggw_payload_begin(&w, 7);
+    ggw_payload_put_string(&w, r->team);
+    ggw_payload_put_string(&w, r->service);
+    ggw_payload_put_string(&w, a->domain->name);
+    ggw_payload_put_uint(&w, (uint64_t)MAX(r->priority, 0));
+    ggw_payload_put_double(&w, r->deadline - ggw_slots_now(p));
+    ggw_payload_put_bool(&w, a->pending->home == a);
+    ggw_payload_put_array(&w, avoid);
+    for (uint32_t i = 0; i < avoid; i++) {
+        ggw_payload_put_string(&w, r->avoid[i]);
+    }
+    ggw_slots_to_peer(p, a->owner, GGW_PEER_SLOT_ACQUIRE, a->id, &w);
+}
+
+static ggw_ms
+answer_time(struct ggw_slots *p, const char *owner)
+{
+    if (strcmp(owner, p->self) == 0) {
+        return INFINITY;
+    }
+    return MAX(3 * ggw_slots_peer(p, owner)->rtt, ANSWER_MIN);
+}
+
+/* Asks the owner of a domain; the answer may arrive, and free @pd, at once. */
+static void
+ask(struct ggw_slots *p, struct ggw_slots_pending *pd,
+    struct ggw_slots_domain *d, bool home)
+{
+    struct ggw_slots_ask *a = g_new0(struct ggw_slots_ask, 1);
+    const struct ggw_slot_request *r = pd->request;
+    struct ggw_ledger_ask question = {
+        .holder = p->self,
+        .priority = r->priority,
+        .deadline = r->deadline,
+        .avoid = r->avoid,
+        .may_queue = home,
+    };
+
+    a->id = ++p->next_id;
+    a->pending = pd;
+    a->domain = d;
+    a->owner = g_strdup(d->owner);
+    a->sent_at = ggw_slots_now(p);
+    a->due = a->sent_at + answer_time(p, a->owner);
+    *(home ? &pd->home : &pd->spill) = a;
+    g_hash_table_insert(p->asks, &a->id, a);
+    reschedule(p, pd);
+    if (d->ledger != NULL) {
+        question.id = a->id;
+        ggw_ledger_ask(d->ledger, &question, a->sent_at);
+        ggw_slots_drain(p, d);
+        return;
+    }
+    send_acquire(p, a);
+}
+
+static double
+free_slots(struct ggw_slots *p, const struct ggw_slots_domain *d)
+{
+    ggw_ms now = ggw_slots_now(p);
+    const struct ggw_slots_peer *peer;
+    ggw_ms age;
+
+    if (d->ledger != NULL) {
+        return ggw_ledger_free_slots(d->ledger, now);
+    }
+    if (d->owner == NULL) {
+        return 0;
+    }
+    peer = ggw_slots_peer(p, d->owner);
+    if (peer->silent) {
+        return 0;
+    }
+    /* No change is announced while nothing changes; it was still heard. */
+    age = now - MAX(d->free_at, peer->heard_at);
+    return round(d->free * pow(0.5, age / FREE_HALF_LIFE)) - d->spent;
+}
+
+/* Asks another failure domain if one has a free slot. */
+static bool
+try_spill(struct ggw_slots *p, struct ggw_slots_pending *pd)
+{
+    struct ggw_slots_domain *best = NULL;
+    double best_free = 0;
+
+    for (guint i = 0; i < pd->group->domains->len; i++) {
+        struct ggw_slots_domain *d = g_ptr_array_index(pd->group->domains, i);
+        double n = strcmp(d->name, p->domain) != 0 ? free_slots(p, d) : 0;
+
+        if (n > best_free && ggw_slots_domain_open(d)) {
+            best = d;
+            best_free = n;
+        }
+    }
+    if (best == NULL || pd->spill != NULL) {
+        return false;
+    }
+    best->spent++;
+    ggw_count("ggw_slots_spills_total");
+    ask(p, pd, best, false);
+    return true;
+}
+
+static void
+go_local(struct ggw_slots *p, struct ggw_slots_pending *pd)
+{
+    if (!pd->local && p->local_len >= pd->group->rule->queue) {
+        refuse(p, pd, GGW_SLOT_QUEUE_FULL, RETRY_AFTER);
+        return;
+    }
+    p->local_len += !pd->local;
+    pd->local = true;
+    pd->retry_at = ggw_slots_now(p) + GGW_SLOTS_RETRY;
+    reschedule(p, pd);
+}
+
+static void
+fall_back(struct ggw_slots *p, struct ggw_slots_pending *pd)
+{
+    struct ggw_slots_server *s = ggw_slots_fallback(p, pd);
+
+    if (s != NULL) {
+        ggw_count("ggw_slots_fallback_grants_total");
+        grant(p, pd, ++p->next_id, s, NULL);
+    }
+    else if (!try_spill(p, pd)) {
+        go_local(p, pd);
+    }
+}
+
+static bool
+any_open(const struct ggw_slots_group *g)
+{
+    for (guint i = 0; i < g->servers->len; i++) {
+        if (ggw_slots_server_open(g_ptr_array_index(g->servers, i))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+start(struct ggw_slots *p, struct ggw_slots_pending *pd)
+{
+    struct ggw_slots_domain *home =
+        ggw_slots_find_domain(pd->group, p->domain);
+
+    p->local_len -= pd->local;
+    pd->local = false;
+    if (ggw_slots_now(p) >= pd->request->deadline) {
+        refuse(p, pd, GGW_SLOT_TOO_LATE, RETRY_AFTER);
+    }
+    else if (pd->group->rule == NULL || !any_open(pd->group)) {
+        refuse(p, pd, GGW_SLOT_NO_SERVER, RETRY_AFTER);
+    }
+    else if (home == NULL || !ggw_slots_domain_open(home)) {
+        if (!try_spill(p, pd)) {
+            go_local(p, pd);
+        }
+    }
+    else if (home->ledger != NULL
+                 ? ggw_slots_now(p) < p->gate.stopped_until
+                 : home->owner == NULL ||
+                       ggw_slots_peer(p, home->owner)->silent) {
+        fall_back(p, pd);
+    }
+    else {
+        ask(p, pd, home, true);
+    }
+}
+
+static struct ggw_slot_request *
+copy_request(const struct ggw_slot_request *r)
+{
+    struct ggw_slot_request *copy =
+        (struct ggw_slot_request *)ggw_slot_request_new(
+            r->team, r->service, r->priority, r->deadline, r->avoid);
+
+    copy->base.from = r->base.from;
+    copy->base.tag = r->base.tag;
+    return copy;
+}
+
+void
+ggw_slots_request(struct ggw_slots *p, const struct ggw_slot_request *request)
+{
+    struct ggw_slots_group *g =
+        ggw_slots_group(p, request->team, request->service);
+    struct ggw_slots_pending *pd;
+    struct ggw_slots_server *s;
+
+    if (g == NULL || g->rule == NULL) {
+        ggw_kernel_reply(&p->base, &request->base,
+                         ggw_slot_refuse_new(GGW_SLOT_NO_SERVER, RETRY_AFTER));
+        return;
+    }
+    pd = g_new0(struct ggw_slots_pending, 1);
+    pd->request = copy_request(request);
+    pd->group = g;
+    pd->due = INFINITY;
+    pd->iter = g_sequence_append(p->pending, pd);
+    reschedule(p, pd);
+    if (g->policy.ops == NULL || strcmp(g->rule->policy, "slots") == 0) {
+        start(p, pd);
+        return;
+    }
+    s = ggw_slots_baseline(p, g, request);
+    if (s != NULL) {
+        grant(p, pd, ++p->next_id, s, NULL);
+    }
+    else {
+        refuse(p, pd, GGW_SLOT_NO_SERVER, RETRY_AFTER);
+    }
+}
+
+void
+ggw_slots_cancel(struct ggw_slots *p, const struct ggw_message *message)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    for (GSequenceIter *i = g_sequence_get_begin_iter(p->pending);
+         !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+        struct ggw_slots_pending *pd = g_sequence_get(i);
+
+        if (pd->request->base.tag == message->tag &&
+            pd->request->base.from == message->from) {
+            withdraw_all(p, pd);
+            pending_free(p, pd);
+            return;
+        }
+    }
+    g_hash_table_iter_init(&iter, p->held);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct ggw_slots_held *h = value;
+        struct ggw_slot_release unused = {.grant = h->id,
+                                          .result = GGW_ATTEMPT_UNUSED};
+
+        if (h->tag == message->tag && h->from == message->from) {
+            ggw_slots_release(p, &unused);
+            return;
+        }
+    }
+}
+
+static void
+on_refused(struct ggw_slots *p, struct ggw_slots_ask *a, int reason,
+           ggw_ms retry_after)
+{
+    struct ggw_slots_pending *pd = a->pending;
+    bool home = pd->home == a;
+
+    if (home && reason == GGW_SLOTS_NOT_OWNER) {
+        /* Heard again, it learns of the grants that are made without it. */
+        ggw_slots_peer(p, a->owner)->silent = true;
+    }
+    if (!home) {
+        a->domain->spent = MAX(a->domain->spent, (int)a->domain->free);
+    }
+    ask_free(p, a);
+    reschedule(p, pd);
+    if (home && reason == GGW_SLOTS_NOT_OWNER) {
+        fall_back(p, pd);
+        return;
+    }
+    if (home) {
+        pd->refused = true;
+        pd->reason = (enum ggw_slot_refusal)reason;
+        pd->retry_after = retry_after;
+        if (pd->spill == NULL && !try_spill(p, pd)) {
+            refuse(p, pd, pd->reason, retry_after);
+        }
+        return;
+    }
+    if (pd->home != NULL) {
+        return;
+    }
+    if (pd->refused) {
+        refuse(p, pd, pd->reason, pd->retry_after);
+    }
+    else {
+        go_local(p, pd);
+    }
+}
+
+static void
+on_granted(struct ggw_slots *p, struct ggw_slots_ask *a, const char *server)
+{
+    struct ggw_slots_pending *pd = a->pending;
+    struct ggw_slots_server *s = ggw_slots_find_server(pd->group, server);
+    g_autofree char *owner = g_strdup(a->owner);
+    uint64_t id = a->id;
+
+    if (s == NULL || !ggw_slots_server_open(s)) {
+        /* This gateway knows already that it takes no new work. */
+        withdraw(p, a);
+        if (pd->home == NULL && pd->spill == NULL) {
+            go_local(p, pd);
+        }
+        return;
+    }
+    if (strcmp(owner, p->self) != 0) {
+        ggw_ms took = ggw_slots_now(p) - a->sent_at;
+
+        ggw_slots_peer_heard(p, owner, a->queued ? -1 : took);
+    }
+    ask_free(p, a);
+    grant(p, pd, id, s, owner);
+}
+
+void
+ggw_slots_answer(struct ggw_slots *p, const char *from, uint64_t id,
+                 enum ggw_ledger_answer answer, const char *server, int reason,
+                 ggw_ms retry_after)
+{
+    struct ggw_slots_ask *a = g_hash_table_lookup(p->asks, &id);
+
+    if (a == NULL || strcmp(a->owner, from) != 0) {
+        return;
+    }
+    switch (answer) {
+    case GGW_LEDGER_GRANTED:
+        on_granted(p, a, server);
+        break;
+    case GGW_LEDGER_REFUSED:
+        on_refused(p, a, reason, retry_after);
+        break;
+    case GGW_LEDGER_QUEUED:
+        a->queued = true;
+        a->asked_again = false;
+        a->due = ggw_slots_now(p) + ASK_AGAIN;
+        reschedule(p, a->pending);
+        if (a->pending->home == a) {
+            try_spill(p, a->pending);
+        }
+        break;
+    }
+}
+
+/* A grant for a request that has been answered or cancelled. */
+static void
+give_back(struct ggw_slots *p, const struct ggw_peer_received *frame,
+          const char *server)
+{
+    const struct ggw_slots_held *h =
+        g_hash_table_lookup(p->held, &frame->request_id);
+    GHashTableIter iter;
+    gpointer value;
+
+    if (h != NULL) {
+        return; /* the same grant again */
+    }
+    ggw_count("ggw_slots_late_grants_total");
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_server *s = ggw_slots_find_server(value, server);
+
+        if (s != NULL) {
+            ggw_slots_release_unused(p, frame->peer, frame->request_id,
+                                     s->domain, server);
+        }
+    }
+}
+
+void
+ggw_slots_answer_frame(struct ggw_slots *p,
+                       const struct ggw_peer_received *frame)
+{
+    gsize len;
+    gconstpointer data = g_bytes_get_data(frame->payload, &len);
+    enum ggw_ledger_answer answer = GGW_LEDGER_QUEUED;
+    struct ggw_payload_reader r;
+    const char *server = NULL;
+    uint64_t reason = 0;
+    ggw_ms retry_after = 0;
+
+    ggw_payload_open(&r, data, len);
+    if (frame->type == GGW_PEER_SLOT_GRANT) {
+        answer = GGW_LEDGER_GRANTED;
+        server = ggw_payload_string(&r);
+    }
+    else if (frame->type == GGW_PEER_SLOT_REFUSE) {
+        answer = GGW_LEDGER_REFUSED;
+        reason = ggw_payload_uint(&r);
+        retry_after = ggw_payload_double(&r);
+    }
+    if (!r.ok ||
+        (reason > GGW_SLOT_DISPLACED && reason != GGW_SLOTS_NOT_OWNER)) {
+        ggw_count("ggw_slots_frames_malformed_total");
+    }
+    else {
+        ggw_slots_peer_heard(p, frame->peer, -1);
+        if (answer == GGW_LEDGER_GRANTED &&
+            !g_hash_table_contains(p->asks, &frame->request_id)) {
+            give_back(p, frame, server);
+        }
+        ggw_slots_answer(p, frame->peer, frame->request_id, answer, server,
+                         (int)reason, retry_after);
+    }
+    ggw_payload_close(&r);
+}
+
+static void
+no_answer(struct ggw_slots *p, struct ggw_slots_ask *a)
+{
+    struct ggw_slots_pending *pd = a->pending;
+    bool home = pd->home == a;
+
+    ggw_slots_peer(p, a->owner)->silent = true;
+    withdraw(p, a);
+    reschedule(p, pd);
+    if (home) {
+        fall_back(p, pd);
+    }
+    else if (pd->home == NULL && pd->refused) {
+        refuse(p, pd, pd->reason, pd->retry_after);
+    }
+    else if (pd->home == NULL) {
+        go_local(p, pd);
+    }
+}
+
+/* Questions of one owner or domain; the handlers may free any of them. */
+static GArray *
+ask_ids(struct ggw_slots *p, const char *owner,
+        const struct ggw_slots_domain *d)
+{
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->asks);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct ggw_slots_ask *a = value;
+
+        if (g_strcmp0(a->owner, owner) == 0 && (d == NULL || a->domain == d)) {
+            g_array_append_val(ids, a->id);
+        }
+    }
+    return ids;
+}
+
+void
+ggw_slots_peer_silent(struct ggw_slots *p, const char *peer)
+{
+    g_autoptr(GArray) ids = ask_ids(p, peer, NULL);
+
+    ggw_slots_peer(p, peer)->silent = true;
+    for (guint i = 0; i < ids->len; i++) {
+        struct ggw_slots_ask *a =
+            g_hash_table_lookup(p->asks, &g_array_index(ids, uint64_t, i));
+
+        if (a != NULL) {
+            no_answer(p, a);
+        }
+    }
+}
+
+void
+ggw_slots_owner_changed(struct ggw_slots *p, struct ggw_slots_domain *d,
+                        const char *old_owner)
+{
+    g_autoptr(GArray) ids = ask_ids(p, old_owner, d);
+
+    for (guint i = 0; i < ids->len; i++) {
+        struct ggw_slots_ask *a =
+            g_hash_table_lookup(p->asks, &g_array_index(ids, uint64_t, i));
+        struct ggw_slots_pending *pd = a != NULL ? a->pending : NULL;
+        bool home = pd != NULL && pd->home == a;
+
+        if (pd == NULL) {
+            continue;
+        }
+        withdraw(p, a);
+        reschedule(p, pd);
+        if (home) {
+            start(p, pd);
+        }
+        else if (pd->home == NULL) {
+            go_local(p, pd);
+        }
+    }
+}
+
+static void
+ask_due(struct ggw_slots *p, struct ggw_slots_ask *a, ggw_ms now)
+{
+    struct ggw_slots_pending *pd = a->pending;
+
+    if (!a->queued || a->asked_again) {
+        no_answer(p, a);
+        return;
+    }
+    if (strcmp(a->owner, p->self) == 0) {
+        a->due = now + ASK_AGAIN;
+    }
+    else {
+        a->asked_again = true;
+        a->due = now + answer_time(p, a->owner);
+        send_acquire(p, a);
+    }
+    reschedule(p, pd);
+    if (pd->home == a) {
+        try_spill(p, pd);
+    }
+}
+
+void
+ggw_slots_due(struct ggw_slots *p, ggw_ms now)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(p->pending);
+
+    while (!g_sequence_iter_is_end(first)) {
+        struct ggw_slots_pending *pd = g_sequence_get(first);
+
+        if (pd->due > now) {
+            ggw_slots_wake(p, pd->due);
+            return;
+        }
+        if (now >= pd->request->deadline) {
+            refuse(p, pd, GGW_SLOT_TOO_LATE, RETRY_AFTER);
+        }
+        else if (pd->home != NULL && now >= pd->home->due) {
+            ask_due(p, pd->home, now);
+        }
+        else if (pd->spill != NULL && now >= pd->spill->due) {
+            ask_due(p, pd->spill, now);
+        }
+        else {
+            start(p, pd);
+        }
+        first = g_sequence_get_begin_iter(p->pending);
+    }
+}
+
+void
+ggw_slots_drop_all(struct ggw_slots *p)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(p->pending);
+
+    while (!g_sequence_iter_is_end(first)) {
+        pending_free(p, g_sequence_get(first));
+        first = g_sequence_get_begin_iter(p->pending);
+    }
+}
--- a/slots/slots.c
+++ b/slots/slots.c
@@ -1,246 +1,368 @@
 #include "slots/slots.h"
 
+#include <math.h>
 #include <string.h>
 
+#include "common/metrics.h"
 #include "config/config.h"
-#include "config/vms.h"
+#include "slots/internal.h"
 
-/* Refused requests are told to come back after this time. */
-#define RETRY_AFTER 100.0
+/* Period of announcements, and the longest wait for anything that is due. */
+#define TICK 100.0
 
-struct grant {
-    uint64_t id;
-    char *vm;
-};
-
-struct priv {
-    struct ggw_service base;
-    GHashTable *trees; /* team to struct ggw_tree */
-    struct ggw_vm_list *vms;
-    GHashTable *in_flight; /* name of a server to its count */
-    GHashTable *grants;    /* id to struct grant */
-    GQueue waiters;        /* of struct ggw_slot_request */
-    uint64_t next_grant;
-};
+/*
+ * A loop that did not run for longer than a suspicion takes may have been
+ * replaced as an owner; it grants nothing until it has heard of that.
+ */
+#define STALLED_AFTER 700.0
+#define STALLED_STOP 300.0
 
-static void
-grant_free(gpointer data)
+static struct ggw_slots *
+self_of(struct ggw_service *service)
 {
-    struct grant *g = data;
-
-    g_free(g->vm);
-    g_free(g);
+    return (struct ggw_slots *)service;
 }
 
-static int
-count_of(struct priv *p, const char *vm)
+ggw_ms
+ggw_slots_now(const struct ggw_slots *p)
 {
-    return GPOINTER_TO_INT(g_hash_table_lookup(p->in_flight, vm));
+    return ggw_kernel_now(p->base.kernel);
 }
 
-static void
-count_add(struct priv *p, const char *vm, int n)
+void
+ggw_slots_to_peer(struct ggw_slots *p, const char *peer,
+                  enum ggw_peer_type type, uint64_t id,
+                  struct ggw_payload_writer *w)
 {
-    g_hash_table_insert(p->in_flight, g_strdup(vm),
-                        GINT_TO_POINTER(count_of(p, vm) + n));
-}
+    g_autoptr(GBytes) payload = ggw_payload_end(w);
 
-static bool
-usable(const struct ggw_tree *tree, const struct ggw_vm *vm,
-       const struct ggw_slot_request *r)
-{
-    return vm->role == GGW_VM_BACKEND_SERVER && !vm->leaving &&
-           strcmp(vm->team, r->team) == 0 &&
-           strcmp(vm->service, r->service) == 0 &&
-           !ggw_tree_server_draining(tree, vm->name) &&
-           !ggw_tree_domain_out(tree, vm->failure_domain) &&
-           (r->avoid == NULL ||
-            !g_strv_contains((const char *const *)r->avoid, vm->name));
+    ggw_kernel_send(p->base.kernel, "peers", &p->base,
+                    ggw_peer_send_new(peer, type, id, payload));
 }
 
-/* Sets @any when a server may take new work, even if it is full now. */
-static const struct ggw_vm *
-pick(struct priv *p, const struct ggw_slot_request *r, bool *any)
+struct ggw_slots_group *
+ggw_slots_group(struct ggw_slots *p, const char *team, const char *service)
 {
-    const struct ggw_tree *tree = g_hash_table_lookup(p->trees, r->team);
-    const struct ggw_service_rule *rule =
-        tree != NULL ? ggw_tree_service(tree, r->service) : NULL;
-    const struct ggw_vm *best = NULL;
+    char key[256];
 
-    *any = false;
-    if (rule == NULL || p->vms == NULL) {
+    if ((size_t)g_snprintf(key, sizeof(key), "%s/%s", team, service) >=
+        sizeof(key)) {
         return NULL;
     }
-    for (size_t i = 0; i < p->vms->len; i++) {
-        const struct ggw_vm *vm = &p->vms->vms[i];
+    return g_hash_table_lookup(p->groups, key);
+}
 
-        if (!usable(tree, vm, r)) {
-            continue;
-        }
-        *any = true;
-        if (count_of(p, vm->name) < rule->slots &&
-            (best == NULL ||
-             count_of(p, vm->name) < count_of(p, best->name))) {
-            best = vm;
-        }
+/* Called first whenever the loop runs this service. */
+static void
+check_stall(struct ggw_slots *p)
+{
+    ggw_ms now = ggw_slots_now(p);
+
+    if (now - p->seen_at > STALLED_AFTER) {
+        p->gate.stopped_until = now + STALLED_STOP;
+        ggw_count("ggw_slots_stalls_total");
     }
-    return best;
+    p->seen_at = now;
 }
 
 static void
-send_grant(struct priv *p, const struct ggw_slot_request *r,
-           const struct ggw_vm *vm)
+wake_cb(uv_timer_t *timer)
 {
-    struct grant *g = g_new0(struct grant, 1);
-    const struct ggw_tree *tree = g_hash_table_lookup(p->trees, r->team);
-
-    g->id = ++p->next_grant;
-    g->vm = g_strdup(vm->name);
-    g_hash_table_insert(p->grants, &g->id, g);
-    count_add(p, vm->name, 1);
-    ggw_kernel_reply(
-        &p->base, &r->base,
-        ggw_slot_grant_new(g->id, vm->name, vm->failure_domain, vm->host,
-                           vm->port,
-                           ggw_tree_service(tree, r->service)->connections));
+    struct ggw_slots *p = timer->data;
+    ggw_ms now;
+
+    check_stall(p);
+    now = ggw_slots_now(p);
+    p->wake_at = INFINITY;
+    ggw_slots_due(p, now);
+    ggw_slots_wake(p, ggw_slots_ledgers_tick(p, now));
 }
 
-/* Answers a request if that is possible now. */
-static bool
-try_answer(struct priv *p, const struct ggw_slot_request *r)
+void
+ggw_slots_wake(struct ggw_slots *p, ggw_ms at)
 {
-    bool any;
-    const struct ggw_vm *vm = pick(p, r, &any);
+    ggw_ms wait = at - ggw_slots_now(p);
 
-    if (ggw_kernel_now(p->base.kernel) >= r->deadline) {
-        ggw_kernel_reply(&p->base, &r->base,
-                         ggw_slot_refuse_new(GGW_SLOT_TOO_LATE, RETRY_AFTER));
-    }
-    else if (vm != NULL) {
-        send_grant(p, r, vm);
+    if (at >= p->wake_at || wait > TICK ||
+        uv_is_closing((uv_handle_t *)&p->wake)) {
+        return;
     }
-    else if (!any) {
-        ggw_kernel_reply(&p->base, &r->base,
-                         ggw_slot_refuse_new(GGW_SLOT_NO_SERVER, RETRY_AFTER));
-    }
-    else {
-        return false;
+    p->wake_at = at;
+    uv_update_time(ggw_kernel_loop(p->base.kernel));
+    uv_timer_start(&p->wake, wake_cb, (uint64_t)ceil(MAX(wait, 0)), 0);
+}
+
+static void
+tick_cb(uv_timer_t *timer)
+{
+    struct ggw_slots *p = timer->data;
+    ggw_ms now;
+    GHashTableIter iter;
+    gpointer value;
+
+    check_stall(p);
+    now = ggw_slots_now(p);
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_group *g = value;
+
+        for (guint i = 0; i < g->domains->len; i++) {
+            struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+
+            d->spent = 0;
+        }
     }
-    return true;
+    ggw_slots_owner_tick(p, now);
+    ggw_slots_due(p, now);
+    ggw_slots_wake(p, ggw_slots_ledgers_tick(p, now));
 }
 
-static struct ggw_slot_request *
-copy_request(const struct ggw_slot_request *r)
+static void
+clear_members(GArray *members)
 {
-    struct ggw_slot_request *copy =
-        (struct ggw_slot_request *)ggw_slot_request_new(
-            r->team, r->service, r->priority, r->deadline, r->avoid);
+    for (guint i = 0; i < members->len; i++) {
+        struct ggw_member *m = &g_array_index(members, struct ggw_member, i);
 
-    copy->base.from = r->base.from;
-    copy->base.tag = r->base.tag;
-    return copy;
+        g_free(m->name);
+        g_free(m->failure_domain);
+        g_free(m->host);
+    }
+    g_array_unref(members);
 }
 
 static void
-drop_waiter(struct priv *p, GList *link)
+add_member(GArray *members, const struct ggw_member *member)
 {
-    struct ggw_slot_request *r = link->data;
+    struct ggw_member copy = *member;
 
-    g_queue_delete_link(&p->waiters, link);
-    r->base.ops->destroy(&r->base);
+    copy.name = g_strdup(member->name);
+    copy.failure_domain = g_strdup(member->failure_domain);
+    copy.host = g_strdup(member->host);
+    g_array_append_val(members, copy);
 }
 
 static void
-serve_waiters(struct priv *p)
+lose_member(struct ggw_slots *p, const char *name)
 {
-    GList *next;
+    GHashTableIter iter;
+    gpointer value;
 
-    for (GList *l = p->waiters.head; l != NULL; l = next) {
-        next = l->next;
-        if (try_answer(p, l->data)) {
-            drop_waiter(p, l);
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_group *g = value;
+
+        for (guint i = 0; i < g->domains->len; i++) {
+            struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+
+            if (d->ledger != NULL) {
+                ggw_ledger_lost(d->ledger, name, ggw_slots_now(p));
+            }
         }
     }
 }
 
 static void
-on_request(struct priv *p, const struct ggw_slot_request *r)
+on_members(struct ggw_slots *p, const struct ggw_members_changed *m)
 {
-    if (!try_answer(p, r)) {
-        g_queue_push_tail(&p->waiters, copy_request(r));
+    GArray *old = p->members;
+
+    p->members = g_array_new(FALSE, TRUE, sizeof(struct ggw_member));
+    for (guint i = 0; i < m->members->len; i++) {
+        const struct ggw_member *member =
+            &g_array_index(m->members, struct ggw_member, i);
+
+        add_member(p->members, member);
+        if (member->state == GGW_MEMBER_DEAD) {
+            lose_member(p, member->name);
+        }
     }
+    p->known = m->known;
+    p->gate.majority_until = m->majority_until;
+    ggw_slots_reassign(p, old);
+    clear_members(old);
 }
 
 static void
-on_release(struct priv *p, const struct ggw_slot_release *r)
+on_load(struct ggw_slots *p, const struct ggw_peer_received *frame)
 {
-    struct grant *g = g_hash_table_lookup(p->grants, &r->grant);
+    gsize len;
+    gconstpointer data = g_bytes_get_data(frame->payload, &len);
+    struct ggw_payload_reader r;
+    struct ggw_payload_reader list;
+    struct ggw_slots_domain *d;
+    uint64_t free;
+    uint32_t n;
+
+    ggw_payload_open(&r, data, len);
+    d = ggw_slots_read_domain(p, &r);
+    free = ggw_payload_uint(&r);
+    n = ggw_payload_array(&r, &list);
+    if (!r.ok || d == NULL || g_strcmp0(d->owner, frame->peer) != 0) {
+        ggw_payload_close(&r);
+        return;
+    }
+    d->free = (int)MIN(free, INT16_MAX);
+    d->free_at = ggw_slots_now(p);
+    for (guint i = 0; i < d->group->servers->len; i++) {
+        struct ggw_slots_server *s = g_ptr_array_index(d->group->servers, i);
 
-    if (g != NULL) {
-        count_add(p, g->vm, -1);
-        g_hash_table_remove(p->grants, &r->grant);
-        serve_waiters(p);
+        if (s->domain == d) {
+            s->warm = false;
+        }
     }
+    for (uint32_t i = 0; i < n && list.ok; i++) {
+        struct ggw_slots_server *s =
+            ggw_slots_find_server(d->group, ggw_payload_string(&list));
+
+        if (s != NULL && !s->out) {
+            s->warm = true;
+            s->doubted = false;
+        }
+    }
+    ggw_payload_close(&r);
 }
 
 static void
-on_cancel(struct priv *p, const struct ggw_message *m)
+on_frame(struct ggw_slots *p, const struct ggw_peer_received *frame)
 {
-    for (GList *l = p->waiters.head; l != NULL; l = l->next) {
-        struct ggw_slot_request *r = l->data;
-
-        if (r->base.tag == m->tag && r->base.from == m->from) {
-            drop_waiter(p, l);
-            return;
-        }
+    switch (frame->type) {
+    case GGW_PEER_SLOT_ACQUIRE:
+    case GGW_PEER_SLOT_RELEASE:
+    case GGW_PEER_SLOT_CANCEL:
+        ggw_slots_owner_frame(p, frame);
+        break;
+    case GGW_PEER_SLOT_GRANT:
+    case GGW_PEER_SLOT_REFUSE:
+    case GGW_PEER_SLOT_QUEUED:
+        ggw_slots_answer_frame(p, frame);
+        break;
+    case GGW_PEER_SLOT_SYNC:
+        ggw_slots_on_sync(p, frame);
+        break;
+    case GGW_PEER_SLOT_LOAD:
+        on_load(p, frame);
+        break;
+    default:
+        break;
     }
 }
 
+static void
+on_heard(struct ggw_slots *p, const struct ggw_peer_heard *m)
+{
+    p->gate.majority_until = m->majority_until;
+    ggw_slots_peer_heard(p, m->peer, m->rtt);
+}
+
+static void
+on_config(struct ggw_slots *p, struct ggw_tree *tree)
+{
+    g_hash_table_replace(p->trees, tree->team, ggw_tree_ref(tree));
+    ggw_slots_update(p);
+}
+
 static void
 receive(struct ggw_service *service, struct ggw_message *message)
 {
-    struct priv *p = (struct priv *)service;
+    struct ggw_slots *p = self_of(service);
 
+    check_stall(p);
     if (message->ops == &ggw_slot_request_ops) {
-        on_request(p, (struct ggw_slot_request *)message);
+        ggw_slots_request(p, (struct ggw_slot_request *)message);
     }
     else if (message->ops == &ggw_slot_release_ops) {
-        on_release(p, (struct ggw_slot_release *)message);
+        ggw_slots_release(p, (struct ggw_slot_release *)message);
     }
     else if (message->ops == &ggw_slot_cancel_ops) {
-        on_cancel(p, message);
+        ggw_slots_cancel(p, message);
+    }
+    else if (message->ops == &ggw_peer_received_ops) {
+        on_frame(p, (struct ggw_peer_received *)message);
+    }
+    else if (message->ops == &ggw_peer_heard_ops) {
+        on_heard(p, (struct ggw_peer_heard *)message);
+    }
+    else if (message->ops == &ggw_peer_lost_ops) {
+        ggw_slots_peer_silent(p, ((struct ggw_peer_lost *)message)->peer);
+    }
+    else if (message->ops == &ggw_members_changed_ops) {
+        on_members(p, (struct ggw_members_changed *)message);
     }
     else if (message->ops == &ggw_vms_changed_ops) {
         g_clear_pointer(&p->vms, ggw_vm_list_unref);
         p->vms = ggw_vm_list_ref(((struct ggw_vms_changed *)message)->list);
-        serve_waiters(p);
+        ggw_slots_update(p);
     }
     else if (message->ops == &ggw_config_in_force_ops) {
-        struct ggw_tree *t = ((struct ggw_config_in_force *)message)->tree;
-
-        g_hash_table_replace(p->trees, t->team, ggw_tree_ref(t));
-        serve_waiters(p);
+        on_config(p, ((struct ggw_config_in_force *)message)->tree);
     }
+    else if (message->ops == &ggw_probe_result_ops) {
+        ggw_slots_probe_result(p, (struct ggw_probe_result *)message);
+    }
+}
+
+static bool
+start(struct ggw_service *service, GError **error)
+{
+    struct ggw_slots *p = self_of(service);
+    uv_loop_t *loop = ggw_kernel_loop(service->kernel);
+    struct ggw_member self = {.name = p->self,
+                              .failure_domain = p->domain,
+                              .host = p->domain,
+                              .state = GGW_MEMBER_ALIVE,
+                              .self = true};
+
+    uv_timer_init(loop, &p->tick);
+    uv_timer_init(loop, &p->wake);
+    p->tick.data = p;
+    p->wake.data = p;
+    p->seen_at = ggw_slots_now(p);
+    /* Grant ids of an earlier process must not match those of this one. */
+    p->next_id = (uint64_t)ggw_clock_wall(ggw_kernel_clock(service->kernel))
+                 << 20;
+    /* Without "peers" this gateway is alone; else its members follow. */
+    add_member(p->members, &self);
+    p->gate.majority_until =
+        ggw_kernel_find(service->kernel, "peers") != 0 ? -INFINITY : INFINITY;
+    uv_timer_start(&p->tick, tick_cb, (uint64_t)TICK, (uint64_t)TICK);
+    return true;
+}
+
+static void
+stop(struct ggw_service *service)
+{
+    struct ggw_slots *p = self_of(service);
+
+    uv_close((uv_handle_t *)&p->tick, NULL);
+    uv_close((uv_handle_t *)&p->wake, NULL);
 }
 
 static void
 destroy(struct ggw_service *service)
 {
-    struct priv *p = (struct priv *)service;
+    struct ggw_slots *p = self_of(service);
 
-    while (p->waiters.head != NULL) {
-        drop_waiter(p, p->waiters.head);
-    }
+    ggw_slots_drop_all(p);
+    g_sequence_free(p->pending);
+    g_hash_table_destroy(p->asks);
+    g_hash_table_destroy(p->held);
+    g_hash_table_destroy(p->groups);
     g_hash_table_destroy(p->trees);
-    g_hash_table_destroy(p->grants);
-    g_hash_table_destroy(p->in_flight);
+    g_hash_table_destroy(p->peers);
+    g_hash_table_destroy(p->probes);
     g_clear_pointer(&p->vms, ggw_vm_list_unref);
+    clear_members(p->members);
+    g_rand_free(p->rand);
+    g_free(p->self);
+    g_free(p->domain);
     g_free(p);
 }
 
 static const struct ggw_service_ops slots_ops = {
     .name = "slots",
+    .start = start,
     .receive = receive,
+    .stop = stop,
     .destroy = destroy,
 };
 
@@ -248,15 +370,25 @@
 ggw_slots_service_new(const char *self, const char *failure_domain,
                       uint32_t seed)
 {
-    struct priv *p = g_new0(struct priv, 1);
+    struct ggw_slots *p = g_new0(struct ggw_slots, 1);
 
     p->base.ops = &slots_ops;
+    p->self = g_strdup(self);
+    p->domain = g_strdup(failure_domain);
+    p->rand = g_rand_new_with_seed(seed);
+    p->known = 1;
+    p->wake_at = INFINITY;
     p->trees = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                      (GDestroyNotify)ggw_tree_unref);
-    p->in_flight =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    p->grants =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, grant_free);
-    g_queue_init(&p->waiters);
+    p->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                      ggw_slots_group_free);
+    p->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    p->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
+    p->held = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                    ggw_slots_held_free);
+    p->probes =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    p->members = g_array_new(FALSE, TRUE, sizeof(struct ggw_member));
+    p->pending = g_sequence_new(NULL);
     return &p->base;
 }
