--- a/ctl/args.c
+++ b/ctl/args.c
@@ -9,15 +9,22 @@
 
 #include "ctl/ctl.h"
 
+#define MAX_MS 3600000
 #define DEFAULT_TIMEOUT 12000 /* the promised time to be in effect */
 #define DEFAULT_REQUEST_TIMEOUT 3000
 
+/* The table service takes at most 128 reads in one transaction. */
+#define MAX_LAST 100
+#define DEFAULT_LAST 20
+
 enum option_key {
     KEY_TEAM = 't',
     KEY_PLATFORM = 'p',
     KEY_GATEWAY = 'g',
     KEY_WHO = 'w',
     KEY_WAIT = 0x100,
+    KEY_FROM,
+    KEY_LAST,
     KEY_TIMEOUT,
     KEY_REQUEST_TIMEOUT,
 };
@@ -39,6 +46,15 @@
     0};
 static const struct argp_option wait_option = {
     "wait", KEY_WAIT, NULL, 0, "wait until every gateway has the change", 0};
+static const struct argp_option from_option = {
+    "from",
+    KEY_FROM,
+    "REVISION",
+    0,
+    "make the change only if the settings still have this revision",
+    0};
+static const struct argp_option last_option = {
+    "last", KEY_LAST, "N", 0, "number of changes to print (20)", 0};
 static const struct argp_option timeout_option = {
     "timeout",
     KEY_TIMEOUT,
@@ -65,17 +81,17 @@
     return true;
 }
 
-static void
-set_ms(struct argp_state *state, const char *flag, const char *text,
-       ggw_ms *place)
+static guint64
+read_number(struct argp_state *state, const char *flag, const char *text,
+            guint64 max)
 {
-    guint64 value;
+    guint64 value = 0;
 
-    if (!g_ascii_string_to_unsigned(text, 10, 1, 3600000, &value, NULL)) {
-        argp_error(state, "%s: \"%s\" is not in 1..3600000", flag, text);
-        return;
+    if (!g_ascii_string_to_unsigned(text, 10, 1, max, &value, NULL)) {
+        argp_error(state, "%s: \"%s\" is not in 1..%" G_GUINT64_FORMAT, flag,
+                   text, max);
     }
-    *place = (ggw_ms)value;
+    return value;
 }
 
 /* What no flag gave comes from the environment. */
@@ -149,11 +165,18 @@
     case KEY_WAIT:
         a->wait = true;
         return 0;
+    case KEY_FROM:
+        a->from = read_number(state, "--from", arg, G_MAXINT64);
+        return 0;
+    case KEY_LAST:
+        a->last = (unsigned)read_number(state, "--last", arg, MAX_LAST);
+        return 0;
     case KEY_TIMEOUT:
-        set_ms(state, "--timeout", arg, &a->timeout);
+        a->timeout = (ggw_ms)read_number(state, "--timeout", arg, MAX_MS);
         return 0;
     case KEY_REQUEST_TIMEOUT:
-        set_ms(state, "--request-timeout", arg, &a->request_timeout);
+        a->request_timeout =
+            (ggw_ms)read_number(state, "--request-timeout", arg, MAX_MS);
         return 0;
     case ARGP_KEY_ARG:
         if (a->operands_len == a->usage->operands_len) {
@@ -184,9 +207,13 @@
         *options++ = timeout_option;
     }
     if ((takes & GGW_CTL_CHANGE) != 0) {
+        *options++ = from_option;
         *options++ = who_option;
         *options++ = wait_option;
     }
+    if ((takes & GGW_CTL_LAST) != 0) {
+        *options++ = last_option;
+    }
     if (takes != 0) {
         *options++ = request_timeout_option;
     }
@@ -197,7 +224,7 @@
               struct ggw_ctl_args *args)
 {
     static char name[64];
-    struct argp_option options[8] = {{0}};
+    struct argp_option options[10] = {{0}};
     struct argp argp = {
         .options = options,
         .parser = parse_option,
@@ -207,6 +234,7 @@
 
     memset(args, 0, sizeof(*args));
     args->usage = usage;
+    args->last = DEFAULT_LAST;
     args->timeout = DEFAULT_TIMEOUT;
     args->request_timeout = DEFAULT_REQUEST_TIMEOUT;
     fill_options(usage->takes, options);
--- a/ctl/args.h
+++ b/ctl/args.h
@@ -13,7 +13,8 @@
     GGW_CTL_TEAM_FILTER = 2, /* --team, optional */
     GGW_CTL_PLATFORM = 4,    /* --platform, required */
     GGW_CTL_GATEWAY = 8,     /* --gateway, required */
-    GGW_CTL_CHANGE = 16,     /* --who, --wait and with it --gateway */
+    GGW_CTL_CHANGE = 16,     /* --who, --from, --wait and with it --gateway */
+    GGW_CTL_LAST = 32,       /* --last */
 };
 
 /**
@@ -33,6 +34,8 @@
 
 /**
  * struct ggw_ctl_args - checked command line
+ * @from: revision that a change must start from; 0 is any
+ * @last: number of changes to print
  * @timeout: longest wait for gateways, or for a lost answer to be settled
  * @request_timeout: longest wait for one answer
  */
@@ -45,6 +48,8 @@
     bool has_gateway;
     const char *who;
     bool wait;
+    uint64_t from;
+    unsigned last;
     ggw_ms timeout;
     ggw_ms request_timeout;
     const char *operands[2];
--- a/ctl/change.c
+++ b/ctl/change.c
@@ -118,6 +118,15 @@
                          : GGW_CTL_DONE;
 }
 
+static int
+lost_to(const struct ggw_ctl_args *args, uint64_t revision, const char *winner)
+{
+    return ggw_ctl_fail(args, GGW_CTL_LOST_RACE,
+                        "lost the race: revision %" G_GUINT64_FORMAT
+                        " by %s won; the change is not made",
+                        (guint64)revision, winner);
+}
+
 static int
 lost(const struct change *c, const char *winner)
 {
@@ -126,10 +135,7 @@
                             "lost the race: the row changed without an audit "
                             "row; the change is not made");
     }
-    return ggw_ctl_fail(c->args, GGW_CTL_LOST_RACE,
-                        "lost the race: revision %" G_GUINT64_FORMAT
-                        " by %s won; the change is not made",
-                        (guint64)c->to.revision, winner);
+    return lost_to(c->args, c->to.revision, winner);
 }
 
 /*
@@ -213,32 +219,45 @@
     c->audit_key = ggw_ctl_audit_key(c->args, c->to.revision);
 }
 
-int
-ggw_ctl_change(const struct ggw_ctl_args *args, ggw_ctl_edit edit)
+static int
+edit_and_write(const struct ggw_ctl_args *args, struct change *c,
+               ggw_ctl_edit edit)
 {
-    struct change c = {.args = args};
-    json_t *tree;
+    json_t *tree = json_deep_copy(c->from.row.tree);
     int status = GGW_CTL_REFUSED;
 
-    if (!ggw_ctl_read_settings(args, &c.from)) {
-        return GGW_CTL_UNREACHABLE;
-    }
-    tree = json_deep_copy(c.from.row.tree);
     if (edit(args, &tree) &&
-        ggw_ctl_check(args, c.from.row.revision + 1, tree)) {
-        prepare(&c, tree);
+        ggw_ctl_check(args, c->from.row.revision + 1, tree)) {
+        prepare(c, tree);
         tree = NULL;
-        if (c.paths->len > 0) {
-            status = write_change(&c);
+        if (c->paths->len > 0) {
+            status = write_change(c);
         }
         else {
             printf("%s: revision %" G_GUINT64_FORMAT ", nothing to change\n",
-                   args->team, (guint64)c.from.row.revision);
-            status = args->wait ? ggw_ctl_wait_for(args, c.from.row.revision)
+                   args->team, (guint64)c->from.row.revision);
+            status = args->wait ? ggw_ctl_wait_for(args, c->from.row.revision)
                                 : GGW_CTL_DONE;
         }
     }
     json_decref(tree);
+    return status;
+}
+
+int
+ggw_ctl_change(const struct ggw_ctl_args *args, ggw_ctl_edit edit)
+{
+    struct change c = {.args = args};
+    int status = GGW_CTL_UNREACHABLE;
+
+    if (ggw_ctl_read_settings(args, &c.from)) {
+        const struct ggw_config_row *row = &c.from.row;
+
+        status = args->from == 0 || args->from == row->revision
+                     ? edit_and_write(args, &c, edit)
+                     : lost_to(args, row->revision,
+                               row->who != NULL ? row->who : "nobody");
+    }
     change_clear(&c);
     return status;
 }
--- a/ctl/verbs_read.c
+++ b/ctl/verbs_read.c
@@ -110,26 +110,40 @@
     json_decref(root);
 }
 
+/* Reads the rows by key: their number grows without limit. */
+static struct ggw_txn_result *
+read_audit(const struct ggw_ctl_args *args, uint64_t revision)
+{
+    struct ggw_txn *txn = ggw_txn_new(args->request_timeout);
+    uint64_t first = revision > args->last ? revision - args->last + 1 : 1;
+
+    for (uint64_t r = first; r <= revision; r++) {
+        g_autofree char *key = ggw_ctl_audit_key(args, r);
+
+        ggw_txn_read(txn, key);
+    }
+    return ggw_ctl_txn(args, txn);
+}
+
 int
 ggw_ctl_audit(int argc, char **argv)
 {
     static const struct ggw_ctl_usage usage = {
         .verb = "audit",
-        .doc = "Print the changes of a team, one a line: revision, time, "
+        .doc = "Print the last changes of a team, one a line: revision, time, "
                "operator, verb, change id, changed paths.",
-        .takes = GGW_CTL_TEAM | GGW_CTL_PLATFORM,
+        .takes = GGW_CTL_TEAM | GGW_CTL_PLATFORM | GGW_CTL_LAST,
     };
     struct ggw_ctl_args args;
-    struct ggw_txn *txn;
+    struct ggw_ctl_settings settings;
     struct ggw_txn_result *result;
-    g_autofree char *prefix = NULL;
     int status = GGW_CTL_DONE;
 
     ggw_ctl_parse(&usage, argc, argv, &args);
-    prefix = g_strdup_printf("audit/%s/", args.team);
-    txn = ggw_txn_new(args.request_timeout);
-    ggw_txn_read(txn, prefix);
-    result = ggw_ctl_txn(&args, txn);
+    if (!ggw_ctl_read_settings(&args, &settings)) {
+        return GGW_CTL_UNREACHABLE;
+    }
+    result = read_audit(&args, settings.row.revision);
     if (result->status == GGW_PLATFORM_OK) {
         for (guint i = 0; i < result->rows->len; i++) {
             print_audit_row(&g_array_index(result->rows, struct ggw_row, i));
@@ -140,6 +154,7 @@
                               "platform %s:%u gives no answer",
                               args.platform.host, args.platform.port);
     }
+    ggw_config_row_clear(&settings.row);
     ggw_ctl_result_free(result);
     return status;
 }
