--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -30,6 +30,7 @@
     SCRIPT_ERROR_500,
     SCRIPT_RESET,       /* resets after the request, without a byte */
     SCRIPT_RESET_HEAD,  /* resets inside the head */
+    SCRIPT_LARGE_HEAD,  /* a head without an end */
     SCRIPT_SHORT,       /* closes before Content-Length is reached */
     SCRIPT_SHORT_CHUNK, /* closes before the last chunk */
     SCRIPT_UNFRAMED,    /* neither length nor chunks */
@@ -41,6 +42,9 @@
     SCRIPT_EXTRA,       /* 200 followed by a response nobody asked for */
     SCRIPT_RIGHT_ID,    /* 200 with the request's id */
     SCRIPT_WRONG_ID,    /* 200 with the id of another request */
+    SCRIPT_NO_BODY,     /* 204 */
+    SCRIPT_HEAD,        /* 200 without the body that its head states */
+    SCRIPT_INTERIM,     /* 100, then 200 */
     SCRIPT_CLOSED,      /* nothing listens */
 };
 
@@ -80,7 +84,7 @@
     GQueue posted;
     bool stop;
     bool running;
-    bool ended;
+    int ended;
 
     struct env_server servers[ENV_SERVERS];
     enum {
@@ -130,7 +134,7 @@
 
 /* Waits for a condition on @value under the lock; false after 10 s. */
 bool env_wait(struct env *env, const int *value, int at_least);
-bool env_wait_len(struct env *env, GArray **array, guint at_least);
+bool env_wait_len(struct env *env, GArray *array, int at_least);
 
 /* Opens a connection to the gateway. */
 int env_connect(struct env *env);
