--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -19,7 +19,6 @@
     bool reported;
     int load;
     ggw_ms reported_at;
-    ggw_ms latency;
 };
 
 struct ggw_ledger_key {
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -212,7 +212,6 @@
                 .reported = s->reported,
                 .load = s->load,
                 .reported_at = s->reported_at,
-                .latency = s->latency,
             };
     }
     if (trial != NULL && priority > 0) {
@@ -527,10 +526,6 @@
     if (result == GGW_ATTEMPT_OK) {
         ggw_latency_add(&l->latency, latency);
     }
-    if (result != GGW_ATTEMPT_CANCELLED) {
-        s->latency =
-            ggw_policy_latency(s->latency, result, latency, l->latency.p90);
-    }
 }
 
 static void
--- a/main/cmd_gateway.c
+++ b/main/cmd_gateway.c
@@ -32,6 +32,10 @@
     double poll_ms;
 };
 
+/* When all gateways start at once, every server is held to be cold and gets
+ * nothing for the hold-down of 1 s (design.md 5.1); requests would queue. */
+#define READY_AFTER 1500.0
+
 #define FIELD(field) offsetof(struct settings, field)
 
 static const struct ggw_option options[] = {
@@ -106,6 +110,7 @@
         .advertise_host = advertise->host,
         .advertise_port = advertise->port,
         .incarnation = incarnation,
+        .ready_after = READY_AFTER,
         .keep = s->keep_ms,
         .drain = s->drain_ms,
     };
--- a/proxy/pages.c
+++ b/proxy/pages.c
@@ -16,7 +16,10 @@
 bool
 ggw_proxy_ready(const struct ggw_proxy *proxy)
 {
-    return !proxy->leaving && g_hash_table_size(proxy->teams) > 0;
+    ggw_ms age = ggw_kernel_now(proxy->base.kernel) - proxy->started_at;
+
+    return !proxy->leaving && g_hash_table_size(proxy->teams) > 0 &&
+           age >= proxy->options.ready_after;
 }
 
 static void
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -56,6 +56,7 @@
     uv_timer_init(loop, &p->shutdown_timer);
     p->shutdown_timer.data = p;
     p->started = true;
+    p->started_at = ggw_kernel_now(service->kernel);
     p->added = ggw_metric_histogram("ggw_added_ms");
     p->slot_wait = ggw_metric_histogram("ggw_slot_wait_ms");
     if (!ggw_listener_start(p->listener, error)) {
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -22,6 +22,7 @@
  * @keep: longest time that clients use an entry response
  * @drain: longest time for the last requests at shutdown
  * @head_timeout: longest time for a request's head; 0 for 10 s
+ * @ready_after: time from the start until the gateway reports ready
  * @progress_timeout: longest gap in a response's body; 0 for 5 s
  *
  * All times in ms. Strings are copied.
@@ -37,6 +38,7 @@
     ggw_ms keep;
     ggw_ms drain;
     ggw_ms head_timeout;
+    ggw_ms ready_after;
     ggw_ms progress_timeout;
 };
 
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -72,6 +72,7 @@
 
     uv_timer_t shutdown_timer;
     bool started;
+    ggw_ms started_at;
     bool stopped;
     bool leaving;
     ggw_ms drain_end; /* monotonic; 0 before the listener is closed */
--- a/slots/fallback.c
+++ b/slots/fallback.c
@@ -18,7 +18,6 @@
         .reported = s->reported,
         .load = s->load,
         .reported_at = s->reported_at,
-        .latency = s->latency,
     };
 }
 
--- a/slots/held.c
+++ b/slots/held.c
@@ -86,9 +86,6 @@
         (r->report.present && (r->report.cold || r->report.draining))) {
         s->doubted = true;
     }
-    if (r->result != GGW_ATTEMPT_CANCELLED) {
-        s->latency = ggw_policy_latency(s->latency, r->result, r->latency, 0);
-    }
 }
 
 /* Tells the owner, and also the one that granted when it has changed. */
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -44,7 +44,6 @@
     bool reported;
     int load;
     ggw_ms reported_at;
-    ggw_ms latency;
     ggw_ms probed_at;
     bool probing;
 };
