--- a/tests/session.c
+++ b/tests/session.c
@@ -121,16 +121,26 @@
 }
 
 void
-session_verb(struct session *session, const char *const *args)
+session_verb_finish(struct session *session, struct system_process *verb,
+                    const char *const *args)
 {
     g_autofree char *command = g_strjoinv(" ", (char **)args);
     g_autofree char *out = NULL;
-    int status = system_verb(session->system, &out, args);
+    int status = system_verb_finish(verb, &out);
 
     g_string_append_printf(session->text, "$ greengageway %s\n%s(exit %d)\n\n",
                            command, out, status);
 }
 
+void
+session_verb(struct session *session, const char *const *args)
+{
+    struct system_process verb;
+
+    system_verb_start(session->system, &verb, args);
+    session_verb_finish(session, &verb, args);
+}
+
 bool
 session_end(struct session *session)
 {
--- a/tests/session.h
+++ b/tests/session.h
@@ -33,6 +33,10 @@
 /* Runs an operators' verb; see system_verb(). */
 void session_verb(struct session *session, const char *const *args);
 
+/* Adds a verb that was started with system_verb_start() and waits for it. */
+void session_verb_finish(struct session *session, struct system_process *verb,
+                         const char *const *args);
+
 /* Compares or writes the transcript and frees the session; false when it
  * differs, after printing it. */
 bool session_end(struct session *session);
--- a/tests/system.c
+++ b/tests/system.c
@@ -65,16 +65,24 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
+static void
+join_outputs(void *data)
+{
+    end_with_parent(data);
+    dup2(STDOUT_FILENO, STDERR_FILENO);
+}
+
 /* Starts a process and frees @argv. */
 static void
-process_start(struct system_process *p, GPtrArray *argv)
+process_start(struct system_process *p, GPtrArray *argv,
+              GSpawnChildSetupFunc setup)
 {
     GError *error = NULL;
 
     g_ptr_array_add(argv, NULL);
-    if (!g_spawn_async_with_pipes(
-            NULL, (char **)argv->pdata, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-            end_with_parent, NULL, &p->pid, NULL, &p->out, NULL, &error)) {
+    if (!g_spawn_async_with_pipes(NULL, (char **)argv->pdata, NULL,
+                                  G_SPAWN_DO_NOT_REAP_CHILD, setup, NULL,
+                                  &p->pid, NULL, &p->out, NULL, &error)) {
         g_error("%s", error->message);
     }
     p->running = true;
@@ -172,7 +180,7 @@
     g_ptr_array_add(s->backends, b);
     add_servers(s, service, argv);
     add_args(argv, s->options.backend_flags);
-    process_start(&b->process, argv);
+    process_start(&b->process, argv, end_with_parent);
     while (strcmp(line->str, "ready") != 0) {
         g_auto(GStrv) words = NULL;
 
@@ -249,27 +257,50 @@
     json_decref(list);
 }
 
-int
-system_verb(struct system *s, char **out, const char *const *args)
+void
+system_verb_start(struct system *s, struct system_process *verb,
+                  const char *const *args)
 {
     GPtrArray *argv = argv_new("greengageway");
-    g_autofree char *output = NULL, *errors = NULL;
-    int status = -1;
 
     add_args(argv, args);
     add_flag(argv, "--team", s->options.team);
     add_flag(argv, "--platform", s->platform_address);
     add_flag(argv, "--who", "tester");
-    g_ptr_array_add(argv, NULL);
-    g_spawn_sync(NULL, (char **)argv->pdata, NULL, G_SPAWN_DEFAULT, NULL, NULL,
-                 &output, &errors, &status, NULL);
-    g_ptr_array_unref(argv);
-    if (out != NULL) {
-        *out = g_strconcat(output, errors, NULL);
+    process_start(verb, argv, join_outputs);
+}
+
+int
+system_verb_finish(struct system_process *verb, char **out)
+{
+    GString *text = g_string_new(NULL);
+    char buf[4096];
+    ssize_t n;
+    int status;
+
+    while ((n = read(verb->out, buf, sizeof(buf))) > 0) {
+        g_string_append_len(text, buf, n);
     }
+    *out = g_string_free(text, FALSE);
+    status = process_wait(verb);
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+int
+system_verb(struct system *s, char **out, const char *const *args)
+{
+    struct system_process verb;
+    g_autofree char *text = NULL;
+    int status;
+
+    system_verb_start(s, &verb, args);
+    status = system_verb_finish(&verb, &text);
+    if (out != NULL) {
+        *out = g_steal_pointer(&text);
+    }
+    return status;
+}
+
 /* Writes a row of the table service as the etcd v3 JSON mapping has it. */
 static void
 put_row(struct system *s, const char *key, const char *value)
@@ -342,7 +373,7 @@
     add_flag(argv, "--seeds", seeds->str);
     add_flag(argv, "--log-level", "error");
     add_args(argv, s->options.gateway_flags);
-    process_start(&g->process, argv);
+    process_start(&g->process, argv, end_with_parent);
     g_string_free(seeds, TRUE);
 }
 
@@ -550,7 +581,7 @@
         }
     }
     add_args(argv, args);
-    process_start(&load->process, argv);
+    process_start(&load->process, argv, end_with_parent);
     while (strcmp(line->str, "ready") != 0) {
         if (!read_line(&load->process, line)) {
             g_error("the load tool did not start");
--- a/tests/system.h
+++ b/tests/system.h
@@ -98,6 +98,11 @@
  */
 int system_verb(struct system *s, char **out, const char *const *args);
 
+/* The two halves of system_verb(), for verbs at the same time. */
+void system_verb_start(struct system *s, struct system_process *verb,
+                       const char *const *args);
+int system_verb_finish(struct system_process *verb, char **out);
+
 void system_platform_fault(struct system *s, const char *json);
 
 /* Sends a JSON object to the control page of one service's servers. */
--- /dev/null
+++ b/tests/test_session_operator.c
@@ -0,0 +1,86 @@
+#include "tests/session.h"
+#include "tests/suite.h"
+
+static const char slots_path[] = "services.strand-status.slots";
+
+/* Guards against changed texts, exit statuses and revisions of a change that
+ * is refused, one that is made, and a failure domain that goes and returns. */
+static void
+test_changes(void)
+{
+    struct system *s = system_new(&system_cairo, 1);
+    struct session *t = session_new("operator", s);
+    const char *gateway = s->gateways[0].address;
+
+    session_note(t, "values and settings that are refused");
+    session_verb(t, (const char *[]){"set", slots_path, "0", NULL});
+    session_verb(
+        t, (const char *[]){"set", "services.strand-status.slotz", "2", NULL});
+    session_note(t, "a change");
+    session_verb(t, (const char *[]){"set", slots_path, "3", "--wait",
+                                     "--gateway", gateway, NULL});
+    session_note(t, "a failure domain out and in");
+    session_verb(t, (const char *[]){"domain-out", "cairo-b", "--wait",
+                                     "--gateway", gateway, NULL});
+    session_verb(t, (const char *[]){"domain-in", "cairo-b", "--wait",
+                                     "--gateway", gateway, NULL});
+    CU_ASSERT(session_end(t));
+    CU_ASSERT(system_free(s));
+}
+
+struct reads {
+    struct system *s;
+    int64_t wanted;
+};
+
+static int64_t
+count_reads(struct system *s)
+{
+    return platform_process_stat(&s->platform, "ranges") +
+           platform_process_stat(&s->platform, "txns");
+}
+
+static bool
+has_read(void *data)
+{
+    const struct reads *r = data;
+
+    return count_reads(r->s) >= r->wanted;
+}
+
+/*
+ * Guards against a change that overwrites another operator's: the first has
+ * read revision 1 and its write is slow; the second changes the same setting
+ * in between.
+ */
+static void
+test_lost_race(void)
+{
+    struct system *s = system_new(&system_cairo, 0);
+    struct session *t = session_new("lost_race", s);
+    const char *first[] = {"set", slots_path, "3", NULL};
+    struct system_process verb;
+    struct reads reads = {s, count_reads(s) + 1};
+
+    session_note(t, "the second command starts after the first has read");
+    system_platform_fault(s, "{\"mode\":\"slow\",\"ms\":1500,\"count\":2,"
+                             "\"prefix\":\"config/nile-strand\"}");
+    system_verb_start(s, &verb, first);
+    CU_ASSERT(client_await(has_read, &reads, 10000));
+    session_verb(t, (const char *[]){"set", slots_path, "4", NULL});
+    session_verb_finish(t, &verb, first);
+    CU_ASSERT(session_end(t));
+    CU_ASSERT(system_free(s));
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"changes", test_changes},
+        {"lost race", test_lost_race},
+        CU_TEST_INFO_NULL,
+    };
+
+    return suite_run("sessions of operators", tests);
+}
