--- a/tests/system.h
+++ b/tests/system.h
@@ -70,6 +70,7 @@
     GPtrArray *backends; /* struct system_backend */
     GPtrArray *servers;  /* struct system_server */
     uint64_t version;    /* of the VM list */
+    int listed;          /* gateways in it, and in each other's seeds */
 };
 
 /* Starts everything but the gateways from @gateways_len on; waits until all
