config: add "ahead", requests that wait in a warm backend server

Cause: with slots as the limit, a slot idles while a response, the release, the next grant and the next request travel. Ruled out: a higher "slots", since the cold limit and the measuring budget follow it; setting it by default, since a server that sheds above its slots would turn cold at each shed.

--- a/config/schema.c
+++ b/config/schema.c
@@ -262,6 +262,17 @@
         .fallback = "2",
         .help = "requests that one warm backend server runs at a time",
     },
+    {
+        .name = "ahead",
+        .type = SETTING_INT,
+        .offset = offsetof(struct ggw_service_rule, ahead),
+        .min = 0,
+        .max = 1024,
+        .fallback = "0",
+        .help = "further requests for a warm backend server, which wait "
+                "there and hide the time until a free slot gets the next "
+                "one; 0 for servers that shed above their slots",
+    },
     {
         .name = "connections",
         .type = SETTING_INT,
--- a/config/tree.h
+++ b/config/tree.h
@@ -52,6 +52,7 @@
 /**
  * struct ggw_service_rule - settings of one service
  * @slots: requests that one warm backend server runs at a time
+ * @ahead: further requests that wait in a warm backend server
  * @connections: connections that one backend server accepts, over all
  *               gateways
  * @cold_limit: requests at a time for a server that has just started
@@ -67,6 +68,7 @@
 struct ggw_service_rule {
     char *name;
     int slots;
+    int ahead;
     int connections;
     int cold_limit;
     ggw_ms cold_time;
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -192,6 +192,7 @@
 
     if (g->rule != NULL) {
         rule.slots = g->rule->slots;
+        rule.ahead = g->rule->ahead;
         rule.cold_limit = g->rule->cold_limit;
         rule.cold_time = g->rule->cold_time;
     }
