slots: close three faults found by pausing and cutting gateways

A cold server got two requests in 1 of 8 runs of tests/test_slots after all links were cut and healed: two gateways each reached a majority through a third and did not dial each other for up to 2 s of backoff. A new link now makes a gateway dial all missing ones at once. A gap of 798 ms in grants came from echoes that span a pause: they counted as a round trip of 2 s, so gateways waited 1.2 s for an owner. Round trips now rise by at most a quarter for each echo. Grants that had ended came back with later reports of other gateways; ledgers remember ended grants around changes of members.

--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -86,7 +86,8 @@
         return;
     }
     if (state->holder != NULL) {
-        if (!g_hash_table_contains(l->grants, &key)) {
+        if (!g_hash_table_contains(l->grants, &key) &&
+            !g_hash_table_contains(l->ended, &key)) {
             ggw_ledger_add_grant(l, &key, s, now + state->expires_in, now);
         }
         return;
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -60,6 +60,7 @@
     struct ggw_policy policy;
     GQueue decisions;
     GArray *candidates;
+    GHashTable *ended; /* struct ggw_ledger_key to its time, see note_end() */
     uint64_t next_seq;
     ggw_ms hold_until;
 };
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -2,6 +2,9 @@
 
 #include "decide/ledger.h"
 
+/* Reports of a grant by other gateways arrive within this time. */
+#define ENDED_KEEP 2000.0
+
 static guint
 key_hash(gconstpointer p)
 {
@@ -47,6 +50,15 @@
     g_free(g);
 }
 
+static void
+ended_free(gpointer data)
+{
+    struct ggw_ledger_key *key = data;
+
+    g_free(key->holder);
+    g_free(key);
+}
+
 struct ggw_ledger *
 ggw_ledger_new(const struct ggw_ledger_gate *gate, GRand *rand, ggw_ms now)
 {
@@ -57,6 +69,7 @@
     l->servers = g_ptr_array_new_with_free_func(server_free);
     l->grants = g_hash_table_new_full(key_hash, key_equal, NULL, grant_free);
     l->by_expiry = g_sequence_new(NULL);
+    l->ended = g_hash_table_new_full(key_hash, key_equal, ended_free, g_free);
     l->waiting =
         g_hash_table_new_full(key_hash, key_equal, NULL, waiting_free);
     g_queue_init(&l->blocked);
@@ -85,6 +98,7 @@
     ggw_admission_free(l->queue);
     g_hash_table_destroy(l->waiting);
     g_sequence_free(l->by_expiry);
+    g_hash_table_destroy(l->ended);
     g_hash_table_destroy(l->grants);
     g_ptr_array_unref(l->servers);
     g_array_unref(l->candidates);
@@ -547,6 +561,32 @@
     ggw_limit_report(&s->limit, report, now);
 }
 
+/*
+ * Remembers that a grant has ended, so that a report of it by another
+ * gateway, sent before and arriving later, does not bring it back. Grants
+ * are reported for a while after a takeover or a new member.
+ */
+static void
+note_end(struct ggw_ledger *l, const struct ggw_ledger_key *key, bool known,
+         ggw_ms now)
+{
+    struct ggw_ledger_key *copy;
+
+    if (known && now > l->hold_until + ENDED_KEEP) {
+        return;
+    }
+    copy = g_new(struct ggw_ledger_key, 1);
+    copy->holder = g_strdup(key->holder);
+    copy->id = key->id;
+    g_hash_table_replace(l->ended, copy, g_memdup2(&now, sizeof(now)));
+}
+
+static gboolean
+is_old_end(gpointer key, gpointer value, gpointer now)
+{
+    return *(ggw_ms *)now - *(ggw_ms *)value > ENDED_KEEP;
+}
+
 void
 ggw_ledger_release(struct ggw_ledger *l, const char *holder, uint64_t id,
                    const char *server, enum ggw_attempt_result result,
@@ -562,6 +602,7 @@
     if (s == NULL || (g != NULL && g->done)) {
         return;
     }
+    note_end(l, &key, g != NULL, now);
     apply_report(s, report, now);
     if (g == NULL) {
         apply_result(l, s, result, now - latency, latency, now);
@@ -637,6 +678,7 @@
         ggw_ledger_drop_grant(l, g);
         first = g_sequence_get_begin_iter(l->by_expiry);
     }
+    g_hash_table_foreach_remove(l->ended, is_old_end, &now);
     ggw_ledger_serve(l, now);
 }
 
--- a/peers/hello.c
+++ b/peers/hello.c
@@ -137,6 +137,28 @@
     }
 }
 
+/*
+ * Dials all missing gateways at once. A new link often means that a network
+ * fault has ended; if some pairs then stayed apart for as long as their
+ * backoff, two gateways could each reach a majority and be owner of the same
+ * servers for longer than the hold-down of 1 s.
+ */
+static void
+dial_missing(struct ggw_peers *p)
+{
+    ggw_ms now = ggw_kernel_now(p->base.kernel);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_target *t = value;
+
+        t->next_at = MIN(t->next_at, now);
+        t->backoff = GGW_PEERS_BACKOFF;
+    }
+}
+
 static void
 attach(struct ggw_conn *conn, const struct hello *h)
 {
@@ -148,8 +170,8 @@
     conn->peer = peer_of(p, h->view.name);
     conn->by_lower = dialled == we_are_lower;
     g_ptr_array_add(conn->peer->conns, conn);
+    dial_missing(p);
     if (dialled) {
-        conn->target->backoff = GGW_PEERS_BACKOFF;
         g_free(conn->target->name);
         conn->target->name = g_strdup(h->view.name);
     }
--- a/slots/handover.c
+++ b/slots/handover.c
@@ -11,6 +11,7 @@
 enum sync_kind {
     SYNC_REQUEST,
     SYNC_ANSWER,
+    SYNC_ANNOUNCE, /* the owner shall send SLOT_LOAD again */
 };
 
 /* About 60 bytes each, so that a frame stays below its limit. */
@@ -27,17 +28,34 @@
     ggw_payload_put_string(w, d->name);
 }
 
-void
-ggw_slots_request_sync(struct ggw_slots *p, struct ggw_slots_domain *d,
-                       const char *peer)
+static void
+send_empty(struct ggw_slots *p, enum sync_kind kind,
+           struct ggw_slots_domain *d, const char *peer)
 {
     struct ggw_payload_writer w;
 
-    put_head(&w, SYNC_REQUEST, d);
+    put_head(&w, kind, d);
     ggw_payload_put_array(&w, 0);
     ggw_slots_to_peer(p, peer, GGW_PEER_SLOT_SYNC, 0, &w);
 }
 
+void
+ggw_slots_request_sync(struct ggw_slots *p, struct ggw_slots_domain *d,
+                       const char *peer)
+{
+    send_empty(p, SYNC_REQUEST, d, peer);
+}
+
+/*
+ * A new owner's announcement is ignored by a gateway that has not yet learned
+ * of the change, and is not repeated unless it changes.
+ */
+void
+ggw_slots_request_announcement(struct ggw_slots *p, struct ggw_slots_domain *d)
+{
+    send_empty(p, SYNC_ANNOUNCE, d, d->owner);
+}
+
 /* Own grants of a domain; they count at @owner from now on. */
 static void
 collect_held(struct ggw_slots *p, const struct ggw_slots_domain *d,
@@ -167,6 +185,9 @@
     if (r.ok && d != NULL && kind == SYNC_REQUEST) {
         ggw_slots_send_sync(p, d, frame->peer);
     }
+    else if (r.ok && d != NULL && kind == SYNC_ANNOUNCE) {
+        g_clear_pointer(&d->announced, g_bytes_unref);
+    }
     else if (r.ok && d != NULL && d->ledger != NULL) {
         adopt(p, d, &list, n);
         ggw_slots_drain(p, d);
--- a/slots/held.c
+++ b/slots/held.c
@@ -181,7 +181,8 @@
 
     peer->heard_at = ggw_slots_now(p);
     if (rtt >= 0) {
-        peer->rtt = peer->rtt == 0 ? rtt : peer->rtt * 0.8 + rtt * 0.2;
+        /* A pause of either side looks like a long round trip. */
+        peer->rtt = peer->rtt == 0 ? rtt : MIN(rtt, peer->rtt * 1.25 + 0.1);
     }
     if (peer->silent) {
         peer->silent = false;
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -94,7 +94,6 @@
     struct ggw_slots_pending *pending;
     struct ggw_slots_domain *domain;
     char *owner;
-    ggw_ms sent_at;
     ggw_ms due;
     bool queued;
     bool asked_again;
@@ -138,7 +137,7 @@
 
 /**
  * struct ggw_slots_peer - another gateway
- * @rtt: smoothed round trip time
+ * @rtt: round trip time; falls at once and rises slowly
  * @silent: gave no answer in time; asked again once it is heard
  */
 struct ggw_slots_peer {
@@ -207,6 +206,8 @@
 /* slots/handover.c */
 void ggw_slots_request_sync(struct ggw_slots *p, struct ggw_slots_domain *d,
                             const char *peer);
+void ggw_slots_request_announcement(struct ggw_slots *p,
+                                    struct ggw_slots_domain *d);
 void ggw_slots_send_sync(struct ggw_slots *p, struct ggw_slots_domain *d,
                          const char *peer);
 void ggw_slots_on_sync(struct ggw_slots *p,
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -165,6 +165,9 @@
         else if (mine) {
             take_over(p, d);
         }
+        if (owner != NULL && !mine) {
+            ggw_slots_request_announcement(p, d);
+        }
         ggw_slots_owner_changed(p, d, old);
     }
     else if (mine && old_members != NULL) {
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -191,14 +191,13 @@
     a->pending = pd;
     a->domain = d;
     a->owner = g_strdup(d->owner);
-    a->sent_at = ggw_slots_now(p);
-    a->due = a->sent_at + answer_time(p, a->owner);
+    a->due = ggw_slots_now(p) + answer_time(p, a->owner);
     *(home ? &pd->home : &pd->spill) = a;
     g_hash_table_insert(p->asks, &a->id, a);
     reschedule(p, pd);
     if (d->ledger != NULL) {
         question.id = a->id;
-        ggw_ledger_ask(d->ledger, &question, a->sent_at);
+        ggw_ledger_ask(d->ledger, &question, ggw_slots_now(p));
         ggw_slots_drain(p, d);
         return;
     }
@@ -450,11 +449,6 @@
         }
         return;
     }
-    if (strcmp(owner, p->self) != 0) {
-        ggw_ms took = ggw_slots_now(p) - a->sent_at;
-
-        ggw_slots_peer_heard(p, owner, a->queued ? -1 : took);
-    }
     ask_free(p, a);
     grant(p, pd, id, s, owner);
 }
--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -18,6 +18,10 @@
     "\"slots\":2,\"connections\":200,\"cold_limit\":1,\"cold_ms\":5000,"
     "\"policy\":\"slots\",\"queue\":64,\"kinds\":{}}}}";
 
+static const char tree_round_robin_json[] =
+    "{\"services\":{\"S\":{\"slots\":2,\"queue\":64,"
+    "\"policy\":\"round_robin\",\"kinds\":{}}}}";
+
 static const char tree_out_json[] =
     "{\"failure_domains\":{\"cairo-a\":{\"state\":\"out\"}},"
     "\"services\":{\"S\":{\"slots\":2,\"queue\":64,\"kinds\":{}}}}";
@@ -44,6 +48,10 @@
     ggw_ms last_grant;
     ggw_ms longest_gap;
     bool silent_driver; /* sends no new requests */
+    int connections;    /* in the last grant */
+    int spilled;        /* grants in another failure domain than the own */
+    int probes;
+    bool drain_at_probe;
 } seen;
 
 static ggw_ms
@@ -92,6 +100,8 @@
     g_array_append_val(seen.running, r);
     n = count_on(m->vm);
     seen.grants++;
+    seen.connections = m->connections;
+    seen.spilled += strcmp(m->failure_domain, node->domain) != 0;
     seen.cold_grants += cold;
     if (cold) {
         seen.cold_most = MAX(seen.cold_most, n);
@@ -103,9 +113,27 @@
     seen.last_grant = now_ms();
 }
 
+/* Answers that the server drains, if the test wants that. */
+static void
+on_probe(struct node *node, const struct ggw_probe_request *m)
+{
+    struct ggw_load_report report = {
+        .present = true, .slots = 2, .draining = true};
+
+    if (!seen.drain_at_probe) {
+        return;
+    }
+    seen.probes++;
+    ggw_kernel_reply(&node->client->base, &m->base,
+                     ggw_probe_result_new(m->vm, true, &report));
+}
+
 static void
 on_message(struct node *node, struct ggw_message *message)
 {
+    if (message->ops == &ggw_probe_request_ops) {
+        on_probe(node, (struct ggw_probe_request *)message);
+    }
     if (message->ops == &ggw_slot_grant_ops) {
         on_grant(node, (struct ggw_slot_grant *)message);
     }
@@ -189,14 +217,13 @@
 append_gateways(GString *json, struct cluster *c)
 {
     for (int i = 0; i < c->len; i++) {
-        g_string_append_printf(
-            json,
-            "%s{\"name\":\"gw-%d\",\"role\":\"gateway\","
-            "\"failure_domain\":\"cairo-a\",\"state\":\"live\","
-            "\"address\":\"127.0.2.%d:80\","
-            "\"peer_address\":\"127.0.2.%d:%u\"}",
-            i > 0 ? "," : "", i, i + 1, i + 1,
-            ggw_peers_port(c->nodes[i].peers));
+        g_string_append_printf(json,
+                               "%s{\"name\":\"gw-%d\",\"role\":\"gateway\","
+                               "\"failure_domain\":\"%s\",\"state\":\"live\","
+                               "\"address\":\"127.0.2.%d:80\","
+                               "\"peer_address\":\"127.0.2.%d:%u\"}",
+                               i > 0 ? "," : "", i, c->nodes[i].domain, i + 1,
+                               i + 1, ggw_peers_port(c->nodes[i].peers));
     }
 }
 
@@ -220,10 +247,11 @@
         g_string_append_printf(
             json,
             ",{\"name\":\"%s\",\"role\":\"backend_server\",\"team\":\"T\","
-            "\"service\":\"S\",\"failure_domain\":\"cairo-a\","
+            "\"service\":\"S\",\"failure_domain\":\"%s\","
             "\"address\":\"127.0.0.1:9\",\"incarnation\":\"1\","
             "\"state\":\"%s\"}",
-            name, leaving ? "leaving" : "live");
+            name, i < warm ? c->nodes[i % c->len].domain : "cairo-a",
+            leaving ? "leaving" : "live");
     }
     g_string_append(json, "]}");
     list = ggw_vm_list_parse(json->str, NULL);
@@ -242,8 +270,9 @@
     ggw_tree_unref(tree);
 }
 
+/* Every other gateway and server is in a second failure domain. */
 static struct cluster *
-new_cluster(int gateways, int warm, bool cold)
+new_cluster_in(const char *second_domain, int gateways, int warm, bool cold)
 {
     struct cluster *c = g_new(struct cluster, 1);
 
@@ -251,9 +280,9 @@
     cluster_init(c);
     for (int i = 0; i < gateways; i++) {
         g_autofree char *name = g_strdup_printf("gw-%d", i);
-        struct node *n =
-            cluster_add(c, "cairo-a",
-                        ggw_slots_service_new(name, "cairo-a", 7), on_message);
+        const char *domain = i % 2 == 0 ? "cairo-a" : second_domain;
+        struct node *n = cluster_add(
+            c, domain, ggw_slots_service_new(name, domain, 7), on_message);
 
         publish_tree(n, 1, tree_json);
     }
@@ -264,6 +293,12 @@
     return c;
 }
 
+static struct cluster *
+new_cluster(int gateways, int warm, bool cold)
+{
+    return new_cluster_in("cairo-a", gateways, warm, cold);
+}
+
 static void
 free_cluster(struct cluster *c)
 {
@@ -482,6 +517,68 @@
     free_cluster(c);
 }
 
+static bool
+spilled(struct cluster *c)
+{
+    return seen.spilled >= 20;
+}
+
+/* Guards against slots that stay idle while another failure domain is full. */
+static void
+test_spill(void)
+{
+    struct cluster *c = new_cluster_in("cairo-b", 2, 2, false);
+
+    drive_for(c, 1500);
+    seen.open[1] = 1000; /* the second gateway sends nothing more */
+    CU_ASSERT_TRUE(drive_until(c, spilled));
+    CU_ASSERT_EQUAL(seen.connections, 200 / 2);
+    CU_ASSERT_TRUE(seen.most <= 2 + 2);
+    free_cluster(c);
+}
+
+/* Guards against a baseline that is limited or asks an owner. */
+static void
+test_baseline(void)
+{
+    struct cluster *c = new_cluster(1, 2, false);
+
+    publish_tree(&c->nodes[0], 2, tree_round_robin_json);
+    cluster_turn(c);
+    seen.silent_driver = true;
+    for (int i = 0; i < 10; i++) {
+        send_request(&c->nodes[0]);
+    }
+    grants_wanted = 10;
+    CU_ASSERT_TRUE(cluster_wait(c, enough_grants));
+    CU_ASSERT_EQUAL(count_on("s-0"), 5);
+    CU_ASSERT_EQUAL(count_on("s-1"), 5);
+    free_cluster(c);
+}
+
+static bool
+was_probed(struct cluster *c)
+{
+    return seen.probes > 0;
+}
+
+/* Guards against a silent server whose draining nobody notices. */
+static void
+test_probe(void)
+{
+    struct cluster *c = new_cluster(1, 1, false);
+
+    seen.drain_at_probe = true;
+    CU_ASSERT_TRUE(cluster_wait(c, was_probed));
+    cluster_turn(c);
+    seen.refusals = 0;
+    grants_wanted = 1;
+    send_request(&c->nodes[0]);
+    CU_ASSERT_TRUE(cluster_wait(c, everything_refused));
+    CU_ASSERT_EQUAL(seen.grants, 0);
+    free_cluster(c);
+}
+
 int
 main(void)
 {
@@ -496,6 +593,9 @@
     CU_add_test(suite, "links cut", test_links_cut);
     CU_add_test(suite, "closed servers", test_closed_servers);
     CU_add_test(suite, "cancel", test_cancel);
+    CU_add_test(suite, "spill", test_spill);
+    CU_add_test(suite, "baseline", test_baseline);
+    CU_add_test(suite, "probe", test_probe);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/tests/test_slots_ledger.c
+++ b/tests/test_slots_ledger.c
@@ -164,6 +164,12 @@
     CU_ASSERT_EQUAL(ggw_ledger_free_slots(l, 1), SERVERS * 2 - 2);
     ggw_ledger_release(l, "g1", 1, "", GGW_ATTEMPT_OK, 1, NULL, 2);
     CU_ASSERT_EQUAL(ggw_ledger_free_slots(l, 2), SERVERS * 2 - 1);
+    /* A late report of the same grant must not bring it back. */
+    for (guint i = 0; i < states->len; i++) {
+        ggw_ledger_adopt(l, &g_array_index(states, struct ggw_ledger_state, i),
+                         2);
+    }
+    CU_ASSERT_EQUAL(ggw_ledger_free_slots(l, 2), SERVERS * 2 - 1);
     configure(l, false, 0, true, 3);
     configure(l, false, 0, false, 4);
     CU_ASSERT_EQUAL(ggw_ledger_free_slots(l, 4), 0); /* cold again */
