peers: repeat a hello that was sent before a new incarnation

In 1 of 17 runs of tests/test_slots three gateways did not join again after all links were cut and healed. A hello that left with the old incarnation, before the gateway renewed it because of another link, was refused, and the refusal was ignored as already handled; heartbeats kept that link open for good. A refusal of a lower incarnation is now answered with a new hello.

--- a/peers/hello.c
+++ b/peers/hello.c
@@ -183,13 +183,19 @@
 
 /* The other end counts this incarnation as dead: take a new one. */
 static void
-renew(struct ggw_peers *p, uint64_t refused)
+renew(struct ggw_conn *conn, uint64_t refused)
 {
+    struct ggw_peers *p = conn->peers;
     const struct ggw_view_member *self = ggw_view_self(p->view);
     double wall = ggw_clock_wall(ggw_kernel_clock(p->base.kernel));
     uint64_t next = MAX((uint64_t)wall, refused + 1);
 
-    if (refused < self->member.incarnation || self->left) {
+    if (self->left) {
+        return;
+    }
+    if (refused < self->member.incarnation) {
+        /* The hello on this link was sent before the new incarnation. */
+        ggw_peers_send_hello(conn, 0);
         return;
     }
     ggw_log_warn("peers", "others count this gateway as dead; it joins again");
@@ -237,7 +243,7 @@
         return false;
     }
     if (h->refused != 0) {
-        renew(p, h->refused);
+        renew(conn, h->refused);
     }
     if (conn->peer == NULL) {
         attach(conn, h);
