--- a/peers/hello.c
+++ b/peers/hello.c
@@ -137,6 +137,28 @@
     }
 }
 
+/*
+ * Dials all missing gateways at once. A new link often means that a network
+ * fault has ended; if some pairs then stayed apart for as long as their
+ * backoff, two gateways could each reach a majority and be owner of the same
+ * servers for longer than the hold-down of 1 s.
+ */
+static void
+dial_missing(struct ggw_peers *p)
+{
+    ggw_ms now = ggw_kernel_now(p->base.kernel);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_target *t = value;
+
+        t->next_at = MIN(t->next_at, now);
+        t->backoff = GGW_PEERS_BACKOFF;
+    }
+}
+
 static void
 attach(struct ggw_conn *conn, const struct hello *h)
 {
@@ -148,8 +170,8 @@
     conn->peer = peer_of(p, h->view.name);
     conn->by_lower = dialled == we_are_lower;
     g_ptr_array_add(conn->peer->conns, conn);
+    dial_missing(p);
     if (dialled) {
-        conn->target->backoff = GGW_PEERS_BACKOFF;
         g_free(conn->target->name);
         conn->target->name = g_strdup(h->view.name);
     }
@@ -161,13 +183,19 @@
 
 /* The other end counts this incarnation as dead: take a new one. */
 static void
-renew(struct ggw_peers *p, uint64_t refused)
+renew(struct ggw_conn *conn, uint64_t refused)
 {
+    struct ggw_peers *p = conn->peers;
     const struct ggw_view_member *self = ggw_view_self(p->view);
     double wall = ggw_clock_wall(ggw_kernel_clock(p->base.kernel));
     uint64_t next = MAX((uint64_t)wall, refused + 1);
 
-    if (refused < self->member.incarnation || self->left) {
+    if (self->left) {
+        return;
+    }
+    if (refused < self->member.incarnation) {
+        /* The hello on this link was sent before the new incarnation. */
+        ggw_peers_send_hello(conn, 0);
         return;
     }
     ggw_log_warn("peers", "others count this gateway as dead; it joins again");
@@ -215,7 +243,7 @@
         return false;
     }
     if (h->refused != 0) {
-        renew(p, h->refused);
+        renew(conn, h->refused);
     }
     if (conn->peer == NULL) {
         attach(conn, h);
