slots: let the owner alone bound the spill to its failure domain

A gateway spilled at most as many requests in 100 ms as slots had been announced free; in that time a slot becomes free ten times and more. Change: a spilled request is not queued by the owner, so its first refusal ends the spill until the next tick; the number announced is no limit any more. The receiving domain still grants only what is free, so it is not overloaded.

--- a/slots/internal.h
+++ b/slots/internal.h
@@ -54,7 +54,8 @@
  * @ledger: not NULL while this gateway is the owner
  * @free: slots that the owner announced
  * @free_at: when it announced them
- * @spent: of them, what this gateway asked for in the current tick
+ * @spent: slots that this gateway asked for in the current tick
+ * @exhausted: the owner had no free slot for a spilled request in this tick
  * @announced: last SLOT_LOAD sent
  */
 struct ggw_slots_domain {
@@ -64,6 +65,7 @@
     struct ggw_ledger *ledger;
     int free;
     int spent;
+    bool exhausted;
     ggw_ms free_at;
     GBytes *announced;
 };
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -223,23 +223,29 @@
     }
     /* No change is announced while nothing changes; it was still heard. */
     age = now - MAX(d->free_at, peer->heard_at);
-    return round(d->free * pow(0.5, age / FREE_HALF_LIFE)) - d->spent;
+    return round(d->free * pow(0.5, age / FREE_HALF_LIFE));
 }
 
-/* Asks another failure domain if one has a free slot. */
+/*
+ * Asks another failure domain that announced free slots. Slots become free
+ * many times between two announcements, so their number is no limit here: the
+ * owner queues no spilled request, and its first refusal ends the spill until
+ * the next tick.
+ */
 static bool
 try_spill(struct ggw_slots *p, struct ggw_slots_pending *pd)
 {
     struct ggw_slots_domain *best = NULL;
-    double best_free = 0;
+    double best_left = -INFINITY;
 
     for (guint i = 0; i < pd->group->domains->len; i++) {
         struct ggw_slots_domain *d = g_ptr_array_index(pd->group->domains, i);
         double n = strcmp(d->name, p->domain) != 0 ? free_slots(p, d) : 0;
 
-        if (n > best_free && ggw_slots_domain_open(d)) {
+        if (n > 0 && !d->exhausted && n - d->spent > best_left &&
+            ggw_slots_domain_open(d)) {
             best = d;
-            best_free = n;
+            best_left = n - d->spent;
         }
     }
     if (best == NULL || pd->spill != NULL) {
@@ -405,7 +411,7 @@
         ggw_slots_peer(p, a->owner)->silent = true;
     }
     if (!home) {
-        a->domain->spent = MAX(a->domain->spent, (int)a->domain->free);
+        a->domain->exhausted = true;
     }
     ask_free(p, a);
     reschedule(p, pd);
--- a/slots/slots.c
+++ b/slots/slots.c
@@ -110,6 +110,7 @@
             struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
 
             d->spent = 0;
+            d->exhausted = false;
         }
     }
     ggw_slots_owner_tick(p, now);
