claims: pace transactions, so that claims and settlements share them

Cause: each order cost 2.00 transactions at 100, 300 and 900 orders a second; batches never filled, because the answer came back before the next claim. At 900 orders a second that is 1,800 writes a second, and the table service takes several hundred. Ruled out: a fixed delay for each claim, which also slows a quiet service.

--- a/claims/claims.c
+++ b/claims/claims.c
@@ -1,5 +1,6 @@
 #include "claims/claims.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "common/log.h"
@@ -18,6 +19,9 @@
 #define BATCHES_IN_FLIGHT 4
 #define TXN_TIMEOUT 500.0
 #define RETRY_DELAY 50.0
+/* With 6 gateways at most 600 transactions a second, claims and settlements
+ * together; the table service takes several hundred writes a second. */
+#define TXN_INTERVAL 10.0
 /* A settlement is worth less than memory: repeats of its order are then
  * answered "unknown" instead of "already run". */
 #define SETTLE_LIMIT 30000.0
@@ -54,7 +58,10 @@
     GQueue queue;        /* of struct write */
     GHashTable *batches; /* tag -> struct batch */
     uv_timer_t timer;
-    bool paused; /* the last transaction failed; wait for the timer */
+    uv_timer_t pace_timer;
+    bool paused;       /* the last transaction failed; wait for the timer */
+    int claims_queued; /* writes in the queue that a client waits for */
+    ggw_ms last_sent;  /* time of the last transaction */
 };
 
 static void
@@ -82,6 +89,22 @@
     g_hash_table_remove(p->writes, &w->id);
 }
 
+static void
+queue_push(struct priv *p, struct write *w)
+{
+    p->claims_queued += w->phase == WRITE_CLAIM;
+    g_queue_push_tail(&p->queue, w);
+}
+
+static struct write *
+queue_pop(struct priv *p)
+{
+    struct write *w = g_queue_pop_head(&p->queue);
+
+    p->claims_queued -= w->phase == WRITE_CLAIM;
+    return w;
+}
+
 static void
 send_result(struct priv *p, struct write *w, enum ggw_claim_state state,
             int status)
@@ -104,7 +127,7 @@
     w->row.state = state;
     w->row.status = status;
     w->deadline = ggw_kernel_now(p->base.kernel) + SETTLE_LIMIT;
-    g_queue_push_tail(&p->queue, w);
+    queue_push(p, w);
 }
 
 /*
@@ -164,13 +187,13 @@
     ggw_ms now = ggw_kernel_now(p->base.kernel);
 
     while (n-- > 0 && b->writes->len < BATCH_MAX) {
-        struct write *w = g_queue_pop_head(&p->queue);
+        struct write *w = queue_pop(p);
 
         if (now >= w->deadline) {
             expire(p, w);
         }
         else if (batch_has_key(b, w->key)) {
-            g_queue_push_tail(&p->queue, w);
+            queue_push(p, w);
         }
         else {
             add_to_txn(txn, w);
@@ -180,25 +203,54 @@
 }
 
 static void
-send_batches(struct priv *p)
+send_batch(struct priv *p)
 {
-    while (!p->paused && !g_queue_is_empty(&p->queue) &&
-           g_hash_table_size(p->batches) < BATCHES_IN_FLIGHT) {
-        struct batch *b = g_new0(struct batch, 1);
-        struct ggw_txn *txn = ggw_txn_new(TXN_TIMEOUT);
-
-        b->writes = g_ptr_array_new();
-        fill_batch(p, b, txn);
-        if (b->writes->len == 0) {
-            batch_free(b);
-            txn->base.ops->destroy(&txn->base);
-            return;
-        }
-        b->tag = ++p->last_id;
-        txn->base.tag = b->tag;
-        g_hash_table_insert(p->batches, &b->tag, b);
-        ggw_kernel_send(p->base.kernel, "platform", &p->base, &txn->base);
+    struct batch *b = g_new0(struct batch, 1);
+    struct ggw_txn *txn = ggw_txn_new(TXN_TIMEOUT);
+
+    b->writes = g_ptr_array_new();
+    fill_batch(p, b, txn);
+    if (b->writes->len == 0) {
+        batch_free(b);
+        txn->base.ops->destroy(&txn->base);
+        return;
     }
+    b->tag = ++p->last_id;
+    txn->base.tag = b->tag;
+    g_hash_table_insert(p->batches, &b->tag, b);
+    p->last_sent = ggw_kernel_now(p->base.kernel);
+    ggw_kernel_send(p->base.kernel, "platform", &p->base, &txn->base);
+}
+
+static void pace_cb(uv_timer_t *timer);
+
+/*
+ * Sends the next batch when its time has come. Nobody waits for a settlement:
+ * alone it waits for the next tick, so that it can share a transaction.
+ */
+static void
+send_batches(struct priv *p, bool tick)
+{
+    ggw_ms wait = p->last_sent + TXN_INTERVAL - ggw_kernel_now(p->base.kernel);
+
+    if (p->paused || g_queue_is_empty(&p->queue) ||
+        (p->claims_queued == 0 && !tick) ||
+        g_hash_table_size(p->batches) >= BATCHES_IN_FLIGHT) {
+        return;
+    }
+    if (wait <= 0) {
+        send_batch(p);
+        wait = TXN_INTERVAL;
+    }
+    if (p->claims_queued > 0 && !uv_is_active((uv_handle_t *)&p->pace_timer)) {
+        uv_timer_start(&p->pace_timer, pace_cb, (uint64_t)ceil(wait), 0);
+    }
+}
+
+static void
+pace_cb(uv_timer_t *timer)
+{
+    send_batches(timer->data, false);
 }
 
 static void
@@ -247,7 +299,7 @@
     w->mod_revision = row != NULL ? row->mod_revision : 0;
     switch (verdict) {
     case GGW_CLAIM_VERDICT_WRITE:
-        g_queue_push_tail(&p->queue, w);
+        queue_push(p, w);
         return;
     case GGW_CLAIM_VERDICT_MINE:
         finish_write(p, w);
@@ -288,7 +340,7 @@
         }
         else {
             w->maybe_written |= r->status == GGW_PLATFORM_UNKNOWN;
-            g_queue_push_tail(&p->queue, w);
+            queue_push(p, w);
             /* A refused connection answers at once; do not spin on it. */
             p->paused |= r->status == GGW_PLATFORM_NOT_SENT;
         }
@@ -302,13 +354,13 @@
     guint n = g_queue_get_length(&p->queue);
 
     while (n-- > 0) {
-        struct write *w = g_queue_pop_head(&p->queue);
+        struct write *w = queue_pop(p);
 
         if (now >= w->deadline) {
             expire(p, w);
         }
         else {
-            g_queue_push_tail(&p->queue, w);
+            queue_push(p, w);
         }
     }
 }
@@ -320,7 +372,7 @@
 
     p->paused = false;
     expire_queue(p);
-    send_batches(p);
+    send_batches(p, true);
 }
 
 static void
@@ -334,7 +386,7 @@
     g_hash_table_steal(p->batches, &r->base.tag);
     end_batch(p, b, r);
     batch_free(b);
-    send_batches(p);
+    send_batches(p, false);
 }
 
 static void
@@ -352,8 +404,8 @@
     w->tag = m->base.tag;
     w->deadline = m->deadline;
     g_hash_table_insert(p->writes, &w->id, w);
-    g_queue_push_tail(&p->queue, w);
-    send_batches(p);
+    queue_push(p, w);
+    send_batches(p, false);
 }
 
 static void
@@ -372,7 +424,7 @@
                      m->end == GGW_CLAIM_END_DONE ? GGW_CLAIM_ROW_DONE
                                                   : GGW_CLAIM_ROW_NOT_RUN,
                      m->status);
-    send_batches(p);
+    send_batches(p, false);
 }
 
 static void
@@ -397,6 +449,9 @@
     struct priv *p = (struct priv *)service;
 
     uv_timer_init(ggw_kernel_loop(service->kernel), &p->timer);
+    uv_timer_init(ggw_kernel_loop(service->kernel), &p->pace_timer);
+    p->pace_timer.data = p;
+    p->last_sent = -TXN_INTERVAL;
     p->timer.data = p;
     uv_timer_start(&p->timer, timer_cb, (uint64_t)RETRY_DELAY,
                    (uint64_t)RETRY_DELAY);
@@ -413,6 +468,7 @@
                      g_queue_get_length(&p->queue));
     }
     uv_close((uv_handle_t *)&p->timer, NULL);
+    uv_close((uv_handle_t *)&p->pace_timer, NULL);
 }
 
 static void
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -14,6 +14,7 @@
 #define GATEWAYS 3
 #define ORDERS 1000
 #define TRIES 4
+#define SERIAL_ORDERS 50
 #define SEED 20261204
 
 struct stored {
@@ -28,6 +29,8 @@
     int64_t revision;
     GRand *rand;
     bool down;
+    bool reliable;
+    int txns;
 };
 
 static void
@@ -115,11 +118,14 @@
 {
     struct table *t = (struct table *)service;
     struct ggw_txn *txn = (struct ggw_txn *)message;
-    int fault = t->down ? 3 : g_rand_int_range(t->rand, 0, 10);
+    int fault = t->reliable ? 0
+                : t->down   ? 3
+                            : g_rand_int_range(t->rand, 0, 10);
 
     if (message->ops != &ggw_txn_ops) {
         return;
     }
+    t->txns++;
     /* A delayed write takes effect at some later request. */
     if (!g_queue_is_empty(&t->delayed) && g_rand_boolean(t->rand)) {
         struct ggw_txn *late = g_queue_pop_head(&t->delayed);
@@ -157,10 +163,25 @@
     int runs[ORDERS];
     int states[4]; /* results by enum ggw_claim_state */
     int waiting;
+    bool one_by_one; /* claims the next order after the answer for one */
+    int next;
+    ggw_ms elapsed;
     bool order_ran_twice;
     bool done_without_run;
 };
 
+static void
+send_claim(struct client *c, int gateway)
+{
+    g_autofree char *order = g_strdup_printf("n/%d", c->next);
+    struct ggw_message *m = ggw_claim_request_new(
+        "t", "orders", order, ggw_kernel_now(c->base.kernel) + c->patience);
+
+    m->tag = (uint64_t)c->next++;
+    ggw_kernel_send_id(c->base.kernel, c->gateways[gateway]->id, &c->base, m);
+    c->waiting++;
+}
+
 static void
 send_claims(struct client *c)
 {
@@ -182,7 +203,15 @@
 static bool
 client_start(struct ggw_service *service, GError **error)
 {
-    send_claims((struct client *)service);
+    struct client *c = (struct client *)service;
+
+    c->elapsed = -ggw_kernel_now(service->kernel);
+    if (c->one_by_one) {
+        send_claim(c, 0);
+    }
+    else {
+        send_claims(c);
+    }
     return true;
 }
 
@@ -212,7 +241,11 @@
     else if (r->state == GGW_CLAIM_DONE) {
         c->done_without_run |= c->runs[order] == 0 || r->status != 201;
     }
+    if (c->one_by_one && c->next < SERIAL_ORDERS) {
+        send_claim(c, 0);
+    }
     if (--c->waiting == 0) {
+        c->elapsed += ggw_kernel_now(service->kernel);
         ggw_kernel_stop(service->kernel);
     }
 }
@@ -285,6 +318,19 @@
     CU_ASSERT_EQUAL(c.states[GGW_CLAIM_UNAVAILABLE], ORDERS * TRIES);
 }
 
+/* Guards against more transactions than the table service takes: several
+ * hundred a second for 6 gateways, so at most 100 for each. */
+static void
+test_pacing(void)
+{
+    struct client c = {.patience = 5000, .one_by_one = true};
+    struct table t = {.reliable = true};
+
+    run(&c, &t);
+    CU_ASSERT_EQUAL(c.states[GGW_CLAIM_WON], SERIAL_ORDERS);
+    CU_ASSERT_TRUE(t.txns <= c.elapsed / 10 + 1);
+}
+
 static enum ggw_claim_verdict
 judge(enum ggw_claim_row_state want, const char *nonce, const char *text)
 {
@@ -335,6 +381,7 @@
     CU_add_test(suite, "judge", test_judge);
     CU_add_test(suite, "at most once", test_at_most_once);
     CU_add_test(suite, "outage", test_outage);
+    CU_add_test(suite, "pacing", test_pacing);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
