--- a/tests/system.c
+++ b/tests/system.c
@@ -198,6 +198,37 @@
     g_string_free(line, TRUE);
 }
 
+static void
+start_relay(struct system *s)
+{
+    GPtrArray *argv = argv_new("standins/relay");
+    GString *line = g_string_new(NULL);
+
+    for (guint i = 0; i < s->servers->len; i++) {
+        const struct system_server *v = g_ptr_array_index(s->servers, i);
+        g_autofree char *spec =
+            g_strdup_printf("%s,0,%s,0", v->name, v->address);
+
+        add_flag(argv, "--route", spec);
+    }
+    process_start(&s->relay, argv, end_with_parent);
+    while (strcmp(line->str, "ready") != 0) {
+        g_auto(GStrv) words = NULL;
+
+        if (!read_line(&s->relay, line)) {
+            g_error("the relay did not start");
+        }
+        words = g_strsplit(line->str, " ", 3);
+        if (strcmp(words[0], "route") == 0) {
+            find_server(s, words[1])->route = g_strdup(words[2]);
+        }
+        else if (strcmp(words[0], "control") == 0) {
+            s->relay_control = g_strdup(words[1]);
+        }
+    }
+    g_string_free(line, TRUE);
+}
+
 /* Addresses that follow from the process id, so that tests that run at the
  * same time do not clash. */
 static void
@@ -236,11 +267,12 @@
         const struct system_server *v = g_ptr_array_index(s->servers, i);
 
         json_array_append_new(
-            vms, json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "name",
-                           v->name, "role", "backend_server", "team",
-                           s->options.team, "service", v->service,
-                           "failure_domain", v->domain, "address", v->address,
-                           "state", v->leaving ? "leaving" : "live"));
+            vms,
+            json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "name", v->name,
+                      "role", "backend_server", "team", s->options.team,
+                      "service", v->service, "failure_domain", v->domain,
+                      "address", v->route != NULL ? v->route : v->address,
+                      "state", v->leaving ? "leaving" : "live"));
     }
     return vms;
 }
@@ -420,6 +452,9 @@
     for (int i = 0; options->services[i] != NULL; i++) {
         start_backend(s, options->services[i]);
     }
+    if (options->relay) {
+        start_relay(s);
+    }
     system_publish_vms(s);
     if (options->settings != NULL) {
         write_settings(s);
@@ -448,6 +483,8 @@
         g_free(g->address);
         g_free(g->peer_address);
     }
+    ok = process_stop(&s->relay, SIGTERM) && ok;
+    g_free(s->relay_control);
     for (guint i = 0; i < s->backends->len; i++) {
         struct system_backend *b = g_ptr_array_index(s->backends, i);
 
@@ -459,6 +496,7 @@
 
         g_free(server->name);
         g_free(server->address);
+        g_free(server->route);
     }
     ok = platform_process_stop(&s->platform) == 0 && ok;
     g_ptr_array_unref(s->backends);
@@ -567,6 +605,43 @@
     return sum;
 }
 
+double
+system_server_count(struct system *s, const char *name, const char *field)
+{
+    json_t *servers = service_counts(s, find_server(s, name)->service);
+    double v = json_number_value(
+        json_object_get(json_object_get(servers, name), field));
+
+    json_decref(servers);
+    return v;
+}
+
+void
+system_set_relay(struct system *s, const char *json)
+{
+    struct reply *r =
+        client_request(s->relay_control, "POST", "/-/set", NULL, json);
+
+    if (r->status != 200) {
+        g_error("the relay refused %s", json);
+    }
+    reply_free(r);
+}
+
+double
+system_route_count(struct system *s, const char *route, const char *field)
+{
+    struct reply *r =
+        client_request(s->relay_control, "GET", "/-/routes", NULL, NULL);
+    json_t *routes = json_loads(reply_text(r), 0, NULL);
+    double v = json_number_value(
+        json_object_get(json_object_get(routes, route), field));
+
+    json_decref(routes);
+    reply_free(r);
+    return v;
+}
+
 struct system_load *
 system_load_start(struct system *s, const char *const *args)
 {
--- a/tests/system.h
+++ b/tests/system.h
@@ -24,6 +24,7 @@
  * @servers: backend servers of each service
  * @backend_flags: flags for every backend process, NULL-terminated, or NULL
  * @gateway_flags: flags for every gateway, NULL-terminated, or NULL
+ * @relay: gateways reach each backend server over a relay route of its name
  */
 struct system_options {
     const char *team;
@@ -34,6 +35,7 @@
     int servers;
     const char *const *backend_flags;
     const char *const *gateway_flags;
+    bool relay;
 };
 
 extern const struct system_options system_cairo;
@@ -52,6 +54,7 @@
 
 struct system_server {
     char *name, *address;
+    char *route; /* address of its relay route, or NULL */
     const char *domain, *service;
     bool leaving;
 };
@@ -66,6 +69,8 @@
     struct system_options options;
     struct platform_process platform;
     char *platform_address;
+    struct system_process relay;
+    char *relay_control;
     struct system_gateway gateways[SYSTEM_GATEWAYS];
     GPtrArray *backends; /* struct system_backend */
     GPtrArray *servers;  /* struct system_server */
@@ -110,6 +115,17 @@
 void system_set_backend(struct system *s, const char *service,
                         const char *json);
 
+/* Sends a JSON object to the control page of the relay. */
+void system_set_relay(struct system *s, const char *json);
+
+/* A number of one route; see standins/relay.c. */
+double system_route_count(struct system *s, const char *route,
+                          const char *field);
+
+/* One count of one server. */
+double system_server_count(struct system *s, const char *name,
+                           const char *field);
+
 /* Address of the control page of one service's servers. */
 const char *system_control(struct system *s, const char *service);
 
