--- a/ctl/verbs_read.c
+++ b/ctl/verbs_read.c
@@ -98,7 +98,8 @@
         json_decref(root);
         return;
     }
-    printf("%" JSON_INTEGER_FORMAT " %s %s %s %s",
+    printf("%" JSON_INTEGER_FORMAT " -> %" JSON_INTEGER_FORMAT " %s %s %s %s",
+           json_integer_value(json_object_get(root, "from")),
            json_integer_value(json_object_get(root, "to")), when, who, verb,
            change);
     for (size_t i = 0; i < json_array_size(paths); i++) {
--- a/slots/fallback.c
+++ b/slots/fallback.c
@@ -53,7 +53,7 @@
             const struct ggw_slots_server *s =
                 g_ptr_array_index(g->servers, j);
             bool home = strcmp(s->domain->name, p->domain) == 0;
-            bool usable = ggw_slots_server_open(s) && s->warm && !s->doubted &&
+            bool usable = ggw_slots_server_open(s) && s->warm && !s->suspect &&
                           (home || pass == 1);
 
             fill(s, pd->request, usable ? limit : 0, &c[j]);
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -200,7 +200,7 @@
         const struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
         struct ggw_ledger_server info = {s->name, s->incarnation,
                                          s->closed || g->rule == NULL, s->out,
-                                         s->warm && !s->doubted};
+                                         s->warm && !s->suspect};
 
         if (s->domain == d) {
             g_array_append_val(servers, info);
@@ -279,3 +279,26 @@
         configure_owned(p, value);
     }
 }
+
+void
+ggw_slots_iter_init(struct ggw_slots_iter *it, struct ggw_slots *p)
+{
+    g_hash_table_iter_init(&it->groups, p->groups);
+    it->group = NULL;
+    it->next = 0;
+}
+
+struct ggw_slots_domain *
+ggw_slots_iter_next(struct ggw_slots_iter *it)
+{
+    gpointer value;
+
+    while (it->group == NULL || it->next >= it->group->domains->len) {
+        if (!g_hash_table_iter_next(&it->groups, NULL, &value)) {
+            return NULL;
+        }
+        it->group = value;
+        it->next = 0;
+    }
+    return g_ptr_array_index(it->group->domains, it->next++);
+}
--- a/slots/handover.c
+++ b/slots/handover.c
@@ -101,7 +101,7 @@
         struct ggw_ledger_state state = {
             .server = s->name,
             .incarnation = s->incarnation,
-            .warm = s->warm && !s->doubted,
+            .warm = s->warm && !s->suspect,
         };
 
         if (s->domain == d && state.warm) {
--- a/slots/held.c
+++ b/slots/held.c
@@ -84,7 +84,7 @@
     }
     if (ggw_attempt_failed(r->result) ||
         (r->report.present && (r->report.cold || r->report.draining))) {
-        s->doubted = true;
+        s->suspect = true;
     }
 }
 
@@ -154,19 +154,13 @@
 static void
 report_uncounted(struct ggw_slots *p, const char *name)
 {
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, p->groups);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct ggw_slots_group *g = value;
-
-        for (guint i = 0; i < g->domains->len; i++) {
-            struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+    struct ggw_slots_iter iter;
+    struct ggw_slots_domain *d;
 
-            if (g_strcmp0(d->owner, name) == 0) {
-                ggw_slots_send_sync(p, d, name);
-            }
+    ggw_slots_iter_init(&iter, p);
+    while ((d = ggw_slots_iter_next(&iter)) != NULL) {
+        if (g_strcmp0(d->owner, name) == 0) {
+            ggw_slots_send_sync(p, d, name);
         }
     }
 }
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -26,7 +26,7 @@
  * @closed: leaving or draining
  * @out: its failure domain is out of service
  * @warm: the owner announced it as warm, with this incarnation
- * @doubted: an own request has failed there since
+ * @suspect: an own request has failed there since
  * @own: requests of this gateway in flight there
  */
 struct ggw_slots_server {
@@ -38,7 +38,7 @@
     bool closed;
     bool out;
     bool warm;
-    bool doubted;
+    bool suspect;
     bool listed; /* mark while a list is applied */
     int own;
     bool reported;
@@ -70,6 +70,17 @@
     GBytes *announced;
 };
 
+/**
+ * struct ggw_slots_iter - walk over the failure domains of all services
+ *
+ * Domains must not be added or removed during the walk.
+ */
+struct ggw_slots_iter {
+    GHashTableIter groups;
+    struct ggw_slots_group *group;
+    guint next;
+};
+
 /**
  * struct ggw_slots_group - the servers of one service of a team
  * @tree: holds @rule; NULL before settings are in force
@@ -249,4 +260,9 @@
                                             struct ggw_slots_group *g,
                                             const struct ggw_slot_request *r);
 
+void ggw_slots_iter_init(struct ggw_slots_iter *it, struct ggw_slots *p);
+
+/* Return: NULL after the last domain. */
+struct ggw_slots_domain *ggw_slots_iter_next(struct ggw_slots_iter *it);
+
 #endif
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -181,16 +181,12 @@
 void
 ggw_slots_reassign(struct ggw_slots *p, const GArray *old_members)
 {
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, p->groups);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct ggw_slots_group *g = value;
+    struct ggw_slots_iter iter;
+    struct ggw_slots_domain *d;
 
-        for (guint i = 0; i < g->domains->len; i++) {
-            reassign_domain(p, g_ptr_array_index(g->domains, i), old_members);
-        }
+    ggw_slots_iter_init(&iter, p);
+    while ((d = ggw_slots_iter_next(&iter)) != NULL) {
+        reassign_domain(p, d, old_members);
     }
 }
 
@@ -329,7 +325,7 @@
             continue;
         }
         s->warm = state == GGW_LIMIT_WARM && !s->out;
-        s->doubted = false;
+        s->suspect = false;
         if (s->warm) {
             g_ptr_array_add(warm, s->name);
         }
@@ -452,25 +448,19 @@
 ggw_slots_ledgers_tick(struct ggw_slots *p, ggw_ms now)
 {
     ggw_ms next = INFINITY;
-    GHashTableIter iter;
-    gpointer value;
+    struct ggw_slots_iter iter;
+    struct ggw_slots_domain *d;
 
-    g_hash_table_iter_init(&iter, p->groups);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct ggw_slots_group *g = value;
-
-        for (guint i = 0; i < g->domains->len; i++) {
-            struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
-
-            if (d->ledger == NULL) {
-                continue;
-            }
-            if (ggw_ledger_next(d->ledger) <= now) {
-                ggw_ledger_tick(d->ledger, now);
-                ggw_slots_drain(p, d);
-            }
-            next = MIN(next, ggw_ledger_next(d->ledger));
+    ggw_slots_iter_init(&iter, p);
+    while ((d = ggw_slots_iter_next(&iter)) != NULL) {
+        if (d->ledger == NULL) {
+            continue;
+        }
+        if (ggw_ledger_next(d->ledger) <= now) {
+            ggw_ledger_tick(d->ledger, now);
+            ggw_slots_drain(p, d);
         }
+        next = MIN(next, ggw_ledger_next(d->ledger));
     }
     return next;
 }
--- a/slots/slots.c
+++ b/slots/slots.c
@@ -97,21 +97,15 @@
 {
     struct ggw_slots *p = timer->data;
     ggw_ms now;
-    GHashTableIter iter;
-    gpointer value;
+    struct ggw_slots_iter iter;
+    struct ggw_slots_domain *d;
 
     check_stall(p);
     now = ggw_slots_now(p);
-    g_hash_table_iter_init(&iter, p->groups);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct ggw_slots_group *g = value;
-
-        for (guint i = 0; i < g->domains->len; i++) {
-            struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
-
-            d->spent = 0;
-            d->exhausted = false;
-        }
+    ggw_slots_iter_init(&iter, p);
+    while ((d = ggw_slots_iter_next(&iter)) != NULL) {
+        d->spent = 0;
+        d->exhausted = false;
     }
     ggw_slots_owner_tick(p, now);
     ggw_slots_due(p, now);
@@ -145,19 +139,13 @@
 static void
 lose_member(struct ggw_slots *p, const char *name)
 {
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, p->groups);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct ggw_slots_group *g = value;
-
-        for (guint i = 0; i < g->domains->len; i++) {
-            struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+    struct ggw_slots_iter iter;
+    struct ggw_slots_domain *d;
 
-            if (d->ledger != NULL) {
-                ggw_ledger_lost(d->ledger, name, ggw_slots_now(p));
-            }
+    ggw_slots_iter_init(&iter, p);
+    while ((d = ggw_slots_iter_next(&iter)) != NULL) {
+        if (d->ledger != NULL) {
+            ggw_ledger_lost(d->ledger, name, ggw_slots_now(p));
         }
     }
 }
@@ -217,7 +205,7 @@
 
         if (s != NULL && !s->out) {
             s->warm = true;
-            s->doubted = false;
+            s->suspect = false;
         }
     }
     ggw_payload_close(&r);
