claims: follow the time that the table service takes to answer

Cause: with every answer of the platform taking 1.5 s, each transaction was given up after 500 ms and sent again, so no claim could be won while the platform was slow, and the platform got more writes the slower it was. Ruled out: one long timeout, which would cost an order up to its deadline on a single silent connection. Change: the timeout doubles up to 4 s while no answer comes, and follows four times the last latency after that; never below 500 ms.

--- a/claims/claims.c
+++ b/claims/claims.c
@@ -17,7 +17,12 @@
 #define BATCH_MAX 32
 /* One slow transaction must not hold back all the others. */
 #define BATCHES_IN_FLIGHT 4
+/* Short, so that a silent connection costs an order little; doubled while no
+ * answer comes, since a platform that is slow would else never be heard. */
 #define TXN_TIMEOUT 500.0
+#define TXN_TIMEOUT_MAX 4000.0
+/* An answer after this share of the timeout is in time with a margin. */
+#define TXN_LATENCIES 4
 #define RETRY_DELAY 50.0
 /* With 6 gateways at most 600 transactions a second, claims and settlements
  * together; the table service takes several hundred writes a second. */
@@ -46,6 +51,7 @@
 
 struct batch {
     uint64_t tag;
+    ggw_ms sent_at;
     GPtrArray *writes; /* of struct write; owned by priv->writes */
 };
 
@@ -61,7 +67,8 @@
     uv_timer_t pace_timer;
     bool paused;       /* the last transaction failed; wait for the timer */
     int claims_queued; /* writes in the queue that a client waits for */
-    ggw_ms last_sent;  /* time of the last transaction */
+    ggw_ms txn_timeout;
+    ggw_ms last_sent; /* time of the last transaction */
 };
 
 static void
@@ -206,7 +213,7 @@
 send_batch(struct priv *p)
 {
     struct batch *b = g_new0(struct batch, 1);
-    struct ggw_txn *txn = ggw_txn_new(TXN_TIMEOUT);
+    struct ggw_txn *txn = ggw_txn_new(p->txn_timeout);
 
     b->writes = g_ptr_array_new();
     fill_batch(p, b, txn);
@@ -218,7 +225,8 @@
     b->tag = ++p->last_id;
     txn->base.tag = b->tag;
     g_hash_table_insert(p->batches, &b->tag, b);
-    p->last_sent = ggw_kernel_now(p->base.kernel);
+    b->sent_at = ggw_kernel_now(p->base.kernel);
+    p->last_sent = b->sent_at;
     ggw_kernel_send(p->base.kernel, "platform", &p->base, &txn->base);
 }
 
@@ -324,6 +332,22 @@
     return NULL;
 }
 
+/* Follows the time that the table service takes to answer. */
+static void
+adapt_timeout(struct priv *p, const struct batch *b,
+              enum ggw_platform_status status)
+{
+    ggw_ms latency = ggw_kernel_now(p->base.kernel) - b->sent_at;
+
+    if (status == GGW_PLATFORM_UNKNOWN) {
+        p->txn_timeout = MIN(2 * p->txn_timeout, TXN_TIMEOUT_MAX);
+    }
+    else if (status != GGW_PLATFORM_NOT_SENT) {
+        p->txn_timeout =
+            CLAMP(TXN_LATENCIES * latency, TXN_TIMEOUT, TXN_TIMEOUT_MAX);
+    }
+}
+
 static void
 end_batch(struct priv *p, struct batch *b, const struct ggw_txn_result *r)
 {
@@ -384,6 +408,7 @@
         return;
     }
     g_hash_table_steal(p->batches, &r->base.tag);
+    adapt_timeout(p, b, r->status);
     end_batch(p, b, r);
     batch_free(b);
     send_batches(p, false);
@@ -499,6 +524,7 @@
     p->base.ops = &claims_ops;
     p->gateway = g_strdup(gateway);
     p->incarnation = incarnation;
+    p->txn_timeout = TXN_TIMEOUT;
     p->writes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, write_free);
     p->batches =
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -30,6 +30,7 @@
     GRand *rand;
     bool down;
     bool reliable;
+    ggw_ms latency; /* a shorter timeout gets no answer; the write is made */
     int txns;
 };
 
@@ -133,7 +134,7 @@
         apply(t, late);
         late->base.ops->destroy(&late->base);
     }
-    if (fault == 1) {
+    if (fault == 1 || txn->timeout < t->latency) {
         apply(t, txn);
         answer(t, txn, GGW_PLATFORM_UNKNOWN);
     }
@@ -331,6 +332,18 @@
     CU_ASSERT_TRUE(t.txns <= c.elapsed / 10 + 1);
 }
 
+/* Guards against a table service that is slow but answers, while every
+ * transaction is given up before its answer. */
+static void
+test_slow_table(void)
+{
+    struct client c = {.patience = 5000, .one_by_one = true};
+    struct table t = {.reliable = true, .latency = 1500};
+
+    run(&c, &t);
+    CU_ASSERT_EQUAL(c.states[GGW_CLAIM_WON], SERIAL_ORDERS);
+}
+
 static enum ggw_claim_verdict
 judge(enum ggw_claim_row_state want, const char *nonce, const char *text)
 {
@@ -382,6 +395,7 @@
     CU_add_test(suite, "at most once", test_at_most_once);
     CU_add_test(suite, "outage", test_outage);
     CU_add_test(suite, "pacing", test_pacing);
+    CU_add_test(suite, "slow table service", test_slow_table);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
