--- a/config/config.c
+++ b/config/config.c
@@ -30,18 +30,26 @@
  */
 #define FULL_READ_EVERY 20
 
+/*
+ * A gateway that does not read the table service asks a peer for a higher
+ * revision after this time: by then it has usually been given it.
+ */
+#define PULL_AFTER_MS 400.0
+
 /* Limits what a faulty peer can make a gateway remember. */
 #define MAX_TEAMS 1000
 
 /*
  * @json, @tree: in force; NULL until there are settings
  * @refused: highest revision that did not pass the check
+ * @behind_since: when a peer was first heard with a higher one; 0: none was
  */
 struct team {
     char *name;
     char *json;
     struct ggw_tree *tree;
     uint64_t refused;
+    ggw_ms behind_since;
 };
 
 struct priv {
@@ -80,6 +88,33 @@
     return &m->base;
 }
 
+static void
+given_destroy(struct ggw_message *message)
+{
+    struct ggw_config_given *m = (struct ggw_config_given *)message;
+
+    g_free(m->team);
+    g_free(m->json);
+    g_free(m);
+}
+
+const struct ggw_message_ops ggw_config_given_ops = {
+    .name = "CONFIG_GIVEN",
+    .destroy = given_destroy,
+};
+
+struct ggw_message *
+ggw_config_given_new(const char *team, uint64_t revision, const char *json)
+{
+    struct ggw_config_given *m = g_new0(struct ggw_config_given, 1);
+
+    m->base.ops = &ggw_config_given_ops;
+    m->team = g_strdup(team);
+    m->revision = revision;
+    m->json = g_strdup(json);
+    return &m->base;
+}
+
 static void
 team_free(void *item)
 {
@@ -166,6 +201,7 @@
     }
     ggw_tree_unref(t->tree);
     t->tree = tree;
+    t->behind_since = 0;
     g_free(t->json);
     t->json = g_strdup(json);
     ggw_count("ggw_config_applied_total");
@@ -174,7 +210,9 @@
                  team, (guint64)revision, source);
     ggw_kernel_publish(p->base.kernel, &p->base,
                        ggw_config_in_force_new(tree));
-    send_put(p, t, NULL, ++p->next_request);
+    if (p->poll > 0) {
+        send_put(p, t, NULL, ++p->next_request);
+    }
 }
 
 static void
@@ -308,6 +346,37 @@
     ggw_config_offer_clear(&offer);
 }
 
+/*
+ * A peer has a higher revision. A gateway that reads the table service asks
+ * all peers from time to time anyway.
+ */
+static void
+receive_revision(struct priv *p, const struct ggw_peer_revision *m)
+{
+    struct team *t = p->poll > 0 ? NULL : find_team(p, m->team);
+    ggw_ms now = ggw_kernel_now(p->base.kernel);
+    struct ggw_config_query query;
+    g_autoptr(GBytes) payload = NULL;
+
+    if (t == NULL || m->revision == t->refused) {
+        return;
+    }
+    if (t->behind_since == 0) {
+        t->behind_since = now;
+    }
+    if (now - t->behind_since < PULL_AFTER_MS) {
+        return;
+    }
+    t->behind_since = now;
+    ggw_config_query_init(&query);
+    query.team = g_strdup(m->team);
+    payload = ggw_config_query_pack(&query);
+    ggw_config_query_clear(&query);
+    ggw_kernel_send(p->base.kernel, "peers", &p->base,
+                    ggw_peer_send_new(m->peer, GGW_PEER_CONFIG_GET,
+                                      ++p->next_request, payload));
+}
+
 /* A gateway that joined may know settings that this one does not. */
 static void
 receive_members(struct priv *p, const struct ggw_members_changed *changed)
@@ -322,7 +391,7 @@
             alive++;
         }
     }
-    if (alive > p->alive) {
+    if (alive > p->alive && p->poll > 0) {
         ask_peers(p);
     }
     p->alive = alive;
@@ -336,6 +405,14 @@
     if (message->ops == &ggw_txn_result_ops) {
         receive_rows(p, (struct ggw_txn_result *)message);
     }
+    else if (message->ops == &ggw_config_given_ops) {
+        const struct ggw_config_given *m = (struct ggw_config_given *)message;
+
+        offer_settings(p, m->team, m->revision, m->json, "the platform");
+    }
+    else if (message->ops == &ggw_peer_revision_ops) {
+        receive_revision(p, (struct ggw_peer_revision *)message);
+    }
     else if (message->ops == &ggw_members_changed_ops) {
         receive_members(p, (struct ggw_members_changed *)message);
     }
@@ -361,8 +438,10 @@
     p->poll_timer.data = p;
     uv_timer_init(loop, &p->ask_timer);
     p->ask_timer.data = p;
-    uv_timer_start(&p->ask_timer, ask_cb, 0, ASK_PEERS_MS);
-    uv_timer_start(&p->poll_timer, poll_cb, 0, 0);
+    if (p->poll > 0) {
+        uv_timer_start(&p->ask_timer, ask_cb, 0, ASK_PEERS_MS);
+        uv_timer_start(&p->poll_timer, poll_cb, 0, 0);
+    }
     return true;
 }
 
--- a/config/config.h
+++ b/config/config.h
@@ -22,9 +22,25 @@
 extern const struct ggw_message_ops ggw_config_in_force_ops;
 struct ggw_message *ggw_config_in_force_new(struct ggw_tree *tree);
 
+/**
+ * struct ggw_config_given - settings that another service has read
+ *
+ * For a gateway whose settings do not come from the table service.
+ */
+struct ggw_config_given {
+    struct ggw_message base;
+    char *team;
+    uint64_t revision;
+    char *json;
+};
+
+extern const struct ggw_message_ops ggw_config_given_ops;
+struct ggw_message *ggw_config_given_new(const char *team, uint64_t revision,
+                                         const char *json);
+
 /**
  * ggw_config_service_new() - make the service
- * @poll: time between two reads of the table service
+ * @poll: time between two reads of the table service; 0 does not read it
  */
 struct ggw_service *ggw_config_service_new(ggw_ms poll);
 
--- a/config/schema.c
+++ b/config/schema.c
@@ -12,8 +12,13 @@
 #define MAX_PREFIX 256
 #define MAX_ORDER_SEGMENT 31
 
+#define HOST_CHARS "abcdefghijklmnopqrstuvwxyz0123456789.-_"
+#define MAX_HOST 253
+#define MAX_WEIGHT 1000000
+
 #define METHODS "GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS"
-#define POLICIES "slots|random|round_robin|least_outstanding|power_of_two"
+#define POLICIES                                                              \
+    "slots|fastest|random|round_robin|least_outstanding|power_of_two"
 
 enum setting_type {
     SETTING_INT,
@@ -23,7 +28,9 @@
     SETTING_ENUM,   /* stored as the position in the choices */
     SETTING_METHODS,
     SETTING_PREFIX,
+    SETTING_HOST,
     SETTING_ORDER, /* stored in three members of struct ggw_kind */
+    SETTING_SPLIT, /* services with weights, of a struct ggw_route_rule */
     SETTING_MAP,   /* names, each with a level of its own */
 };
 
@@ -95,6 +102,27 @@
     return true;
 }
 
+static bool
+check_route(const void *entry, const char *path, GError **error)
+{
+    const struct ggw_route_rule *route = entry;
+    const char *missing = route->host == NULL     ? "host"
+                          : route->split_len == 0 ? "services"
+                                                  : NULL;
+    g_autofree char *setting = NULL;
+
+    if (missing != NULL) {
+        setting = g_strconcat(path, ".", missing, NULL);
+        return refuse(error, setting, "must be set");
+    }
+    if (route->kind.idempotency == GGW_AT_MOST_ONCE) {
+        setting = g_strconcat(path, ".idempotency", NULL);
+        return refuse(error, setting,
+                      "\"order\" is for kinds of a service only");
+    }
+    return true;
+}
+
 static bool
 check_kind(const void *entry, const char *path, GError **error)
 {
@@ -153,6 +181,19 @@
     rule->kinds[rule->kinds_len++] = *kind;
 }
 
+static void
+add_route(void *parent, const char *name, void *entry)
+{
+    struct ggw_tree *tree = parent;
+    struct ggw_route_rule *route = entry;
+
+    route->name = g_strdup(name);
+    route->kind.name = g_strdup(name);
+    tree->routes =
+        g_renew(struct ggw_route_rule, tree->routes, tree->routes_len + 1);
+    tree->routes[tree->routes_len++] = *route;
+}
+
 static void
 clear_kind(void *entry)
 {
@@ -173,6 +214,25 @@
     g_free(rule->kinds);
     g_free(rule->name);
     g_free(rule->policy);
+    g_free(rule->health_path);
+}
+
+void
+ggw_route_rule_clear(struct ggw_route_rule *route)
+{
+    for (size_t i = 0; i < route->split_len; i++) {
+        g_free(route->split[i].service);
+    }
+    g_free(route->split);
+    clear_kind(&route->kind);
+    g_free(route->name);
+    g_free(route->host);
+}
+
+static void
+clear_route(void *entry)
+{
+    ggw_route_rule_clear(entry);
 }
 
 static void
@@ -181,6 +241,76 @@
     ggw_service_rule_clear(entry);
 }
 
+/* Settings that kinds and routes share; @base is the place of the kind. */
+#define KIND_SETTINGS(base)                                                   \
+    {                                                                         \
+        .name = "timeout_ms",                                                 \
+        .type = SETTING_MS,                                                   \
+        .offset = (base) + offsetof(struct ggw_kind, timeout),                \
+        .min = 1,                                                             \
+        .max = 600000,                                                        \
+        .fallback = "1000",                                                   \
+        .help = "longest time for one request with all its attempts",         \
+    },                                                                        \
+        {                                                                     \
+            .name = "priority",                                               \
+            .type = SETTING_INT,                                              \
+            .offset = (base) + offsetof(struct ggw_kind, priority),           \
+            .min = 0,                                                         \
+            .max = 9,                                                         \
+            .fallback = "1",                                                  \
+            .help = "0 is the highest; lower ones are displaced first",       \
+        },                                                                    \
+        {                                                                     \
+            .name = "idempotency",                                            \
+            .type = SETTING_ENUM,                                             \
+            .offset = (base) + offsetof(struct ggw_kind, idempotency),        \
+            .fallback = "\"idempotent\"",                                     \
+            .choices = "idempotent|order|once",                               \
+            .help =                                                           \
+                "an idempotent request may run again elsewhere; an order "    \
+                "runs at most once; \"once\" is sent again only when it is "  \
+                "proven not to have run",                                     \
+        },                                                                    \
+        {                                                                     \
+            .name = "attempts",                                               \
+            .type = SETTING_INT,                                              \
+            .offset = (base) + offsetof(struct ggw_kind, attempts),           \
+            .min = 1,                                                         \
+            .max = 10,                                                        \
+            .fallback = "3",                                                  \
+            .help = "most attempts for one request",                          \
+        },                                                                    \
+        {                                                                     \
+            .name = "target_ms",                                              \
+            .type = SETTING_MS,                                               \
+            .offset = (base) + offsetof(struct ggw_kind, target),             \
+            .min = 0,                                                         \
+            .max = 600000,                                                    \
+            .fallback = "0",                                                  \
+            .help =                                                           \
+                "time within which a response has its full value; 0: not "    \
+                "set",                                                        \
+        },                                                                    \
+        {                                                                     \
+            .name = "hold_bytes",                                             \
+            .type = SETTING_INT,                                              \
+            .offset = (base) + offsetof(struct ggw_kind, hold),               \
+            .min = 0,                                                         \
+            .max = 16777216,                                                  \
+            .fallback = "0",                                                  \
+            .help =                                                           \
+                "bytes of a response kept until it is whole, so that a "      \
+                "broken one can be replaced; a longer one is passed on as "   \
+                "it arrives",                                                 \
+        },                                                                    \
+    {                                                                         \
+        .name = "retry_errors", .type = SETTING_ENUM,                         \
+        .offset = (base) + offsetof(struct ggw_kind, retry_errors),           \
+        .fallback = "\"no\"", .choices = "no|yes",                            \
+        .help = "an idempotent request is tried elsewhere after a 5xx",       \
+    }
+
 static const struct setting kind_settings[] = {
     {
         .name = "methods",
@@ -198,48 +328,13 @@
         .help = "beginning of the path behind /TEAM/SERVICE; when several "
                 "kinds match, the longest prefix wins, then the first name",
     },
-    {
-        .name = "timeout_ms",
-        .type = SETTING_MS,
-        .offset = offsetof(struct ggw_kind, timeout),
-        .min = 1,
-        .max = 600000,
-        .fallback = "1000",
-        .help = "longest time for one request with all its attempts",
-    },
-    {
-        .name = "priority",
-        .type = SETTING_INT,
-        .offset = offsetof(struct ggw_kind, priority),
-        .min = 0,
-        .max = 9,
-        .fallback = "1",
-        .help = "0 is the highest; lower ones are displaced first",
-    },
-    {
-        .name = "idempotency",
-        .type = SETTING_ENUM,
-        .offset = offsetof(struct ggw_kind, idempotency),
-        .fallback = "\"idempotent\"",
-        .choices = "idempotent|order",
-        .help = "an idempotent request may run again elsewhere; an order "
-                "runs at most once",
-    },
+    KIND_SETTINGS(0),
     {
         .name = "order_from",
         .type = SETTING_ORDER,
         .help = "where the identifier of an order stands: a header, or a "
                 "segment of the path behind /TEAM/SERVICE counted from 0",
     },
-    {
-        .name = "attempts",
-        .type = SETTING_INT,
-        .offset = offsetof(struct ggw_kind, attempts),
-        .min = 1,
-        .max = 10,
-        .fallback = "3",
-        .help = "most attempts for one request",
-    },
     {0},
 };
 
@@ -347,6 +442,60 @@
         .fallback = "64",
         .help = "requests that may wait for a slot in one failure domain",
     },
+    {
+        .name = "owner_scope",
+        .type = SETTING_ENUM,
+        .offset = offsetof(struct ggw_service_rule, scope),
+        .fallback = "\"failure_domain\"",
+        .choices = "failure_domain|service",
+        .help = "whose slots one gateway grants; \"service\" suits work that "
+                "takes far longer than a round trip between failure domains",
+    },
+    {
+        .name = "cold_per_s",
+        .type = SETTING_NUMBER,
+        .offset = offsetof(struct ggw_service_rule, cold_rate),
+        .min = 0,
+        .max = 100000,
+        .fallback = "0",
+        .help = "requests a second for a server that has just started; 0: "
+                "only cold_limit applies",
+    },
+    {
+        .name = "spare_retries",
+        .type = SETTING_INT,
+        .offset = offsetof(struct ggw_service_rule, spare_retries),
+        .min = 0,
+        .max = 100000,
+        .fallback = "0",
+        .help = "repeats in 10 s beside the percentages, over all gateways",
+    },
+    {
+        .name = "probes_per_s",
+        .type = SETTING_NUMBER,
+        .offset = offsetof(struct ggw_service_rule, probe_rate),
+        .min = 0,
+        .max = 1000,
+        .fallback = "0",
+        .help = "load reports a second that may be asked of one server when "
+                "a request is placed; 0: none",
+    },
+    {
+        .name = "busy_percent",
+        .type = SETTING_INT,
+        .offset = offsetof(struct ggw_service_rule, busy_percent),
+        .min = 1,
+        .max = 100,
+        .fallback = "100",
+        .help = "share of its slots above which a server becomes slow",
+    },
+    {
+        .name = "health_path",
+        .type = SETTING_PREFIX,
+        .offset = offsetof(struct ggw_service_rule, health_path),
+        .fallback = "\"/-/load\"",
+        .help = "path that answers with a load report",
+    },
     {
         .name = "kinds",
         .type = SETTING_MAP,
@@ -366,6 +515,38 @@
     .clear = clear_service,
 };
 
+static const struct setting route_settings[] = {
+    {
+        .name = "host",
+        .type = SETTING_HOST,
+        .offset = offsetof(struct ggw_route_rule, host),
+        .help = "host that the client asks for, in lower case",
+    },
+    {
+        .name = "path_prefix",
+        .type = SETTING_PREFIX,
+        .offset = offsetof(struct ggw_route_rule, kind.path_prefix),
+        .fallback = "\"/\"",
+        .help = "beginning of the path; the longest prefix of a host wins",
+    },
+    {
+        .name = "services",
+        .type = SETTING_SPLIT,
+        .help = "services that the requests go to, each with its weight",
+    },
+    KIND_SETTINGS(offsetof(struct ggw_route_rule, kind)),
+    {0},
+};
+
+static const struct level route_level = {
+    .path = "routes.ROUTE",
+    .settings = route_settings,
+    .size = sizeof(struct ggw_route_rule),
+    .check = check_route,
+    .add = add_route,
+    .clear = clear_route,
+};
+
 static const struct setting domain_settings[] = {
     {
         .name = "state",
@@ -423,6 +604,13 @@
         .entries = &service_level,
         .help = "the team's services",
     },
+    {
+        .name = "routes",
+        .type = SETTING_MAP,
+        .entries = &route_level,
+        .help = "requests that are found by host and path instead of "
+                "/TEAM/SERVICE",
+    },
     {0},
 };
 
@@ -586,6 +774,48 @@
                   json, MAX_ORDER_SEGMENT);
 }
 
+static bool
+parse_host(const json_t *value, const char *path, char **place, GError **error)
+{
+    const char *text = json_string_value(value);
+
+    if (text == NULL || *text == '\0' || strlen(text) > MAX_HOST ||
+        text[strspn(text, HOST_CHARS)] != '\0') {
+        g_autofree char *json = shown(value);
+
+        return refuse(error, path, "%s is not a host name in lower case",
+                      json);
+    }
+    *place = g_strdup(text);
+    return true;
+}
+
+static bool
+parse_split(const json_t *value, const char *path,
+            struct ggw_route_rule *route, GError **error)
+{
+    const char *name;
+    json_t *weight;
+
+    if (!json_is_object(value)) {
+        return refuse(error, path, "is not an object");
+    }
+    json_object_foreach((json_t *)value, name, weight)
+    {
+        json_int_t number = json_integer_value(weight);
+
+        if (!json_is_integer(weight) || number < 0 || number > MAX_WEIGHT) {
+            return refuse(error, path, "the weight of %s is not in 0..%d",
+                          name, MAX_WEIGHT);
+        }
+        route->split =
+            g_renew(struct ggw_split_part, route->split, route->split_len + 1);
+        route->split[route->split_len++] = (struct ggw_split_part){
+            .service = g_strdup(name), .weight = (int)number};
+    }
+    return true;
+}
+
 static bool parse_level(const struct level *level, const json_t *value,
                         const char *path, void *entry, GError **error);
 
@@ -661,8 +891,12 @@
         return parse_methods(s, value, path, place, error);
     case SETTING_PREFIX:
         return parse_prefix(value, path, place, error);
+    case SETTING_HOST:
+        return parse_host(value, path, place, error);
     case SETTING_ORDER:
         return parse_order(value, path, entry, error);
+    case SETTING_SPLIT:
+        return parse_split(value, path, entry, error);
     case SETTING_MAP:
         break;
     }
@@ -747,6 +981,11 @@
     case SETTING_ORDER:
         return g_strdup_printf("`header:NAME` or `path:N`, N in 0..%d",
                                MAX_ORDER_SEGMENT);
+    case SETTING_HOST:
+        return g_strdup_printf("host name, at most %d bytes", MAX_HOST);
+    case SETTING_SPLIT:
+        return g_strdup_printf("object of SERVICE to weight, 0..%d",
+                               MAX_WEIGHT);
     case SETTING_MAP:
         return g_strdup_printf("entries `%s`", s->entries->path);
     case SETTING_CHOICE:
--- a/config/schema.h
+++ b/config/schema.h
@@ -30,5 +30,6 @@
 
 /* Frees what ggw_schema_parse() stored. */
 void ggw_service_rule_clear(struct ggw_service_rule *rule);
+void ggw_route_rule_clear(struct ggw_route_rule *route);
 
 #endif
--- a/config/tree.c
+++ b/config/tree.c
@@ -6,12 +6,13 @@
 
 #include "common/error.h"
 #include "config/schema.h"
+#include "peers/frame.h"
 
 /*
- * Gateways pass the settings on in one frame of at most 64 KiB. Larger
- * settings would not reach a gateway while the platform is down.
+ * Gateways pass the settings on in one frame. Larger settings would not reach
+ * a gateway while the platform is down.
  */
-#define MAX_JSON 60000
+#define MAX_JSON (GGW_FRAME_MAX - 4096)
 
 /* The longest prefix first; then by name, so that the order is defined. */
 static int
@@ -26,6 +27,15 @@
     return strcmp(x->name, y->name);
 }
 
+static int
+compare_routes(const void *a, const void *b)
+{
+    const struct ggw_route_rule *x = a, *y = b;
+    int by_host = strcmp(x->host, y->host);
+
+    return by_host != 0 ? by_host : compare_kinds(&x->kind, &y->kind);
+}
+
 static int
 compare_services(const void *a, const void *b)
 {
@@ -41,6 +51,10 @@
         qsort(tree->services, tree->services_len, sizeof(*tree->services),
               compare_services);
     }
+    if (tree->routes_len > 0) {
+        qsort(tree->routes, tree->routes_len, sizeof(*tree->routes),
+              compare_routes);
+    }
     for (size_t i = 0; i < tree->services_len; i++) {
         struct ggw_service_rule *rule = &tree->services[i];
 
@@ -115,6 +129,10 @@
     for (size_t i = 0; i < tree->services_len; i++) {
         ggw_service_rule_clear(&tree->services[i]);
     }
+    for (size_t i = 0; i < tree->routes_len; i++) {
+        ggw_route_rule_clear(&tree->routes[i]);
+    }
+    g_free(tree->routes);
     g_free(tree->services);
     g_hash_table_destroy(tree->domains_out);
     g_hash_table_destroy(tree->servers_draining);
@@ -149,6 +167,40 @@
     return NULL;
 }
 
+/* First route of a host, or the number of routes. */
+static size_t
+first_of_host(const struct ggw_tree *tree, const char *host)
+{
+    size_t low = 0, high = tree->routes_len;
+
+    while (low < high) {
+        size_t mid = low + (high - low) / 2;
+
+        if (strcmp(tree->routes[mid].host, host) < 0) {
+            low = mid + 1;
+        }
+        else {
+            high = mid;
+        }
+    }
+    return low;
+}
+
+const struct ggw_route_rule *
+ggw_tree_route(const struct ggw_tree *tree, const char *host, const char *path)
+{
+    g_autofree char *name = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
+
+    for (size_t i = first_of_host(tree, name);
+         i < tree->routes_len && strcmp(tree->routes[i].host, name) == 0;
+         i++) {
+        if (g_str_has_prefix(path, tree->routes[i].kind.path_prefix)) {
+            return &tree->routes[i];
+        }
+    }
+    return NULL;
+}
+
 bool
 ggw_tree_domain_out(const struct ggw_tree *tree, const char *failure_domain)
 {
--- a/config/tree.h
+++ b/config/tree.h
@@ -16,6 +16,15 @@
 enum ggw_idempotency {
     GGW_IDEMPOTENT,   /* may run again on another backend server */
     GGW_AT_MOST_ONCE, /* identified by its order; needs a claim */
+    GGW_NO_REPEAT,    /* sent again only when it is proven not to have run */
+};
+
+/**
+ * enum ggw_owner_scope - which servers one owner counts the slots of
+ */
+enum ggw_owner_scope {
+    GGW_SCOPE_FAILURE_DOMAIN,
+    GGW_SCOPE_SERVICE,
 };
 
 enum ggw_order_source {
@@ -35,6 +44,10 @@
  * @order_header: header name for GGW_ORDER_FROM_HEADER
  * @order_segment: index of the path segment behind /TEAM/SERVICE, from 0
  * @attempts: most attempts for one request
+ * @target: time within which a response has its full value; 0: not set
+ * @hold: bytes of a response that are kept until it is whole, so that a
+ *        broken one can be replaced; a longer one is passed on as it arrives
+ * @retry_errors: an idempotent request is tried elsewhere after a 5xx
  */
 struct ggw_kind {
     char *name;
@@ -47,6 +60,31 @@
     char *order_header;
     int order_segment;
     int attempts;
+    ggw_ms target;
+    int hold;
+    int retry_errors; /* 0 or 1 */
+};
+
+/**
+ * struct ggw_split_part - a service and its share of a route's requests
+ */
+struct ggw_split_part {
+    char *service;
+    int weight;
+};
+
+/**
+ * struct ggw_route_rule - requests that are found by host and path
+ * @host: without port, in lower case
+ * @kind: how the requests are treated; its @path_prefix selects them
+ * @split: where they go; one part, or several with weights
+ */
+struct ggw_route_rule {
+    char *name;
+    char *host;
+    struct ggw_kind kind;
+    struct ggw_split_part *split;
+    size_t split_len;
 };
 
 /**
@@ -62,6 +100,14 @@
  * @retry_percent: budget for retries as a share of calls
  * @hedge_percent: budget for hedged requests as a share of calls
  * @queue: requests that may wait for a slot in one failure domain
+ * @scope: whose slots one owner counts
+ * @cold_rate: requests a second for a server that has just started; 0: no
+ *             limit
+ * @spare_retries: repeats in 10 s beside the percentages, over all gateways
+ * @probe_rate: load reports a second that may be asked of one server when a
+ *              request is placed; 0: only the budget of @measure_percent
+ * @busy_percent: share of its slots above which a server becomes slow
+ * @health_path: answers with a load report
  * @kinds: rules, the first that matches a request applies; the longest path
  *         prefix comes first, since members of a JSON object have no order
  */
@@ -77,6 +123,12 @@
     double retry_percent;
     double hedge_percent;
     int queue;
+    enum ggw_owner_scope scope;
+    double cold_rate;
+    int spare_retries;
+    double probe_rate;
+    int busy_percent;
+    char *health_path;
     struct ggw_kind *kinds;
     size_t kinds_len;
 };
@@ -89,6 +141,8 @@
     GHashTable *servers_draining; /* set of backend server names */
     struct ggw_service_rule *services;
     size_t services_len;
+    struct ggw_route_rule *routes; /* by host, then the longest prefix first */
+    size_t routes_len;
 };
 
 /**
@@ -120,6 +174,17 @@
 const struct ggw_kind *ggw_service_kind(const struct ggw_service_rule *rule,
                                         const char *method, const char *path);
 
+/**
+ * ggw_tree_route() - the route of a request
+ * @host: as the client sent it; a port is ignored
+ * @path: without the query
+ *
+ * Return: the route with the longest prefix, or NULL.
+ */
+const struct ggw_route_rule *ggw_tree_route(const struct ggw_tree *tree,
+                                            const char *host,
+                                            const char *path);
+
 bool ggw_tree_domain_out(const struct ggw_tree *tree,
                          const char *failure_domain);
 bool ggw_tree_server_draining(const struct ggw_tree *tree, const char *vm);
--- a/config/vms.c
+++ b/config/vms.c
@@ -178,6 +178,17 @@
     return list;
 }
 
+bool
+ggw_vm_list_has_gateways(const struct ggw_vm_list *list)
+{
+    for (size_t i = 0; i < list->len; i++) {
+        if (list->vms[i].role == GGW_VM_GATEWAY) {
+            return true;
+        }
+    }
+    return false;
+}
+
 struct ggw_vm_list *
 ggw_vm_list_ref(struct ggw_vm_list *list)
 {
--- a/config/vms.h
+++ b/config/vms.h
@@ -25,6 +25,9 @@
  * @peer_port: where a gateway takes links from other gateways
  * @incarnation: grows with every start; empty text becomes 0
  * @leaving: the platform is about to remove it
+ * @slots: requests that it runs at a time; 0: the service's setting
+ * @reports_cold: @cold_until is known
+ * @cold_until: it has just started until then, monotonic ms; 0: it is warm
  */
 struct ggw_vm {
     char *name;
@@ -37,6 +40,9 @@
     uint16_t peer_port;
     uint64_t incarnation;
     bool leaving;
+    int slots;
+    bool reports_cold;
+    ggw_ms cold_until;
 };
 
 struct ggw_vm_list {
@@ -52,6 +58,9 @@
  * Return: a list with one reference, or NULL with GGW_ERROR_PROTOCOL.
  */
 struct ggw_vm_list *ggw_vm_list_parse(const char *json, GError **error);
+/* Whether the list names gateways at all. */
+bool ggw_vm_list_has_gateways(const struct ggw_vm_list *list);
+
 struct ggw_vm_list *ggw_vm_list_ref(struct ggw_vm_list *list);
 void ggw_vm_list_unref(struct ggw_vm_list *list);
 
--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -11,6 +11,9 @@
     s->name = g_strdup(info->name);
     s->out = info->out;
     ggw_limit_init(&s->limit, &l->rule, !info->warm, now);
+    if (info->reports_cold) {
+        ggw_limit_cold_until(&s->limit, info->cold_until, now);
+    }
     g_ptr_array_add(l->servers, s);
     return s;
 }
@@ -33,6 +36,37 @@
     g_ptr_array_remove_index(l->servers, index);
 }
 
+/* The rule for one server, which may state its own number of slots. */
+static struct ggw_limit_rule
+rule_of(const struct ggw_ledger *l, const struct ggw_ledger_server *info)
+{
+    struct ggw_limit_rule rule = l->rule;
+
+    if (info->slots > 0) {
+        rule.slots = info->slots;
+    }
+    return rule;
+}
+
+/* A new incarnation, or a cold start that was announced since. */
+static void
+note_start(struct ggw_ledger_entry *s, const struct ggw_ledger_server *info,
+           ggw_ms now)
+{
+    uint64_t before = s->limit.incarnation;
+
+    ggw_limit_incarnation(&s->limit, info->incarnation, now);
+    if (!info->reports_cold) {
+        return;
+    }
+    if (info->cold_until > now) {
+        ggw_limit_cold_until(&s->limit, info->cold_until, now);
+    }
+    else if (before != 0 && s->limit.incarnation != before) {
+        ggw_limit_cold_until(&s->limit, 0, now);
+    }
+}
+
 void
 ggw_ledger_configure(struct ggw_ledger *l, const struct ggw_limit_rule *rule,
                      int queue, const struct ggw_ledger_server *servers,
@@ -43,14 +77,19 @@
     for (size_t i = 0; i < len; i++) {
         struct ggw_ledger_entry *s =
             ggw_ledger_find_server(l, servers[i].name);
+        struct ggw_limit_rule server_rule;
 
         if (s == NULL) {
             s = add_server(l, &servers[i], now);
         }
         s->listed = true;
         s->closed = servers[i].closed || servers[i].out;
-        ggw_limit_set_rule(&s->limit, rule, now);
-        ggw_limit_incarnation(&s->limit, servers[i].incarnation, now);
+        server_rule = rule_of(l, &servers[i]);
+        ggw_limit_set_rule(&s->limit, &server_rule, now);
+        note_start(s, &servers[i], now);
+        s->slots = server_rule.slots;
+        g_free(s->failure_domain);
+        s->failure_domain = g_strdup(servers[i].failure_domain);
         ggw_limit_set_draining(&s->limit, s->closed);
         if (s->out && !servers[i].out) {
             ggw_limit_set_cold(&s->limit, now);
@@ -69,6 +108,14 @@
     ggw_ledger_serve(l, now);
 }
 
+void
+ggw_ledger_set_policy(struct ggw_ledger *l,
+                      const struct ggw_policy_ops *policy, int busy_percent)
+{
+    l->policy.ops = policy;
+    l->busy_percent = busy_percent;
+}
+
 void
 ggw_ledger_hold(struct ggw_ledger *l, ggw_ms until)
 {
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -18,7 +18,10 @@
     int in_flight;
     bool reported;
     int load;
+    int slow_percent;
     ggw_ms reported_at;
+    char *failure_domain;
+    int slots; /* 0: as the rule has it */
 };
 
 struct ggw_ledger_key {
@@ -42,12 +45,15 @@
     int priority;
     ggw_ms deadline;
     char **avoid;
+    char *failure_domain; /* of the holder, or NULL */
+    double far_cost;
 };
 
 struct ggw_ledger {
     const struct ggw_ledger_gate *gate;
     GRand *rand;
     struct ggw_limit_rule rule;
+    int busy_percent;
     GPtrArray *servers; /* of struct ggw_ledger_entry */
     GHashTable *grants; /* struct ggw_ledger_key to struct ggw_ledger_grant */
     GSequence *by_expiry; /* of struct ggw_ledger_grant */
@@ -64,6 +70,29 @@
     ggw_ms hold_until;
 };
 
+/**
+ * struct ggw_ledger_wish - what the choice of a server depends on, beside the
+ *                          servers
+ */
+struct ggw_ledger_wish {
+    int priority;
+    char *const *avoid;
+    const char *failure_domain;
+    double far_cost;
+};
+
+/* decide/place.c */
+
+/**
+ * ggw_ledger_pick() - a server for one request, or NULL
+ *
+ * An ejected server that is due for a trial gets it first, but an urgent
+ * request only when nothing else is free.
+ */
+struct ggw_ledger_entry *ggw_ledger_pick(struct ggw_ledger *l,
+                                         const struct ggw_ledger_wish *wish,
+                                         ggw_ms now);
+
 /* decide/slots.c */
 struct ggw_ledger_entry *ggw_ledger_find_server(const struct ggw_ledger *l,
                                                 const char *name);
--- a/decide/limit.c
+++ b/decide/limit.c
@@ -59,6 +59,7 @@
     l->silent_at = -INFINITY;
     l->drain_reported = false;
     l->trial_wait = 0;
+    l->cold_until = 0;
     enter_cold(l, now);
 }
 
@@ -66,7 +67,7 @@
 ggw_limit_init(struct ggw_limit *l, const struct ggw_limit_rule *rule,
                bool cold, ggw_ms now)
 {
-    *l = (struct ggw_limit){.rule = *rule};
+    *l = (struct ggw_limit){.rule = *rule, .started_at = -INFINITY};
     restart(l, now);
     if (!cold) {
         enter_warm(l, now);
@@ -105,15 +106,28 @@
     return l->trial_at;
 }
 
+ggw_ms
+ggw_limit_next_start(const struct ggw_limit *l)
+{
+    if (l->state != GGW_LIMIT_COLD || l->rule.cold_rate <= 0) {
+        return 0;
+    }
+    return l->started_at + 1e3 / l->rule.cold_rate;
+}
+
 bool
 ggw_limit_may_start(const struct ggw_limit *l, int in_flight, ggw_ms now)
 {
+    if (now < ggw_limit_next_start(l)) {
+        return false;
+    }
     return in_flight < ggw_limit_slots(l) || now >= ggw_limit_next_trial(l);
 }
 
 void
 ggw_limit_started(struct ggw_limit *l, ggw_ms now)
 {
+    l->started_at = now;
     if (now >= ggw_limit_next_trial(l)) {
         l->trial = true;
     }
@@ -132,7 +146,8 @@
 {
     int limit;
 
-    if (l->state == GGW_LIMIT_WARM || l->cold_reported) {
+    if (l->state == GGW_LIMIT_WARM || l->cold_reported ||
+        now < l->cold_until) {
         return;
     }
     l->successes++;
@@ -282,10 +297,20 @@
     }
     ggw_limit_incarnation(l, report->incarnation, now);
     l->drain_reported = report->draining;
+    if (report->cold_unknown) {
+        return;
+    }
     l->cold_reported = report->cold;
     if (!report->cold) {
+        /* Servers with a rate for cold starts state when they are over. */
+        if (l->cold_until > 0 || l->rule.cold_rate > 0) {
+            ggw_limit_cold_until(l, now, now);
+        }
         return;
     }
+    if (report->cold_left > 0) {
+        l->cold_until = now + report->cold_left;
+    }
     if (l->state == GGW_LIMIT_WARM || l->state == GGW_LIMIT_WARMING) {
         enter_cold(l, now);
     }
@@ -293,6 +318,23 @@
     l->successes = 0;
 }
 
+void
+ggw_limit_cold_until(struct ggw_limit *l, ggw_ms until, ggw_ms now)
+{
+    if (until <= now) {
+        l->cold_until = 0;
+        l->cold_reported = false;
+        if (l->state == GGW_LIMIT_COLD) {
+            enter_warm(l, now);
+        }
+        return;
+    }
+    l->cold_until = until;
+    if (l->state == GGW_LIMIT_WARM || l->state == GGW_LIMIT_WARMING) {
+        enter_cold(l, now);
+    }
+}
+
 void
 ggw_limit_set_draining(struct ggw_limit *l, bool draining)
 {
--- a/decide/limit.h
+++ b/decide/limit.h
@@ -29,12 +29,14 @@
  *         stays idle between a response and the next request. They wait in
  *         the server, so it needs a queue of that length; docs/routing.md has
  *         the figures. 0 for a server that sheds above its slots.
+ * @cold_rate: requests a second for a cold server; 0: no such limit
  */
 struct ggw_limit_rule {
     int slots;
     int cold_limit;
     ggw_ms cold_time;
     int ahead;
+    double cold_rate;
 };
 
 /**
@@ -81,6 +83,8 @@
     bool cold_reported;   /* last report said cold */
     bool drain_reported;  /* last report said draining */
     bool drain_set;       /* drained by an operator or leaving */
+    ggw_ms cold_until;    /* stated end of a cold start; 0: not known */
+    ggw_ms started_at;    /* last request */
 };
 
 /**
@@ -150,6 +154,19 @@
 void ggw_limit_incarnation(struct ggw_limit *l, uint64_t incarnation,
                            ggw_ms now);
 
+/**
+ * ggw_limit_cold_until() - apply a stated end of a cold start
+ * @until: monotonic ms; a time that has passed makes a cold server warm
+ */
+void ggw_limit_cold_until(struct ggw_limit *l, ggw_ms until, ggw_ms now);
+
+/**
+ * ggw_limit_next_start() - when a cold server may start the next request
+ *
+ * Return: monotonic ms, 0 when the rate does not matter.
+ */
+ggw_ms ggw_limit_next_start(const struct ggw_limit *l);
+
 /**
  * ggw_limit_set_draining() - drain on behalf of an operator or the VM list
  */
--- a/decide/policy.c
+++ b/decide/policy.c
@@ -2,6 +2,21 @@
 
 #include <math.h>
 
+/*
+ * Work is slowed down in spells of a few hundred ms by other programs on the
+ * server's machine. A report of one loses half of its weight in this time.
+ */
+#define SPELL_HALF_LIFE 200.0
+
+/* Time of work, over all spells and pauses between them. */
+#define MEAN_SLOWNESS 1.75
+
+/* A server with nearly all slots busy takes longer by this factor. */
+#define BUSY_FACTOR 1.7
+
+/* Among servers that are equally fast, the least busy one is picked. */
+#define BUSY_TIE 0.1
+
 static bool
 eligible(const struct ggw_candidate *c)
 {
@@ -145,8 +160,52 @@
     return pick_lowest(p, c, len, busy_share);
 }
 
+double
+ggw_policy_work(const struct ggw_candidate *c, ggw_ms now)
+{
+    double work = MEAN_SLOWNESS;
+    double weight;
+
+    if (c->slow_percent > 0) {
+        weight = exp2(-(now - c->reported_at) / SPELL_HALF_LIFE);
+        work += (c->slow_percent / 100.0 - MEAN_SLOWNESS) * weight;
+    }
+    if (c->busy_limit > 0 && c->in_flight >= c->busy_limit) {
+        work *= BUSY_FACTOR;
+    }
+    return work + c->cost;
+}
+
+/* For an owner, whose counts are exact and whose reports are fresh. */
+static size_t
+fastest_pick(struct ggw_policy *p, const struct ggw_candidate *c, size_t len,
+             ggw_ms now)
+{
+    size_t best = GGW_POLICY_NONE;
+    double lowest = INFINITY;
+    size_t ties = 0;
+
+    for (size_t i = 0; i < len; i++) {
+        double work;
+
+        if (!eligible(&c[i])) {
+            continue;
+        }
+        work = ggw_policy_work(&c[i], now) + BUSY_TIE * busy_share(&c[i]);
+        if (work < lowest) {
+            lowest = work;
+            ties = 0;
+        }
+        if (work <= lowest && below(p->rand, ++ties) == 0) {
+            best = i;
+        }
+    }
+    return best;
+}
+
 static const struct ggw_policy_ops policies[] = {
-    {.name = "slots", .pick = slots_pick},
+    {.name = "slots", .pick = slots_pick, .owned = true},
+    {.name = "fastest", .pick = fastest_pick, .owned = true},
     {.name = "random", .pick = random_pick},
     {.name = "round_robin", .pick = round_robin_pick},
     {.name = "least_outstanding", .pick = least_outstanding_pick},
@@ -168,8 +227,9 @@
 ggw_policy_names(void)
 {
     static const char *const names[] = {
-        "slots",        "random", "round_robin", "least_outstanding",
-        "power_of_two", NULL,
+        "slots",       "fastest",           "random",
+        "round_robin", "least_outstanding", "power_of_two",
+        NULL,
     };
 
     return names;
--- a/decide/policy.h
+++ b/decide/policy.h
@@ -30,6 +30,10 @@
  * @reported: whether a load report is known
  * @load: busy plus queued requests in the last report
  * @reported_at: time of the last report, monotonic ms
+ * @busy_limit: a server with more requests than this becomes slow; 0: none
+ * @slow_percent: time of work there in the last report, 100 as usual; 0: not
+ *                known
+ * @cost: of picking it, as a part of the usual time of the work
  */
 struct ggw_candidate {
     int in_flight;
@@ -38,6 +42,9 @@
     bool reported;
     int load;
     ggw_ms reported_at;
+    int busy_limit;
+    int slow_percent;
+    double cost;
 };
 
 struct ggw_policy;
@@ -46,12 +53,14 @@
  * struct ggw_policy_ops - one policy
  * @name: value of the service's setting "policy"
  * @pick: see ggw_policy_pick()
+ * @owned: it needs the counts of an owner
  */
 struct ggw_policy_ops {
     const char *name;
     size_t (*pick)(struct ggw_policy *policy,
                    const struct ggw_candidate *candidates, size_t len,
                    ggw_ms now);
+    bool owned;
 };
 
 /**
@@ -69,8 +78,8 @@
 /**
  * ggw_policy_find() - look up a policy by name
  *
- * Return: NULL when there is none; the names are "slots", "random",
- * "round_robin", "least_outstanding" and "power_of_two".
+ * Return: NULL when there is none; the names are "slots", "fastest",
+ * "random", "round_robin", "least_outstanding" and "power_of_two".
  */
 const struct ggw_policy_ops *ggw_policy_find(const char *name);
 
@@ -90,6 +99,13 @@
                        const struct ggw_candidate *candidates, size_t len,
                        ggw_ms now);
 
+/**
+ * ggw_policy_work() - expected time of one more request on a server
+ *
+ * Return: as a part of the usual time of the work, with the candidate's cost.
+ */
+double ggw_policy_work(const struct ggw_candidate *c, ggw_ms now);
+
 /**
  * ggw_policy_load() - estimated number of requests on a server
  *
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -11,6 +11,17 @@
 #define MIN_REFILL (1.0 / 10000)
 #define MIN_BURST 10.0
 
+/* ms in which the spare repeats are counted */
+#define SPARE_WINDOW 10000.0
+
+/*
+ * A hedge is sent so that its response comes within the target if it takes
+ * this many times the median; but not before the first attempt has had the
+ * median and a little.
+ */
+#define HEDGE_MEDIANS 1.2
+#define HEDGE_FIRST_MEDIANS 1.1
+
 void
 ggw_budget_init(struct ggw_budget *b, double percent, ggw_ms now)
 {
@@ -21,6 +32,12 @@
     };
 }
 
+void
+ggw_budget_set_spare(struct ggw_budget *b, double spare)
+{
+    b->spare = spare;
+}
+
 void
 ggw_budget_set_percent(struct ggw_budget *b, double percent)
 {
@@ -37,6 +54,19 @@
     return MAX(MIN_BURST, b->share * MAX(b->calls, b->calls_before));
 }
 
+/* Half of the spare repeats may come at once, half in the course of 10 s. */
+static double
+refill_rate(const struct ggw_budget *b)
+{
+    return b->spare > 0 ? b->spare / 2 / SPARE_WINDOW : MIN_REFILL;
+}
+
+static double
+floor_burst(const struct ggw_budget *b)
+{
+    return b->spare > 0 ? b->spare / 2 : MIN_BURST;
+}
+
 static void
 refill(struct ggw_budget *b, ggw_ms now)
 {
@@ -45,7 +75,8 @@
         b->calls = 0;
         b->window = now;
     }
-    b->floor = MIN(b->floor + (now - b->refilled) * MIN_REFILL, MIN_BURST);
+    b->floor =
+        MIN(b->floor + (now - b->refilled) * refill_rate(b), floor_burst(b));
     b->refilled = now;
 }
 
@@ -59,7 +90,7 @@
     b->calls++;
     b->tokens = MIN(b->tokens + b->share, burst(b));
     /* The minimum replaces the share of the calls, it does not add to it. */
-    b->floor = MAX(b->floor - b->share, 0);
+    b->floor = b->spare > 0 ? b->floor : MAX(b->floor - b->share, 0);
 }
 
 static bool
@@ -138,10 +169,14 @@
                 const struct ggw_latency *latency)
 {
     if (r->idempotency != GGW_IDEMPOTENT || r->above > 0 ||
-        r->attempts >= MIN(r->max_attempts, 2) || latency->p95 <= 0) {
+        r->attempts >= MIN(r->max_attempts, 2)) {
         return INFINITY;
     }
-    return latency->p95;
+    if (r->target_in > 0 && latency->p50 > 0) {
+        return MAX(r->target_in - HEDGE_MEDIANS * latency->p50,
+                   HEDGE_FIRST_MEDIANS * latency->p50);
+    }
+    return latency->p95 > 0 ? latency->p95 : INFINITY;
 }
 
 enum ggw_retry_verdict
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -30,6 +30,7 @@
     ggw_ms window; /* start of the current second */
     int calls;     /* in it */
     int calls_before;
+    double spare; /* beside the share, in 10 s; 0: the minimum applies */
 };
 
 /**
@@ -43,6 +44,12 @@
  */
 void ggw_budget_set_percent(struct ggw_budget *b, double percent);
 
+/**
+ * ggw_budget_set_spare() - allow repeats beside the share of the calls
+ * @spare: in any 10 s
+ */
+void ggw_budget_set_spare(struct ggw_budget *b, double spare);
+
 /**
  * ggw_budget_call() - count one call, not its further attempts
  * @above: value of Greengageway-Attempt in the request; 0 without it
@@ -58,6 +65,8 @@
  * @attempts: attempts sent so far, hedges included
  * @max_attempts: from its kind
  * @above: value of Greengageway-Attempt in the request; 0 without it
+ * @target_in: time from the first sending until which a response has its full
+ *             value, ms; 0: not set
  * @deadline: monotonic ms
  */
 struct ggw_retry_request {
@@ -65,6 +74,7 @@
     int attempts;
     int max_attempts;
     int above;
+    ggw_ms target_in;
     ggw_ms deadline;
 };
 
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "decide/ledger.h"
@@ -28,6 +29,7 @@
     struct ggw_ledger_entry *s = data;
 
     g_free(s->name);
+    g_free(s->failure_domain);
     g_free(s);
 }
 
@@ -38,6 +40,7 @@
 
     g_free(w->key.holder);
     g_strfreev(w->avoid);
+    g_free(w->failure_domain);
     g_free(w);
 }
 
@@ -164,77 +167,15 @@
     if (s->closed || now < l->gate->stopped_until) {
         return false;
     }
-    return s->limit.state == GGW_LIMIT_WARM ||
-           (now >= l->hold_until && now < l->gate->majority_until);
-}
-
-static bool
-is_avoided(char *const *avoid, const char *name)
-{
-    for (char *const *a = avoid; a != NULL && *a != NULL; a++) {
-        if (strcmp(*a, name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Whether every server that takes work is to be avoided. */
-static bool
-all_avoided(const struct ggw_ledger *l, char *const *avoid)
-{
-    for (guint i = 0; i < l->servers->len; i++) {
-        const struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
-
-        if (!s->closed && s->limit.state != GGW_LIMIT_EJECTED &&
-            !is_avoided(avoid, s->name)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/*
- * A server for one request. An ejected server that is due for a trial gets
- * it first, but an order only when nothing else is free.
- */
-static struct ggw_ledger_entry *
-pick(struct ggw_ledger *l, int priority, char *const *avoid, ggw_ms now)
-{
-    struct ggw_ledger_entry *trial = NULL;
-    size_t i;
-
-    if (avoid != NULL && all_avoided(l, avoid)) {
-        avoid = NULL;
-    }
-    g_array_set_size(l->candidates, l->servers->len);
-    for (i = 0; i < l->servers->len; i++) {
-        struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
-        bool may = ggw_ledger_is_open(l, s, now) &&
-                   ggw_limit_may_start(&s->limit, s->in_flight, now);
-
-        if (may && s->limit.state == GGW_LIMIT_EJECTED &&
-            !is_avoided(avoid, s->name)) {
-            trial = s;
-            may = false;
-        }
-        g_array_index(l->candidates, struct ggw_candidate, i) =
-            (struct ggw_candidate){
-                .in_flight = s->in_flight,
-                .limit = may ? ggw_limit_slots(&s->limit) : 0,
-                .avoid = is_avoided(avoid, s->name),
-                .reported = s->reported,
-                .load = s->load,
-                .reported_at = s->reported_at,
-            };
+    if (s->limit.state == GGW_LIMIT_WARM) {
+        return true;
     }
-    if (trial != NULL && priority > 0) {
-        return trial;
-    }
-    i = ggw_policy_pick(&l->policy,
-                        (struct ggw_candidate *)l->candidates->data,
-                        l->servers->len, now);
-    return i != GGW_POLICY_NONE ? g_ptr_array_index(l->servers, i) : trial;
+    /*
+     * A limit by rate is low enough for two owners at a time, so that it does
+     * not depend on a majority.
+     */
+    return now >= l->hold_until &&
+           (l->rule.cold_rate > 0 || now < l->gate->majority_until);
 }
 
 static gint
@@ -271,10 +212,10 @@
 }
 
 static bool
-try_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key, int priority,
-          ggw_ms deadline, char *const *avoid, ggw_ms now)
+try_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key,
+          const struct ggw_ledger_wish *wish, ggw_ms deadline, ggw_ms now)
 {
-    struct ggw_ledger_entry *s = pick(l, priority, avoid, now);
+    struct ggw_ledger_entry *s = ggw_ledger_pick(l, wish, now);
 
     if (s == NULL) {
         return false;
@@ -365,6 +306,16 @@
     }
 }
 
+static bool
+grant_waiting(struct ggw_ledger *l, const struct ggw_ledger_waiting *w,
+              ggw_ms now)
+{
+    struct ggw_ledger_wish wish = {w->priority, w->avoid, w->failure_domain,
+                                   w->far_cost};
+
+    return try_grant(l, &w->key, &wish, w->deadline, now);
+}
+
 /* Requests that avoid every free server are kept in their order. */
 static void
 serve_blocked(struct ggw_ledger *l, ggw_ms now)
@@ -375,7 +326,7 @@
         struct ggw_ledger_waiting *w = i->data;
 
         next = i->next;
-        if (try_grant(l, &w->key, w->priority, w->deadline, w->avoid, now)) {
+        if (grant_waiting(l, w, now)) {
             g_queue_delete_link(&l->blocked, i);
             forget_waiting(l, w);
         }
@@ -385,6 +336,7 @@
 void
 ggw_ledger_serve(struct ggw_ledger *l, ggw_ms now)
 {
+    static const struct ggw_ledger_wish any = {.priority = 1};
     struct ggw_waiter out;
 
     count_slots(l);
@@ -397,11 +349,12 @@
         return;
     }
     serve_blocked(l, now);
-    while (ggw_admission_len(l->queue) > 0 && pick(l, 1, NULL, now) != NULL &&
+    while (ggw_admission_len(l->queue) > 0 &&
+           ggw_ledger_pick(l, &any, now) != NULL &&
            ggw_admission_pop(l->queue, now, &out)) {
         struct ggw_ledger_waiting *w = out.data;
 
-        if (try_grant(l, &w->key, w->priority, w->deadline, w->avoid, now)) {
+        if (grant_waiting(l, w, now)) {
             forget_waiting(l, w);
         }
         else {
@@ -425,6 +378,8 @@
     w->priority = ask->priority;
     w->deadline = ask->deadline;
     w->avoid = g_strdupv((char **)ask->avoid);
+    w->failure_domain = g_strdup(ask->failure_domain);
+    w->far_cost = ask->far_cost;
     switch (ggw_admission_push(l->queue, &waiter, now, &displaced)) {
     case GGW_ADMISSION_DISPLACED:
         refuse_waiting(l, displaced.data, GGW_SLOT_DISPLACED);
@@ -450,6 +405,8 @@
 {
     struct ggw_ledger_key key = {(char *)ask->holder, ask->id};
     const struct ggw_ledger_grant *g = g_hash_table_lookup(l->grants, &key);
+    struct ggw_ledger_wish wish = {ask->priority, ask->avoid,
+                                   ask->failure_domain, ask->far_cost};
     bool behind = g_hash_table_size(l->waiting) > 0;
 
     if (g != NULL && !g->done) {
@@ -465,8 +422,7 @@
     else if (now >= ask->deadline) {
         refuse(l, &key, ask->priority, GGW_SLOT_TOO_LATE);
     }
-    else if (!behind && try_grant(l, &key, ask->priority, ask->deadline,
-                                  ask->avoid, now)) {
+    else if (!behind && try_grant(l, &key, &wish, ask->deadline, now)) {
         return;
     }
     else if (!ask->may_queue) {
@@ -552,6 +508,7 @@
     s->touched = true;
     s->reported = true;
     s->load = report->busy + report->queue;
+    s->slow_percent = report->slow_percent;
     s->reported_at = now;
     ggw_limit_report(&s->limit, report, now);
 }
@@ -655,6 +612,19 @@
     ggw_ledger_serve(l, now);
 }
 
+/* Ends the cold starts whose stated time is over. */
+static void
+end_cold_starts(struct ggw_ledger *l, ggw_ms now)
+{
+    for (guint i = 0; i < l->servers->len; i++) {
+        struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+
+        if (s->limit.cold_until > 0 && s->limit.cold_until <= now) {
+            ggw_limit_cold_until(&s->limit, 0, now);
+        }
+    }
+}
+
 void
 ggw_ledger_tick(struct ggw_ledger *l, ggw_ms now)
 {
@@ -674,9 +644,31 @@
         first = g_sequence_get_begin_iter(l->by_expiry);
     }
     g_hash_table_foreach_remove(l->ended, is_old_end, &now);
+    end_cold_starts(l, now);
     ggw_ledger_serve(l, now);
 }
 
+/* When a cold server may take the next of the requests that wait. */
+static ggw_ms
+next_cold_start(const struct ggw_ledger *l)
+{
+    ggw_ms next = INFINITY;
+
+    if (g_hash_table_size(l->waiting) == 0) {
+        return next;
+    }
+    for (guint i = 0; i < l->servers->len; i++) {
+        const struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+        ggw_ms at = ggw_limit_next_start(&s->limit);
+
+        if (!s->closed && at > 0 &&
+            s->in_flight < ggw_limit_slots(&s->limit)) {
+            next = MIN(next, MAX(at, l->hold_until));
+        }
+    }
+    return next;
+}
+
 ggw_ms
 ggw_ledger_next(const struct ggw_ledger *l)
 {
@@ -690,5 +682,5 @@
     for (GList *i = l->blocked.head; i != NULL; i = i->next) {
         next = MIN(next, ((struct ggw_ledger_waiting *)i->data)->deadline);
     }
-    return next;
+    return MIN(next, next_cold_start(l));
 }
--- a/decide/slots.h
+++ b/decide/slots.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "decide/limit.h"
+#include "decide/policy.h"
 #include "kernel/clock.h"
 #include "slots/slots.h"
 
@@ -42,13 +43,21 @@
  * @closed: leaving, draining or its failure domain is out
  * @out: its failure domain is out; when it returns, the server is cold
  * @warm: another owner has announced it as warm
+ * @failure_domain: or NULL
+ * @slots: requests that it runs at a time; 0: as the rule has it
+ * @reports_cold: @cold_until is known
+ * @cold_until: end of a cold start, monotonic ms; 0: it is warm
  */
 struct ggw_ledger_server {
     const char *name;
+    const char *failure_domain;
     uint64_t incarnation;
+    ggw_ms cold_until;
+    int slots;
     bool closed;
     bool out;
     bool warm;
+    bool reports_cold;
 };
 
 /**
@@ -56,6 +65,8 @@
  * @holder: gateway that asks; with @id it names the grant
  * @avoid: names of servers that the request already tried, or NULL
  * @may_queue: false refuses it when no slot is free now
+ * @failure_domain: of the holder, or NULL
+ * @far_cost: of a server in another one, as a part of the usual time of work
  */
 struct ggw_ledger_ask {
     const char *holder;
@@ -64,6 +75,8 @@
     ggw_ms deadline;
     char *const *avoid;
     bool may_queue;
+    const char *failure_domain;
+    double far_cost;
 };
 
 enum ggw_ledger_answer {
@@ -123,6 +136,26 @@
                           const struct ggw_ledger_server *servers, size_t len,
                           ggw_ms now);
 
+/**
+ * ggw_ledger_set_policy() - how a server is picked
+ * @policy: one that is owned
+ * @busy_percent: share of its slots above which a server becomes slow
+ */
+void ggw_ledger_set_policy(struct ggw_ledger *l,
+                           const struct ggw_policy_ops *policy,
+                           int busy_percent);
+
+/**
+ * ggw_ledger_scout() - servers whose load should be asked before a request
+ * @fresh: a report at most this old needs no repeat
+ * @names: filled with at most @max names, which belong to the ledger
+ *
+ * Return: number of names; 0 also when the request would have to wait.
+ */
+size_t ggw_ledger_scout(struct ggw_ledger *l, const struct ggw_ledger_ask *ask,
+                        ggw_ms fresh, const char **names, size_t max,
+                        ggw_ms now);
+
 /**
  * ggw_ledger_hold() - grant no slot of servers that are not warm until then
  */
--- a/http/client.c
+++ b/http/client.c
@@ -1,24 +1,33 @@
 #include "http/client.h"
 
 #include <glib.h>
+#include <http_parser.h>
 #include <math.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
+#include <strings.h>
 
-#include "common/metrics.h"
+#include "http/conn.h"
 
 /* A response is not read further while this many bytes wait for the client. */
 #define PAUSE_BYTES 65536
 
-/* Longest head of a response; h2o itself has no limit. */
+/* Longest head of a response. */
 #define HEAD_MAX 65536
 
-/* Interval at which the size of an incomplete head is checked. */
-#define HEAD_TICK_MS 50
+/* A connection is kept for this time, or for less if the server says so. */
+#define IDLE_MS 5000
 
-/* Milliseconds of unacknowledged data after which a connection is dropped. */
-#define TCP_USER_TIMEOUT_MS 5000
+/* A connection is closed this long before the server would close it. */
+#define IDLE_MARGIN_MS 1000
+
+/* A head with more headers than this is malformed. */
+#define HEADERS_MAX 100
+
+struct header {
+    h2o_iovec_t name;
+    GString *name_text;
+    GString *value_text;
+};
 
 struct ggw_call {
     struct ggw_pool *pool;
@@ -26,23 +35,27 @@
     const struct ggw_call_ops *ops;
     void *data;
 
-    h2o_http1client_t *client; /* NULL once it has ended */
-    h2o_iovec_t bufs[2];
+    struct ggw_http_conn *conn; /* NULL once the call has ended */
+    http_parser parser;
     uv_timer_t timer;
-    bool starting;  /* inside ggw_call_new() */
     bool connected; /* the first byte may have left */
-    bool in_client; /* inside a callback of h2o's client */
-    bool dead;      /* destroyed inside such a callback */
+    bool in_parser; /* inside http_parser_execute() */
+    bool dead;      /* destroyed inside it */
     bool asked;     /* ops->slow was called */
-    bool pending;   /* ops->end has to be called after ggw_call_new() */
-    bool counted;   /* in pool->used */
-    enum ggw_call_end end;
+    bool complete;  /* the last byte of the response has arrived */
+    bool reading_head;
     ggw_ms started_at;
     ggw_ms sent_at;
     ggw_ms head_at;
 
-    h2o_socket_cb paused; /* read callback of a paused connection */
-    h2o_buffer_t *rest;   /* bytes left when the client ended, or NULL */
+    GString *reason;
+    GPtrArray *headers; /* of struct header */
+    bool value_open;    /* the last header already has a value */
+    size_t head_bytes;
+    size_t content_length;
+    bool may_keep;
+    ggw_ms keep_for;
+    h2o_buffer_t *rest; /* bytes of the body that were not taken */
 };
 
 static ggw_ms
@@ -51,6 +64,16 @@
     return (ggw_ms)uv_hrtime() / 1e6;
 }
 
+static void
+header_free(gpointer data)
+{
+    struct header *h = data;
+
+    g_string_free(h->name_text, TRUE);
+    g_string_free(h->value_text, TRUE);
+    g_free(h);
+}
+
 static void
 timer_closed(uv_handle_t *handle)
 {
@@ -60,27 +83,36 @@
 static void
 free_call(struct ggw_call *call)
 {
-    if (call->rest != NULL) {
-        h2o_buffer_dispose(&call->rest);
-    }
+    h2o_buffer_dispose(&call->rest);
+    g_ptr_array_unref(call->headers);
+    g_string_free(call->reason, TRUE);
     uv_close((uv_handle_t *)&call->timer, timer_closed);
 }
 
+/* Gives the connection back, or closes it. */
 static void
-end_call(struct ggw_call *call, enum ggw_call_end end)
+release_conn(struct ggw_call *call, bool keep)
 {
-    call->client = NULL;
-    call->end = end;
-    call->paused = NULL;
-    uv_timer_stop(&call->timer);
-    if (call->counted) {
-        call->counted = false;
-        call->pool->used--;
-    }
-    if (call->starting) {
-        call->pending = true;
+    struct ggw_http_conn *conn = call->conn;
+
+    if (conn == NULL) {
         return;
     }
+    call->conn = NULL;
+    call->pool->used--;
+    if (keep) {
+        ggw_http_conn_keep(conn, call->keep_for);
+    }
+    else {
+        ggw_http_conn_close(conn);
+    }
+}
+
+static void
+end_call(struct ggw_call *call, enum ggw_call_end end, bool keep)
+{
+    uv_timer_stop(&call->timer);
+    release_conn(call, keep);
     call->ops->end(call->data, end);
 }
 
@@ -118,7 +150,7 @@
     if (due <= 0) {
         return false;
     }
-    arm(call, MIN(due, HEAD_TICK_MS));
+    arm(call, due);
     return true;
 }
 
@@ -126,157 +158,101 @@
 timer_cb(uv_timer_t *timer)
 {
     struct ggw_call *call = timer->data;
-    enum ggw_call_end end = GGW_CALL_NOT_SENT;
 
-    if (call->pending) {
-        call->pending = false;
-        call->ops->end(call->data, call->end);
+    if (call->connected && call->head_at == 0 && wait_for_head(call)) {
         return;
     }
-    if (call->connected) {
-        end = GGW_CALL_SILENT;
-    }
-    if (call->connected && call->head_at == 0) {
-        if (call->client->sock->input->size > HEAD_MAX) {
-            end = GGW_CALL_BROKEN;
-        }
-        else if (wait_for_head(call)) {
-            return;
-        }
-    }
-    h2o_http1client_cancel(call->client);
-    end_call(call, end);
+    end_call(call, call->connected ? GGW_CALL_SILENT : GGW_CALL_NOT_SENT,
+             false);
 }
 
-static void
-pause_reading(struct ggw_call *call)
+bool
+ggw_call_take(struct ggw_call *call, h2o_buffer_t **buffer)
 {
-    h2o_socket_t *sock = call->client->sock;
+    h2o_buffer_t *swap;
 
-    if (call->paused != NULL || sock->_cb.read == NULL) {
-        return;
+    if (call->rest->size == 0) {
+        return false;
     }
-    call->paused = sock->_cb.read;
-    h2o_socket_read_stop(sock);
-    uv_timer_stop(&call->timer);
+    swap = *buffer;
+    *buffer = call->rest;
+    call->rest = swap;
+    if (call->conn != NULL && !call->conn->reading) {
+        ggw_http_conn_pause(call->conn, false);
+        arm(call, call->spec.progress_timeout);
+    }
+    return true;
 }
 
-static void
-resume_reading(struct ggw_call *call)
+static struct ggw_call *
+call_of(http_parser *parser)
 {
-    h2o_socket_cb cb = call->paused;
+    return parser->data;
+}
 
-    if (cb == NULL) {
-        return;
-    }
-    call->paused = NULL;
-    h2o_socket_read_start(call->client->sock, cb);
-    arm(call, call->spec.progress_timeout);
+static int
+count_head(struct ggw_call *call, size_t len)
+{
+    call->head_bytes += len;
+    return call->head_bytes > HEAD_MAX || call->headers->len > HEADERS_MAX;
 }
 
-bool
-ggw_call_take(struct ggw_call *call, h2o_buffer_t **buffer)
+static int
+on_status(http_parser *parser, const char *at, size_t len)
 {
-    h2o_buffer_t **from = &call->rest;
-    h2o_buffer_t *swap;
+    struct ggw_call *call = call_of(parser);
 
-    if (call->client != NULL) {
-        from = &call->client->sock->input;
-    }
-    if (*from == NULL || (*from)->size == 0) {
-        return false;
-    }
-    swap = *buffer;
-    *buffer = *from;
-    *from = swap;
-    if (call->client != NULL) {
-        resume_reading(call);
-    }
-    return true;
+    g_string_append_len(call->reason, at, (gssize)len);
+    return count_head(call, len);
 }
 
-/* Keeps the bytes that are lost when h2o takes its connection back. */
-static void
-keep_rest(struct ggw_call *call, h2o_socket_t *sock)
+static int
+on_header_field(http_parser *parser, const char *at, size_t len)
 {
-    call->rest = sock->input;
-    h2o_buffer_init(&sock->input, &h2o_socket_buffer_prototype);
+    struct ggw_call *call = call_of(parser);
+    struct header *h;
+
+    if (!call->reading_head) {
+        return 0; /* a trailer */
+    }
+    if (call->headers->len == 0 || call->value_open) {
+        h = g_new0(struct header, 1);
+        h->name_text = g_string_new(NULL);
+        h->value_text = g_string_new(NULL);
+        g_ptr_array_add(call->headers, h);
+        call->value_open = false;
+    }
+    h = g_ptr_array_index(call->headers, call->headers->len - 1);
+    g_string_append_len(h->name_text, at, (gssize)len);
+    return count_head(call, len);
 }
 
 static int
-on_body(h2o_http1client_t *client, const char *errstr)
+on_header_value(http_parser *parser, const char *at, size_t len)
 {
-    struct ggw_call *call = client->data;
+    struct ggw_call *call = call_of(parser);
+    struct header *h;
 
-    if (errstr == h2o_http1client_error_is_eos &&
-        client->sock->bytes_read == 0) {
-        /* h2o takes a close between two chunks for the end of the body. */
-        end_call(call, GGW_CALL_BROKEN);
-        return 0;
-    }
-    if (errstr == h2o_http1client_error_is_eos) {
-        keep_rest(call, client->sock);
-        end_call(call, GGW_CALL_WHOLE);
-        return 0;
-    }
-    if (errstr != NULL) {
-        end_call(call, GGW_CALL_BROKEN);
+    if (!call->reading_head) {
         return 0;
     }
-    arm(call, call->spec.progress_timeout);
-    if (client->sock->input->size >= PAUSE_BYTES) {
-        pause_reading(call);
-    }
-    if (client->sock->input->size == 0) {
-        return 0;
-    }
-    call->in_client = true;
-    call->ops->body(call->data);
-    call->in_client = false;
-    if (call->dead) {
-        free_call(call);
-        return 1; /* h2o closes the connection */
-    }
-    return 0;
+    call->value_open = true;
+    h = g_ptr_array_index(call->headers, call->headers->len - 1);
+    g_string_append_len(h->value_text, at, (gssize)len);
+    return count_head(call, len);
 }
 
-/*
- * Checks how the end of the body is stated. Without a length or chunks, the
- * end of the connection would be the end of the body, and a short response
- * would look whole; with both, two readers could disagree.
- */
-static bool
-framing_ok(const struct ggw_call *call, int status,
-           const h2o_header_t *headers, size_t len, size_t *content_length)
+static const char *
+find_header(const struct ggw_call *call, const char *name)
 {
-    int lengths = 0;
-    int chunked = 0;
-
-    *content_length = SIZE_MAX;
-    for (size_t i = 0; i < len; i++) {
-        const h2o_iovec_t *name = headers[i].name;
+    for (guint i = 0; i < call->headers->len; i++) {
+        const struct header *h = g_ptr_array_index(call->headers, i);
 
-        if (h2o_lcstris(name->base, name->len, H2O_STRLIT("content-length"))) {
-            lengths++;
-            *content_length =
-                h2o_strtosize(headers[i].value.base, headers[i].value.len);
+        if (strcasecmp(h->name_text->str, name) == 0) {
+            return h->value_text->str;
         }
-        else if (h2o_lcstris(name->base, name->len,
-                             H2O_STRLIT("transfer-encoding"))) {
-            chunked++;
-        }
-    }
-    if (lengths + chunked > 1 ||
-        (lengths == 1 && *content_length == SIZE_MAX)) {
-        return false;
-    }
-    if (status == 204) {
-        return chunked == 0 && (lengths == 0 || *content_length == 0);
-    }
-    if (call->spec.is_head || status == 304) {
-        return true;
     }
-    return lengths + chunked == 1;
+    return NULL;
 }
 
 /*
@@ -284,109 +260,226 @@
  * with it. Servers that return the id make this visible.
  */
 static bool
-id_ok(const struct ggw_call *call, const h2o_header_t *headers, size_t len)
+id_ok(const struct ggw_call *call)
 {
     const h2o_iovec_t *id = &call->spec.id;
+    const char *text;
 
-    for (size_t i = 0; i < len && id->base != NULL; i++) {
-        const h2o_iovec_t *name = headers[i].name;
+    if (id->base == NULL) {
+        return true;
+    }
+    text = find_header(call, call->spec.id_name);
+    if (text == NULL) {
+        return !call->spec.id_required;
+    }
+    return strlen(text) == id->len && memcmp(text, id->base, id->len) == 0;
+}
 
-        if (h2o_lcstris(name->base, name->len,
-                        H2O_STRLIT("greengageway-request"))) {
-            return h2o_memis(headers[i].value.base, headers[i].value.len,
-                             id->base, id->len);
-        }
+/* "Keep-Alive: timeout=N" with N in seconds. */
+static ggw_ms
+keep_time(const struct ggw_call *call)
+{
+    const char *text = find_header(call, "keep-alive");
+    const char *timeout = text != NULL ? strstr(text, "timeout=") : NULL;
+    ggw_ms limit;
+
+    if (timeout == NULL) {
+        return IDLE_MS;
     }
-    return true;
+    limit =
+        1e3 * (ggw_ms)g_ascii_strtoull(timeout + strlen("timeout="), NULL, 10);
+    return MIN(IDLE_MS, MAX(limit - IDLE_MARGIN_MS, limit / 2));
+}
+
+static void
+fill_headers(const struct ggw_call *call, h2o_header_t *out)
+{
+    for (guint i = 0; i < call->headers->len; i++) {
+        struct header *h = g_ptr_array_index(call->headers, i);
+
+        h->name = h2o_iovec_init(h->name_text->str, h->name_text->len);
+        out[i] = (h2o_header_t){
+            .name = &h->name,
+            .value = h2o_iovec_init(h->value_text->str, h->value_text->len),
+        };
+    }
+}
+
+static bool
+is_interim(const http_parser *parser)
+{
+    return parser->status_code >= 100 && parser->status_code < 200;
 }
 
-static h2o_http1client_body_cb
-on_head(h2o_http1client_t *client, const char *errstr, int minor_version,
-        int status, h2o_iovec_t msg, h2o_header_t *headers, size_t num_headers,
-        int rlen)
+static bool
+ends_with_connection(const struct ggw_call *call, const http_parser *parser)
 {
-    struct ggw_call *call = client->data;
-    bool eos = errstr == h2o_http1client_error_is_eos;
-    struct ggw_call_head head = {.status = status,
-                                 .reason = msg,
-                                 .headers = headers,
-                                 .headers_len = num_headers};
+    return !call->spec.is_head && parser->status_code != 204 &&
+           parser->status_code != 304 &&
+           (parser->flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0;
+}
 
-    if (errstr != NULL && !eos) {
-        end_call(call, GGW_CALL_BROKEN);
-        return NULL;
+static int
+on_headers_complete(http_parser *parser)
+{
+    struct ggw_call *call = call_of(parser);
+    h2o_header_t headers[HEADERS_MAX + 1];
+    struct ggw_call_head head = {
+        .status = (int)parser->status_code,
+        .reason = h2o_iovec_init(call->reason->str, call->reason->len),
+        .headers = headers,
+        .headers_len = call->headers->len,
+    };
+
+    if (is_interim(parser)) {
+        return 0;
     }
-    if (!id_ok(call, headers, num_headers) ||
-        !framing_ok(call, status, headers, num_headers,
-                    &head.content_length)) {
-        /* h2o would keep the connection when it expects no body. */
-        h2o_socket_close(h2o_http1client_steal_socket(client));
-        end_call(call, GGW_CALL_BROKEN);
-        return NULL;
+    call->reading_head = false;
+    if (!id_ok(call)) {
+        return -1;
     }
     call->head_at = now_ms();
+    call->content_length = (parser->flags & F_CONTENTLENGTH) != 0
+                               ? (size_t)parser->content_length
+                               : SIZE_MAX;
+    call->may_keep = http_should_keep_alive(parser) != 0;
+    call->keep_for = keep_time(call);
+    head.content_length = call->content_length;
+    head.until_close = ends_with_connection(call, parser);
+    head.may_keep = call->may_keep;
+    fill_headers(call, headers);
     arm(call, call->spec.progress_timeout);
-    call->in_client = true;
     call->ops->head(call->data, &head);
-    call->in_client = false;
     if (call->dead) {
-        free_call(call);
-        return NULL;
+        return -1;
     }
-    if (eos) {
-        end_call(call, GGW_CALL_WHOLE);
-        return NULL;
+    return call->spec.is_head ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+    struct ggw_call *call = call_of(parser);
+    h2o_iovec_t space = h2o_buffer_reserve(&call->rest, len);
+
+    memcpy(space.base, at, len);
+    call->rest->size += len;
+    arm(call, call->spec.progress_timeout);
+    if (call->rest->size >= PAUSE_BYTES && call->conn != NULL) {
+        ggw_http_conn_pause(call->conn, true);
+        uv_timer_stop(&call->timer);
     }
-    return on_body;
+    call->ops->body(call->data);
+    return call->dead ? -1 : 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+    struct ggw_call *call = call_of(parser);
+
+    if (is_interim(parser)) {
+        g_ptr_array_set_size(call->headers, 0);
+        g_string_truncate(call->reason, 0);
+        call->value_open = false;
+        return 0;
+    }
+    call->complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_status = on_status,
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+/* Runs the parser; returns false when the call is gone. */
+static bool
+parse(struct ggw_call *call, const char *bytes, size_t len, size_t *used)
+{
+    call->in_parser = true;
+    *used = http_parser_execute(&call->parser, &parser_settings, bytes, len);
+    call->in_parser = false;
+    if (call->dead) {
+        free_call(call);
+        return false;
+    }
+    return true;
 }
 
 static void
-set_options(h2o_socket_t *sock)
+conn_data(void *user, const char *bytes, size_t len)
 {
-    int fd = h2o_socket_get_fd(sock);
-    int on = 1;
-    int user_timeout = TCP_USER_TIMEOUT_MS;
-    int idle = 5, interval = 2, count = 3; /* seconds, seconds, probes */
+    struct ggw_call *call = user;
+    size_t used;
+    bool request_left, keep;
 
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-               sizeof(user_timeout));
+    if (!parse(call, bytes, len, &used)) {
+        return;
+    }
+    if (call->complete) {
+        /* A response before the whole request leaves bytes on their way. */
+        request_left = call->conn->writes == 0;
+        keep =
+            call->may_keep && used == len && request_left && !call->spec.fresh;
+        end_call(call, GGW_CALL_WHOLE, keep);
+    }
+    else if (HTTP_PARSER_ERRNO(&call->parser) != HPE_OK) {
+        end_call(call, GGW_CALL_BROKEN, false);
+    }
 }
 
-static h2o_http1client_head_cb
-on_connect(h2o_http1client_t *client, const char *errstr,
-           h2o_iovec_t **reqbufs, size_t *reqbufcnt, int *method_is_head)
+static void
+conn_closed(void *user, bool clean)
 {
-    static uint64_t *opened;
-    struct ggw_call *call = client->data;
+    struct ggw_call *call = user;
+    size_t used;
 
-    if (errstr != NULL) {
-        end_call(call, GGW_CALL_NOT_SENT);
-        return NULL;
+    if (!call->connected) {
+        end_call(call, GGW_CALL_NOT_SENT, false);
+        return;
     }
-    /* A connection from the pool is handed over inside the first call. */
-    if (!call->starting) {
-        if (opened == NULL) {
-            opened = ggw_counter("ggw_connections_opened_total");
-        }
-        (*opened)++;
-        set_options(client->sock);
+    /* Without a length, the orderly end of the stream ends the body. */
+    if (clean && call->head_at > 0 && !parse(call, NULL, 0, &used)) {
+        return;
+    }
+    end_call(call, call->complete ? GGW_CALL_WHOLE : GGW_CALL_BROKEN, false);
+}
+
+static void
+send_request(struct ggw_call *call)
+{
+    h2o_iovec_t head = call->spec.head;
+    h2o_iovec_t body = call->spec.body;
+    g_autoptr(GString) text = g_string_sized_new(head.len + body.len);
+
+    g_string_append_len(text, head.base, (gssize)head.len);
+    if (body.len > 0) {
+        g_string_append_len(text, body.base, (gssize)body.len);
     }
     call->connected = true;
-    call->bufs[0] = call->spec.head;
-    call->bufs[1] = call->spec.body;
-    *reqbufs = call->bufs;
-    *reqbufcnt = call->spec.body.len > 0 ? 2 : 1;
-    *method_is_head = call->spec.is_head;
     call->sent_at = now_ms();
-    arm(call, MIN(call->spec.patience, HEAD_TICK_MS));
-    return on_head;
+    ggw_http_conn_write(call->conn, text->str, text->len);
+    arm(call, MAX(head_due(call), 0));
 }
 
+static void
+conn_opened(void *user)
+{
+    send_request(user);
+}
+
+static const struct ggw_http_conn_ops conn_ops = {
+    .opened = conn_opened,
+    .data = conn_data,
+    .closed = conn_closed,
+};
+
 struct ggw_call *
 ggw_call_new(struct ggw_pool *pool, const struct ggw_call_spec *spec,
              const struct ggw_call_ops *ops, void *data)
@@ -397,26 +490,22 @@
     call->spec = *spec;
     call->ops = ops;
     call->data = data;
-    uv_timer_init(pool->client->loop, &call->timer);
+    call->reading_head = true;
+    call->reason = g_string_new(NULL);
+    call->headers = g_ptr_array_new_with_free_func(header_free);
+    h2o_buffer_init(&call->rest, &h2o_socket_buffer_prototype);
+    http_parser_init(&call->parser, HTTP_RESPONSE);
+    call->parser.data = call;
+    uv_timer_init(pool->loop, &call->timer);
     call->timer.data = call;
-    call->counted = true;
     call->started_at = now_ms();
     pool->used++;
-    arm(call, spec->connect_timeout);
-    call->starting = true;
-    if (spec->fresh) {
-        h2o_http1client_connect(&call->client, call, pool->client,
-                                h2o_iovec_init(pool->host, strlen(pool->host)),
-                                pool->port, 0, on_connect);
+    call->conn = ggw_http_conn_get(pool, spec->fresh, &conn_ops, call);
+    if (call->conn->open) {
+        send_request(call);
     }
     else {
-        h2o_http1client_connect_with_pool(&call->client, call, pool->client,
-                                          &pool->sockets, on_connect);
-    }
-    call->starting = false;
-    if (call->pending) {
-        call->client = NULL;
-        arm(call, 0);
+        arm(call, spec->connect_timeout);
     }
     return call;
 }
@@ -437,18 +526,10 @@
         return;
     }
     uv_timer_stop(&call->timer);
-    call->paused = NULL;
-    if (call->counted) {
-        call->counted = false;
-        call->pool->used--;
-    }
-    if (call->in_client) {
+    release_conn(call, false);
+    if (call->in_parser) {
         call->dead = true;
-        call->client = NULL;
         return;
     }
-    if (call->client != NULL) {
-        h2o_http1client_cancel(call->client);
-    }
     free_call(call);
 }
--- a/http/client.h
+++ b/http/client.h
@@ -17,7 +17,8 @@
 
 /**
  * enum ggw_call_end - how a call ended
- * @GGW_CALL_WHOLE: the response is complete
+ * @GGW_CALL_WHOLE: the response is complete; one without a length is complete
+ *                  when the server closes the connection in order
  * @GGW_CALL_NOT_SENT: no connection; no byte of the request was sent
  * @GGW_CALL_BROKEN: the connection broke, or the response is malformed or
  *                   shorter than stated
@@ -34,6 +35,9 @@
  * struct ggw_call_head - head of a response
  * @headers: valid only inside the callback
  * @content_length: SIZE_MAX when not stated
+ * @until_close: the body ends with the connection; whether it is whole cannot
+ *               be seen
+ * @may_keep: the server does not close the connection after the response
  */
 struct ggw_call_head {
     int status;
@@ -41,6 +45,8 @@
     const h2o_header_t *headers;
     size_t headers_len;
     size_t content_length;
+    bool until_close;
+    bool may_keep;
 };
 
 /**
@@ -64,8 +70,10 @@
  * struct ggw_call_spec - a request
  * @head: request line and headers with the closing empty line
  * @body: may be empty
- * @id: value of Greengageway-Request in @head; a response with another one
- *      answers another request. NULL base: not compared.
+ * @id_name: header, in lower case, that names the request in both directions
+ * @id: its value in @head; a response with another one answers another
+ *      request. NULL base: not compared.
+ * @id_required: a response without @id_name is malformed
  * @is_head: the method is HEAD, so no body follows
  * @fresh: use a new connection and close it afterwards
  * @connect_timeout: until the connection is open
@@ -78,7 +86,9 @@
 struct ggw_call_spec {
     h2o_iovec_t head;
     h2o_iovec_t body;
+    const char *id_name;
     h2o_iovec_t id;
+    bool id_required;
     bool is_head;
     bool fresh;
     ggw_ms connect_timeout;
--- a/http/connection.c
+++ b/http/connection.c
@@ -234,9 +234,9 @@
 }
 
 bool
-ggw_connection_draining(const struct ggw_connection *conn)
+ggw_connection_leaving(const struct ggw_connection *conn)
 {
-    return conn->owner->draining;
+    return conn->owner->leaving || conn->owner->draining;
 }
 
 static void
@@ -332,11 +332,14 @@
             short events = g_array_index(fds, struct pollfd, i).revents;
             struct ggw_exchange *x = g_ptr_array_index(exchanges, i);
 
+            bool half_closed = (events & POLLRDHUP) != 0;
+
             if ((events & (POLLHUP | POLLERR | POLLNVAL)) != 0 ||
+                (half_closed && c->half_close_leaves) ||
                 (x->sending && now - x->sent_at > CLIENT_PROGRESS_MS)) {
                 ggw_exchange_abort(x, "client-left");
             }
-            else if ((events & POLLRDHUP) != 0) {
+            else if (half_closed) {
                 probe(x);
             }
         }
--- a/http/connection.h
+++ b/http/connection.h
@@ -19,7 +19,9 @@
  * @list: of struct ggw_connection
  * @unhooked: those whose h2o reader has to be wrapped again
  * @exchanges: of struct ggw_exchange, in progress
+ * @leaving: responses end their connection
  * @draining: idle connections are closed
+ * @half_close_leaves: a client that closes its sending side has left
  */
 struct ggw_connections {
     uv_loop_t *loop;
@@ -31,7 +33,9 @@
     h2o_linklist_t list;
     GQueue unhooked;
     h2o_linklist_t exchanges;
+    bool leaving;
     bool draining;
+    bool half_close_leaves;
     bool stopped;
 };
 
@@ -58,9 +62,9 @@
 void ggw_connection_finished(struct ggw_connection *conn);
 
 /**
- * ggw_connection_draining() - whether the listener is closed
+ * ggw_connection_leaving() - whether responses end their connection
  */
-bool ggw_connection_draining(const struct ggw_connection *conn);
+bool ggw_connection_leaving(const struct ggw_connection *conn);
 
 /**
  * ggw_connections_stop() - break all responses and close all connections
--- a/http/exchange.c
+++ b/http/exchange.c
@@ -23,6 +23,8 @@
     {408, "Request Timeout"},
     {409, "Conflict"},
     {413, "Content Too Large"},
+    {421, "Misdirected Request"},
+    {429, "Too Many Requests"},
     {431, "Request Header Fields Too Large"},
     {500, "Internal Server Error"},
     {502, "Bad Gateway"},
@@ -121,12 +123,21 @@
 ggw_exchange_start(struct ggw_exchange *x)
 {
     x->started = true;
-    if (x->conn != NULL && ggw_connection_draining(x->conn)) {
+    if (x->conn != NULL && ggw_connection_leaving(x->conn)) {
         x->req->http1_is_persistent = 0;
     }
     h2o_start_response(x->req, &x->generator);
 }
 
+void
+ggw_exchange_until_close(struct ggw_exchange *x)
+{
+    /* h2o sends a body without a length in chunks, but not to HTTP/1.0. */
+    x->req->version = 0x100;
+    x->req->http1_is_persistent = 0;
+    x->req->res.content_length = SIZE_MAX;
+}
+
 void
 ggw_exchange_send(struct ggw_exchange *x, h2o_iovec_t bytes, bool last)
 {
@@ -201,6 +212,14 @@
     ggw_exchange_send(x, bytes, true);
 }
 
+static double
+round_up(double value, int decimals)
+{
+    double unit = pow(10, -decimals);
+
+    return ceil(value / unit) * unit;
+}
+
 void
 ggw_exchange_refuse(struct ggw_exchange *x, int status, const char *reason,
                     enum ggw_outcome outcome, ggw_ms retry_after)
@@ -213,7 +232,8 @@
         h2o_iovec_t value;
         char seconds[24];
 
-        g_snprintf(seconds, sizeof(seconds), "%.0f", ceil(retry_after / 1e3));
+        g_snprintf(seconds, sizeof(seconds), "%.*f", x->retry_after_decimals,
+                   round_up(retry_after / 1e3, x->retry_after_decimals));
         value = h2o_strdup(&req->pool, seconds, SIZE_MAX);
         h2o_add_header_by_str(&req->pool, &req->res.headers,
                               H2O_STRLIT("retry-after"), 1, NULL, value.base,
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -35,6 +35,7 @@
  * @sent_at: time of the last ggw_exchange_send(), of the loop
  * @buffer: for the user: the bytes of a send, which must outlive the user
  * @probed: an interim response was sent to a half-closed connection
+ * @retry_after_decimals: digits behind the point in Retry-After
  */
 struct ggw_exchange {
     h2o_generator_t generator;
@@ -50,6 +51,7 @@
     bool finished;
     bool broken;
     bool probed;
+    int retry_after_decimals;
     ggw_ms sent_at;
     h2o_buffer_t *buffer;
     h2o_linklist_t link; /* of the exchanges in progress */
@@ -75,6 +77,14 @@
  */
 void ggw_exchange_start(struct ggw_exchange *x);
 
+/**
+ * ggw_exchange_until_close() - let the end of the connection end the body
+ *
+ * For a body whose end cannot be vouched for. Call it before
+ * ggw_exchange_start().
+ */
+void ggw_exchange_until_close(struct ggw_exchange *x);
+
 /**
  * ggw_exchange_send() - send bytes of the body
  * @bytes: must stay valid until proceed
@@ -98,7 +108,7 @@
 
 /**
  * ggw_exchange_refuse() - respond with an error that the gateway makes
- * @retry_after: ms, rounded up to seconds; 0 for no header
+ * @retry_after: ms, rounded up to what the header may say; 0 for no header
  */
 void ggw_exchange_refuse(struct ggw_exchange *x, int status,
                          const char *reason, enum ggw_outcome outcome,
--- a/http/listener.c
+++ b/http/listener.c
@@ -124,6 +124,7 @@
     l->accept.ctx = &l->context;
     l->accept.hosts = l->conf.hosts;
     ggw_connections_init(&l->connections, loop, options->head_timeout);
+    l->connections.half_close_leaves = options->half_close_leaves;
     return l;
 }
 
@@ -262,6 +263,12 @@
     }
 }
 
+void
+ggw_listener_leave(struct ggw_listener *l)
+{
+    l->connections.leaving = true;
+}
+
 void
 ggw_listener_drain(struct ggw_listener *l)
 {
--- a/http/pool.h
+++ b/http/pool.h
@@ -1,29 +1,30 @@
 #ifndef GGW_HTTP_POOL_H
 #define GGW_HTTP_POOL_H
 
-#include <h2o.h>
+#include <glib.h>
 #include <stdint.h>
+#include <uv.h>
 
 #include "kernel/clock.h"
 
 /*
- * Connections to backend servers: one h2o socket pool for each server, found
- * by its address.
+ * Connections to backend servers: one pool of idle connections for each
+ * server, found by its address.
  */
 
 struct ggw_pools;
+struct ggw_http_conn;
 
 /**
  * struct ggw_pool - connections to one backend server
- * @sockets: idle connections
- * @client: context of the HTTP client
+ * @idle: of struct ggw_http_conn, the most recently used first
  * @host: IP number
  * @used: calls that hold a connection now
  * @last_used: monotonic ms
  */
 struct ggw_pool {
-    h2o_socketpool_t sockets;
-    h2o_http1client_ctx_t *client;
+    uv_loop_t *loop;
+    GQueue idle;
     char *host;
     uint16_t port;
     int used;
@@ -32,10 +33,8 @@
 
 /**
  * ggw_pools_new() - make an empty set of pools
- * @receiver: of the h2o context on the same loop
  */
-struct ggw_pools *ggw_pools_new(uv_loop_t *loop,
-                                h2o_multithread_receiver_t *receiver);
+struct ggw_pools *ggw_pools_new(uv_loop_t *loop);
 
 /**
  * ggw_pools_get() - the pool of a server; made on first use
@@ -52,7 +51,7 @@
 void ggw_pools_trim(struct ggw_pools *pools, ggw_ms now);
 
 /**
- * ggw_pools_stop() - close all idle connections and timers
+ * ggw_pools_stop() - close all idle connections
  */
 void ggw_pools_stop(struct ggw_pools *pools);
 
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -33,7 +33,7 @@
         bool wanted =
             delivery->to == 0 ? s->id != m->from : s->id == delivery->to;
 
-        if (wanted) {
+        if (wanted && s->ops->receive != NULL) {
             s->ops->receive(s, m);
         }
     }
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -48,7 +48,8 @@
  * @name: name under which others find it
  * @start: opens its sockets and timers; returns false and sets the error on
  *         failure
- * @receive: handles one message; the kernel destroys it afterwards
+ * @receive: handles one message; the kernel destroys it afterwards. NULL for a
+ *           service that takes none
  * @stop: closes its sockets and timers; the loop runs until all are closed
  * @destroy: frees the service after the loop has ended
  */
--- a/main/cmd_gateway.c
+++ b/main/cmd_gateway.c
@@ -12,6 +12,7 @@
 #include "config/config.h"
 #include "config/vms.h"
 #include "kernel/kernel.h"
+#include "main/signals.h"
 #include "peers/peers.h"
 #include "platform/platform.h"
 #include "proxy/proxy.h"
@@ -67,26 +68,6 @@
     {.name = NULL},
 };
 
-static void
-on_signal(uv_signal_t *handle, int signum)
-{
-    struct ggw_kernel *kernel = handle->data;
-
-    ggw_log_info("main", "signal %d, leaving", signum);
-    uv_signal_stop(handle);
-    ggw_kernel_publish(kernel, NULL, ggw_shutdown_new());
-}
-
-/* The handle does not keep the loop alive once every service has stopped. */
-static void
-watch_signal(struct ggw_kernel *kernel, uv_signal_t *handle, int signum)
-{
-    uv_signal_init(ggw_kernel_loop(kernel), handle);
-    handle->data = kernel;
-    uv_signal_start(handle, on_signal, signum);
-    uv_unref((uv_handle_t *)handle);
-}
-
 static void
 add_services(struct ggw_kernel *kernel, const struct settings *s,
              uint64_t incarnation)
@@ -132,7 +113,7 @@
     struct settings s = {0};
     g_autoptr(GError) error = NULL;
     struct ggw_kernel *kernel = NULL;
-    uv_signal_t term, interrupt;
+    struct ggw_signals signals;
     uint64_t incarnation;
     int status = 2;
 
@@ -145,9 +126,7 @@
     kernel = ggw_kernel_new(ggw_clock_system());
     incarnation = (uint64_t)ggw_clock_wall(ggw_clock_system());
     add_services(kernel, &s, incarnation);
-    watch_signal(kernel, &term, SIGTERM);
-    watch_signal(kernel, &interrupt, SIGINT);
-    signal(SIGPIPE, SIG_IGN);
+    ggw_signals_watch(&signals, kernel);
     ggw_log_info("main",
                  "gateway %s starts in %s, incarnation %" G_GUINT64_FORMAT,
                  s.name, s.failure_domain, (guint64)incarnation);
@@ -156,8 +135,7 @@
         ggw_log_error("main", "%s", error->message);
         status = 1;
     }
-    uv_close((uv_handle_t *)&term, NULL);
-    uv_close((uv_handle_t *)&interrupt, NULL);
+    ggw_signals_close(&signals);
     uv_run(ggw_kernel_loop(kernel), UV_RUN_DEFAULT);
     ggw_kernel_destroy(kernel);
     ggw_log_info("main", "gateway %s has stopped", s.name);
--- a/main/main.c
+++ b/main/main.c
@@ -5,6 +5,7 @@
 
 #include "ctl/ctl.h"
 #include "main/cmd_gateway.h"
+#include "main/cmd_node.h"
 
 const char *argp_program_version = "greengageway 0.1.0";
 
@@ -14,8 +15,11 @@
     int (*run)(int argc, char **argv);
 };
 
-static const struct command gateway_command = {
-    "gateway", "run one gateway until SIGTERM", ggw_cmd_gateway};
+static const struct command daemons[] = {
+    {"gateway", "run one gateway until SIGTERM", ggw_cmd_gateway},
+    {"node", "run one gateway on the users' platform until SIGTERM",
+     ggw_cmd_node},
+};
 
 struct invocation {
     int index; /* of the command in argv; 0: none given */
@@ -44,8 +48,10 @@
     GString *doc = g_string_new("HTTP load balancer.\v"
                                 "Commands (see COMMAND --help):\n");
 
-    g_string_append_printf(doc, "  %-12s %s\n", gateway_command.name,
-                           gateway_command.help);
+    for (size_t i = 0; i < G_N_ELEMENTS(daemons); i++) {
+        g_string_append_printf(doc, "  %-12s %s\n", daemons[i].name,
+                               daemons[i].help);
+    }
     for (const struct ggw_ctl_verb *v = ggw_ctl_verbs; v->name != NULL; v++) {
         g_string_append_printf(doc, "  %-12s %s\n", v->name, v->help);
     }
@@ -61,8 +67,10 @@
     /* argp prints argv[0] in usage and error messages. */
     name = g_strdup_printf("greengageway %s", word);
     argv[0] = name;
-    if (strcmp(word, gateway_command.name) == 0) {
-        return gateway_command.run(argc, argv);
+    for (size_t i = 0; i < G_N_ELEMENTS(daemons); i++) {
+        if (strcmp(word, daemons[i].name) == 0) {
+            return daemons[i].run(argc, argv);
+        }
     }
     for (const struct ggw_ctl_verb *v = ggw_ctl_verbs; v->name != NULL; v++) {
         if (strcmp(word, v->name) == 0) {
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -425,6 +425,9 @@
     else if (message->ops == &ggw_vms_changed_ops) {
         struct ggw_vms_changed *m = (struct ggw_vms_changed *)message;
 
+        if (!ggw_vm_list_has_gateways(m->list)) {
+            return; /* it says nothing about gateways */
+        }
         p->has_list = true;
         ggw_view_list(p->view, m->list);
         ggw_peers_apply_list(p, m->list);
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "common/metrics.h"
@@ -66,6 +67,7 @@
         r->winner = NULL;
     }
     ggw_call_destroy(a->call);
+    ggw_answer_free(a->answer);
     g_string_free(a->head, TRUE);
     g_free(a->vm);
     g_free(a->id);
@@ -139,42 +141,38 @@
 }
 
 static void
-start_response(struct ggw_attempt *a, const struct ggw_call_head *head)
+start_response(struct ggw_attempt *a, int status, h2o_iovec_t reason,
+               const h2o_header_t *headers, size_t headers_len,
+               size_t content_length, bool until_close)
 {
     struct ggw_request *r = a->request;
     struct ggw_proxy *proxy = r->proxy;
     h2o_req_t *req = r->x->req;
-    h2o_iovec_t reason =
-        h2o_strdup(&req->pool, head->reason.base, head->reason.len);
-
-    req->res.status = head->status;
-    req->res.reason = reason.base;
-    req->res.content_length = head->content_length;
-    ggw_headers_back(req, head->headers, head->headers_len);
-    ggw_exchange_outcome(r->x, outcome_of(head->status), NULL);
-    ggw_request_count(r, outcome_of(head->status), "response");
+    h2o_iovec_t text = h2o_strdup(&req->pool, reason.base, reason.len);
+
+    req->res.status = status;
+    req->res.reason = text.base;
+    req->res.content_length = content_length;
+    ggw_headers_back(req, proxy->options.dialect, headers, headers_len);
+    ggw_exchange_outcome(r->x, outcome_of(status), NULL);
+    ggw_request_count(r, outcome_of(status), "response");
     ggw_histogram_add(proxy->added, ggw_kernel_now(proxy->base.kernel) -
                                         r->received -
                                         ggw_call_latency(a->call));
+    if (until_close) {
+        ggw_exchange_until_close(r->x);
+    }
     ggw_exchange_start(r->x);
 }
 
+/* The client gets the response of this attempt; others are cancelled. */
 static void
-on_head(void *data, const struct ggw_call_head *head)
+win(struct ggw_attempt *a, int status)
 {
-    struct ggw_attempt *a = data;
     struct ggw_request *r = a->request;
 
-    a->has_head = true;
-    a->status = head->status;
-    a->report = ggw_headers_load(head->headers, head->headers_len);
-    a->shed = (head->status == 503 || head->status == 504) &&
-              ggw_headers_not_run(head->headers, head->headers_len);
-    if (a->shed || r->winner != NULL) {
-        return;
-    }
-    if (head->status < 500) {
-        ggw_latency_add(&r->target->latency, ggw_call_latency(a->call));
+    if (status < 500) {
+        ggw_latency_add(&r->metrics->usual, ggw_call_latency(a->call));
     }
     r->winner = a;
     uv_timer_stop(&r->timer);
@@ -184,16 +182,106 @@
         }
     }
     ggw_request_stop_waiting(r); /* a hedge may still wait for a slot */
-    settle(r, head->status);
+    settle(r, status);
+}
+
+/* A success that lacks the server's signature is not the server's. */
+static bool
+is_signed(const struct ggw_attempt *a, const struct ggw_call_head *head)
+{
+    const char *signature = a->request->proxy->options.dialect->signature;
+
+    return signature == NULL || head->status >= 300 ||
+           ggw_headers_has(head->headers, head->headers_len, signature);
+}
+
+static void
+on_head(void *data, const struct ggw_call_head *head)
+{
+    struct ggw_attempt *a = data;
+    struct ggw_request *r = a->request;
+    const struct ggw_dialect *dialect = r->proxy->options.dialect;
+
+    a->has_head = true;
+    a->status = head->status;
+    a->report = dialect->load(head->headers, head->headers_len);
+    a->shed = dialect->not_run(head->status, head->headers, head->headers_len);
+    a->forged = !is_signed(a, head);
+    if (a->shed || a->forged || r->winner != NULL) {
+        return;
+    }
+    if (r->kind->hold > 0) {
+        a->answer = ggw_answer_new(head);
+        return;
+    }
+    win(a, head->status);
     if (r->x != NULL) {
-        start_response(a, head);
+        start_response(a, head->status, head->reason, head->headers,
+                       head->headers_len, head->content_length,
+                       head->until_close);
+    }
+}
+
+/* Passes on what was kept of a response, and all that follows. */
+static void
+release_answer(struct ggw_attempt *a, size_t content_length)
+{
+    struct ggw_request *r = a->request;
+    struct ggw_answer *answer = a->answer;
+    h2o_iovec_t reason =
+        h2o_iovec_init(answer->reason, strlen(answer->reason));
+
+    win(a, answer->status);
+    if (r->x == NULL) {
+        return;
+    }
+    start_response(a, answer->status, reason, answer->headers, answer->len,
+                   content_length, answer->until_close);
+}
+
+static void
+keep_body(struct ggw_attempt *a)
+{
+    h2o_buffer_t *buffer;
+
+    h2o_buffer_init(&buffer, &h2o_socket_buffer_prototype);
+    while (ggw_call_take(a->call, &buffer)) {
+        g_string_append_len(a->answer->body, buffer->bytes,
+                            (gssize)buffer->size);
+        h2o_buffer_consume(&buffer, buffer->size);
     }
+    h2o_buffer_dispose(&buffer);
+}
+
+/* Moves the kept bytes to the exchange, which sends them. */
+static void
+send_kept(struct ggw_attempt *a, bool last)
+{
+    struct ggw_exchange *x = a->request->x;
+    GString *body = a->answer->body;
+    h2o_iovec_t space = h2o_buffer_reserve(&x->buffer, MAX(body->len, 1));
+
+    memcpy(space.base, body->str, body->len);
+    x->buffer->size += body->len;
+    ggw_exchange_send(x, h2o_iovec_init(x->buffer->bytes, x->buffer->size),
+                      last);
 }
 
 static void
 on_body(void *data)
 {
-    ggw_attempt_pump(data);
+    struct ggw_attempt *a = data;
+    struct ggw_request *r = a->request;
+
+    if (a->answer == NULL || r->winner == a) {
+        ggw_attempt_pump(a);
+        return;
+    }
+    keep_body(a);
+    if (a->answer->body->len > (size_t)r->kind->hold && r->x != NULL) {
+        release_answer(a, SIZE_MAX);
+        send_kept(a, false);
+    }
 }
 
 static enum ggw_attempt_result
@@ -212,9 +300,40 @@
     if (a->shed) {
         return GGW_ATTEMPT_SHED;
     }
+    if (a->forged) {
+        return GGW_ATTEMPT_BROKEN;
+    }
     return a->status >= 500 ? GGW_ATTEMPT_ERROR : GGW_ATTEMPT_OK;
 }
 
+/*
+ * Delivers a kept response that is whole, unless another attempt may still
+ * replace an error. Returns whether it was delivered.
+ */
+static bool
+deliver_kept(struct ggw_attempt *a, enum ggw_attempt_result result)
+{
+    struct ggw_request *r = a->request;
+    bool whole = result == GGW_ATTEMPT_OK || result == GGW_ATTEMPT_ERROR;
+
+    if (a->answer == NULL || !whole || r->winner != NULL) {
+        return false;
+    }
+    keep_body(a);
+    if (result == GGW_ATTEMPT_ERROR && ggw_request_retry_error(r)) {
+        return false;
+    }
+    ggw_request_note_size(r, a->answer->body->len);
+    release_answer(a, a->answer->body->len);
+    if (r->x != NULL) {
+        send_kept(a, true);
+        r->x = NULL;
+    }
+    attempt_free(a);
+    ggw_request_done(r);
+    return true;
+}
+
 static void
 on_end(void *data, enum ggw_call_end end)
 {
@@ -225,6 +344,9 @@
 
     a->ended = true;
     release(a, result);
+    if (deliver_kept(a, result)) {
+        return;
+    }
     if (won && end == GGW_CALL_WHOLE && r->x != NULL) {
         ggw_attempt_pump(a); /* frees the attempt after the last byte */
         return;
@@ -270,7 +392,7 @@
 static ggw_ms
 patience(const struct ggw_request *r, ggw_ms left)
 {
-    const struct ggw_latency *l = &r->target->latency;
+    const struct ggw_latency *l = &r->metrics->usual;
     ggw_ms usual = MAX(SILENT_P95 * l->p95, SILENT_MIN_MS);
 
     if (r->kind->idempotency != GGW_IDEMPOTENT) {
@@ -279,9 +401,23 @@
     return l->p95 > 0 ? MIN(usual, left / 2) : left / 2;
 }
 
+static void
+put_deadline(const struct ggw_request *r, GString *head)
+{
+    const struct ggw_dialect *dialect = r->proxy->options.dialect;
+    ggw_ms now = ggw_kernel_now(r->proxy->base.kernel);
+
+    g_string_append_printf(head, "%s: %.0f\r\n", dialect->deadline,
+                           dialect->deadline_relative
+                               ? MAX(floor(r->retry.deadline - now), 1)
+                               : r->wall_deadline);
+}
+
 static GString *
-build_head(const struct ggw_request *r, const char *id, bool fresh)
+build_head(const struct ggw_request *r, const char *id, const char *server,
+           bool fresh)
 {
+    const struct ggw_dialect *dialect = r->proxy->options.dialect;
     GString *head = g_string_sized_new(256 + r->headers->len);
 
     g_string_append(head, r->method);
@@ -289,12 +425,21 @@
     g_string_append(head, r->path);
     g_string_append(head, " HTTP/1.1\r\n");
     g_string_append_len(head, r->headers->str, (gssize)r->headers->len);
-    g_string_append_printf(head,
-                           "greengageway-deadline: %.0f\r\n"
-                           "greengageway-attempt: %d\r\n"
-                           "greengageway-request: %s\r\n%s\r\n",
-                           r->wall_deadline, ggw_retry_header(&r->retry), id,
-                           fresh ? "connection: close\r\n" : "");
+    put_deadline(r, head);
+    if (!dialect->id_from_client) {
+        g_string_append_printf(head, "%s: %s\r\n", dialect->attempt_id, id);
+    }
+    if (dialect->retry_count != NULL) {
+        g_string_append_printf(head, "%s: %d\r\n", dialect->retry_count,
+                               ggw_retry_header(&r->retry));
+    }
+    if (dialect->server_id != NULL) {
+        g_string_append_printf(head, "%s: %s\r\n", dialect->server_id, server);
+    }
+    if (fresh) {
+        g_string_append(head, "connection: close\r\n");
+    }
+    g_string_append(head, "\r\n");
     return head;
 }
 
@@ -309,9 +454,12 @@
      * An order cannot be repeated after a stale connection broke, so it does
      * not use one that was idle.
      */
-    bool fresh = r->kind->idempotency == GGW_AT_MOST_ONCE;
+    bool fresh = r->kind->idempotency != GGW_IDEMPOTENT;
+    const struct ggw_dialect *dialect = proxy->options.dialect;
     struct ggw_call_spec spec = {
         .body = r->body,
+        .id_name = dialect->attempt_id,
+        .id_required = dialect->id_from_client,
         .is_head = strcmp(r->method, "HEAD") == 0,
         .fresh = fresh,
         .progress_timeout = proxy->options.progress_timeout,
@@ -320,9 +468,12 @@
     a->request = r;
     a->grant = grant->grant;
     a->vm = g_strdup(grant->vm);
-    a->id = g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%d", proxy->options.name,
-                            r->id, r->retry.attempts);
-    a->head = build_head(r, a->id, fresh);
+    a->id =
+        r->client_id != NULL
+            ? g_strdup(r->client_id)
+            : g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%d",
+                              proxy->options.name, r->id, r->retry.attempts);
+    a->head = build_head(r, a->id, grant->vm, fresh);
     r->attempts[hedge ? 1 : 0] = a;
     r->retry.attempts++;
     g_ptr_array_insert(r->tried, (int)r->tried->len - 1, g_strdup(grant->vm));
--- /dev/null
+++ b/proxy/dialect.c
@@ -0,0 +1,28 @@
+#include "proxy/dialect.h"
+
+#include "proxy/headers.h"
+
+static const char *const replaced[] = {
+    "greengageway-",
+    "backend-load",
+    "backend-outcome",
+    NULL,
+};
+
+static bool
+not_run(int status, const h2o_header_t *headers, size_t len)
+{
+    return (status == 503 || status == 504) &&
+           ggw_headers_not_run(headers, len);
+}
+
+const struct ggw_dialect ggw_own_dialect = {
+    .name = "greengageway",
+    .attempt_id = "greengageway-request",
+    .deadline = "greengageway-deadline",
+    .retry_count = "greengageway-attempt",
+    .replaced = replaced,
+    .not_run = not_run,
+    .load = ggw_headers_load,
+    .probe_load = ggw_headers_load,
+};
--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -20,21 +20,15 @@
     "http2-settings",
 };
 
-/* Headers that the gateway and the backend servers exchange. */
-static const char *const own_prefixes[] = {
-    "greengageway-",
-    "backend-load",
-    "backend-outcome",
-};
-
 static bool
-is_own(const h2o_iovec_t *name)
+is_replaced(const struct ggw_dialect *dialect, const h2o_iovec_t *name)
 {
-    for (size_t i = 0; i < G_N_ELEMENTS(own_prefixes); i++) {
-        size_t len = strlen(own_prefixes[i]);
+    for (const char *const *prefix = dialect->replaced; *prefix != NULL;
+         prefix++) {
+        size_t len = strlen(*prefix);
 
         if (name->len >= len &&
-            g_ascii_strncasecmp(name->base, own_prefixes[i], len) == 0) {
+            g_ascii_strncasecmp(name->base, *prefix, len) == 0) {
             return true;
         }
     }
@@ -75,9 +69,11 @@
 }
 
 static bool
-may_pass(const h2o_header_t *headers, size_t len, size_t i)
+may_pass(const struct ggw_dialect *dialect, const h2o_header_t *headers,
+         size_t len, size_t i)
 {
-    return !is_hop_by_hop(headers[i].name) && !is_own(headers[i].name) &&
+    return !is_hop_by_hop(headers[i].name) &&
+           !is_replaced(dialect, headers[i].name) &&
            !named_by_connection(headers, len, headers[i].name);
 }
 
@@ -106,7 +102,7 @@
 }
 
 GString *
-ggw_headers_forward(const h2o_req_t *req)
+ggw_headers_forward(const h2o_req_t *req, const struct ggw_dialect *dialect)
 {
     GString *out = g_string_sized_new(512);
 
@@ -117,7 +113,7 @@
     for (size_t i = 0; i < req->headers.size; i++) {
         const h2o_header_t *h = &req->headers.entries[i];
 
-        if (!may_pass(req->headers.entries, req->headers.size, i)) {
+        if (!may_pass(dialect, req->headers.entries, req->headers.size, i)) {
             continue;
         }
         g_string_append_len(out, h->name->base, (gssize)h->name->len);
@@ -133,13 +129,15 @@
 }
 
 void
-ggw_headers_back(h2o_req_t *req, const h2o_header_t *headers, size_t len)
+ggw_headers_back(h2o_req_t *req, const struct ggw_dialect *dialect,
+                 const h2o_header_t *headers, size_t len)
 {
     for (size_t i = 0; i < len; i++) {
         h2o_iovec_t name, value;
 
         /* h2o writes its own Date and Server. */
-        if (!may_pass(headers, len, i) || name_is(headers[i].name, "date") ||
+        if (!may_pass(dialect, headers, len, i) ||
+            name_is(headers[i].name, "date") ||
             name_is(headers[i].name, "server")) {
             continue;
         }
@@ -164,6 +162,12 @@
     return NULL;
 }
 
+bool
+ggw_headers_has(const h2o_header_t *headers, size_t len, const char *name)
+{
+    return find(headers, len, name) != NULL;
+}
+
 bool
 ggw_headers_not_run(const h2o_header_t *headers, size_t len)
 {
--- a/proxy/headers.h
+++ b/proxy/headers.h
@@ -5,6 +5,7 @@
 #include <h2o.h>
 #include <stdbool.h>
 
+#include "proxy/dialect.h"
 #include "slots/slots.h"
 
 /* Translation of headers between the client and the backend server. */
@@ -27,16 +28,25 @@
 /**
  * ggw_headers_forward() - headers of a request for the backend server
  *
- * Left out are the headers of this hop and those that the gateway sets.
+ * Left out are the headers of this hop and those that the dialect replaces.
  *
  * Return: text of lines, with Host and Content-Length.
  */
-GString *ggw_headers_forward(const h2o_req_t *req);
+GString *ggw_headers_forward(const h2o_req_t *req,
+                             const struct ggw_dialect *dialect);
 
 /**
  * ggw_headers_back() - copy the headers of a response to the client
  */
-void ggw_headers_back(h2o_req_t *req, const h2o_header_t *headers, size_t len);
+void ggw_headers_back(h2o_req_t *req, const struct ggw_dialect *dialect,
+                      const h2o_header_t *headers, size_t len);
+
+/**
+ * ggw_headers_has() - whether a response has a header
+ * @name: in lower case
+ */
+bool ggw_headers_has(const h2o_header_t *headers, size_t len,
+                     const char *name);
 
 /**
  * ggw_headers_not_run() - whether a response says "Backend-Outcome: not-run"
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -38,7 +38,8 @@
 {
     struct probe *p = data;
 
-    p->report = ggw_headers_load(head->headers, head->headers_len);
+    p->report = p->proxy->options.dialect->probe_load(head->headers,
+                                                      head->headers_len);
 }
 
 static void
@@ -99,7 +100,8 @@
         probe_free(p);
         return;
     }
-    p->head = g_strdup_printf("GET /-/load HTTP/1.1\r\nhost: %s:%u\r\n\r\n",
+    p->head = g_strdup_printf("GET %s HTTP/1.1\r\nhost: %s:%u\r\n\r\n",
+                              probe->path != NULL ? probe->path : "/-/load",
                               probe->host, (unsigned)probe->port);
     spec.head = h2o_iovec_init(p->head, strlen(p->head));
     p->call = ggw_call_new(pool, &spec, &call_ops, p);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -46,13 +46,14 @@
         .host = p->options.listen_host,
         .port = p->options.listen_port,
         .head_timeout = p->options.head_timeout,
+        .half_close_leaves = p->options.half_close_leaves,
         .request = on_request,
         .data = p,
     };
 
     signal(SIGPIPE, SIG_IGN); /* raised by writes to a closed connection */
     p->listener = ggw_listener_new(loop, &options);
-    p->pools = ggw_pools_new(loop, ggw_listener_receiver(p->listener));
+    p->pools = ggw_pools_new(loop);
     uv_timer_init(loop, &p->shutdown_timer);
     p->shutdown_timer.data = p;
     p->started = true;
@@ -147,10 +148,11 @@
         return;
     }
     ggw_log_info(PART, "leaves, serves for another %.0f ms",
-                 p->options.keep + LEAVE_EXTRA_MS);
+                 p->options.leave_wait);
     p->leaving = true;
+    ggw_listener_leave(p->listener);
     uv_timer_start(&p->shutdown_timer, leave_cb,
-                   (uint64_t)ceil(p->options.keep + LEAVE_EXTRA_MS), 0);
+                   (uint64_t)ceil(p->options.leave_wait), 0);
 }
 
 static void
@@ -220,6 +222,15 @@
     g_free(t);
 }
 
+static void
+route_free(void *data)
+{
+    struct ggw_proxy_route *route = data;
+
+    g_free(route->sent);
+    g_free(route);
+}
+
 static void
 kind_free(void *data)
 {
@@ -244,6 +255,7 @@
     ggw_pools_destroy(p->pools);
     g_hash_table_destroy(p->teams);
     g_hash_table_destroy(p->targets);
+    g_hash_table_destroy(p->routes);
     g_hash_table_destroy(p->slot_waits);
     g_hash_table_destroy(p->claim_waits);
     g_hash_table_destroy(p->probes);
@@ -286,6 +298,14 @@
     if (p->options.progress_timeout <= 0) {
         p->options.progress_timeout = PROGRESS_TIMEOUT_MS;
     }
+    if (p->options.leave_wait <= 0) {
+        p->options.leave_wait = p->options.keep + LEAVE_EXTRA_MS;
+    }
+    if (p->options.dialect == NULL) {
+        p->options.dialect = &ggw_own_dialect;
+    }
+    p->routes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_free);
     p->teams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                      (GDestroyNotify)ggw_tree_unref);
     p->targets =
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -1,9 +1,11 @@
 #ifndef GGW_PROXY_PROXY_H
 #define GGW_PROXY_PROXY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "kernel/kernel.h"
+#include "proxy/dialect.h"
 
 /*
  * Service "proxy": takes the clients' requests and forwards each to the
@@ -24,6 +26,10 @@
  * @head_timeout: longest time for a request's head; 0 for 10 s
  * @ready_after: time from the start until the gateway reports ready
  * @progress_timeout: longest gap in a response's body; 0 for 5 s
+ * @leave_wait: time from the start of leaving until the listener is closed;
+ *              0 for a little more than @keep
+ * @dialect: NULL for the project's own
+ * @half_close_leaves: a client that closes its sending side has left
  *
  * All times in ms. Strings are copied.
  */
@@ -40,6 +46,9 @@
     ggw_ms head_timeout;
     ggw_ms ready_after;
     ggw_ms progress_timeout;
+    ggw_ms leave_wait;
+    const struct ggw_dialect *dialect;
+    bool half_close_leaves;
 };
 
 struct ggw_service *
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -11,6 +11,9 @@
 /* Suggested to a client whose attempts were all shed. */
 #define SHED_RETRY_MS 1000
 
+/* Part of the spare repeats that is for retries; the rest is for hedges. */
+#define RETRY_PART 0.3
+
 static void
 handle_closed(uv_handle_t *handle)
 {
@@ -25,6 +28,7 @@
     g_free(r->method);
     g_free(r->path);
     g_free(r->order);
+    g_free(r->client_id);
     g_free(r->body.base);
     if (r->headers != NULL) {
         g_string_free(r->headers, TRUE);
@@ -88,6 +92,21 @@
                       ggw_kernel_now(r->proxy->base.kernel) - r->received);
 }
 
+/* Clients wait for at most this part of the time that they have left. */
+#define RETRY_AFTER_PART 3
+
+static ggw_ms
+bound_retry_after(const struct ggw_request *r, ggw_ms retry_after)
+{
+    ggw_ms now = ggw_kernel_now(r->proxy->base.kernel);
+
+    if (r->client_deadline == 0) {
+        return retry_after;
+    }
+    return MAX(MIN(retry_after, (r->client_deadline - now) / RETRY_AFTER_PART),
+               0);
+}
+
 static void
 respond(struct ggw_request *r, int status, const char *reason,
         enum ggw_outcome outcome, ggw_ms retry_after)
@@ -100,7 +119,8 @@
     if (x != NULL) {
         ggw_exchange_attach(x, NULL, NULL);
         r->x = NULL;
-        ggw_exchange_refuse(x, status, reason, outcome, retry_after);
+        ggw_exchange_refuse(x, status, reason, outcome,
+                            bound_retry_after(r, retry_after));
     }
 }
 
@@ -169,6 +189,7 @@
         r->tree->team, r->rule->name, r->kind->priority, r->retry.deadline,
         r->tried->len > 1 ? (char **)r->tried->pdata : NULL);
 
+    ((struct ggw_slot_request *)m)->far_cost = ggw_request_far_cost(r);
     r->slot_tag = ++proxy->next_id;
     r->slot_asked = ggw_kernel_now(proxy->base.kernel);
     m->tag = r->slot_tag;
@@ -186,7 +207,7 @@
     if (first == NULL || first->has_head || r->attempts[1] != NULL ||
         r->slot_tag != 0 ||
         ggw_hedge_decide(&r->target->hedges, &r->retry,
-                         ggw_call_latency(first->call), &r->target->latency,
+                         ggw_call_latency(first->call), &r->metrics->usual,
                          now) != GGW_RETRY) {
         return;
     }
@@ -213,11 +234,14 @@
         }
         return;
     }
+    if (r->retry.attempts == 0 && r->target_at > now) {
+        r->retry.target_in = r->target_at - now;
+    }
     ggw_attempt_start(r, grant);
     if (r->attempts[0] == NULL || r->attempts[1] != NULL) {
         return;
     }
-    delay = ggw_hedge_delay(&r->retry, &r->target->latency);
+    delay = ggw_hedge_delay(&r->retry, &r->metrics->usual);
     if (isfinite(delay)) {
         /* The timer counts whole ms and must not fire early. */
         uv_timer_start(&r->hedge_timer, hedge_cb, (uint64_t)ceil(delay) + 1,
@@ -273,7 +297,7 @@
     verdict = r->retry_granted
                   ? GGW_RETRY
                   : ggw_retry_decide(&r->target->retries, &r->retry, result,
-                                     outcome, &r->target->latency, now);
+                                     outcome, &r->metrics->usual, now);
     r->retry_granted = false;
     if (verdict == GGW_RETRY) {
         ggw_count("ggw_retries_total");
@@ -283,6 +307,28 @@
     finish(r, 503, "shed", SHED_RETRY_MS);
 }
 
+/*
+ * A server answered with an error. Returns whether another attempt runs, or
+ * may run, whose response can replace it.
+ */
+bool
+ggw_request_retry_error(struct ggw_request *r)
+{
+    if (r->kind->retry_errors == 0 || r->x == NULL ||
+        r->kind->idempotency != GGW_IDEMPOTENT) {
+        return false;
+    }
+    if (r->slot_tag != 0 ||
+        (r->attempts[0] != NULL && r->attempts[1] != NULL)) {
+        return true;
+    }
+    r->retry_granted =
+        ggw_retry_decide(&r->target->retries, &r->retry, GGW_ATTEMPT_BROKEN,
+                         GGW_UNKNOWN, &r->metrics->usual,
+                         ggw_kernel_now(r->proxy->base.kernel)) == GGW_RETRY;
+    return r->retry_granted;
+}
+
 /*
  * A server has not responded for a while. Returns whether to give it up,
  * which is done only if another one may be tried.
@@ -295,7 +341,7 @@
     }
     r->retry_granted =
         ggw_retry_decide(&r->target->retries, &r->retry, GGW_ATTEMPT_SILENT,
-                         GGW_UNKNOWN, &r->target->latency,
+                         GGW_UNKNOWN, &r->metrics->usual,
                          ggw_kernel_now(r->proxy->base.kernel)) == GGW_RETRY;
     return r->retry_granted;
 }
@@ -384,7 +430,7 @@
 
     r->x = NULL;
     ggw_count("ggw_clients_left_total");
-    if (r->kind->idempotency == GGW_AT_MOST_ONCE) {
+    if (r->kind->idempotency != GGW_IDEMPOTENT) {
         if (r->attempts[0] != NULL && !r->attempts[0]->ended) {
             ggw_attempt_pump(r->attempts[0]);
             return;
@@ -419,12 +465,21 @@
     .gone = on_gone,
 };
 
+/* Gateways that share a budget; those that died may still be counted. */
+static int
+gateways(const struct ggw_proxy *proxy)
+{
+    return proxy->members != NULL ? MAX((int)proxy->members->members->len, 1)
+                                  : 1;
+}
+
 static struct ggw_proxy_target *
 target_of(struct ggw_proxy *proxy, const struct ggw_tree *tree,
           const struct ggw_service_rule *rule, ggw_ms now)
 {
     g_autofree char *key = g_strdup_printf("%s/%s", tree->team, rule->name);
     struct ggw_proxy_target *t = g_hash_table_lookup(proxy->targets, key);
+    double spare;
 
     if (t == NULL) {
         t = g_new0(struct ggw_proxy_target, 1);
@@ -435,6 +490,9 @@
     }
     ggw_budget_set_percent(&t->retries, rule->retry_percent);
     ggw_budget_set_percent(&t->hedges, rule->hedge_percent);
+    spare = (double)rule->spare_retries / gateways(proxy);
+    ggw_budget_set_spare(&t->retries, RETRY_PART * spare);
+    ggw_budget_set_spare(&t->hedges, (1 - RETRY_PART) * spare);
     return t;
 }
 
@@ -508,9 +566,9 @@
     return true;
 }
 
-static void
-refuse(struct ggw_exchange *x, int status, const char *reason,
-       ggw_ms retry_after)
+void
+ggw_request_refuse(struct ggw_exchange *x, int status, const char *reason,
+                   ggw_ms retry_after)
 {
     g_autofree char *name = g_strdup_printf(
         "ggw_requests_total{outcome=\"not-run\",reason=\"%s\"}", reason);
@@ -519,12 +577,14 @@
     ggw_exchange_refuse(x, status, reason, GGW_NOT_RUN, retry_after);
 }
 
-static struct ggw_request *
-request_new(struct ggw_proxy *proxy, struct ggw_exchange *x,
-            const struct found *f, const struct ggw_route *route, ggw_ms now)
+struct ggw_request *
+ggw_request_new(struct ggw_proxy *proxy, struct ggw_exchange *x,
+                struct ggw_tree *tree, const struct ggw_service_rule *rule,
+                const struct ggw_kind *kind, const char *path)
 {
     struct ggw_request *r = g_new0(struct ggw_request, 1);
     const h2o_req_t *req = x->req;
+    ggw_ms now = ggw_kernel_now(proxy->base.kernel);
 
     proxy->requests++;
     g_hash_table_add(proxy->live, r);
@@ -532,14 +592,14 @@
     r->x = x;
     r->id = ++proxy->next_id;
     r->received = now;
-    r->tree = ggw_tree_ref(f->tree);
-    r->rule = f->rule;
-    r->kind = f->kind;
-    r->target = target_of(proxy, f->tree, f->rule, now);
-    r->metrics = kind_of(r->target, f->tree, f->rule, f->kind);
+    r->tree = ggw_tree_ref(tree);
+    r->rule = rule;
+    r->kind = kind;
+    r->target = target_of(proxy, tree, rule, now);
+    r->metrics = kind_of(r->target, tree, rule, kind);
     r->method = g_strndup(req->input.method.base, req->input.method.len);
-    r->path = g_strdup(route->forward);
-    r->headers = ggw_headers_forward(req);
+    r->path = g_strdup(path);
+    r->headers = ggw_headers_forward(req, proxy->options.dialect);
     if (req->entity.len > 0) {
         /* Outlives the client's connection if that breaks. */
         r->body.base = g_memdup2(req->entity.base, req->entity.len);
@@ -551,8 +611,9 @@
     uv_timer_init(ggw_kernel_loop(proxy->base.kernel), &r->hedge_timer);
     r->timer.data = r;
     r->hedge_timer.data = r;
-    r->retry.idempotency = f->kind->idempotency;
-    r->retry.max_attempts = f->kind->attempts;
+    r->retry.idempotency = kind->idempotency;
+    r->retry.max_attempts = kind->attempts;
+    r->target_at = kind->target > 0 ? now + kind->target : 0;
     ggw_exchange_attach(x, &exchange_ops, r);
     return r;
 }
@@ -570,6 +631,24 @@
     ggw_kernel_send(proxy->base.kernel, "claims", &proxy->base, m);
 }
 
+/* Starts the work on a request that ends at @deadline, monotonic ms. */
+void
+ggw_request_start(struct ggw_request *r, ggw_ms deadline)
+{
+    ggw_ms now = ggw_kernel_now(r->proxy->base.kernel);
+
+    r->retry.deadline = deadline;
+    ggw_budget_call(&r->target->retries, r->retry.above, now);
+    ggw_budget_call(&r->target->hedges, r->retry.above, now);
+    uv_timer_start(&r->timer, deadline_cb, (uint64_t)ceil(deadline - now), 0);
+    if (r->order != NULL) {
+        claim(r);
+    }
+    else {
+        ask_slot(r);
+    }
+}
+
 static void
 begin(struct ggw_proxy *proxy, struct ggw_exchange *x,
       const struct ggw_route *route)
@@ -586,18 +665,19 @@
     struct ggw_request *r;
 
     if (reason != NULL) {
-        refuse(x, strcmp(reason, "no-route") == 0 ? 404 : 503, reason, 0);
+        ggw_request_refuse(x, strcmp(reason, "no-route") == 0 ? 404 : 503,
+                           reason, 0);
         return;
     }
     deadline = wall + f.kind->timeout;
     if (!number_header(req, "greengageway-deadline", 1e15, &deadline) ||
         !number_header(req, "greengageway-attempt", 1e6, &above)) {
-        refuse(x, 400, "bad-request", 0);
+        ggw_request_refuse(x, 400, "bad-request", 0);
         return;
     }
     deadline = MIN(deadline, wall + f.kind->timeout);
     if (deadline <= wall) {
-        refuse(x, 503, "too-late", SHED_RETRY_MS);
+        ggw_request_refuse(x, 503, "too-late", SHED_RETRY_MS);
         return;
     }
     if (f.kind->idempotency == GGW_AT_MOST_ONCE) {
@@ -608,33 +688,31 @@
 
         order = ggw_route_order(f.kind, route, header);
         if (order == NULL) {
-            refuse(x, 400, "no-order", 0);
+            ggw_request_refuse(x, 400, "no-order", 0);
             return;
         }
     }
-    r = request_new(proxy, x, &f, route, now);
+    r = ggw_request_new(proxy, x, f.tree, f.rule, f.kind, route->forward);
     r->order = g_steal_pointer(&order);
     r->wall_deadline = floor(deadline);
     r->retry.above = (int)above;
-    r->retry.deadline = now + (deadline - wall);
-    ggw_budget_call(&r->target->retries, r->retry.above, now);
-    ggw_budget_call(&r->target->hedges, r->retry.above, now);
-    uv_timer_start(&r->timer, deadline_cb,
-                   (uint64_t)ceil(r->retry.deadline - now), 0);
-    if (r->order != NULL) {
-        claim(r);
-    }
-    else {
-        ask_slot(r);
-    }
+    ggw_request_start(r, now + (deadline - wall));
 }
 
 void
 ggw_request_begin(struct ggw_proxy *proxy, struct ggw_exchange *x)
 {
     const h2o_iovec_t *path = &x->req->input.path;
+    const struct ggw_route_rule *rule;
+    struct ggw_tree *tree;
     struct ggw_route route;
 
+    x->retry_after_decimals = proxy->options.dialect->retry_after_decimals;
+    rule = ggw_request_find_route(proxy, x->req, &tree);
+    if (rule != NULL) {
+        ggw_request_route(proxy, x, tree, rule);
+        return;
+    }
     if (path->len >= 3 && memcmp(path->base, "/-/", 3) == 0) {
         ggw_proxy_page(proxy, x);
         return;
@@ -643,7 +721,7 @@
         begin(proxy, x, &route);
     }
     else {
-        refuse(x, 400, "bad-request", 0);
+        ggw_request_refuse(x, 400, "bad-request", 0);
     }
     ggw_route_clear(&route);
 }
--- /dev/null
+++ b/proxy/routed.c
@@ -0,0 +1,145 @@
+#include <math.h>
+#include <string.h>
+
+#include "decide/split.h"
+#include "proxy/headers.h"
+#include "proxy/state.h"
+
+/* Requests that are found by host and path, instead of /TEAM/SERVICE. */
+
+/*
+ * A server in another failure domain costs a part of the usual time of work,
+ * and more for a response of many bytes.
+ */
+#define FAR_COST 0.1
+#define FAR_COST_BYTES 20000.0
+
+/* Weight of one response in the usual size. */
+#define SIZE_WEIGHT 0.1
+
+/* Suggested to a client when its service has no server. */
+#define NO_SERVER_RETRY_MS 500
+
+const struct ggw_route_rule *
+ggw_request_find_route(struct ggw_proxy *proxy, const h2o_req_t *req,
+                       struct ggw_tree **tree)
+{
+    const h2o_iovec_t *path = &req->input.path;
+    const char *query = memchr(path->base, '?', path->len);
+    size_t len = query != NULL ? (size_t)(query - path->base) : path->len;
+    g_autofree char *plain = g_strndup(path->base, len);
+    g_autofree char *host =
+        g_strndup(req->input.authority.base, req->input.authority.len);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, proxy->teams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct ggw_route_rule *route =
+            ggw_tree_route(value, host, plain);
+
+        if (route != NULL) {
+            *tree = value;
+            return route;
+        }
+    }
+    return NULL;
+}
+
+static struct ggw_proxy_route *
+state_of(struct ggw_proxy *proxy, const struct ggw_tree *tree,
+         const struct ggw_route_rule *route)
+{
+    struct ggw_proxy_route *state =
+        g_hash_table_lookup(proxy->routes, route->name);
+
+    if (state == NULL) {
+        state = g_new0(struct ggw_proxy_route, 1);
+        g_hash_table_insert(proxy->routes, g_strdup(route->name), state);
+    }
+    if (state->revision != tree->revision) {
+        /* Shares of other weights say nothing about these. */
+        g_free(state->sent);
+        state->sent = g_new0(double, route->split_len);
+        state->sent_len = route->split_len;
+        state->revision = tree->revision;
+    }
+    return state;
+}
+
+double
+ggw_request_far_cost(const struct ggw_request *r)
+{
+    return r->route_state != NULL
+               ? FAR_COST + r->route_state->bytes / FAR_COST_BYTES
+               : 0;
+}
+
+void
+ggw_request_note_size(struct ggw_request *r, size_t bytes)
+{
+    struct ggw_proxy_route *state = r->route_state;
+
+    if (state == NULL) {
+        return;
+    }
+    state->bytes =
+        state->bytes == 0
+            ? (double)bytes
+            : state->bytes + SIZE_WEIGHT * ((double)bytes - state->bytes);
+}
+
+/* Time that the client has left; INFINITY when it did not say. */
+static ggw_ms
+client_time(const struct ggw_proxy *proxy, const h2o_req_t *req)
+{
+    const struct ggw_dialect *dialect = proxy->options.dialect;
+    g_autofree char *text = ggw_headers_find(req, dialect->deadline);
+    char *end;
+    double value;
+
+    if (text == NULL) {
+        return INFINITY;
+    }
+    value = g_ascii_strtod(text, &end);
+    if (end == text || !isfinite(value)) {
+        return INFINITY;
+    }
+    return dialect->deadline_relative
+               ? value
+               : value - ggw_clock_wall(ggw_kernel_clock(proxy->base.kernel));
+}
+
+void
+ggw_request_route(struct ggw_proxy *proxy, struct ggw_exchange *x,
+                  struct ggw_tree *tree, const struct ggw_route_rule *route)
+{
+    const h2o_req_t *req = x->req;
+    const struct ggw_dialect *dialect = proxy->options.dialect;
+    struct ggw_proxy_route *state = state_of(proxy, tree, route);
+    size_t part = ggw_split_pick(route->split, route->split_len, state->sent);
+    const struct ggw_service_rule *rule =
+        ggw_tree_service(tree, route->split[part].service);
+    ggw_ms now = ggw_kernel_now(proxy->base.kernel);
+    ggw_ms left = client_time(proxy, req);
+    g_autofree char *path = NULL;
+    struct ggw_request *r;
+
+    if (rule == NULL) {
+        ggw_request_refuse(x, 503, "no-server", NO_SERVER_RETRY_MS);
+        return;
+    }
+    if (left <= 0) {
+        ggw_request_refuse(x, 503, "too-late", 0);
+        return;
+    }
+    path = g_strndup(req->input.path.base, req->input.path.len);
+    r = ggw_request_new(proxy, x, tree, rule, &route->kind, path);
+    r->route = route;
+    r->route_state = state;
+    r->client_id = dialect->id_from_client
+                       ? ggw_headers_find(req, dialect->attempt_id)
+                       : NULL;
+    r->client_deadline = now + left;
+    ggw_request_start(r, now + MIN(left, route->kind.timeout));
+}
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -19,9 +19,11 @@
 /* State that the files of this folder share. */
 
 /**
- * struct ggw_proxy_kind - metrics of one kind of request
+ * struct ggw_proxy_kind - what is kept for one kind of request
+ * @usual: latency of successful attempts
  */
 struct ggw_proxy_kind {
+    struct ggw_latency usual;
     struct ggw_histogram *latency;
     char *labels; /* team, service, kind */
 };
@@ -29,20 +31,33 @@
 /**
  * struct ggw_proxy_target - what is kept for one service of a team
  * @retries, @hedges: budgets
- * @latency: of successful attempts
  * @kinds: name to struct ggw_proxy_kind
  */
 struct ggw_proxy_target {
     struct ggw_budget retries;
     struct ggw_budget hedges;
-    struct ggw_latency latency;
     GHashTable *kinds;
 };
 
+/**
+ * struct ggw_proxy_route - what is kept for one route
+ * @sent: requests sent to each part of its split
+ * @sent_len: number of parts
+ * @revision: of the settings that @sent belongs to
+ * @bytes: usual size of a response's body
+ */
+struct ggw_proxy_route {
+    double *sent;
+    size_t sent_len;
+    uint64_t revision;
+    double bytes;
+};
+
 /**
  * struct ggw_proxy - the service
  * @teams: team to struct ggw_tree in force
  * @targets: "TEAM/SERVICE" to struct ggw_proxy_target
+ * @routes: name to struct ggw_proxy_route
  * @slot_waits, @claim_waits: tag to struct ggw_request
  * @probes: struct probe in progress
  * @live: set of struct ggw_request not freed yet
@@ -60,6 +75,7 @@
 
     GHashTable *teams;
     GHashTable *targets;
+    GHashTable *routes;
     GHashTable *slot_waits;
     GHashTable *claim_waits;
     GHashTable *probes;
@@ -87,7 +103,9 @@
  * @id: value of Greengageway-Request
  * @head: text of the request's head
  * @shed: the server said that it did not run the request
+ * @forged: a success without the server's signature
  * @has_head: a head has arrived
+ * @answer: a response that is kept until it is whole, or NULL
  */
 struct ggw_attempt {
     struct ggw_request *request;
@@ -101,7 +119,25 @@
     int status;
     bool has_head;
     bool shed;
+    bool forged;
     bool ended;
+    struct ggw_answer *answer;
+};
+
+/**
+ * struct ggw_answer - a response that is kept
+ * @until_close: as in struct ggw_call_head
+ * @reason: reason phrase
+ * @headers: of the response; names and values belong to it
+ */
+struct ggw_answer {
+    int status;
+    bool until_close;
+    char *reason;
+    h2o_header_t *headers;
+    h2o_iovec_t *names;
+    size_t len;
+    GString *body;
 };
 
 /**
@@ -112,7 +148,12 @@
  * @headers: those to forward, as text
  * @order: identifier of an order, or NULL
  * @retry: state for the retry rules
+ * @route: that selected it, or NULL for /TEAM/SERVICE; @tree keeps it alive
+ * @client_id: attempt id that the client chose, or NULL
  * @wall_deadline: Unix ms, forwarded
+ * @target_at: time by which a response has its full value, monotonic ms; 0:
+ * not set
+ * @client_deadline: until when the client waits, monotonic ms
  * @tried: names of servers, a NULL-terminated array
  * @slot_tag, @claim_tag: of the message that an answer is awaited for, or 0
  * @claim: won and not settled, if @claimed
@@ -137,10 +178,15 @@
     GString *headers;
     h2o_iovec_t body;
     char *order;
+    const struct ggw_route_rule *route;
+    struct ggw_proxy_route *route_state;
+    char *client_id;
 
     ggw_ms received;
     ggw_ms slot_asked;
     double wall_deadline;
+    ggw_ms target_at;
+    ggw_ms client_deadline;
     struct ggw_retry_request retry;
     uv_timer_t timer;
     uv_timer_t hedge_timer;
@@ -160,6 +206,13 @@
 
 /* proxy/request.c */
 void ggw_request_begin(struct ggw_proxy *proxy, struct ggw_exchange *x);
+struct ggw_request *
+ggw_request_new(struct ggw_proxy *proxy, struct ggw_exchange *x,
+                struct ggw_tree *tree, const struct ggw_service_rule *rule,
+                const struct ggw_kind *kind, const char *path);
+void ggw_request_start(struct ggw_request *r, ggw_ms deadline);
+void ggw_request_refuse(struct ggw_exchange *x, int status, const char *reason,
+                        ggw_ms retry_after);
 void ggw_request_granted(struct ggw_request *r,
                          const struct ggw_slot_grant *grant);
 void ggw_request_refused(struct ggw_request *r,
@@ -171,6 +224,7 @@
                                 enum ggw_outcome outcome);
 void ggw_request_stop_waiting(struct ggw_request *r);
 bool ggw_request_attempt_slow(struct ggw_request *r);
+bool ggw_request_retry_error(struct ggw_request *r);
 void ggw_request_settle(struct ggw_request *r, enum ggw_claim_end end,
                         int status);
 void ggw_request_count(struct ggw_request *r, enum ggw_outcome outcome,
@@ -178,6 +232,20 @@
 void ggw_request_done(struct ggw_request *r);
 void ggw_requests_abandon(struct ggw_proxy *proxy);
 
+/* proxy/routed.c */
+void ggw_request_route(struct ggw_proxy *proxy, struct ggw_exchange *x,
+                       struct ggw_tree *tree,
+                       const struct ggw_route_rule *route);
+const struct ggw_route_rule *ggw_request_find_route(struct ggw_proxy *proxy,
+                                                    const h2o_req_t *req,
+                                                    struct ggw_tree **tree);
+double ggw_request_far_cost(const struct ggw_request *r);
+void ggw_request_note_size(struct ggw_request *r, size_t bytes);
+
+/* proxy/answer.c */
+struct ggw_answer *ggw_answer_new(const struct ggw_call_head *head);
+void ggw_answer_free(struct ggw_answer *answer);
+
 /* proxy/attempt.c */
 void ggw_attempt_start(struct ggw_request *r,
                        const struct ggw_slot_grant *grant);
--- a/slots/fallback.c
+++ b/slots/fallback.c
@@ -30,7 +30,7 @@
 {
     int gateways = MAX(p->known, 1);
 
-    return (g->rule->slots + gateways - 1) / gateways;
+    return MAX((g->rule->slots + gateways - 1) / gateways, 1);
 }
 
 /*
@@ -52,7 +52,7 @@
         for (guint j = 0; j < g->servers->len; j++) {
             const struct ggw_slots_server *s =
                 g_ptr_array_index(g->servers, j);
-            bool home = strcmp(s->domain->name, p->domain) == 0;
+            bool home = strcmp(s->failure_domain, p->domain) == 0;
             bool usable = ggw_slots_server_open(s) && s->warm && !s->suspect &&
                           (home || pass == 1);
 
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -11,6 +11,7 @@
 
     g_free(s->name);
     g_free(s->host);
+    g_free(s->failure_domain);
     g_free(s);
 }
 
@@ -20,6 +21,7 @@
     struct ggw_slots_domain *d = data;
 
     ggw_ledger_free(d->ledger);
+    g_ptr_array_unref(d->scouts);
     g_clear_pointer(&d->announced, g_bytes_unref);
     g_free(d->name);
     g_free(d->owner);
@@ -65,6 +67,19 @@
     return NULL;
 }
 
+static bool
+is_owned_whole(const struct ggw_slots_group *g)
+{
+    return g->rule != NULL && g->rule->scope == GGW_SCOPE_SERVICE;
+}
+
+struct ggw_slots_domain *
+ggw_slots_home(const struct ggw_slots *p, const struct ggw_slots_group *g)
+{
+    return ggw_slots_find_domain(g, is_owned_whole(g) ? GGW_SLOTS_ALL
+                                                      : p->domain);
+}
+
 /* Reads team, service and failure domain; NULL when they are not known. */
 struct ggw_slots_domain *
 ggw_slots_read_domain(struct ggw_slots *p, struct ggw_payload_reader *r)
@@ -107,11 +122,26 @@
         d = g_new0(struct ggw_slots_domain, 1);
         d->group = g;
         d->name = g_strdup(name);
+        d->scouts = g_ptr_array_new_with_free_func(ggw_slots_scout_free);
         g_ptr_array_add(g->domains, d);
     }
     return d;
 }
 
+static void
+apply_rule(struct ggw_slots *p, struct ggw_slots_group *g)
+{
+    struct ggw_tree *tree = g_hash_table_lookup(p->trees, g->team);
+
+    if (tree == NULL || tree == g->tree) {
+        return;
+    }
+    g_clear_pointer(&g->tree, ggw_tree_unref);
+    g->tree = ggw_tree_ref(tree);
+    g->rule = ggw_tree_service(tree, g->service);
+    g->policy.ops = g->rule != NULL ? ggw_policy_find(g->rule->policy) : NULL;
+}
+
 static struct ggw_slots_group *
 group_of(struct ggw_slots *p, const char *team, const char *service)
 {
@@ -127,6 +157,7 @@
         ggw_probe_budget_init(&g->budget, 0, ggw_slots_now(p));
         g_hash_table_insert(p->groups, g_strdup_printf("%s/%s", team, service),
                             g);
+        apply_rule(p, g);
     }
     return g;
 }
@@ -148,7 +179,16 @@
         s->reported = false;
         s->incarnation = vm->incarnation;
     }
-    s->domain = domain_of(g, vm->failure_domain);
+    if (vm->reports_cold && !s->reports_cold) {
+        s->warm = vm->cold_until <= ggw_slots_now(p);
+    }
+    s->reports_cold = vm->reports_cold;
+    s->cold_until = vm->cold_until;
+    s->slots = vm->slots;
+    g_free(s->failure_domain);
+    s->failure_domain = g_strdup(vm->failure_domain);
+    s->domain =
+        domain_of(g, is_owned_whole(g) ? GGW_SLOTS_ALL : vm->failure_domain);
     g_free(s->host);
     s->host = g_strdup(vm->host);
     s->port = vm->port;
@@ -159,23 +199,16 @@
 static void
 apply_tree(struct ggw_slots *p, struct ggw_slots_group *g)
 {
-    struct ggw_tree *tree = g_hash_table_lookup(p->trees, g->team);
+    struct ggw_tree *tree = g->tree;
 
     if (tree == NULL) {
         return;
     }
-    if (tree != g->tree) {
-        g_clear_pointer(&g->tree, ggw_tree_unref);
-        g->tree = ggw_tree_ref(tree);
-        g->rule = ggw_tree_service(tree, g->service);
-        g->policy.ops =
-            g->rule != NULL ? ggw_policy_find(g->rule->policy) : NULL;
-    }
     for (guint i = 0; i < g->servers->len; i++) {
         struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
 
         s->closed = s->closed || ggw_tree_server_draining(tree, s->name);
-        s->out = ggw_tree_domain_out(tree, s->domain->name);
+        s->out = ggw_tree_domain_out(tree, s->failure_domain);
         if (s->out) {
             s->warm = false; /* cold when it returns */
         }
@@ -195,12 +228,25 @@
         rule.ahead = g->rule->ahead;
         rule.cold_limit = g->rule->cold_limit;
         rule.cold_time = g->rule->cold_time;
+        rule.cold_rate = g->rule->cold_rate;
+        if (g->policy.ops != NULL && g->policy.ops->owned) {
+            ggw_ledger_set_policy(d->ledger, g->policy.ops,
+                                  g->rule->busy_percent);
+        }
     }
     for (guint i = 0; i < g->servers->len; i++) {
         const struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
-        struct ggw_ledger_server info = {s->name, s->incarnation,
-                                         s->closed || g->rule == NULL, s->out,
-                                         s->warm && !s->suspect};
+        struct ggw_ledger_server info = {
+            .name = s->name,
+            .incarnation = s->incarnation,
+            .closed = s->closed || g->rule == NULL,
+            .out = s->out,
+            .warm = s->warm && !s->suspect,
+            .failure_domain = s->failure_domain,
+            .slots = s->slots,
+            .reports_cold = s->reports_cold,
+            .cold_until = s->cold_until,
+        };
 
         if (s->domain == d) {
             g_array_append_val(servers, info);
@@ -257,6 +303,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct ggw_slots_group *g = value;
 
+        apply_rule(p, g);
         for (guint i = 0; i < g->servers->len; i++) {
             struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
 
--- a/slots/held.c
+++ b/slots/held.c
@@ -42,7 +42,7 @@
               enum ggw_attempt_result result, ggw_ms latency,
               const struct ggw_load_report *report)
 {
-    ggw_payload_begin(w, 13);
+    ggw_payload_begin(w, 16);
     ggw_payload_put_string(w, g->team);
     ggw_payload_put_string(w, g->service);
     ggw_payload_put_string(w, domain);
@@ -56,6 +56,9 @@
     ggw_payload_put_bool(w, report->cold);
     ggw_payload_put_bool(w, report->draining);
     ggw_payload_put_uint(w, report->incarnation);
+    ggw_payload_put_uint(w, (uint64_t)MAX(report->slow_percent, 0));
+    ggw_payload_put_double(w, report->cold_left);
+    ggw_payload_put_bool(w, report->cold_unknown);
 }
 
 void
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -18,6 +18,9 @@
 /* Reason in SLOT_REFUSE besides enum ggw_slot_refusal: ask the owner. */
 #define GGW_SLOTS_NOT_OWNER 100
 
+/* Name of the domain that has all servers of a service. */
+#define GGW_SLOTS_ALL "*"
+
 /* A request that waits in this gateway looks for a slot this often. */
 #define GGW_SLOTS_RETRY 10.0
 
@@ -46,10 +49,17 @@
     ggw_ms reported_at;
     ggw_ms probed_at;
     bool probing;
+    char *failure_domain;
+    int slots;
+    bool reports_cold;
+    ggw_ms cold_until;
 };
 
 /**
- * struct ggw_slots_domain - a service in one failure domain
+ * struct ggw_slots_domain - the servers of a service whose slots one owner
+ *                           counts: those of a failure domain, or all
+ * @name: of the failure domain, or GGW_SLOTS_ALL
+ * @scouts: requests that wait for load reports, see slots/scout.c
  * @owner: name of the gateway that grants its slots; NULL for none
  * @ledger: not NULL while this gateway is the owner
  * @free: slots that the owner announced
@@ -68,6 +78,7 @@
     bool exhausted;
     ggw_ms free_at;
     GBytes *announced;
+    GPtrArray *scouts;
 };
 
 /**
@@ -200,6 +211,8 @@
                                                const char *name);
 struct ggw_slots_domain *ggw_slots_find_domain(const struct ggw_slots_group *g,
                                                const char *name);
+struct ggw_slots_domain *ggw_slots_home(const struct ggw_slots *p,
+                                        const struct ggw_slots_group *g);
 bool ggw_slots_domain_open(const struct ggw_slots_domain *d);
 bool ggw_slots_server_open(const struct ggw_slots_server *s);
 void ggw_slots_configure_ledger(struct ggw_slots *p,
@@ -215,6 +228,27 @@
 void ggw_slots_probe_result(struct ggw_slots *p,
                             const struct ggw_probe_result *m);
 
+void ggw_slots_probe(struct ggw_slots *p, struct ggw_slots_server *s,
+                     ggw_ms now);
+
+/* slots/scout.c */
+
+/**
+ * ggw_slots_owner_ask() - ask the ledger, after fresh load reports if the
+ *                         service has them
+ *
+ * The caller drains the domain afterwards.
+ */
+void ggw_slots_owner_ask(struct ggw_slots *p, struct ggw_slots_domain *d,
+                         const struct ggw_ledger_ask *ask);
+bool ggw_slots_scout_cancel(struct ggw_slots_domain *d, const char *holder,
+                            uint64_t id);
+void ggw_slots_scout_result(struct ggw_slots *p, struct ggw_slots_domain *d,
+                            const char *server);
+ggw_ms ggw_slots_scouts_tick(struct ggw_slots *p, struct ggw_slots_domain *d,
+                             ggw_ms now);
+void ggw_slots_scout_free(gpointer scout);
+
 /* slots/handover.c */
 void ggw_slots_request_sync(struct ggw_slots *p, struct ggw_slots_domain *d,
                             const char *peer);
--- a/slots/messages.c
+++ b/slots/messages.c
@@ -128,6 +128,7 @@
 
     g_free(m->vm);
     g_free(m->host);
+    g_free(m->path);
     g_free(m);
 }
 
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -97,6 +97,7 @@
         g_free(decision.holder);
         g_free(decision.server);
     }
+    g_ptr_array_set_size(d->scouts, 0); /* they ask the new owner in time */
     g_clear_pointer(&d->ledger, ggw_ledger_free);
 }
 
@@ -199,6 +200,20 @@
     return value < (uint64_t)max ? (int)value : max;
 }
 
+static const char *
+domain_of_member(const struct ggw_slots *p, const char *name)
+{
+    for (guint i = 0; i < p->members->len; i++) {
+        const struct ggw_member *m =
+            &g_array_index(p->members, struct ggw_member, i);
+
+        if (strcmp(m->name, name) == 0) {
+            return m->failure_domain;
+        }
+    }
+    return NULL;
+}
+
 static void
 on_acquire(struct ggw_slots *p, const struct ggw_peer_received *frame,
            struct ggw_payload_reader *r)
@@ -217,6 +232,7 @@
     for (uint32_t i = 0; i < n && list.ok; i++) {
         g_ptr_array_add(avoid, (gpointer)ggw_payload_string(&list));
     }
+    ask.far_cost = ggw_payload_double(r);
     if (!r->ok) {
         ggw_count("ggw_slots_frames_malformed_total");
         return;
@@ -229,7 +245,8 @@
     }
     g_ptr_array_add(avoid, NULL);
     ask.avoid = n > 0 ? (char *const *)avoid->pdata : NULL;
-    ggw_ledger_ask(d->ledger, &ask, ggw_slots_now(p));
+    ask.failure_domain = domain_of_member(p, frame->peer);
+    ggw_slots_owner_ask(p, d, &ask);
     ggw_slots_drain(p, d);
 }
 
@@ -251,6 +268,9 @@
     report.cold = ggw_payload_bool(r);
     report.draining = ggw_payload_bool(r);
     report.incarnation = ggw_payload_uint(r);
+    report.slow_percent = read_int(r, INT16_MAX);
+    report.cold_left = ggw_payload_double(r);
+    report.cold_unknown = ggw_payload_bool(r);
     if (!r->ok || result > GGW_ATTEMPT_UNUSED || latency < 0) {
         ggw_count("ggw_slots_frames_malformed_total");
         return;
@@ -274,7 +294,8 @@
 {
     struct ggw_slots_domain *d = ggw_slots_read_domain(p, r);
 
-    if (r->ok && d != NULL && d->ledger != NULL) {
+    if (r->ok && d != NULL && d->ledger != NULL &&
+        !ggw_slots_scout_cancel(d, frame->peer, frame->request_id)) {
         ggw_ledger_cancel(d->ledger, frame->peer, frame->request_id,
                           ggw_slots_now(p));
         ggw_slots_drain(p, d);
@@ -312,6 +333,8 @@
     struct ggw_payload_writer w;
     g_autoptr(GPtrArray) warm = g_ptr_array_new();
     GBytes *payload;
+    bool whole = strcmp(d->name, GGW_SLOTS_ALL) == 0;
+    int free = whole ? 0 : ggw_ledger_free_slots(d->ledger, now);
 
     for (guint i = 0; i < g->servers->len; i++) {
         struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
@@ -334,7 +357,7 @@
     ggw_payload_put_string(&w, g->team);
     ggw_payload_put_string(&w, g->service);
     ggw_payload_put_string(&w, d->name);
-    ggw_payload_put_uint(&w, (uint64_t)ggw_ledger_free_slots(d->ledger, now));
+    ggw_payload_put_uint(&w, (uint64_t)free); /* for spill from elsewhere */
     ggw_payload_put_array(&w, warm->len);
     for (guint i = 0; i < warm->len; i++) {
         ggw_payload_put_string(&w, g_ptr_array_index(warm, i));
@@ -350,13 +373,17 @@
                     ggw_peer_send_new(NULL, GGW_PEER_SLOT_LOAD, 0, payload));
 }
 
-static void
-send_probe(struct ggw_slots *p, struct ggw_slots_server *s, ggw_ms now)
+void
+ggw_slots_probe(struct ggw_slots *p, struct ggw_slots_server *s, ggw_ms now)
 {
     uint64_t *id = g_new(uint64_t, 1);
+    const struct ggw_service_rule *rule = s->domain->group->rule;
     struct ggw_message *m =
         ggw_probe_request_new(s->name, s->host, s->port, PROBE_TIMEOUT);
 
+    ((struct ggw_probe_request *)m)->path =
+        g_strdup(rule != NULL ? rule->health_path : NULL);
+
     *id = ++p->next_id;
     m->tag = *id;
     s->probing = true;
@@ -386,7 +413,7 @@
     i = ggw_probe_pick(c, owned->len, now);
     g_free(c);
     if (i != (size_t)-1 && ggw_probe_take(&g->budget, PROBE_COST, now)) {
-        send_probe(p, g_ptr_array_index(owned, i), now);
+        ggw_slots_probe(p, g_ptr_array_index(owned, i), now);
     }
 }
 
@@ -415,6 +442,9 @@
             s->reported_at = ggw_slots_now(p);
             ggw_ledger_report(s->domain->ledger, name, &m->report,
                               ggw_slots_now(p));
+        }
+        if (s->domain->ledger != NULL) {
+            ggw_slots_scout_result(p, s->domain, name);
             ggw_slots_drain(p, s->domain);
         }
     }
@@ -456,6 +486,8 @@
         if (d->ledger == NULL) {
             continue;
         }
+        next = MIN(next, ggw_slots_scouts_tick(p, d, now));
+        ggw_slots_drain(p, d);
         if (ggw_ledger_next(d->ledger) <= now) {
             ggw_ledger_tick(d->ledger, now);
             ggw_slots_drain(p, d);
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -9,8 +9,12 @@
 /* An owner has at least this long to answer. */
 #define ANSWER_MIN 5.0
 
+/* The owner of a whole service is farther away, and may ask for reports. */
+#define ANSWER_MIN_WHOLE 40.0
+
 /* A queued request asks again this often whether its owner still runs. */
 #define ASK_AGAIN 50.0
+#define ASK_AGAIN_WHOLE 250.0
 
 #define RETRY_AFTER 100.0
 
@@ -69,7 +73,7 @@
 
     ask_free(p, a);
     if (strcmp(owner, p->self) == 0) {
-        if (d->ledger != NULL) {
+        if (d->ledger != NULL && !ggw_slots_scout_cancel(d, p->self, id)) {
             ggw_ledger_cancel(d->ledger, p->self, id, ggw_slots_now(p));
             ggw_slots_drain(p, d);
         }
@@ -137,8 +141,8 @@
     withdraw_all(p, pd);
     ggw_slots_hold(p, id, pd, s, owner);
     ggw_kernel_reply(&p->base, &pd->request->base,
-                     ggw_slot_grant_new(id, s->name, s->domain->name, s->host,
-                                        s->port, share));
+                     ggw_slot_grant_new(id, s->name, s->failure_domain,
+                                        s->host, s->port, share));
     pending_free(p, pd);
 }
 
@@ -149,7 +153,7 @@
     uint32_t avoid = r->avoid != NULL ? g_strv_length(r->avoid) : 0;
     struct ggw_payload_writer w;
 
-    ggw_payload_begin(&w, 7);
+    ggw_payload_begin(&w, 8);
     ggw_payload_put_string(&w, r->team);
     ggw_payload_put_string(&w, r->service);
     ggw_payload_put_string(&w, a->domain->name);
@@ -160,16 +164,28 @@
     for (uint32_t i = 0; i < avoid; i++) {
         ggw_payload_put_string(&w, r->avoid[i]);
     }
+    ggw_payload_put_double(&w, r->far_cost);
     ggw_slots_to_peer(p, a->owner, GGW_PEER_SLOT_ACQUIRE, a->id, &w);
 }
 
 static ggw_ms
-answer_time(struct ggw_slots *p, const char *owner)
+answer_time(struct ggw_slots *p, const struct ggw_slots_ask *a)
 {
-    if (strcmp(owner, p->self) == 0) {
+    ggw_ms least = strcmp(a->domain->name, GGW_SLOTS_ALL) == 0
+                       ? ANSWER_MIN_WHOLE
+                       : ANSWER_MIN;
+
+    if (strcmp(a->owner, p->self) == 0) {
         return INFINITY;
     }
-    return MAX(3 * ggw_slots_peer(p, owner)->rtt, ANSWER_MIN);
+    return MAX(3 * ggw_slots_peer(p, a->owner)->rtt, least);
+}
+
+static ggw_ms
+ask_again(const struct ggw_slots_ask *a)
+{
+    return strcmp(a->domain->name, GGW_SLOTS_ALL) == 0 ? ASK_AGAIN_WHOLE
+                                                       : ASK_AGAIN;
 }
 
 /* Asks the owner of a domain; the answer may arrive, and free @pd, at once. */
@@ -185,19 +201,21 @@
         .deadline = r->deadline,
         .avoid = r->avoid,
         .may_queue = home,
+        .failure_domain = p->domain,
+        .far_cost = r->far_cost,
     };
 
     a->id = ++p->next_id;
     a->pending = pd;
     a->domain = d;
     a->owner = g_strdup(d->owner);
-    a->due = ggw_slots_now(p) + answer_time(p, a->owner);
+    a->due = ggw_slots_now(p) + answer_time(p, a);
     *(home ? &pd->home : &pd->spill) = a;
     g_hash_table_insert(p->asks, &a->id, a);
     reschedule(p, pd);
     if (d->ledger != NULL) {
         question.id = a->id;
-        ggw_ledger_ask(d->ledger, &question, ggw_slots_now(p));
+        ggw_slots_owner_ask(p, d, &question);
         ggw_slots_drain(p, d);
         return;
     }
@@ -235,12 +253,13 @@
 static bool
 try_spill(struct ggw_slots *p, struct ggw_slots_pending *pd)
 {
+    struct ggw_slots_domain *home = ggw_slots_home(p, pd->group);
     struct ggw_slots_domain *best = NULL;
     double best_left = -INFINITY;
 
     for (guint i = 0; i < pd->group->domains->len; i++) {
         struct ggw_slots_domain *d = g_ptr_array_index(pd->group->domains, i);
-        double n = strcmp(d->name, p->domain) != 0 ? free_slots(p, d) : 0;
+        double n = d != home ? free_slots(p, d) : 0;
 
         if (n > 0 && !d->exhausted && n - d->spent > best_left &&
             ggw_slots_domain_open(d)) {
@@ -298,8 +317,7 @@
 static void
 start(struct ggw_slots *p, struct ggw_slots_pending *pd)
 {
-    struct ggw_slots_domain *home =
-        ggw_slots_find_domain(pd->group, p->domain);
+    struct ggw_slots_domain *home = ggw_slots_home(p, pd->group);
 
     p->local_len -= pd->local;
     pd->local = false;
@@ -332,6 +350,7 @@
         (struct ggw_slot_request *)ggw_slot_request_new(
             r->team, r->service, r->priority, r->deadline, r->avoid);
 
+    copy->far_cost = r->far_cost;
     copy->base.from = r->base.from;
     copy->base.tag = r->base.tag;
     return copy;
@@ -356,7 +375,7 @@
     pd->due = INFINITY;
     pd->iter = g_sequence_append(p->pending, pd);
     reschedule(p, pd);
-    if (g->policy.ops == NULL || strcmp(g->rule->policy, "slots") == 0) {
+    if (g->policy.ops == NULL || g->policy.ops->owned) {
         start(p, pd);
         return;
     }
@@ -479,7 +498,7 @@
     case GGW_LEDGER_QUEUED:
         a->queued = true;
         a->asked_again = false;
-        a->due = ggw_slots_now(p) + ASK_AGAIN;
+        a->due = ggw_slots_now(p) + ask_again(a);
         reschedule(p, a->pending);
         if (a->pending->home == a) {
             try_spill(p, a->pending);
@@ -643,11 +662,11 @@
         return;
     }
     if (strcmp(a->owner, p->self) == 0) {
-        a->due = now + ASK_AGAIN;
+        a->due = now + ask_again(a);
     }
     else {
         a->asked_again = true;
-        a->due = now + answer_time(p, a->owner);
+        a->due = now + answer_time(p, a);
         send_acquire(p, a);
     }
     reschedule(p, pd);
--- a/slots/slots.h
+++ b/slots/slots.h
@@ -21,6 +21,8 @@
  * @deadline: monotonic ms; a grant after it is useless
  * @avoid: NULL-terminated names of servers that this request already tried,
  *         or NULL
+ * @far_cost: what a server in another failure domain costs, as a part of the
+ *            usual time of the work; 0 unless set after ggw_slot_request_new()
  *
  * Answered by exactly one ggw_slot_grant or ggw_slot_refuse with its tag.
  */
@@ -31,6 +33,7 @@
     int priority;
     ggw_ms deadline;
     char **avoid;
+    double far_cost;
 };
 
 extern const struct ggw_message_ops ggw_slot_request_ops;
@@ -80,6 +83,9 @@
 /**
  * struct ggw_load_report - what a backend server said of itself
  * @present: false when the answer carried no report
+ * @slow_percent: time that work takes there now, 100 as usual; 0: not known
+ * @cold_left: how long the server stays cold; 0: not known or not cold
+ * @cold_unknown: the report does not say whether the server is cold
  */
 struct ggw_load_report {
     bool present;
@@ -89,6 +95,9 @@
     bool cold;
     bool draining;
     uint64_t incarnation;
+    int slow_percent;
+    ggw_ms cold_left;
+    bool cold_unknown;
 };
 
 /**
@@ -147,14 +156,17 @@
 /**
  * struct ggw_probe_request - "slots" asks "proxy" for a load report
  *
- * Sent only within the budget for measuring. "proxy" reads GET /-/load and
- * answers with a ggw_probe_result of the same tag.
+ * Sent only within the budget for measuring. "proxy" reads @path and answers
+ * with a ggw_probe_result of the same tag.
+ *
+ * @path: set after ggw_probe_request_new(); NULL reads /-/load
  */
 struct ggw_probe_request {
     struct ggw_message base;
     char *vm;
     char *host;
     uint16_t port;
+    char *path;
     ggw_ms timeout;
 };
 
--- /dev/null
+++ b/tests/test_site.c
@@ -0,0 +1,339 @@
+#include <CUnit/CUnit.h>
+#include <math.h>
+#include <string.h>
+
+#include "config/tree.h"
+#include "platform/config.h"
+#include "platform/dialect.h"
+#include "platform/servers.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+#include "tests/suite.h"
+
+#define SETTINGS_HEAD                                                         \
+    "{\"NodeName\":\"n1\",\"Zone\":\"a\",\"Ip\":\"10.1.0.18\","               \
+    "\"InternalPorts\":[7200,7215],"                                          \
+    "\"Seeds\":[\"10.1.0.18:8382\",\"10.2.0.34:8382\"],"                      \
+    "\"Platform\":{\"Address\":\"10.200.1.7:8384\"},"                         \
+    "\"Bounds\":{\"GraceS\":6,\"ttl_max_s\":5,\"RetryRatio\":0.2,"            \
+    "\"RetryWindowS\":10,\"RetrySlack\":58,\"ProbesPerS\":60},"
+#define LISTEN(ready)                                                         \
+    "\"Listen\":{\"Front\":\"10.1.0.18:8381\",\"Ready\":" ready ","           \
+    "\"Control\":\"10.1.0.18:8382\",\"Directory\":\"10.1.0.18:8383\"}}"
+#define SETTINGS SETTINGS_HEAD LISTEN("\"10.1.0.18:8388\"")
+
+static struct ggw_node_settings *
+settings(void)
+{
+    return ggw_node_settings_parse(SETTINGS, "file", NULL);
+}
+
+/* Guards against seeds at the wrong port, and bounds in the wrong unit. */
+static void
+test_settings(void)
+{
+    struct ggw_node_settings *s = settings();
+
+    g_assert_nonnull(s);
+    CU_ASSERT_STRING_EQUAL(s->seeds[1], "10.2.0.34:7200");
+    CU_ASSERT_EQUAL(s->peers.port, 7200);
+    CU_ASSERT_EQUAL(s->grace, 6000);
+    CU_ASSERT_EQUAL(s->retry_percent, 20);
+    CU_ASSERT_EQUAL(s->spare_retries, 58);
+    ggw_node_settings_free(s);
+}
+
+/* Guards against a refusal that does not name file and field. */
+static void
+test_settings_refused(void)
+{
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GError) other = NULL;
+
+    CU_ASSERT_PTR_NULL(
+        ggw_node_settings_parse(SETTINGS_HEAD LISTEN("7"), "file", &error));
+    g_assert_nonnull(error);
+    CU_ASSERT_STRING_EQUAL(error->message,
+                           "file: Listen.Ready: is not a text");
+    CU_ASSERT_PTR_NULL(ggw_node_settings_parse("{", "file", &other));
+    CU_ASSERT_PTR_NOT_NULL(other);
+}
+
+static GBytes *
+bytes(const char *text)
+{
+    return g_bytes_new_static(text, strlen(text));
+}
+
+#define CONFIG(rule)                                                          \
+    "{\"Version\":\"00000007\",\"Listeners\":[{\"Host\":\"H.example\","       \
+    "\"Rules\":[" rule "]}],\"Clusters\":[{\"Name\":\"s\","                   \
+    "\"HealthPath\":\"/health\",\"MaxConns\":220,\"ColdStartS\":3.0,"         \
+    "\"ColdPerS\":3.4},{\"Name\":\"t\",\"HealthPath\":\"/h\","                \
+    "\"MaxConns\":220}]}"
+#define RULE(type)                                                            \
+    "{\"Name\":\"r\",\"RouteType\":\"" type                                   \
+    "\",\"TargetLatencyMs\":300,\"Priority\":2,"                              \
+    "\"Match\":{\"Prefix\":\"/p/\"},\"Action\":{\"TrafficSplit\":["           \
+    "{\"Service\":\"s\",\"Weight\":90},{\"Service\":\"t\",\"Weight\":10}],"   \
+    "\"TimeoutMs\":1200,\"MaxAttempts\":2}}"
+
+static struct ggw_tree *
+translated(const char *config, const char *out, GError **error)
+{
+    struct ggw_node_settings *s = settings();
+    struct ggw_site_config site = {
+        .config = bytes(config),
+        .domains_out = g_hash_table_new(g_str_hash, g_str_equal),
+    };
+    g_autofree char *version = NULL;
+    g_autofree char *json = NULL;
+    struct ggw_tree *tree = NULL;
+
+    if (out != NULL) {
+        g_hash_table_add(site.domains_out, (gpointer)out);
+    }
+    json = ggw_site_translate(&site, s, &version, error);
+    if (json != NULL) {
+        tree = ggw_tree_parse(GGW_SITE_TEAM, 1, json, error);
+    }
+    g_hash_table_unref(site.domains_out);
+    g_bytes_unref(site.config);
+    ggw_node_settings_free(s);
+    return tree;
+}
+
+/* Guards against a configuration that means something else when translated. */
+static void
+test_config(void)
+{
+    g_autoptr(GError) error = NULL;
+    struct ggw_tree *tree =
+        translated(CONFIG(RULE("non_idempotent")), "zone-b", &error);
+    const struct ggw_route_rule *route;
+    const struct ggw_service_rule *rule;
+
+    g_assert_nonnull(tree);
+    route = ggw_tree_route(tree, "h.example", "/p/x");
+    g_assert_nonnull(route);
+    CU_ASSERT_EQUAL(route->kind.idempotency, GGW_NO_REPEAT);
+    CU_ASSERT_EQUAL(route->kind.timeout, 1200);
+    CU_ASSERT_EQUAL(route->kind.target, 300);
+    CU_ASSERT_EQUAL(route->kind.attempts, 2);
+    CU_ASSERT_EQUAL(route->split_len, 2);
+    rule = ggw_tree_service(tree, "s");
+    g_assert_nonnull(rule);
+    CU_ASSERT_EQUAL(rule->cold_time, 3000);
+    CU_ASSERT_DOUBLE_EQUAL(rule->cold_rate, 3.4, 1e-9);
+    CU_ASSERT_TRUE(rule->retry_percent + rule->hedge_percent <= 20);
+    CU_ASSERT_TRUE(ggw_tree_domain_out(tree, "zone-b"));
+    ggw_tree_unref(tree);
+}
+
+/* Guards against repeating what the operator did not allow to repeat. */
+static void
+test_unknown_type(void)
+{
+    struct ggw_tree *tree = translated(CONFIG(RULE("novel")), NULL, NULL);
+
+    g_assert_nonnull(tree);
+    CU_ASSERT_EQUAL(tree->routes[0].kind.idempotency, GGW_NO_REPEAT);
+    ggw_tree_unref(tree);
+    tree = translated(CONFIG(RULE("download")), NULL, NULL);
+    g_assert_nonnull(tree);
+    CU_ASSERT_EQUAL(tree->routes[0].kind.idempotency, GGW_IDEMPOTENT);
+    ggw_tree_unref(tree);
+}
+
+/* Guards against a malformed configuration that is applied in part. */
+static void
+test_config_refused(void)
+{
+    static const char *const malformed[] = {
+        "", "[]", "{\"Listeners\":[{}]",
+        CONFIG("{\"Name\":\"r\",\"Match\":{\"Prefix\":\"/p/\"}}"),
+        CONFIG("{\"Name\":\"r\",\"Action\":{\"Service\":\"s\"}}")};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+        g_autoptr(GError) error = NULL;
+
+        CU_ASSERT_PTR_NULL(translated(malformed[i], NULL, &error));
+        CU_ASSERT_PTR_NOT_NULL(error);
+    }
+}
+
+#define ENTRY(state, cold)                                                    \
+    "{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","      \
+    "\"Version\":\"v1\",\"Slots\":4,\"State\":\"" state                       \
+    "\",\"ColdLeftMs\":" cold ",\"Sequence\":4,\"born\":1700}"
+
+static guint
+listed(struct ggw_servers *s)
+{
+    struct ggw_vm_list *list = ggw_servers_list(s);
+    guint n = (guint)list->len;
+
+    ggw_vm_list_unref(list);
+    return n;
+}
+
+static void
+put(struct ggw_servers *s, const char *id, const char *text, ggw_ms now)
+{
+    g_autoptr(GBytes) value = bytes(text);
+
+    ggw_servers_put(s, id, value, now);
+}
+
+/* Guards against a field of an entry that gets lost. */
+static void
+test_entry(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+    struct ggw_vm_list *list;
+
+    put(s, "i-1", ENTRY("draining", "1500"), 100);
+    CU_ASSERT_TRUE(ggw_servers_changed(s));
+    list = ggw_servers_list(s);
+    CU_ASSERT_EQUAL_FATAL(list->len, 1);
+    CU_ASSERT_STRING_EQUAL(list->vms[0].name, "i-1");
+    CU_ASSERT_STRING_EQUAL(list->vms[0].host, "10.128.0.9");
+    CU_ASSERT_EQUAL(list->vms[0].slots, 4);
+    CU_ASSERT_EQUAL(list->vms[0].incarnation, 1700);
+    CU_ASSERT_EQUAL(list->vms[0].cold_until, 1600);
+    CU_ASSERT_TRUE(list->vms[0].leaving);
+    ggw_vm_list_unref(list);
+    put(s, "i-1", ENTRY("draining", "1500"), 100);
+    CU_ASSERT_FALSE(ggw_servers_changed(s));
+    ggw_servers_free(s);
+}
+
+/* Guards against entries of another writer that are used as servers. */
+static void
+test_malformed_entries(void)
+{
+    static const char *const malformed[] = {
+        "",
+        "[]",
+        "{}",
+        "\xff\xfe",
+        ENTRY("resting", "0"),
+        ENTRY("ready", "\"soon\""),
+        "{\"Service\":7,\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","
+        "\"Slots\":4,\"State\":\"ready\",\"ColdLeftMs\":0}",
+        "{\"Service\":\"s\",\"Address\":\"10.128.0.9\",\"Zone\":\"a\","
+        "\"Slots\":4,\"State\":\"ready\",\"ColdLeftMs\":0}",
+    };
+    struct ggw_servers *s = ggw_servers_new();
+
+    put(s, "good", ENTRY("ready", "0"), 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+        put(s, "bad", malformed[i], 0);
+    }
+    ggw_servers_put(s, "bad", NULL, 0);
+    CU_ASSERT_EQUAL(listed(s), 1);
+    ggw_servers_free(s);
+}
+
+/* Guards against servers dropped only because the store was away. */
+static void
+test_lapsed(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+    ggw_ms next;
+
+    put(s, "i-1", ENTRY("ready", "0"), 0);
+    put(s, "i-2", ENTRY("ready", "0"), 0);
+    put(s, "i-3", ENTRY("ready", "0"), 0);
+    ggw_servers_remove(s, "i-1", true, 1000);
+    ggw_servers_remove(s, "i-2", true, 1000);
+    ggw_servers_remove(s, "i-3", false, 1000);
+    CU_ASSERT_EQUAL(listed(s), 2);
+    next = ggw_servers_expire(s, 1000);
+    CU_ASSERT_TRUE(next > 1000 && next <= 3000);
+    put(s, "i-1", ENTRY("ready", "0"), 2500);
+    ggw_servers_expire(s, next);
+    CU_ASSERT_EQUAL(listed(s), 1);
+    CU_ASSERT_EQUAL(ggw_servers_expire(s, 1e6), INFINITY);
+    ggw_servers_free(s);
+}
+
+static bool
+decode(const char *text, GPtrArray *rows)
+{
+    struct ggw_store_answer answer = {.rows = rows};
+
+    return ggw_store_decode(text, strlen(text), &answer);
+}
+
+/* Guards against an answer of something else that is taken for rows. */
+static void
+test_store_answers(void)
+{
+    g_autoptr(GPtrArray) rows =
+        g_ptr_array_new_with_free_func(ggw_store_row_free);
+    const struct ggw_store_row *row;
+
+    CU_ASSERT_FALSE(decode("", rows));
+    CU_ASSERT_FALSE(decode("{\"Rows\":[]}", rows));
+    CU_ASSERT_FALSE(decode("{\"Rows\":[{\"Key\":1}],\"Ver\":5}", rows));
+    CU_ASSERT_EQUAL(rows->len, 0);
+    CU_ASSERT_TRUE(decode("{\"Rows\":[{\"Key\":\"k\",\"Value\":\"bm8=\","
+                          "\"Ver\":4},{\"Key\":\"l\",\"Ver\":5,"
+                          "\"Deleted\":true}],\"Ver\":5}",
+                          rows));
+    CU_ASSERT_EQUAL_FATAL(rows->len, 2);
+    row = g_ptr_array_index(rows, 0);
+    CU_ASSERT_EQUAL(g_bytes_get_size(row->value), 2);
+    row = g_ptr_array_index(rows, 1);
+    CU_ASSERT_TRUE(row->removed);
+}
+
+/* Guards against a refusal that is taken for a run, and the reverse. */
+static void
+test_dialect(void)
+{
+    h2o_iovec_t refused = {H2O_STRLIT("Not-Executed")};
+    h2o_iovec_t load = {H2O_STRLIT("Instance-Load")};
+    h2o_iovec_t cold = {H2O_STRLIT("Cold-Remaining")};
+    h2o_header_t headers[] = {
+        {.name = &refused, .value = {H2O_STRLIT("1")}},
+        {.name = &load, .value = {H2O_STRLIT("3,1,8,400")}},
+        {.name = &cold, .value = {H2O_STRLIT("1200")}},
+    };
+    struct ggw_load_report r;
+
+    CU_ASSERT_TRUE(ggw_site_dialect.not_run(503, headers, 3));
+    CU_ASSERT_TRUE(ggw_site_dialect.not_run(421, headers + 1, 2));
+    CU_ASSERT_FALSE(ggw_site_dialect.not_run(503, headers + 1, 2));
+    CU_ASSERT_FALSE(ggw_site_dialect.not_run(200, headers, 3));
+    r = ggw_site_dialect.load(headers, 3);
+    CU_ASSERT_TRUE(r.present && r.cold_unknown);
+    CU_ASSERT_EQUAL(r.busy, 3);
+    CU_ASSERT_EQUAL(r.queue, 1);
+    CU_ASSERT_EQUAL(r.slots, 8);
+    CU_ASSERT_EQUAL(r.slow_percent, 400);
+    r = ggw_site_dialect.probe_load(headers, 3);
+    CU_ASSERT_TRUE(r.cold && !r.cold_unknown);
+    CU_ASSERT_EQUAL(r.cold_left, 1200);
+}
+
+int
+main(void)
+{
+    static CU_TestInfo tests[] = {
+        {"settings", test_settings},
+        {"settings refused", test_settings_refused},
+        {"config", test_config},
+        {"unknown type", test_unknown_type},
+        {"config refused", test_config_refused},
+        {"entry", test_entry},
+        {"malformed entries", test_malformed_entries},
+        {"lapsed", test_lapsed},
+        {"store answers", test_store_answers},
+        {"dialect", test_dialect},
+        CU_TEST_INFO_NULL,
+    };
+
+    return suite_run("site", tests);
+}
