--- a/common/log.c
+++ b/common/log.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "common/error.h"
 
@@ -24,28 +25,61 @@
 static bool initialised;
 
 static const char *
-format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
+level_name(int priority)
+{
+    for (size_t i = 0; i < sizeof(levels) / sizeof(levels[0]); i++) {
+        if (levels[i].priority == priority) {
+            return levels[i].name;
+        }
+    }
+    return "info";
+}
+
+/* Bytes of lines that may wait for a reader. */
+#define RING_BYTES 262144
+
+#define LINE_MAX_BYTES 1200
+
+/* Set while the log is in use. */
+static struct ggw_log_writer *writer;
+
+static void
+put_time(char *out, size_t size)
 {
-    static char line[1200];
-    const char *priority = log4c_priority_to_string(event->evt_priority);
-    struct tm tm;
-    char stamp[32];
     struct timespec now;
+    struct tm tm;
+    char second[32];
 
     clock_gettime(CLOCK_REALTIME, &now);
     gmtime_r(&now.tv_sec, &tm);
-    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
-    snprintf(line, sizeof(line), "%s.%03ldZ %s %s: %s\n", stamp,
-             now.tv_nsec / 1000000, priority, event->evt_category,
-             event->evt_msg);
+    strftime(second, sizeof(second), "%Y-%m-%dT%H:%M:%S", &tm);
+    snprintf(out, size, "%s.%03ldZ", second, now.tv_nsec / 1000000);
+}
+
+static const char *
+format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+    static char line[LINE_MAX_BYTES];
+    g_autofree char *text = g_strescape(event->evt_msg, "");
+    char stamp[48];
+
+    put_time(stamp, sizeof(stamp));
+    snprintf(line, sizeof(line) - 1, "ts=%s level=%s part=%s msg=\"%s\"",
+             stamp, level_name(event->evt_priority), event->evt_category,
+             text);
+    g_strlcat(line, "\n", sizeof(line));
     return line;
 }
 
-/* log4c's own stream appender puts its name before each line. */
+/* log4c's own stream appender would block on a reader that stops. */
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
-    return fputs(event->evt_rendered_msg, stderr);
+    const char *line = event->evt_rendered_msg;
+
+    ggw_log_writer_put(writer, GGW_LOG_IMPORTANT, line, strlen(line));
+    ggw_log_writer_flush(writer);
+    return 0;
 }
 
 static const log4c_appender_type_t appender_type = {"ggw", NULL, append_line,
@@ -74,6 +108,7 @@
         log4c_layout_t *layout;
         log4c_category_t *root;
 
+        writer = ggw_log_writer_new(STDOUT_FILENO, RING_BYTES);
         log4c_init();
         log4c_layout_type_set(&layout_type);
         layout = log4c_layout_get("ggw");
@@ -106,11 +141,72 @@
                        text);
 }
 
+bool
+ggw_log_wants(enum ggw_log_level level)
+{
+    return initialised && (int)level <= threshold;
+}
+
+/* Counts a line against its event's limit. */
+static bool
+may_write(struct ggw_log_event *event)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    if ((double)now.tv_sec != event->second) {
+        event->second = (double)now.tv_sec;
+        event->written = 0;
+    }
+    if (event->written >= event->per_s) {
+        event->omitted++;
+        return false;
+    }
+    event->written++;
+    return true;
+}
+
+void
+ggw_log_event(struct ggw_log_event *event, const char *format, ...)
+{
+    char line[LINE_MAX_BYTES];
+    char stamp[48];
+    size_t len;
+    va_list ap;
+
+    if (!ggw_log_wants(event->level) || !may_write(event)) {
+        return;
+    }
+    put_time(stamp, sizeof(stamp));
+    len = (size_t)snprintf(
+        line, sizeof(line), "ts=%s level=%s part=%s event=%s ", stamp,
+        levels[event->level].name, event->part, event->name);
+    if (event->omitted > 0) {
+        len += (size_t)snprintf(line + len, sizeof(line) - len,
+                                "omitted_before=%u ", event->omitted);
+        event->omitted = 0;
+    }
+    va_start(ap, format);
+    vsnprintf(line + len, sizeof(line) - len - 1, format, ap);
+    va_end(ap);
+    g_strlcat(line, "\n", sizeof(line));
+    ggw_log_writer_put(writer, event->weight, line, strlen(line));
+}
+
+void
+ggw_log_flush(void)
+{
+    if (initialised) {
+        ggw_log_writer_flush(writer);
+    }
+}
+
 void
 ggw_log_fini(void)
 {
     if (initialised) {
         initialised = false;
+        g_clear_pointer(&writer, ggw_log_writer_free);
         log4c_fini();
     }
 }
--- /dev/null
+++ b/common/log_writer.c
@@ -0,0 +1,96 @@
+#include "common/log_writer.h"
+
+#include <glib.h>
+#include <limits.h>
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
+
+/* A pipe that is ready takes this many bytes without blocking. */
+#define CHUNK PIPE_BUF
+
+struct ggw_log_writer {
+    int fd;
+    char *ring;
+    size_t size;
+    size_t start;
+    size_t len;
+    uint64_t dropped;
+};
+
+struct ggw_log_writer *
+ggw_log_writer_new(int fd, size_t size)
+{
+    struct ggw_log_writer *w = g_new0(struct ggw_log_writer, 1);
+
+    w->fd = fd;
+    w->size = size;
+    w->ring = g_malloc(size);
+    return w;
+}
+
+void
+ggw_log_writer_free(struct ggw_log_writer *w)
+{
+    if (w == NULL) {
+        return;
+    }
+    ggw_log_writer_flush(w);
+    g_free(w->ring);
+    g_free(w);
+}
+
+/* Room for a line; the routine may use three quarters of the ring. */
+static size_t
+room(const struct ggw_log_writer *w, enum ggw_log_weight weight)
+{
+    size_t limit = weight == GGW_LOG_IMPORTANT ? w->size : w->size / 4 * 3;
+
+    return limit > w->len ? limit - w->len : 0;
+}
+
+bool
+ggw_log_writer_put(struct ggw_log_writer *w, enum ggw_log_weight weight,
+                   const char *line, size_t len)
+{
+    size_t end = (w->start + w->len) % w->size;
+    size_t first = MIN(len, w->size - end);
+
+    if (len > room(w, weight)) {
+        w->dropped++;
+        return false;
+    }
+    memcpy(w->ring + end, line, first);
+    memcpy(w->ring, line + first, len - first);
+    w->len += len;
+    return true;
+}
+
+static bool
+is_writable(int fd)
+{
+    struct pollfd p = {.fd = fd, .events = POLLOUT};
+
+    return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0;
+}
+
+void
+ggw_log_writer_flush(struct ggw_log_writer *w)
+{
+    while (w->len > 0 && is_writable(w->fd)) {
+        size_t n = MIN(MIN(w->len, w->size - w->start), (size_t)CHUNK);
+        ssize_t written = write(w->fd, w->ring + w->start, n);
+
+        if (written <= 0) {
+            return;
+        }
+        w->start = (w->start + (size_t)written) % w->size;
+        w->len -= (size_t)written;
+    }
+}
+
+uint64_t
+ggw_log_writer_dropped(const struct ggw_log_writer *w)
+{
+    return w->dropped;
+}
--- a/decide/admission.c
+++ b/decide/admission.c
@@ -6,6 +6,9 @@
 /* Weight of a new hold time in their moving average. */
 #define HELD_WEIGHT (1.0 / 16)
 
+/* The classes of those that will miss their target follow the others. */
+#define CLASSES (2 * GGW_ADMISSION_CLASSES)
+
 struct item {
     struct ggw_waiter waiter;
     int class;
@@ -18,7 +21,7 @@
     size_t len;
     int slots;
     ggw_ms held; /* mean time that an attempt holds a slot; 0: not known */
-    GQueue classes[GGW_ADMISSION_CLASSES];
+    GQueue classes[CLASSES];
     GSequence *by_deadline; /* of struct item */
     GHashTable *by_id;
 };
@@ -31,7 +34,7 @@
     a->max = max;
     a->by_deadline = g_sequence_new(NULL);
     a->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
-    for (int i = 0; i < GGW_ADMISSION_CLASSES; i++) {
+    for (int i = 0; i < CLASSES; i++) {
         g_queue_init(&a->classes[i]);
     }
     return a;
@@ -114,12 +117,13 @@
 }
 
 static void
-insert(struct ggw_admission *a, const struct ggw_waiter *waiter)
+insert(struct ggw_admission *a, const struct ggw_waiter *waiter, bool late)
 {
     struct item *item = g_new0(struct item, 1);
 
     item->waiter = *waiter;
-    item->class = class_of(waiter->priority);
+    item->class =
+        class_of(waiter->priority) + (late ? GGW_ADMISSION_CLASSES : 0);
     item->link.data = item;
     g_queue_push_tail_link(&a->classes[item->class], &item->link);
     item->iter = g_sequence_insert_sorted(a->by_deadline, item,
@@ -132,7 +136,7 @@
 static struct item *
 find_displaceable(struct ggw_admission *a, int class)
 {
-    for (int i = GGW_ADMISSION_CLASSES - 1; i > class; i--) {
+    for (int i = CLASSES - 1; i > class; i--) {
         if (a->classes[i].length > 0) {
             return g_queue_peek_tail(&a->classes[i]);
         }
@@ -140,15 +144,34 @@
     return NULL;
 }
 
+static guint
+late_len(const struct ggw_admission *a)
+{
+    guint n = 0;
+
+    for (int i = GGW_ADMISSION_CLASSES; i < CLASSES; i++) {
+        n += a->classes[i].length;
+    }
+    return n;
+}
+
+static bool
+is_useful(const struct ggw_waiter *waiter, ggw_ms start)
+{
+    return waiter->useful <= 0 || start <= waiter->useful;
+}
+
 enum ggw_admission_result
 ggw_admission_push(struct ggw_admission *a, const struct ggw_waiter *waiter,
                    ggw_ms now, struct ggw_waiter *displaced)
 {
     struct item *victim = NULL;
+    ggw_ms start = now + ggw_admission_wait(a, waiter->priority);
+    bool late = !is_useful(waiter, start);
 
     g_assert(!g_hash_table_contains(a->by_id, &waiter->id));
-    if (now >= waiter->deadline ||
-        now + ggw_admission_wait(a, waiter->priority) > waiter->deadline) {
+    if (now >= waiter->deadline || start > waiter->deadline ||
+        (late && late_len(a) >= GGW_ADMISSION_LATE_PART * a->slots)) {
         return GGW_ADMISSION_TOO_LATE;
     }
     if (a->len >= a->max) {
@@ -158,15 +181,36 @@
         }
         take(a, victim, displaced);
     }
-    insert(a, waiter);
+    insert(a, waiter, late);
     return victim != NULL ? GGW_ADMISSION_DISPLACED : GGW_ADMISSION_QUEUED;
 }
 
+/* Moves the waiters of a class that can no longer meet their target. */
+static void
+demote(struct ggw_admission *a, int class, ggw_ms now)
+{
+    GList *next;
+
+    for (GList *at = a->classes[class].head; at != NULL; at = next) {
+        struct item *item = at->data;
+
+        next = at->next;
+        if (!is_useful(&item->waiter, now)) {
+            g_queue_unlink(&a->classes[class], &item->link);
+            item->class = class + GGW_ADMISSION_CLASSES;
+            g_queue_push_tail_link(&a->classes[item->class], &item->link);
+        }
+    }
+}
+
 bool
 ggw_admission_pop(struct ggw_admission *a, ggw_ms now,
                   struct ggw_waiter *waiter)
 {
-    for (int i = 0; i < GGW_ADMISSION_CLASSES; i++) {
+    for (int i = 0; i < CLASSES; i++) {
+        if (i < GGW_ADMISSION_CLASSES) {
+            demote(a, i, now);
+        }
         for (GList *at = a->classes[i].head; at != NULL; at = at->next) {
             struct item *item = at->data;
 
--- a/decide/admission.h
+++ b/decide/admission.h
@@ -8,10 +8,12 @@
 #include "kernel/clock.h"
 
 /*
- * The short queue of one service in one failure domain (design 5.11).
- * Strict priority, first come first served within a priority. Nothing ages:
- * a request of low priority waits at most until its deadline and is refused
- * then.
+ * The short queue of one owner (design 5.11). Strict priority, first come
+ * first served within a priority. Nothing ages: a request of low priority
+ * waits at most until its deadline and is refused then. Requests that can
+ * still meet their target come before all others: under overload the server
+ * time goes to responses that are in time, instead of to a queue in which
+ * every request becomes late.
  */
 
 /* Lower priorities than the last class share it. */
@@ -24,12 +26,16 @@
  * @id: unique within the queue
  * @priority: 0 is the highest
  * @deadline: monotonic ms; must start before
+ * @useful: until when a start brings the response within its target,
+ *          monotonic ms; 0: no target. Later the waiter comes behind all that
+ *          can still meet theirs.
  * @data: of the caller
  */
 struct ggw_waiter {
     uint64_t id;
     int priority;
     ggw_ms deadline;
+    ggw_ms useful;
     void *data;
 };
 
@@ -40,6 +46,13 @@
     GGW_ADMISSION_TOO_LATE,  /* not queued: could not start in time */
 };
 
+/*
+ * Waiters that will miss their target are kept up to this part of the slots:
+ * enough to use a slot that falls free, few enough to be served before their
+ * deadline.
+ */
+#define GGW_ADMISSION_LATE_PART 0.25
+
 /**
  * ggw_admission_new() - make an empty queue
  * @max: most waiters; 0 refuses every push
--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -14,6 +14,7 @@
     if (info->reports_cold) {
         ggw_limit_cold_until(&s->limit, info->cold_until, now);
     }
+    s->told = s->limit.state;
     g_ptr_array_add(l->servers, s);
     return s;
 }
@@ -44,6 +45,9 @@
 
     if (info->slots > 0) {
         rule.slots = info->slots;
+        if (l->busy_percent > 0) {
+            rule.slots = ggw_policy_useful_slots(info->slots, l->busy_percent);
+        }
     }
     return rule;
 }
@@ -87,7 +91,7 @@
         server_rule = rule_of(l, &servers[i]);
         ggw_limit_set_rule(&s->limit, &server_rule, now);
         note_start(s, &servers[i], now);
-        s->slots = server_rule.slots;
+        s->slots = servers[i].slots;
         g_free(s->failure_domain);
         s->failure_domain = g_strdup(servers[i].failure_domain);
         ggw_limit_set_draining(&s->limit, s->closed);
@@ -222,3 +226,50 @@
     *state = s->limit.state;
     return true;
 }
+
+void
+ggw_ledger_summary(const struct ggw_ledger *l,
+                   struct ggw_ledger_summary *summary)
+{
+    *summary = (struct ggw_ledger_summary){
+        .waiting = (int)ggw_ledger_waiting(l),
+        .median = l->latency.p50,
+    };
+    for (guint i = 0; i < l->servers->len; i++) {
+        const struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+
+        summary->in_flight += s->in_flight;
+        if (s->closed) {
+            summary->closed++;
+            continue;
+        }
+        summary->states[s->limit.state]++;
+        summary->limit += ggw_limit_slots(&s->limit);
+    }
+}
+
+bool
+ggw_ledger_change(struct ggw_ledger *l, struct ggw_ledger_change *change,
+                  ggw_ms now)
+{
+    for (guint i = 0; i < l->servers->len; i++) {
+        struct ggw_ledger_entry *s = g_ptr_array_index(l->servers, i);
+
+        if (s->limit.state == s->told) {
+            continue;
+        }
+        *change = (struct ggw_ledger_change){
+            .server = s->name,
+            .from = s->told,
+            .to = s->limit.state,
+            .limit = ggw_limit_slots(&s->limit),
+            .in_flight = s->in_flight,
+            .failures = s->limit.failures,
+            .report_age = s->reported ? now - s->reported_at : -1,
+            .slow_percent = s->slow_percent,
+        };
+        s->told = s->limit.state;
+        return true;
+    }
+    return false;
+}
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -21,7 +21,8 @@
     int slow_percent;
     ggw_ms reported_at;
     char *failure_domain;
-    int slots; /* 0: as the rule has it */
+    int slots;                 /* 0: as the rule has it */
+    enum ggw_limit_state told; /* state that ggw_ledger_change() has told */
 };
 
 struct ggw_ledger_key {
@@ -44,6 +45,7 @@
     uint64_t seq; /* its id in the queue */
     int priority;
     ggw_ms deadline;
+    ggw_ms start_by;
     char **avoid;
     char *failure_domain; /* of the holder, or NULL */
     double far_cost;
--- a/decide/limit.c
+++ b/decide/limit.c
@@ -13,6 +13,9 @@
 /* Design 5.9: two silent connections within it speak against the server. */
 #define SILENT_WINDOW 5000.0
 
+/* A server that had this many times the usual latency was silent. */
+#define SILENT_MEDIANS 4
+
 static void
 enter(struct ggw_limit *l, enum ggw_limit_state state, int limit, ggw_ms now)
 {
@@ -133,6 +136,13 @@
     }
 }
 
+enum ggw_attempt_result
+ggw_attempt_silence(ggw_ms latency, ggw_ms median)
+{
+    return latency < SILENT_MEDIANS * median ? GGW_ATTEMPT_CANCELLED
+                                             : GGW_ATTEMPT_SILENT;
+}
+
 bool
 ggw_attempt_failed(enum ggw_attempt_result result)
 {
--- a/decide/limit.h
+++ b/decide/limit.h
@@ -209,6 +209,16 @@
 ggw_ms ggw_limit_hold(enum ggw_attempt_result result, ggw_ms latency,
                       ggw_ms p90);
 
+/**
+ * ggw_attempt_silence() - result of an attempt that its deadline ended
+ * @latency: how long the server had
+ * @median: usual latency; 0 when not known yet
+ *
+ * A request that was sent with little time left says nothing against the
+ * server: under overload there are many.
+ */
+enum ggw_attempt_result ggw_attempt_silence(ggw_ms latency, ggw_ms median);
+
 /**
  * ggw_attempt_failed() - whether a result speaks against the server
  *
--- a/decide/policy.c
+++ b/decide/policy.c
@@ -160,6 +160,14 @@
     return pick_lowest(p, c, len, busy_share);
 }
 
+int
+ggw_policy_useful_slots(int slots, int busy_percent)
+{
+    int fast = busy_percent * slots / 100;
+
+    return fast < slots && fast > slots / BUSY_FACTOR ? fast : slots;
+}
+
 double
 ggw_policy_work(const struct ggw_candidate *c, ggw_ms now)
 {
--- a/decide/policy.h
+++ b/decide/policy.h
@@ -99,6 +99,14 @@
                        const struct ggw_candidate *candidates, size_t len,
                        ggw_ms now);
 
+/**
+ * ggw_policy_useful_slots() - slots of a server that are worth using
+ * @busy_percent: share of its slots above which it becomes slow
+ *
+ * Less than all when the slowdown costs more than the further slots bring.
+ */
+int ggw_policy_useful_slots(int slots, int busy_percent);
+
 /**
  * ggw_policy_work() - expected time of one more request on a server
  *
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -299,7 +299,7 @@
         struct ggw_ledger_waiting *w = i->data;
 
         next = i->next;
-        if (now >= w->deadline) {
+        if (now >= w->start_by) {
             g_queue_delete_link(&l->blocked, i);
             refuse_waiting(l, w, GGW_SLOT_TOO_LATE);
         }
@@ -363,13 +363,30 @@
     }
 }
 
+/*
+ * Work that is cut off by the deadline serves nobody, so it is not begun when
+ * less than this part of its usual time is left.
+ */
+#define WORK_PART 0.8
+
+static ggw_ms
+latest_start(const struct ggw_ledger_ask *ask)
+{
+    return ask->deadline - WORK_PART * ask->work;
+}
+
 static void
 push(struct ggw_ledger *l, const struct ggw_ledger_ask *ask, ggw_ms now)
 {
     struct ggw_ledger_key key = {(char *)ask->holder, ask->id};
     struct ggw_ledger_waiting *w = g_new0(struct ggw_ledger_waiting, 1);
-    struct ggw_waiter waiter = {++l->next_seq, ask->priority, ask->deadline,
-                                w};
+    struct ggw_waiter waiter = {
+        .id = ++l->next_seq,
+        .priority = ask->priority,
+        .deadline = latest_start(ask),
+        .useful = ask->target > 0 ? ask->target - ask->work : 0,
+        .data = w,
+    };
     struct ggw_waiter displaced;
 
     w->key.holder = g_strdup(ask->holder);
@@ -377,6 +394,7 @@
     w->seq = waiter.id;
     w->priority = ask->priority;
     w->deadline = ask->deadline;
+    w->start_by = waiter.deadline;
     w->avoid = g_strdupv((char **)ask->avoid);
     w->failure_domain = g_strdup(ask->failure_domain);
     w->far_cost = ask->far_cost;
@@ -419,7 +437,7 @@
     else if (!any_server(l)) {
         refuse(l, &key, ask->priority, GGW_SLOT_NO_SERVER);
     }
-    else if (now >= ask->deadline) {
+    else if (now >= latest_start(ask)) {
         refuse(l, &key, ask->priority, GGW_SLOT_TOO_LATE);
     }
     else if (!behind && try_grant(l, &key, &wish, ask->deadline, now)) {
@@ -680,7 +698,7 @@
             next, ((struct ggw_ledger_grant *)g_sequence_get(first))->expires);
     }
     for (GList *i = l->blocked.head; i != NULL; i = i->next) {
-        next = MIN(next, ((struct ggw_ledger_waiting *)i->data)->deadline);
+        next = MIN(next, ((struct ggw_ledger_waiting *)i->data)->start_by);
     }
     return MIN(next, next_cold_start(l));
 }
--- a/decide/slots.h
+++ b/decide/slots.h
@@ -65,6 +65,8 @@
  * @holder: gateway that asks; with @id it names the grant
  * @avoid: names of servers that the request already tried, or NULL
  * @may_queue: false refuses it when no slot is free now
+ * @target: by when the response has its full value, monotonic ms; 0: none
+ * @work: usual time of the work; 0: not known
  * @failure_domain: of the holder, or NULL
  * @far_cost: of a server in another one, as a part of the usual time of work
  */
@@ -75,6 +77,8 @@
     ggw_ms deadline;
     char *const *avoid;
     bool may_queue;
+    ggw_ms target;
+    ggw_ms work;
     const char *failure_domain;
     double far_cost;
 };
@@ -241,6 +245,49 @@
 
 size_t ggw_ledger_waiting(const struct ggw_ledger *l);
 
+/**
+ * struct ggw_ledger_summary - a ledger at a glance
+ * @states: number of open servers in each state
+ * @closed: servers that take no new work
+ * @limit: requests that open servers may run at a time
+ * @median: latency of successful attempts; 0: not known
+ */
+struct ggw_ledger_summary {
+    int states[GGW_LIMIT_EJECTED + 1];
+    int closed;
+    int in_flight;
+    int limit;
+    int waiting;
+    ggw_ms median;
+};
+
+void ggw_ledger_summary(const struct ggw_ledger *l,
+                        struct ggw_ledger_summary *summary);
+
+/**
+ * struct ggw_ledger_change - a server has changed its state
+ * @server: belongs to the ledger
+ * @report_age: time since its last load report; -1 without one
+ */
+struct ggw_ledger_change {
+    const char *server;
+    enum ggw_limit_state from;
+    enum ggw_limit_state to;
+    int limit;
+    int in_flight;
+    int failures;
+    ggw_ms report_age;
+    int slow_percent;
+};
+
+/**
+ * ggw_ledger_change() - take the next change since the last call
+ *
+ * Return: false when there is none.
+ */
+bool ggw_ledger_change(struct ggw_ledger *l, struct ggw_ledger_change *change,
+                       ggw_ms now);
+
 /**
  * ggw_ledger_server_limit() - limit and use of a server, for tests and pages
  *
--- a/main/cmd_gateway.c
+++ b/main/cmd_gateway.c
@@ -12,7 +12,7 @@
 #include "config/config.h"
 #include "config/vms.h"
 #include "kernel/kernel.h"
-#include "main/signals.h"
+#include "main/daemon.h"
 #include "peers/peers.h"
 #include "platform/platform.h"
 #include "proxy/proxy.h"
@@ -113,7 +113,7 @@
     struct settings s = {0};
     g_autoptr(GError) error = NULL;
     struct ggw_kernel *kernel = NULL;
-    struct ggw_signals signals;
+    struct ggw_daemon daemon;
     uint64_t incarnation;
     int status = 2;
 
@@ -126,7 +126,7 @@
     kernel = ggw_kernel_new(ggw_clock_system());
     incarnation = (uint64_t)ggw_clock_wall(ggw_clock_system());
     add_services(kernel, &s, incarnation);
-    ggw_signals_watch(&signals, kernel);
+    ggw_daemon_start(&daemon, kernel);
     ggw_log_info("main",
                  "gateway %s starts in %s, incarnation %" G_GUINT64_FORMAT,
                  s.name, s.failure_domain, (guint64)incarnation);
@@ -135,7 +135,7 @@
         ggw_log_error("main", "%s", error->message);
         status = 1;
     }
-    ggw_signals_close(&signals);
+    ggw_daemon_close(&daemon);
     uv_run(ggw_kernel_loop(kernel), UV_RUN_DEFAULT);
     ggw_kernel_destroy(kernel);
     ggw_log_info("main", "gateway %s has stopped", s.name);
--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -8,7 +8,7 @@
 #include "common/options.h"
 #include "config/config.h"
 #include "kernel/kernel.h"
-#include "main/signals.h"
+#include "main/daemon.h"
 #include "peers/peers.h"
 #include "platform/dialect.h"
 #include "platform/pages.h"
@@ -89,7 +89,7 @@
     struct ggw_node_settings *s = NULL;
     g_autoptr(GError) error = NULL;
     struct ggw_kernel *kernel;
-    struct ggw_signals signals;
+    struct ggw_daemon daemon;
     uint64_t incarnation;
     int status = 2;
 
@@ -108,7 +108,7 @@
     kernel = ggw_kernel_new(ggw_clock_system());
     incarnation = (uint64_t)ggw_clock_wall(ggw_clock_system());
     add_services(kernel, s, incarnation);
-    ggw_signals_watch(&signals, kernel);
+    ggw_daemon_start(&daemon, kernel);
     ggw_log_info("main",
                  "gateway %s starts in %s, incarnation %" G_GUINT64_FORMAT,
                  s->name, s->failure_domain, (guint64)incarnation);
@@ -117,7 +117,7 @@
         ggw_log_error("main", "%s", error->message);
         status = 1;
     }
-    ggw_signals_close(&signals);
+    ggw_daemon_close(&daemon);
     uv_run(ggw_kernel_loop(kernel), UV_RUN_DEFAULT);
     ggw_kernel_destroy(kernel);
     ggw_log_info("main", "gateway %s has stopped", s->name);
--- a/main/signals.c
+++ b/main/daemon.c
@@ -1,9 +1,18 @@
-#include "main/signals.h"
+#include "main/daemon.h"
 
 #include <signal.h>
 
 #include "common/log.h"
 
+/* Log lines wait for at most this time before they are passed on. */
+#define FLUSH_MS 100
+
+static void
+flush_cb(uv_timer_t *timer)
+{
+    ggw_log_flush();
+}
+
 static void
 on_leave(uv_signal_t *handle, int signum)
 {
@@ -33,18 +42,22 @@
 }
 
 void
-ggw_signals_watch(struct ggw_signals *signals, struct ggw_kernel *kernel)
+ggw_daemon_start(struct ggw_daemon *daemon, struct ggw_kernel *kernel)
 {
-    watch(kernel, &signals->term, SIGTERM, on_leave);
-    watch(kernel, &signals->interrupt, SIGINT, on_leave);
-    watch(kernel, &signals->hangup, SIGHUP, on_hangup);
+    watch(kernel, &daemon->term, SIGTERM, on_leave);
+    watch(kernel, &daemon->interrupt, SIGINT, on_leave);
+    watch(kernel, &daemon->hangup, SIGHUP, on_hangup);
     signal(SIGPIPE, SIG_IGN);
+    uv_timer_init(ggw_kernel_loop(kernel), &daemon->flush);
+    uv_timer_start(&daemon->flush, flush_cb, FLUSH_MS, FLUSH_MS);
+    uv_unref((uv_handle_t *)&daemon->flush);
 }
 
 void
-ggw_signals_close(struct ggw_signals *signals)
+ggw_daemon_close(struct ggw_daemon *daemon)
 {
-    uv_close((uv_handle_t *)&signals->term, NULL);
-    uv_close((uv_handle_t *)&signals->interrupt, NULL);
-    uv_close((uv_handle_t *)&signals->hangup, NULL);
+    uv_close((uv_handle_t *)&daemon->term, NULL);
+    uv_close((uv_handle_t *)&daemon->interrupt, NULL);
+    uv_close((uv_handle_t *)&daemon->hangup, NULL);
+    uv_close((uv_handle_t *)&daemon->flush, NULL);
 }
--- /dev/null
+++ b/main/daemon.h
@@ -0,0 +1,32 @@
+#ifndef GGW_MAIN_DAEMON_H
+#define GGW_MAIN_DAEMON_H
+
+#include <uv.h>
+
+#include "kernel/kernel.h"
+
+/**
+ * struct ggw_daemon - what the gateway commands share: signals and the log
+ *
+ * SIGTERM and SIGINT let every service leave. SIGHUP is logged only: settings
+ * of the process are read at its start.
+ */
+struct ggw_daemon {
+    uv_signal_t term;
+    uv_signal_t interrupt;
+    uv_signal_t hangup;
+    uv_timer_t flush;
+};
+
+/**
+ * ggw_daemon_start() - handle signals and pass log lines on; SIGPIPE is
+ *                      ignored
+ */
+void ggw_daemon_start(struct ggw_daemon *daemon, struct ggw_kernel *kernel);
+
+/**
+ * ggw_daemon_close() - the loop must run once more afterwards
+ */
+void ggw_daemon_close(struct ggw_daemon *daemon);
+
+#endif
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -2,6 +2,8 @@
 #include <string.h>
 
 #include "common/metrics.h"
+#include "decide/limit.h"
+#include "proxy/events.h"
 #include "proxy/headers.h"
 #include "proxy/state.h"
 
@@ -44,12 +46,13 @@
 {
     struct ggw_proxy *proxy = a->request->proxy;
 
+    ggw_ms latency = a->call != NULL ? ggw_call_latency(a->call) : 0;
+
     count_result(result);
+    ggw_proxy_log_attempt(a, result_names[result], latency);
     ggw_kernel_send(
         proxy->base.kernel, "slots", &proxy->base,
-        ggw_slot_release_new(a->grant, result,
-                             a->call != NULL ? ggw_call_latency(a->call) : 0,
-                             &a->report));
+        ggw_slot_release_new(a->grant, result, latency, &a->report));
 }
 
 /* Takes the attempt out of its request and frees it. */
@@ -156,6 +159,7 @@
     ggw_headers_back(req, proxy->options.dialect, headers, headers_len);
     ggw_exchange_outcome(r->x, outcome_of(status), NULL);
     ggw_request_count(r, outcome_of(status), "response");
+    ggw_proxy_log_response(r, status);
     ggw_histogram_add(proxy->added, ggw_kernel_now(proxy->base.kernel) -
                                         r->received -
                                         ggw_call_latency(a->call));
@@ -343,7 +347,10 @@
     bool won = r->winner == a;
 
     a->ended = true;
-    release(a, result);
+    release(a, result == GGW_ATTEMPT_SILENT
+                   ? ggw_attempt_silence(ggw_call_latency(a->call),
+                                         r->metrics->usual.p50)
+                   : result);
     if (deliver_kept(a, result)) {
         return;
     }
--- /dev/null
+++ b/proxy/events.c
@@ -0,0 +1,155 @@
+#include "proxy/events.h"
+
+#include "common/log.h"
+
+#define PART "proxy"
+
+/* Lines a second of each type that a request has in the usual course. */
+#define ROUTINE_PER_S 100
+
+/* Refusals are the first thing that is asked for. */
+#define REFUSED_PER_S 200
+
+#define ROUTINE(type)                                                         \
+    {                                                                         \
+        .part = PART, .name = (type), .level = GGW_LOG_INFO,                  \
+        .weight = GGW_LOG_ROUTINE, .per_s = ROUTINE_PER_S                     \
+    }
+#define IMPORTANT(type)                                                       \
+    {                                                                         \
+        .part = PART, .name = (type), .level = GGW_LOG_INFO,                  \
+        .weight = GGW_LOG_IMPORTANT, .per_s = REFUSED_PER_S                   \
+    }
+
+static struct ggw_log_event granted = ROUTINE("granted");
+static struct ggw_log_event no_slot = IMPORTANT("no_slot");
+static struct ggw_log_event attempt = ROUTINE("attempt");
+static struct ggw_log_event hedge = ROUTINE("hedge");
+static struct ggw_log_event retry = IMPORTANT("retry");
+static struct ggw_log_event response = ROUTINE("response");
+static struct ggw_log_event refused = IMPORTANT("refused");
+static struct ggw_log_event client_left = ROUTINE("client_left");
+
+struct id {
+    char text[64];
+};
+
+static struct id
+id_of(const struct ggw_request *r)
+{
+    struct id id;
+
+    if (r->client_id != NULL) {
+        g_strlcpy(id.text, r->client_id, sizeof(id.text));
+    }
+    else {
+        g_snprintf(id.text, sizeof(id.text), "%s-%" G_GUINT64_FORMAT,
+                   r->proxy->options.name, (guint64)r->id);
+    }
+    return id;
+}
+
+static ggw_ms
+now_of(const struct ggw_request *r)
+{
+    return ggw_kernel_now(r->proxy->base.kernel);
+}
+
+void
+ggw_proxy_log_granted(const struct ggw_request *r,
+                      const struct ggw_slot_grant *grant, ggw_ms waited)
+{
+    ggw_log_event(&granted,
+                  "id=%s kind=%s service=%s server=%s domain=%s attempt=%d "
+                  "waited=%.1f age=%.1f left=%.1f",
+                  id_of(r).text, r->kind->name, r->rule->name, grant->vm,
+                  grant->failure_domain, r->retry.attempts + 1, waited,
+                  now_of(r) - r->received, r->retry.deadline - now_of(r));
+}
+
+void
+ggw_proxy_log_no_slot(const struct ggw_request *r,
+                      const struct ggw_slot_refuse *refuse)
+{
+    static const char *const reasons[] = {
+        [GGW_SLOT_NO_SERVER] = "no-server",
+        [GGW_SLOT_QUEUE_FULL] = "queue-full",
+        [GGW_SLOT_TOO_LATE] = "too-late",
+        [GGW_SLOT_DISPLACED] = "displaced",
+    };
+
+    ggw_log_event(&no_slot,
+                  "id=%s kind=%s service=%s reason=%s waited=%.1f age=%.1f "
+                  "left=%.1f retry_after=%.0f",
+                  id_of(r).text, r->kind->name, r->rule->name,
+                  reasons[refuse->reason], now_of(r) - r->slot_asked,
+                  now_of(r) - r->received, r->retry.deadline - now_of(r),
+                  refuse->retry_after);
+}
+
+void
+ggw_proxy_log_attempt(const struct ggw_attempt *a, const char *result,
+                      ggw_ms latency)
+{
+    const struct ggw_request *r = a->request;
+
+    ggw_log_event(&attempt,
+                  "id=%s service=%s server=%s result=%s status=%d "
+                  "latency=%.1f busy=%d slots=%d slow_percent=%d age=%.1f",
+                  id_of(r).text, r->rule->name, a->vm, result, a->status,
+                  latency, a->report.busy, a->report.slots,
+                  a->report.slow_percent, now_of(r) - r->received);
+}
+
+void
+ggw_proxy_log_hedge(const struct ggw_request *r, ggw_ms after)
+{
+    ggw_log_event(&hedge, "id=%s service=%s after=%.1f median=%.1f",
+                  id_of(r).text, r->rule->name, after, r->metrics->usual.p50);
+}
+
+void
+ggw_proxy_log_retry(const struct ggw_request *r,
+                    enum ggw_attempt_result result,
+                    enum ggw_retry_verdict verdict)
+{
+    ggw_log_event(&retry,
+                  "id=%s service=%s result=%d verdict=%s attempts=%d "
+                  "left=%.1f",
+                  id_of(r).text, r->rule->name, (int)result,
+                  ggw_retry_verdict_name(verdict), r->retry.attempts,
+                  r->retry.deadline - now_of(r));
+}
+
+void
+ggw_proxy_log_response(const struct ggw_request *r, int status)
+{
+    ggw_log_event(&response,
+                  "id=%s kind=%s service=%s status=%d age=%.1f target=%.0f "
+                  "attempts=%d",
+                  id_of(r).text, r->kind->name, r->rule->name, status,
+                  now_of(r) - r->received, r->kind->target, r->retry.attempts);
+}
+
+void
+ggw_proxy_log_refused(const struct ggw_request *r, int status,
+                      const char *reason, enum ggw_outcome outcome,
+                      ggw_ms retry_after)
+{
+    ggw_log_event(&refused,
+                  "id=%s kind=%s service=%s status=%d reason=%s outcome=%s "
+                  "attempts=%d age=%.1f left=%.1f retry_after=%.0f",
+                  id_of(r).text, r->kind->name, r->rule->name, status, reason,
+                  ggw_outcome_name(outcome), r->retry.attempts,
+                  now_of(r) - r->received, r->retry.deadline - now_of(r),
+                  retry_after);
+}
+
+void
+ggw_proxy_log_client_left(const struct ggw_request *r)
+{
+    ggw_log_event(&client_left,
+                  "id=%s kind=%s service=%s attempts=%d age=%.1f",
+                  id_of(r).text, r->kind->name, r->rule->name,
+                  r->retry.attempts, now_of(r) - r->received);
+}
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "proxy/events.h"
 #include "proxy/headers.h"
 #include "proxy/route.h"
 #include "proxy/state.h"
@@ -119,8 +120,9 @@
     if (x != NULL) {
         ggw_exchange_attach(x, NULL, NULL);
         r->x = NULL;
-        ggw_exchange_refuse(x, status, reason, outcome,
-                            bound_retry_after(r, retry_after));
+        retry_after = bound_retry_after(r, retry_after);
+        ggw_proxy_log_refused(r, status, reason, outcome, retry_after);
+        ggw_exchange_refuse(x, status, reason, outcome, retry_after);
     }
 }
 
@@ -188,8 +190,11 @@
     struct ggw_message *m = ggw_slot_request_new(
         r->tree->team, r->rule->name, r->kind->priority, r->retry.deadline,
         r->tried->len > 1 ? (char **)r->tried->pdata : NULL);
+    struct ggw_slot_request *slot = (struct ggw_slot_request *)m;
 
-    ((struct ggw_slot_request *)m)->far_cost = ggw_request_far_cost(r);
+    slot->far_cost = ggw_request_far_cost(r);
+    slot->target = r->target_at;
+    slot->work = r->metrics->usual.p50;
     r->slot_tag = ++proxy->next_id;
     r->slot_asked = ggw_kernel_now(proxy->base.kernel);
     m->tag = r->slot_tag;
@@ -212,6 +217,7 @@
         return;
     }
     ggw_count("ggw_hedges_total");
+    ggw_proxy_log_hedge(r, now - r->received);
     ask_slot(r);
 }
 
@@ -225,6 +231,7 @@
     g_hash_table_remove(proxy->slot_waits, &r->slot_tag);
     r->slot_tag = 0;
     ggw_histogram_add(proxy->slot_wait, now - r->slot_asked);
+    ggw_proxy_log_granted(r, grant, now - r->slot_asked);
     if (now >= r->retry.deadline) {
         ggw_kernel_send(
             proxy->base.kernel, "slots", &proxy->base,
@@ -262,6 +269,7 @@
 
     g_hash_table_remove(r->proxy->slot_waits, &r->slot_tag);
     r->slot_tag = 0;
+    ggw_proxy_log_no_slot(r, refuse);
     if (r->attempts[0] != NULL || r->attempts[1] != NULL) {
         return; /* there is no slot for a hedge; the first goes on */
     }
@@ -299,6 +307,7 @@
                   : ggw_retry_decide(&r->target->retries, &r->retry, result,
                                      outcome, &r->metrics->usual, now);
     r->retry_granted = false;
+    ggw_proxy_log_retry(r, result, verdict);
     if (verdict == GGW_RETRY) {
         ggw_count("ggw_retries_total");
         ask_slot(r);
@@ -429,6 +438,7 @@
     struct ggw_request *r = data;
 
     r->x = NULL;
+    ggw_proxy_log_client_left(r);
     ggw_count("ggw_clients_left_total");
     if (r->kind->idempotency != GGW_IDEMPOTENT) {
         if (r->attempts[0] != NULL && !r->attempts[0]->ended) {
--- /dev/null
+++ b/slots/events.c
@@ -0,0 +1,89 @@
+#include "slots/events.h"
+
+#include "common/log.h"
+
+#define PART "slots"
+#define PER_S 50
+
+/* Interval between two lines on the same ledger, in ms. */
+#define LEDGER_INTERVAL 1000.0
+
+static struct ggw_log_event ledger = {.part = PART,
+                                      .name = "ledger",
+                                      .level = GGW_LOG_INFO,
+                                      .weight = GGW_LOG_ROUTINE,
+                                      .per_s = PER_S};
+static struct ggw_log_event server = {.part = PART,
+                                      .name = "server",
+                                      .level = GGW_LOG_INFO,
+                                      .weight = GGW_LOG_IMPORTANT,
+                                      .per_s = PER_S};
+static struct ggw_log_event owner = {.part = PART,
+                                     .name = "owner",
+                                     .level = GGW_LOG_INFO,
+                                     .weight = GGW_LOG_IMPORTANT,
+                                     .per_s = PER_S};
+static struct ggw_log_event fallback = {.part = PART,
+                                        .name = "fallback",
+                                        .level = GGW_LOG_INFO,
+                                        .weight = GGW_LOG_IMPORTANT,
+                                        .per_s = PER_S};
+
+void
+ggw_slots_log_ledger(struct ggw_slots *p, struct ggw_slots_domain *d,
+                     ggw_ms now)
+{
+    struct ggw_ledger_summary s;
+
+    if (now - d->logged_at < LEDGER_INTERVAL || !ggw_log_wants(GGW_LOG_INFO)) {
+        return;
+    }
+    d->logged_at = now;
+    ggw_ledger_summary(d->ledger, &s);
+    if (s.in_flight == 0 && s.waiting == 0) {
+        return;
+    }
+    ggw_log_event(&ledger,
+                  "service=%s domain=%s warm=%d warming=%d cold=%d ejected=%d "
+                  "closed=%d in_flight=%d limit=%d waiting=%d median=%.1f",
+                  d->group->service, d->name, s.states[GGW_LIMIT_WARM],
+                  s.states[GGW_LIMIT_WARMING], s.states[GGW_LIMIT_COLD],
+                  s.states[GGW_LIMIT_EJECTED], s.closed, s.in_flight, s.limit,
+                  s.waiting, s.median);
+}
+
+void
+ggw_slots_log_server(const struct ggw_slots_domain *d,
+                     const struct ggw_ledger_change *change)
+{
+    static const char *const states[] = {
+        [GGW_LIMIT_COLD] = "cold",
+        [GGW_LIMIT_WARMING] = "warming",
+        [GGW_LIMIT_WARM] = "warm",
+        [GGW_LIMIT_EJECTED] = "ejected",
+    };
+
+    ggw_log_event(&server,
+                  "service=%s server=%s from=%s to=%s limit=%d in_flight=%d "
+                  "failures=%d report_age=%.0f slow_percent=%d",
+                  d->group->service, change->server, states[change->from],
+                  states[change->to], change->limit, change->in_flight,
+                  change->failures, change->report_age, change->slow_percent);
+}
+
+void
+ggw_slots_log_owner(const struct ggw_slots_domain *d, const char *event)
+{
+    ggw_log_event(&owner, "service=%s domain=%s change=%s owner=%s",
+                  d->group->service, d->name, event,
+                  d->owner != NULL ? d->owner : "none");
+}
+
+void
+ggw_slots_log_fallback(const struct ggw_slots_pending *pd,
+                       const char *server_name, const char *owner_name)
+{
+    ggw_log_event(&fallback, "service=%s server=%s owner=%s",
+                  pd->group->service, server_name,
+                  owner_name != NULL ? owner_name : "none");
+}
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -59,6 +59,7 @@
  * struct ggw_slots_domain - the servers of a service whose slots one owner
  *                           counts: those of a failure domain, or all
  * @name: of the failure domain, or GGW_SLOTS_ALL
+ * @logged_at: last line on its ledger
  * @scouts: requests that wait for load reports, see slots/scout.c
  * @owner: name of the gateway that grants its slots; NULL for none
  * @ledger: not NULL while this gateway is the owner
@@ -79,6 +80,7 @@
     ggw_ms free_at;
     GBytes *announced;
     GPtrArray *scouts;
+    ggw_ms logged_at;
 };
 
 /**
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -3,6 +3,7 @@
 
 #include "common/metrics.h"
 #include "decide/owner.h"
+#include "slots/events.h"
 #include "slots/internal.h"
 
 /* What this gateway owns: ledgers, questions of others, announcements. */
@@ -49,6 +50,12 @@
 ggw_slots_drain(struct ggw_slots *p, struct ggw_slots_domain *d)
 {
     struct ggw_ledger_decision decision;
+    struct ggw_ledger_change change;
+
+    while (d->ledger != NULL &&
+           ggw_ledger_change(d->ledger, &change, ggw_slots_now(p))) {
+        ggw_slots_log_server(d, &change);
+    }
 
     while (d->ledger != NULL && ggw_ledger_decision(d->ledger, &decision)) {
         if (strcmp(decision.holder, p->self) == 0) {
@@ -71,6 +78,7 @@
 take_over(struct ggw_slots *p, struct ggw_slots_domain *d)
 {
     ggw_count("ggw_slots_takeovers_total");
+    ggw_slots_log_owner(d, "taken");
     d->ledger = ggw_ledger_new(&p->gate, p->rand, ggw_slots_now(p));
     ggw_slots_configure_ledger(p, d);
     ggw_slots_adopt_held(p, d);
@@ -97,6 +105,7 @@
         g_free(decision.holder);
         g_free(decision.server);
     }
+    ggw_slots_log_owner(d, "given_up");
     g_ptr_array_set_size(d->scouts, 0); /* they ask the new owner in time */
     g_clear_pointer(&d->ledger, ggw_ledger_free);
 }
@@ -233,6 +242,8 @@
         g_ptr_array_add(avoid, (gpointer)ggw_payload_string(&list));
     }
     ask.far_cost = ggw_payload_double(r);
+    ask.target = ggw_slots_now(p) + ggw_payload_double(r);
+    ask.work = ggw_payload_double(r);
     if (!r->ok) {
         ggw_count("ggw_slots_frames_malformed_total");
         return;
@@ -468,6 +479,7 @@
                 ggw_ledger_tick(d->ledger, now);
                 ggw_slots_drain(p, d);
                 announce(p, d, now);
+                ggw_slots_log_ledger(p, d, now);
             }
         }
         probe(p, g, now);
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/metrics.h"
+#include "slots/events.h"
 #include "slots/internal.h"
 
 /* Requests of "proxy": questions to owners, spill, and waiting here. */
@@ -18,6 +19,9 @@
 
 #define RETRY_AFTER 100.0
 
+/* In a SLOT_ACQUIRE, for a request without a target. */
+#define NO_TARGET 1e9
+
 /* An announced number of free slots loses half of its weight in this time. */
 #define FREE_HALF_LIFE 400.0
 
@@ -153,7 +157,7 @@
     uint32_t avoid = r->avoid != NULL ? g_strv_length(r->avoid) : 0;
     struct ggw_payload_writer w;
 
-    ggw_payload_begin(&w, 8);
+    ggw_payload_begin(&w, 10);
     ggw_payload_put_string(&w, r->team);
     ggw_payload_put_string(&w, r->service);
     ggw_payload_put_string(&w, a->domain->name);
@@ -165,6 +169,9 @@
         ggw_payload_put_string(&w, r->avoid[i]);
     }
     ggw_payload_put_double(&w, r->far_cost);
+    ggw_payload_put_double(&w, r->target > 0 ? r->target - ggw_slots_now(p)
+                                             : NO_TARGET);
+    ggw_payload_put_double(&w, r->work);
     ggw_slots_to_peer(p, a->owner, GGW_PEER_SLOT_ACQUIRE, a->id, &w);
 }
 
@@ -203,6 +210,8 @@
         .may_queue = home,
         .failure_domain = p->domain,
         .far_cost = r->far_cost,
+        .target = r->target,
+        .work = r->work,
     };
 
     a->id = ++p->next_id;
@@ -295,7 +304,10 @@
     struct ggw_slots_server *s = ggw_slots_fallback(p, pd);
 
     if (s != NULL) {
+        struct ggw_slots_domain *home = ggw_slots_home(p, pd->group);
+
         ggw_count("ggw_slots_fallback_grants_total");
+        ggw_slots_log_fallback(pd, s->name, home != NULL ? home->owner : NULL);
         grant(p, pd, ++p->next_id, s, NULL);
     }
     else if (!try_spill(p, pd)) {
@@ -351,6 +363,8 @@
             r->team, r->service, r->priority, r->deadline, r->avoid);
 
     copy->far_cost = r->far_cost;
+    copy->target = r->target;
+    copy->work = r->work;
     copy->base.from = r->base.from;
     copy->base.tag = r->base.tag;
     return copy;
--- a/slots/slots.h
+++ b/slots/slots.h
@@ -21,8 +21,11 @@
  * @deadline: monotonic ms; a grant after it is useless
  * @avoid: NULL-terminated names of servers that this request already tried,
  *         or NULL
+ * @target: time by which the response has its full value, monotonic ms; 0:
+ *          none. Set after ggw_slot_request_new(), like the next two.
+ * @work: usual time of the work; 0: not known
  * @far_cost: what a server in another failure domain costs, as a part of the
- *            usual time of the work; 0 unless set after ggw_slot_request_new()
+ *            usual time of the work
  *
  * Answered by exactly one ggw_slot_grant or ggw_slot_refuse with its tag.
  */
@@ -33,6 +36,8 @@
     int priority;
     ggw_ms deadline;
     char **avoid;
+    ggw_ms target;
+    ggw_ms work;
     double far_cost;
 };
 
