proxy: a slow attempt goes on beside its repeat

Change: where responses are kept until whole, both attempts go on and the first whole response counts.

--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -27,6 +27,12 @@
 /* Time between the last answer's end and the closing of the listener. */
 #define LEAVE_MARGIN_MS 200.0
 
+/*
+ * Servers end their work at the deadline and answer 504 themselves. A gateway
+ * that gave up at the same moment would cut some of them off before it.
+ */
+#define DEADLINE_GRACE_MS 100.0
+
 /* The process ends this long before the platform would kill it. */
 #define GRACE_MARGIN_MS 500.0
 
@@ -68,6 +74,7 @@
         .incarnation = incarnation,
         .keep = keep,
         .leave_wait = leave_wait,
+        .deadline_grace = DEADLINE_GRACE_MS,
         .drain = MAX(s->grace - leave_wait - GRACE_MARGIN_MS, 0),
         .dialect = &ggw_site_dialect,
         .half_close_leaves = true,
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -28,6 +28,8 @@
  * @progress_timeout: longest gap in a response's body; 0 for 5 s
  * @leave_wait: time from the start of leaving until the listener is closed;
  *              0 for a little more than @keep
+ * @deadline_grace: time after a request's deadline in which its server's own
+ *                  answer is awaited
  * @dialect: NULL for the project's own
  * @half_close_leaves: a client that closes its sending side has left
  *
@@ -47,6 +49,7 @@
     ggw_ms ready_after;
     ggw_ms progress_timeout;
     ggw_ms leave_wait;
+    ggw_ms deadline_grace;
     const struct ggw_dialect *dialect;
     bool half_close_leaves;
 };
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -340,19 +340,29 @@
 
 /*
  * A server has not responded for a while. Returns whether to give it up,
- * which is done only if another one may be tried.
+ * which is done only if another one may be tried. Where responses are kept
+ * until they are whole, both go on and the first whole one counts: a server
+ * that is only slow is not cut off.
  */
 bool
 ggw_request_attempt_slow(struct ggw_request *r)
 {
+    bool retry;
+
     if (r->x == NULL || r->slot_tag != 0 || r->attempts[1] != NULL) {
         return false;
     }
-    r->retry_granted =
-        ggw_retry_decide(&r->target->retries, &r->retry, GGW_ATTEMPT_SILENT,
-                         GGW_UNKNOWN, &r->metrics->usual,
-                         ggw_kernel_now(r->proxy->base.kernel)) == GGW_RETRY;
-    return r->retry_granted;
+    retry = ggw_retry_decide(&r->target->retries, &r->retry,
+                             GGW_ATTEMPT_SILENT, GGW_UNKNOWN,
+                             &r->metrics->usual,
+                             ggw_kernel_now(r->proxy->base.kernel)) ==
+            GGW_RETRY;
+    if (retry && r->kind->hold > 0) {
+        ask_slot(r);
+        return false;
+    }
+    r->retry_granted = retry;
+    return retry;
 }
 
 static void
