--- a/peers/messages.c
+++ b/peers/messages.c
@@ -43,6 +43,21 @@
     g_array_append_val(m->members, copy);
 }
 
+struct ggw_members_changed *
+ggw_members_changed_copy(const struct ggw_members_changed *m)
+{
+    struct ggw_members_changed *copy =
+        (struct ggw_members_changed *)ggw_members_changed_new();
+
+    copy->known = m->known;
+    copy->majority_until = m->majority_until;
+    for (guint i = 0; i < m->members->len; i++) {
+        ggw_members_add(copy,
+                        &g_array_index(m->members, struct ggw_member, i));
+    }
+    return copy;
+}
+
 static void
 send_destroy(struct ggw_message *message)
 {
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -174,6 +174,9 @@
     case GGW_PEER_CONFIG_GET:
     case GGW_PEER_CONFIG_PUT:
         return "config";
+    case GGW_PEER_ROWS:
+    case GGW_PEER_ROWS_GET:
+        return "site";
     default:
         return NULL;
     }
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -51,6 +51,8 @@
 
 extern const struct ggw_message_ops ggw_members_changed_ops;
 struct ggw_message *ggw_members_changed_new(void);
+struct ggw_members_changed *
+ggw_members_changed_copy(const struct ggw_members_changed *m);
 void ggw_members_add(struct ggw_members_changed *m,
                      const struct ggw_member *member);
 
@@ -70,6 +72,8 @@
     GGW_PEER_CONFIG_GET,
     GGW_PEER_CONFIG_PUT,
     GGW_PEER_SLOT_QUEUED, /* the owner has queued a SLOT_ACQUIRE */
+    GGW_PEER_ROWS,        /* rows of the platform's store */
+    GGW_PEER_ROWS_GET,    /* asks for all of them */
 };
 
 /**
@@ -97,7 +101,8 @@
 /**
  * struct ggw_peer_received - a frame from another gateway
  *
- * SLOT_* frames go to the service "slots", CONFIG_* frames to "config".
+ * SLOT_* frames go to the service "slots", CONFIG_* frames to "config", ROWS*
+ * frames to "site".
  */
 struct ggw_peer_received {
     struct ggw_message base;
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -494,8 +494,7 @@
     spec.head = h2o_iovec_init(a->head->str, a->head->len);
     spec.id = h2o_iovec_init(a->id, strlen(a->id));
     spec.patience = patience(r, r->retry.deadline - now);
-    spec.head_limit =
-        r->retry.deadline - now + proxy->options.deadline_grace;
+    spec.head_limit = r->retry.deadline - now + proxy->options.deadline_grace;
     spec.connect_timeout = MIN(CONNECT_TIMEOUT_MS, spec.patience);
     a->call = ggw_call_new(a->pool, &spec, &call_ops, a);
 }
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -83,16 +83,10 @@
 static void
 on_members(struct ggw_proxy *p, struct ggw_members_changed *m)
 {
-    struct ggw_message *copy = ggw_members_changed_new();
-
-    for (guint i = 0; i < m->members->len; i++) {
-        ggw_members_add((struct ggw_members_changed *)copy,
-                        &g_array_index(m->members, struct ggw_member, i));
-    }
     if (p->members != NULL) {
         p->members->base.ops->destroy(&p->members->base);
     }
-    p->members = (struct ggw_members_changed *)copy;
+    p->members = ggw_members_changed_copy(m);
 }
 
 static void
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -352,11 +352,10 @@
     if (r->x == NULL || r->slot_tag != 0 || r->attempts[1] != NULL) {
         return false;
     }
-    retry = ggw_retry_decide(&r->target->retries, &r->retry,
-                             GGW_ATTEMPT_SILENT, GGW_UNKNOWN,
-                             &r->metrics->usual,
-                             ggw_kernel_now(r->proxy->base.kernel)) ==
-            GGW_RETRY;
+    retry =
+        ggw_retry_decide(&r->target->retries, &r->retry, GGW_ATTEMPT_SILENT,
+                         GGW_UNKNOWN, &r->metrics->usual,
+                         ggw_kernel_now(r->proxy->base.kernel)) == GGW_RETRY;
     if (retry && r->kind->hold > 0) {
         ask_slot(r);
         return false;
