platform, standins: one client for the published store

Cause: the product's transactions, settings and objects still spoke the etcd mapping, with a codec of their own beside the new client of the users' store, and the stand-in spoke only that.

Transactions compare versions only; 0 stands for absent.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -425,7 +425,10 @@
 static void
 enqueue(struct sim *s, struct request *r, int domain)
 {
-    struct ggw_waiter w = {++s->id, r->priority, r->deadline, r};
+    struct ggw_waiter w = {.id = ++s->id,
+                           .priority = r->priority,
+                           .deadline = r->deadline,
+                           .data = r};
     struct ggw_waiter displaced;
 
     switch (
--- a/claims/claims.c
+++ b/claims/claims.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "common/log.h"
 #include "common/metrics.h"
@@ -165,11 +166,10 @@
     g_autofree char *text = ggw_claim_row_print(&w->row);
 
     if (w->mod_revision == 0) {
-        ggw_txn_compare(txn, w->key, GGW_COMPARE_CREATE_REVISION, 0);
+        ggw_txn_compare(txn, w->key, 0);
     }
     else {
-        ggw_txn_compare(txn, w->key, GGW_COMPARE_MOD_REVISION,
-                        w->mod_revision);
+        ggw_txn_compare(txn, w->key, w->mod_revision);
     }
     ggw_txn_put(txn, w->key, text);
     ggw_txn_read(txn, w->key);
@@ -414,14 +414,34 @@
     send_batches(p, false);
 }
 
+/* Longest key of a row in the platform's store, behind the table's name. */
+#define KEY_MAX 200
+
+/* An order whose name is too long for a key is named by its hash. */
+static char *
+claim_key(const struct ggw_claim_request *m)
+{
+    g_autofree char *order = g_uri_escape_string(m->order, NULL, FALSE);
+    char *key = g_strdup_printf("claims/%s/%s/%s", m->team, m->service, order);
+    XXH128_hash_t hash;
+
+    if (strlen(key) <= strlen("claims/") + KEY_MAX) {
+        return key;
+    }
+    g_free(key);
+    hash = XXH3_128bits(m->order, strlen(m->order));
+    return g_strdup_printf(
+        "claims/%s/%s/%%%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+        m->team, m->service, (guint64)hash.high64, (guint64)hash.low64);
+}
+
 static void
 on_request(struct priv *p, const struct ggw_claim_request *m)
 {
     struct write *w = g_new0(struct write, 1);
-    g_autofree char *order = g_uri_escape_string(m->order, NULL, FALSE);
 
     w->id = ++p->last_id;
-    w->key = g_strdup_printf("claims/%s/%s/%s", m->team, m->service, order);
+    w->key = claim_key(m);
     w->row.gateway = g_strdup(p->gateway);
     w->row.incarnation = p->incarnation;
     w->row.nonce = g_uuid_string_random();
--- a/ctl/change.c
+++ b/ctl/change.c
@@ -70,14 +70,13 @@
     g_autofree char *audit = audit_text(c);
 
     if (c->from.mod_revision > 0) {
-        ggw_txn_compare(txn, c->config_key, GGW_COMPARE_MOD_REVISION,
-                        c->from.mod_revision);
+        ggw_txn_compare(txn, c->config_key, c->from.mod_revision);
     }
     else {
-        ggw_txn_compare(txn, c->config_key, GGW_COMPARE_CREATE_REVISION, 0);
+        ggw_txn_compare(txn, c->config_key, 0);
     }
     /* A revision has one audit row, even if the settings were deleted. */
-    ggw_txn_compare(txn, c->audit_key, GGW_COMPARE_CREATE_REVISION, 0);
+    ggw_txn_compare(txn, c->audit_key, 0);
     ggw_txn_put(txn, c->config_key, row);
     ggw_txn_put(txn, c->audit_key, audit);
     ggw_txn_read(txn, c->audit_key);
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -52,7 +52,7 @@
         .host = address->host,
         .port = address->port,
         .message =
-            ggw_object_request_new("-/status", NULL, args->request_timeout),
+            ggw_object_request_new("/-/status", NULL, args->request_timeout),
     };
 }
 
