--- a/decide/slots.c
+++ b/decide/slots.c
@@ -369,6 +369,9 @@
  */
 #define WORK_PART 0.8
 
+/* Most work ends within this many times its usual time. */
+#define LONG_WORK 1.5
+
 static ggw_ms
 latest_start(const struct ggw_ledger_ask *ask)
 {
@@ -384,7 +387,8 @@
         .id = ++l->next_seq,
         .priority = ask->priority,
         .deadline = latest_start(ask),
-        .useful = ask->target > 0 ? ask->target - ask->work : 0,
+        .useful =
+            ask->target > 0 ? ask->target - LONG_WORK * ask->work : 0,
         .data = w,
     };
     struct ggw_waiter displaced;
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -556,9 +556,16 @@
         "\"order_from\":\"header:X-Order\",\"attempts\":3},"
         "\"other\":{\"methods\":[\"GET\"],\"path_prefix\":\"/other\","
         "\"timeout_ms\":%.0f,\"idempotency\":\"idempotent\","
-        "\"attempts\":1}}}}}";
-    g_autofree char *json =
-        g_strdup_printf(format, domain_out, timeout, timeout, timeout);
+        "\"attempts\":1}}}},"
+        "\"routes\":{"
+        "\"kept\":{\"host\":\"kept.example\",\"services\":{\"svc\":1},"
+        "\"timeout_ms\":%.0f,\"attempts\":2,\"hold_bytes\":100000,"
+        "\"retry_errors\":\"yes\"},"
+        "\"once\":{\"host\":\"once.example\",\"services\":{\"svc\":1},"
+        "\"timeout_ms\":%.0f,\"attempts\":2,\"hold_bytes\":100000,"
+        "\"idempotency\":\"once\"}}}";
+    g_autofree char *json = g_strdup_printf(
+        format, domain_out, timeout, timeout, timeout, timeout, timeout);
     GError *error = NULL;
     struct ggw_tree *tree = ggw_tree_parse("team", revision, json, &error);
 
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -113,6 +113,9 @@
 /**
  * env_start() - start with one team "team" and its services
  *
+ * Requests to the host kept.example are idempotent and their responses kept
+ * until whole; those to once.example must not be repeated.
+ *
  * "svc" has the kinds "read" (GET and POST below /read, idempotent),
  * "order" (POST below /order, header X-Order) and "other" (GET). All servers
  * run SCRIPT_OK.
