decide: sheds with free slots, failing servers, one repeat budget

Each shed made a server cold, three in a row ejected it, so that 4 to 6 requests at a time were left of 18; a server ejected by the short fault stayed out for up to 10 s. Retries had only 30% of the repeat budget, while hedges left theirs unused.

Tests: cold rate and stated cold starts, silence of short attempts, queue by target, hedges by target, spare repeats, policy "fastest", useful slots, sheds with free slots, questions for load.

--- a/config/settings_tables.c
+++ b/config/settings_tables.c
@@ -405,6 +405,15 @@
         .help = "load reports a second that may be asked of one server when "
                 "a request is placed; 0: none",
     },
+    {
+        .name = "trial_longest_ms",
+        .type = GGW_SETTING_MS,
+        .offset = offsetof(struct ggw_service_rule, trial_longest),
+        .min = 500,
+        .max = 3600000,
+        .fallback = "10000",
+        .help = "longest interval between trials of an ejected server",
+    },
     {
         .name = "busy_percent",
         .type = GGW_SETTING_INT,
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -20,6 +20,8 @@
     int load;
     int slow_percent;
     ggw_ms reported_at;
+    double failing; /* share of recent attempts that failed */
+    ggw_ms failed_at;
     char *failure_domain;
     int slots;                 /* 0: as the rule has it */
     enum ggw_limit_state told; /* state that ggw_ledger_change() has told */
--- a/decide/limit.c
+++ b/decide/limit.c
@@ -40,10 +40,13 @@
 static void
 enter_ejected(struct ggw_limit *l, ggw_ms now)
 {
+    ggw_ms longest =
+        l->rule.trial_longest > 0 ? l->rule.trial_longest : TRIAL_LONGEST;
+
     enter(l, GGW_LIMIT_EJECTED, 0, now);
     l->failures = 0;
-    l->trial_wait = l->trial_wait > 0 ? MIN(2 * l->trial_wait, TRIAL_LONGEST)
-                                      : TRIAL_FIRST;
+    l->trial_wait =
+        l->trial_wait > 0 ? MIN(2 * l->trial_wait, longest) : TRIAL_FIRST;
     l->trial_at = now + l->trial_wait;
 }
 
--- a/decide/limit.h
+++ b/decide/limit.h
@@ -29,6 +29,8 @@
  *         stays idle between a response and the next request. They wait in
  *         the server, so it needs a queue of that length; docs/routing.md has
  *         the figures. 0 for a server that sheds above its slots.
+ * @trial_longest: longest interval between trials of an ejected server; 0: 10
+ * s
  * @cold_rate: requests a second for a cold server; 0: no such limit
  */
 struct ggw_limit_rule {
@@ -37,6 +39,7 @@
     ggw_ms cold_time;
     int ahead;
     double cold_rate;
+    ggw_ms trial_longest;
 };
 
 /**
--- a/decide/place.c
+++ b/decide/place.c
@@ -1,9 +1,16 @@
+#include <math.h>
 #include <string.h>
 
 #include "decide/ledger.h"
 
 /* Which server a request gets. */
 
+/* Cost of a server that fails all requests, in usual times of the work. */
+#define FAILURE_COST 4.0
+
+/* What is known of failures loses half of its weight in this time, in ms. */
+#define FAILURE_HALF_LIFE 2000.0
+
 static bool
 is_avoided(char *const *avoid, const char *name)
 {
@@ -49,6 +56,14 @@
                : 0;
 }
 
+/* Time that a failure is expected to cost, with the repeat elsewhere. */
+static double
+failure_cost(const struct ggw_ledger_entry *s, ggw_ms now)
+{
+    return FAILURE_COST * s->failing *
+           exp2(-(now - s->failed_at) / FAILURE_HALF_LIFE);
+}
+
 /*
  * Fills l->candidates. An ejected server that is due for a trial is returned
  * instead of being a candidate.
@@ -85,7 +100,7 @@
                 .reported_at = s->reported_at,
                 .busy_limit = busy_limit(l, s),
                 .slow_percent = s->slow_percent,
-                .cost = cost_of(s, wish),
+                .cost = cost_of(s, wish) + failure_cost(s, now),
             };
     }
     return trial;
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -387,8 +387,7 @@
         .id = ++l->next_seq,
         .priority = ask->priority,
         .deadline = latest_start(ask),
-        .useful =
-            ask->target > 0 ? ask->target - LONG_WORK * ask->work : 0,
+        .useful = ask->target > 0 ? ask->target - LONG_WORK * ask->work : 0,
         .data = w,
     };
     struct ggw_waiter displaced;
@@ -497,6 +496,35 @@
     return n;
 }
 
+/* Weight of one attempt in the share of those that failed. */
+#define FAILING_WEIGHT 0.2
+
+static void
+note_outcome(struct ggw_ledger_entry *s, enum ggw_attempt_result result,
+             ggw_ms now)
+{
+    bool failed = ggw_attempt_failed(result) || result == GGW_ATTEMPT_SILENT;
+
+    if (!failed && result != GGW_ATTEMPT_OK) {
+        return;
+    }
+    s->failing += FAILING_WEIGHT * ((failed ? 1 : 0) - s->failing);
+    s->failed_at = failed ? now : s->failed_at;
+}
+
+/*
+ * A server that sheds although it has a free slot is not overloaded: a lower
+ * limit would not help it.
+ */
+static bool
+is_spare_shed(const struct ggw_ledger_entry *s, enum ggw_attempt_result result,
+              const struct ggw_load_report *report)
+{
+    return result == GGW_ATTEMPT_SHED && report != NULL && report->present &&
+           report->queue == 0 && report->slots > 0 &&
+           report->busy < report->slots;
+}
+
 static void
 apply_result(struct ggw_ledger *l, struct ggw_ledger_entry *s,
              enum ggw_attempt_result result, ggw_ms started, ggw_ms latency,
@@ -577,6 +605,10 @@
         return;
     }
     note_end(l, &key, g != NULL, now);
+    note_outcome(s, result, now);
+    if (is_spare_shed(s, result, report)) {
+        result = GGW_ATTEMPT_UNUSED;
+    }
     apply_report(s, report, now);
     if (g == NULL) {
         apply_result(l, s, result, now - latency, latency, now);
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -12,6 +12,12 @@
 /* Suggested to a client whose attempts were all shed. */
 #define SHED_RETRY_MS 1000
 
+/*
+ * The servers of routed requests shed at random too, and the client's target
+ * counts from its first attempt.
+ */
+#define ROUTED_SHED_RETRY_MS 50
+
 /* Part of the spare repeats that is for retries; the rest is for hedges. */
 #define RETRY_PART 0.3
 
@@ -176,7 +182,8 @@
         if (r->retry.attempts > 0) {
             status = 503;
             reason = "shed";
-            retry_after = MAX(retry_after, SHED_RETRY_MS);
+            retry_after = r->route != NULL ? ROUTED_SHED_RETRY_MS
+                                           : MAX(retry_after, SHED_RETRY_MS);
         }
         respond(r, status, reason, GGW_NOT_RUN, retry_after);
     }
@@ -276,6 +283,26 @@
     finish(r, 503, reasons[refuse->reason], MAX(refuse->retry_after, 1));
 }
 
+/*
+ * Whether to send another attempt; charges a budget. Routed requests share
+ * one budget between retries and hedges, and a retry needs it more.
+ */
+static enum ggw_retry_verdict
+decide_retry(struct ggw_request *r, enum ggw_attempt_result result,
+             enum ggw_outcome outcome)
+{
+    ggw_ms now = ggw_kernel_now(r->proxy->base.kernel);
+    enum ggw_retry_verdict verdict =
+        ggw_retry_decide(&r->target->retries, &r->retry, result, outcome,
+                         &r->metrics->usual, now);
+
+    if (verdict == GGW_RETRY_BUDGET && r->route != NULL) {
+        verdict = ggw_retry_decide(&r->target->hedges, &r->retry, result,
+                                   outcome, &r->metrics->usual, now);
+    }
+    return verdict;
+}
+
 void
 ggw_request_attempt_failed(struct ggw_request *r,
                            enum ggw_attempt_result result,
@@ -302,10 +329,7 @@
         finish(r, 503, "client-left", 0);
         return;
     }
-    verdict = r->retry_granted
-                  ? GGW_RETRY
-                  : ggw_retry_decide(&r->target->retries, &r->retry, result,
-                                     outcome, &r->metrics->usual, now);
+    verdict = r->retry_granted ? GGW_RETRY : decide_retry(r, result, outcome);
     r->retry_granted = false;
     ggw_proxy_log_retry(r, result, verdict);
     if (verdict == GGW_RETRY) {
@@ -332,9 +356,7 @@
         return true;
     }
     r->retry_granted =
-        ggw_retry_decide(&r->target->retries, &r->retry, GGW_ATTEMPT_BROKEN,
-                         GGW_UNKNOWN, &r->metrics->usual,
-                         ggw_kernel_now(r->proxy->base.kernel)) == GGW_RETRY;
+        decide_retry(r, GGW_ATTEMPT_BROKEN, GGW_UNKNOWN) == GGW_RETRY;
     return r->retry_granted;
 }
 
@@ -352,10 +374,7 @@
     if (r->x == NULL || r->slot_tag != 0 || r->attempts[1] != NULL) {
         return false;
     }
-    retry =
-        ggw_retry_decide(&r->target->retries, &r->retry, GGW_ATTEMPT_SILENT,
-                         GGW_UNKNOWN, &r->metrics->usual,
-                         ggw_kernel_now(r->proxy->base.kernel)) == GGW_RETRY;
+    retry = decide_retry(r, GGW_ATTEMPT_SILENT, GGW_UNKNOWN) == GGW_RETRY;
     if (retry && r->kind->hold > 0) {
         ask_slot(r);
         return false;
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -229,6 +229,7 @@
         rule.cold_limit = g->rule->cold_limit;
         rule.cold_time = g->rule->cold_time;
         rule.cold_rate = g->rule->cold_rate;
+        rule.trial_longest = g->rule->trial_longest;
         if (g->policy.ops != NULL && g->policy.ops->owned) {
             ggw_ledger_set_policy(d->ledger, g->policy.ops,
                                   g->rule->busy_percent);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -231,6 +231,54 @@
     g_rand_free(rand);
 }
 
+/*
+ * Guards against requests that miss their target because others, which miss
+ * theirs anyway, come first.
+ */
+static void
+test_targets(void)
+{
+    struct ggw_admission *a = ggw_admission_new(64);
+    struct ggw_waiter w;
+    struct ggw_waiter late = waiter(1, 0, 1000);
+    struct ggw_waiter in_time = waiter(2, 0, 1000);
+    struct ggw_waiter none = waiter(3, 0, 1000);
+
+    late.useful = 10;
+    in_time.useful = 500;
+    ggw_admission_set_slots(a, 8);
+    CU_ASSERT_EQUAL(ggw_admission_push(a, &late, 0, &w), GGW_ADMISSION_QUEUED);
+    CU_ASSERT_EQUAL(ggw_admission_push(a, &in_time, 0, &w),
+                    GGW_ADMISSION_QUEUED);
+    CU_ASSERT_EQUAL(ggw_admission_push(a, &none, 0, &w), GGW_ADMISSION_QUEUED);
+    CU_ASSERT_TRUE(ggw_admission_pop(a, 20, &w));
+    CU_ASSERT_EQUAL(w.id, 2);
+    CU_ASSERT_TRUE(ggw_admission_pop(a, 20, &w));
+    CU_ASSERT_EQUAL(w.id, 3);
+    CU_ASSERT_TRUE(ggw_admission_pop(a, 20, &w));
+    CU_ASSERT_EQUAL(w.id, 1);
+    ggw_admission_free(a);
+}
+
+/* Guards against a crowd that waits although it can only be late. */
+static void
+test_late_are_few(void)
+{
+    struct ggw_admission *a = ggw_admission_new(64);
+    struct ggw_waiter w;
+    int queued = 0;
+
+    ggw_admission_set_slots(a, 8);
+    for (uint64_t id = 1; id <= 20; id++) {
+        struct ggw_waiter late = waiter(id, 0, 1000);
+
+        late.useful = 10;
+        queued += ggw_admission_push(a, &late, 20, &w) == GGW_ADMISSION_QUEUED;
+    }
+    CU_ASSERT_EQUAL(queued, 2); /* a quarter of the slots */
+    ggw_admission_free(a);
+}
+
 int
 main(void)
 {
@@ -242,6 +290,8 @@
     CU_add_test(suite, "priority", test_priority);
     CU_add_test(suite, "too_late", test_too_late);
     CU_add_test(suite, "retry_after", test_retry_after);
+    CU_add_test(suite, "targets", test_targets);
+    CU_add_test(suite, "late_are_few", test_late_are_few);
     CU_add_test(suite, "random_operations", test_random_operations);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -329,6 +329,66 @@
     g_rand_free(rand);
 }
 
+/* Guards against a cold server that gets more than its rate. */
+static void
+test_cold_rate(void)
+{
+    struct ggw_limit_rule slow = rule;
+    struct ggw_limit l;
+    int started = 0;
+
+    slow.cold_rate = 3.4;
+    slow.cold_limit = 4;
+    ggw_limit_init(&l, &slow, true, 0);
+    for (int ms = 0; ms < 10000; ms++) {
+        if (ggw_limit_may_start(&l, 0, ms)) {
+            ggw_limit_started(&l, ms);
+            started++;
+        }
+    }
+    CU_ASSERT_TRUE(started >= 33 && started <= 35);
+    CU_ASSERT_TRUE(ggw_limit_next_start(&l) > 9900);
+}
+
+/* Guards against a stated cold start that ends too early, or never. */
+static void
+test_cold_until(void)
+{
+    struct ggw_limit_rule rate = rule;
+    struct ggw_load_report report = {.present = true, .cold = true};
+    struct ggw_limit l;
+
+    ggw_limit_init(&l, &rule, false, 0);
+    ggw_limit_cold_until(&l, 3000, 0);
+    results(&l, 100, GGW_ATTEMPT_OK, 4, 2000);
+    CU_ASSERT_EQUAL(l.state, GGW_LIMIT_COLD);
+    ggw_limit_cold_until(&l, 3000, 3000);
+    CU_ASSERT_EQUAL(l.state, GGW_LIMIT_WARM);
+
+    /* A response that does not speak of it leaves a cold server cold. */
+    rate.cold_rate = 3.4;
+    ggw_limit_init(&l, &rate, false, 0);
+    report.cold_left = 1000;
+    ggw_limit_report(&l, &report, 0);
+    CU_ASSERT_EQUAL(l.state, GGW_LIMIT_COLD);
+    report = (struct ggw_load_report){.present = true, .cold_unknown = true};
+    ggw_limit_report(&l, &report, 10);
+    CU_ASSERT_EQUAL(l.state, GGW_LIMIT_COLD);
+    report.cold_unknown = false;
+    ggw_limit_report(&l, &report, 20);
+    CU_ASSERT_EQUAL(l.state, GGW_LIMIT_WARM);
+}
+
+/* Guards against servers blamed for requests that had little time left. */
+static void
+test_short_attempts(void)
+{
+    CU_ASSERT_EQUAL(ggw_attempt_silence(100, 120), GGW_ATTEMPT_CANCELLED);
+    CU_ASSERT_EQUAL(ggw_attempt_silence(479, 120), GGW_ATTEMPT_CANCELLED);
+    CU_ASSERT_EQUAL(ggw_attempt_silence(480, 120), GGW_ATTEMPT_SILENT);
+    CU_ASSERT_EQUAL(ggw_attempt_silence(100, 0), GGW_ATTEMPT_SILENT);
+}
+
 int
 main(void)
 {
@@ -347,6 +407,9 @@
     CU_add_test(suite, "silent", test_silent);
     CU_add_test(suite, "draining", test_draining);
     CU_add_test(suite, "keep", test_keep);
+    CU_add_test(suite, "cold_rate", test_cold_rate);
+    CU_add_test(suite, "cold_until", test_cold_until);
+    CU_add_test(suite, "short_attempts", test_short_attempts);
     CU_add_test(suite, "random_events", test_random_events);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -180,6 +180,44 @@
     g_rand_free(rand);
 }
 
+/* Guards against a slow, busy or distant server where a better one is free. */
+static void
+test_fastest(void)
+{
+    struct ggw_policy p = {ggw_policy_find("fastest"), g_rand_new_with_seed(1),
+                           0};
+    struct ggw_candidate c[] = {
+        {.limit = 2, .slow_percent = 400, .reported_at = 990},
+        {.limit = 2, .slow_percent = 100, .reported_at = 990, .cost = 0.5},
+        {.limit = 2,
+         .slow_percent = 100,
+         .reported_at = 990,
+         .in_flight = 1,
+         .busy_limit = 1},
+        {.limit = 2, .slow_percent = 100, .reported_at = 990, .in_flight = 2},
+    };
+
+    CU_ASSERT_EQUAL(ggw_policy_pick(&p, c, 4, 1000), 1);
+    c[1].cost = 5; /* too far for its response */
+    CU_ASSERT_EQUAL(ggw_policy_pick(&p, c, 4, 1000), 2);
+    c[2].in_flight = 2;
+    CU_ASSERT_EQUAL(ggw_policy_pick(&p, c, 4, 1000), 0);
+    /* An old report says little: the spell has ended by now. */
+    CU_ASSERT_TRUE(ggw_policy_work(&c[0], 5000) <
+                   ggw_policy_work(&c[0], 1000));
+    g_rand_free(p.rand);
+}
+
+/* Guards against slots that make a server slower than they are worth. */
+static void
+test_useful_slots(void)
+{
+    CU_ASSERT_EQUAL(ggw_policy_useful_slots(4, 80), 3);
+    CU_ASSERT_EQUAL(ggw_policy_useful_slots(2, 80), 2);
+    CU_ASSERT_EQUAL(ggw_policy_useful_slots(8, 100), 8);
+    CU_ASSERT_EQUAL(ggw_policy_useful_slots(10, 80), 8);
+}
+
 int
 main(void)
 {
@@ -193,6 +231,8 @@
     CU_add_test(suite, "least_busy", test_least_busy);
     CU_add_test(suite, "report_age", test_report_age);
     CU_add_test(suite, "fails_fast", test_fails_fast);
+    CU_add_test(suite, "fastest", test_fastest);
+    CU_add_test(suite, "useful_slots", test_useful_slots);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -215,6 +215,46 @@
     CU_ASSERT_EQUAL(ggw_hedge_delay(&r, &l), INFINITY);
 }
 
+/* Guards against a hedge too late for the target, or before it is needed. */
+static void
+test_hedge_target(void)
+{
+    struct ggw_retry_request r = request(GGW_IDEMPOTENT);
+    struct ggw_latency l = {.p50 = 120, .p95 = 480};
+
+    r.target_in = 300;
+    CU_ASSERT_DOUBLE_EQUAL(ggw_hedge_delay(&r, &l), 156, 1e-6);
+    r.target_in = 200; /* no time for two: not before the first is due */
+    CU_ASSERT_DOUBLE_EQUAL(ggw_hedge_delay(&r, &l), 132, 1e-6);
+}
+
+/* Guards against more spare repeats in any 10 s than were allowed. */
+static void
+test_spare(void)
+{
+    struct ggw_retry_request r = request(GGW_IDEMPOTENT);
+    struct ggw_budget b;
+    int granted[60] = {0}; /* in each second */
+
+    ggw_budget_init(&b, 20, 0);
+    ggw_budget_set_spare(&b, 12);
+    for (int ms = 0; ms < 60000; ms += 10) {
+        r.deadline = ms + 1000;
+        granted[ms / 1000] +=
+            ggw_retry_decide(&b, &r, GGW_ATTEMPT_SHED, GGW_NOT_RUN,
+                             &no_latency, ms) == GGW_RETRY;
+    }
+    for (int start = 0; start + 10 <= 60; start++) {
+        int sum = 0;
+
+        for (int s = start; s < start + 10; s++) {
+            sum += granted[s];
+        }
+        CU_ASSERT_TRUE(sum <= 12);
+        CU_ASSERT_TRUE(sum >= 5);
+    }
+}
+
 /* Guards against hedges and retries at the wrong time after a change. */
 static void
 test_latency(void)
@@ -259,6 +299,8 @@
     CU_add_test(suite, "budget", test_budget);
     CU_add_test(suite, "amplification", test_amplification);
     CU_add_test(suite, "hedge", test_hedge);
+    CU_add_test(suite, "hedge_target", test_hedge_target);
+    CU_add_test(suite, "spare", test_spare);
     CU_add_test(suite, "latency", test_latency);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
--- a/tests/test_slots_ledger.c
+++ b/tests/test_slots_ledger.c
@@ -294,6 +294,71 @@
     CU_ASSERT_TRUE(grants > 2000); /* else little was tested */
 }
 
+static void
+shed(struct ggw_ledger *l, uint64_t id, int busy, ggw_ms now)
+{
+    struct ggw_load_report report = {
+        .present = true, .slots = 2, .busy = busy, .cold_unknown = true};
+    struct ggw_ledger_decision d;
+
+    ask(l, 0, id, now + 1000, now);
+    while (ggw_ledger_decision(l, &d)) {
+        if (d.answer == GGW_LEDGER_GRANTED) {
+            ggw_ledger_release(l, d.holder, d.id, d.server, GGW_ATTEMPT_SHED,
+                               1, &report, now);
+        }
+        g_free(d.holder);
+        g_free(d.server);
+    }
+}
+
+/*
+ * Guards against a whole service that is ejected because its servers shed a
+ * part of their requests although they have free slots.
+ */
+static void
+test_spare_sheds(void)
+{
+    GRand *r = g_rand_new_with_seed(SEED);
+    struct ggw_ledger *l = new_ledger(r, true);
+    struct ggw_ledger_summary s;
+
+    for (uint64_t id = 1; id <= 100; id++) {
+        shed(l, id, 1, 10.0 * (double)id);
+    }
+    ggw_ledger_summary(l, &s);
+    CU_ASSERT_EQUAL(s.states[GGW_LIMIT_WARM], SERVERS);
+
+    /* A server that sheds because it is full gets less. */
+    shed(l, 200, 2, 3000);
+    ggw_ledger_summary(l, &s);
+    CU_ASSERT_EQUAL(s.states[GGW_LIMIT_COLD], 1);
+    ggw_ledger_free(l);
+    g_rand_free(r);
+}
+
+/* Guards against questions to servers that would not be picked. */
+static void
+test_scout(void)
+{
+    GRand *r = g_rand_new_with_seed(SEED);
+    struct ggw_ledger *l = new_ledger(r, true);
+    struct ggw_ledger_ask a = {.holder = "g0", .id = 1, .deadline = 1000};
+    struct ggw_load_report report = {
+        .present = true, .slots = 2, .slow_percent = 100};
+    const char *names[8];
+
+    ggw_ledger_set_policy(l, ggw_policy_find("fastest"), 80);
+    CU_ASSERT_EQUAL(ggw_ledger_scout(l, &a, 30, names, 3, 10), 3);
+    CU_ASSERT_EQUAL(ggw_ledger_scout(l, &a, 30, names, 8, 10), SERVERS);
+    /* A fresh report of a server that is as fast as usual is enough. */
+    ggw_ledger_report(l, "s2", &report, 10);
+    CU_ASSERT_EQUAL(ggw_ledger_scout(l, &a, 30, names, 3, 20), 0);
+    CU_ASSERT_TRUE(ggw_ledger_scout(l, &a, 30, names, 3, 100) > 0);
+    ggw_ledger_free(l);
+    g_rand_free(r);
+}
+
 int
 main(void)
 {
@@ -306,6 +371,8 @@
     CU_add_test(suite, "stopped", test_stopped);
     CU_add_test(suite, "lost gateway", test_lost_gateway);
     CU_add_test(suite, "takeover", test_takeover);
+    CU_add_test(suite, "spare sheds", test_spare_sheds);
+    CU_add_test(suite, "scout", test_scout);
     CU_add_test(suite, "random operations", test_random_operations);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
