slots: one owner per failure domain of a large service

SLOT_LOAD is sent when the set of warm servers changes or the free slots pass a power of two, not at each change. Heartbeats slow down by 2.5 beyond 12 members.

--- a/config/settings_tables.c
+++ b/config/settings_tables.c
@@ -372,9 +372,10 @@
         .type = GGW_SETTING_ENUM,
         .offset = offsetof(struct ggw_service_rule, scope),
         .fallback = "\"failure_domain\"",
-        .choices = "failure_domain|service",
+        .choices = "failure_domain|service|size",
         .help = "whose slots one gateway grants; \"service\" suits work that "
-                "takes far longer than a round trip between failure domains",
+                "takes far longer than a round trip between failure domains, "
+                "\"size\" is that for services of few servers only",
     },
     {
         .name = "cold_per_s",
--- a/config/tree.h
+++ b/config/tree.h
@@ -25,6 +25,7 @@
 enum ggw_owner_scope {
     GGW_SCOPE_FAILURE_DOMAIN,
     GGW_SCOPE_SERVICE,
+    GGW_SCOPE_SIZE, /* the service, or a failure domain if it has many */
 };
 
 enum ggw_order_source {
--- a/decide/view.c
+++ b/decide/view.c
@@ -3,6 +3,9 @@
 #include <math.h>
 #include <string.h>
 
+/* Of the times of a view with more than GGW_VIEW_SMALL members. */
+#define LARGE_PACE 2.5
+
 struct ggw_view {
     GPtrArray *members; /* of struct ggw_view_member, sorted by name */
     struct ggw_view_member *self;
@@ -12,6 +15,12 @@
     bool changed;
 };
 
+double
+ggw_view_pace(const struct ggw_view *v)
+{
+    return v->members->len > GGW_VIEW_SMALL ? LARGE_PACE : 1;
+}
+
 static void
 member_free(gpointer data)
 {
@@ -241,11 +250,11 @@
     if (m->member.state == GGW_MEMBER_DEAD) {
         return m->listed || silence <= GGW_VIEW_KEEP;
     }
-    if (silence > GGW_DEAD_AFTER) {
+    if (silence > ggw_view_pace(v) * GGW_DEAD_AFTER) {
         bury(m);
         set_state(v, m, GGW_MEMBER_DEAD);
     }
-    else if (silence > GGW_SUSPECT_AFTER && !m->left) {
+    else if (silence > ggw_view_pace(v) * GGW_SUSPECT_AFTER && !m->left) {
         set_state(v, m, GGW_MEMBER_SUSPECTED);
     }
     return true;
@@ -383,5 +392,6 @@
         return -INFINITY;
     }
     g_array_sort(acked, later_first);
-    return g_array_index(acked, ggw_ms, others - 1) + GGW_SUSPECT_AFTER;
+    return g_array_index(acked, ggw_ms, others - 1) +
+           ggw_view_pace(v) * GGW_SUSPECT_AFTER;
 }
--- a/decide/view.h
+++ b/decide/view.h
@@ -21,6 +21,12 @@
 #define GGW_SUSPECT_AFTER 700.0
 #define GGW_DEAD_AFTER 2000.0
 
+/*
+ * Every gateway sends heartbeats to every other. Beyond this number of them,
+ * all of these times are longer by ggw_view_pace().
+ */
+#define GGW_VIEW_SMALL 12
+
 /*
  * Dead members are forgotten after this time unless the list of VMs has
  * them. It only bounds the table: a process that lives says so itself.
@@ -125,6 +131,11 @@
  */
 void ggw_view_renew(struct ggw_view *v, uint64_t incarnation);
 
+/**
+ * ggw_view_pace() - factor of the times above
+ */
+double ggw_view_pace(const struct ggw_view *v);
+
 /**
  * ggw_view_changed() - whether the published part changed since the last call
  */
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -273,7 +273,7 @@
             ggw_peers_send_heartbeat(value, c, now);
         }
     }
-    p->next_heartbeat = now + GGW_HEARTBEAT_INTERVAL;
+    p->next_heartbeat = now + ggw_view_pace(p->view) * GGW_HEARTBEAT_INTERVAL;
 }
 
 static void
@@ -282,7 +282,7 @@
     for (guint i = p->conns->len; i > 0; i--) {
         struct ggw_conn *c = g_ptr_array_index(p->conns, i - 1);
 
-        if (now - c->heard_at > GGW_DEAD_AFTER) {
+        if (now - c->heard_at > ggw_view_pace(p->view) * GGW_DEAD_AFTER) {
             ggw_link_close(c->link, "silent");
         }
     }
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -4,6 +4,14 @@
 
 /* What the settings and the list of VMs say of servers. */
 
+/*
+ * Servers in each failure domain from which on a service has an owner for
+ * each, and below which it has one again. Apart, so that a few servers more
+ * or less do not move the ownership to and fro.
+ */
+#define SPLIT_FROM 14
+#define SPLIT_UNTIL 8
+
 static void
 server_free(gpointer data)
 {
@@ -70,7 +78,11 @@
 static bool
 is_owned_whole(const struct ggw_slots_group *g)
 {
-    return g->rule != NULL && g->rule->scope == GGW_SCOPE_SERVICE;
+    if (g->rule == NULL) {
+        return false;
+    }
+    return g->rule->scope == GGW_SCOPE_SERVICE ||
+           (g->rule->scope == GGW_SCOPE_SIZE && !g->split);
 }
 
 struct ggw_slots_domain *
@@ -294,6 +306,54 @@
                          ggw_slots_now(p));
 }
 
+/* Servers of a group in the failure domain that has fewest of them. */
+static guint
+fewest_servers(const struct ggw_slots *p, const struct ggw_slots_group *g)
+{
+    g_autoptr(GHashTable) counts = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iter;
+    gpointer value;
+    guint fewest = G_MAXUINT;
+
+    for (size_t i = 0; p->vms != NULL && i < p->vms->len; i++) {
+        const struct ggw_vm *vm = &p->vms->vms[i];
+
+        if (vm->role == GGW_VM_BACKEND_SERVER && !vm->leaving &&
+            strcmp(vm->service, g->service) == 0 &&
+            strcmp(vm->team, g->team) == 0) {
+            value = g_hash_table_lookup(counts, vm->failure_domain);
+            g_hash_table_insert(counts, vm->failure_domain,
+                                GUINT_TO_POINTER(GPOINTER_TO_UINT(value) + 1));
+        }
+    }
+    g_hash_table_iter_init(&iter, counts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        fewest = MIN(fewest, GPOINTER_TO_UINT(value));
+    }
+    return g_hash_table_size(counts) > 1 ? fewest : 0;
+}
+
+/*
+ * One owner for all servers finds a better one among few; among many, an
+ * owner in each failure domain is nearer and has less to do.
+ */
+static void
+update_split(struct ggw_slots *p, struct ggw_slots_group *g)
+{
+    guint fewest;
+
+    if (g->rule == NULL || g->rule->scope != GGW_SCOPE_SIZE) {
+        return;
+    }
+    fewest = fewest_servers(p, g);
+    if (fewest >= SPLIT_FROM) {
+        g->split = true;
+    }
+    else if (fewest < SPLIT_UNTIL) {
+        g->split = false;
+    }
+}
+
 void
 ggw_slots_update(struct ggw_slots *p)
 {
@@ -305,6 +365,7 @@
         struct ggw_slots_group *g = value;
 
         apply_rule(p, g);
+        update_split(p, g);
         for (guint i = 0; i < g->servers->len; i++) {
             struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
 
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -67,7 +67,8 @@
  * @free_at: when it announced them
  * @spent: slots that this gateway asked for in the current tick
  * @exhausted: the owner had no free slot for a spilled request in this tick
- * @announced: last SLOT_LOAD sent
+ * @announced: names of warm servers in the last SLOT_LOAD sent
+ * @announced_free: free slots in it
  */
 struct ggw_slots_domain {
     struct ggw_slots_group *group;
@@ -79,6 +80,7 @@
     bool exhausted;
     ggw_ms free_at;
     GBytes *announced;
+    int announced_free;
     GPtrArray *scouts;
     ggw_ms logged_at;
 };
@@ -97,12 +99,14 @@
 /**
  * struct ggw_slots_group - the servers of one service of a team
  * @tree: holds @rule; NULL before settings are in force
+ * @split: large enough for one owner in each failure domain
  */
 struct ggw_slots_group {
     char *team;
     char *service;
     struct ggw_tree *tree;
     const struct ggw_service_rule *rule;
+    bool split;
     GPtrArray *servers; /* of struct ggw_slots_server */
     GPtrArray *domains; /* of struct ggw_slots_domain */
     struct ggw_policy policy;
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -336,16 +336,15 @@
     ggw_payload_close(&r);
 }
 
-/* Tells all gateways of free slots and warm servers when they changed. */
-static void
-announce(struct ggw_slots *p, struct ggw_slots_domain *d, ggw_ms now)
+/*
+ * Notes which servers are warm. Returns their names as one text, to see
+ * whether they changed.
+ */
+static GBytes *
+note_warm(struct ggw_slots_domain *d, GPtrArray *warm)
 {
     struct ggw_slots_group *g = d->group;
-    struct ggw_payload_writer w;
-    g_autoptr(GPtrArray) warm = g_ptr_array_new();
-    GBytes *payload;
-    bool whole = strcmp(d->name, GGW_SLOTS_ALL) == 0;
-    int free = whole ? 0 : ggw_ledger_free_slots(d->ledger, now);
+    GString *names = g_string_new(NULL);
 
     for (guint i = 0; i < g->servers->len; i++) {
         struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
@@ -362,24 +361,60 @@
         s->suspect = false;
         if (s->warm) {
             g_ptr_array_add(warm, s->name);
+            g_string_append_printf(names, "%s ", s->name);
         }
     }
-    ggw_payload_begin(&w, 5);
-    ggw_payload_put_string(&w, g->team);
-    ggw_payload_put_string(&w, g->service);
+    return g_string_free_to_bytes(names);
+}
+
+/*
+ * Free slots in the steps in which they are announced: whether there are any
+ * and about how many is enough for those that look for one elsewhere.
+ */
+static int
+rounded_free(const struct ggw_slots_domain *d, ggw_ms now)
+{
+    int free = ggw_ledger_free_slots(d->ledger, now);
+    int step = 1;
+
+    if (strcmp(d->name, GGW_SLOTS_ALL) == 0 || free == 0) {
+        return 0;
+    }
+    while (2 * step <= free) {
+        step *= 2;
+    }
+    return step;
+}
+
+/* Tells all gateways of free slots and warm servers when they changed. */
+static void
+announce(struct ggw_slots *p, struct ggw_slots_domain *d, ggw_ms now)
+{
+    struct ggw_payload_writer w;
+    g_autoptr(GPtrArray) warm = g_ptr_array_new();
+    GBytes *names = note_warm(d, warm);
+    int free = rounded_free(d, now);
+    bool same_warm =
+        d->announced != NULL && g_bytes_equal(names, d->announced);
+    g_autoptr(GBytes) payload = NULL;
+
+    g_clear_pointer(&d->announced, g_bytes_unref);
+    d->announced = names;
+    if (same_warm && free == d->announced_free) {
+        return;
+    }
+    d->announced_free = free;
+    ggw_payload_begin(&w, 6);
+    ggw_payload_put_string(&w, d->group->team);
+    ggw_payload_put_string(&w, d->group->service);
     ggw_payload_put_string(&w, d->name);
-    ggw_payload_put_uint(&w, (uint64_t)free); /* for spill from elsewhere */
-    ggw_payload_put_array(&w, warm->len);
-    for (guint i = 0; i < warm->len; i++) {
+    ggw_payload_put_uint(&w, (uint64_t)free);
+    ggw_payload_put_bool(&w, same_warm);
+    ggw_payload_put_array(&w, same_warm ? 0 : warm->len);
+    for (guint i = 0; i < warm->len && !same_warm; i++) {
         ggw_payload_put_string(&w, g_ptr_array_index(warm, i));
     }
     payload = ggw_payload_end(&w);
-    if (d->announced != NULL && g_bytes_equal(payload, d->announced)) {
-        g_bytes_unref(payload);
-        return;
-    }
-    g_clear_pointer(&d->announced, g_bytes_unref);
-    d->announced = payload;
     ggw_kernel_send(p->base.kernel, "peers", &p->base,
                     ggw_peer_send_new(NULL, GGW_PEER_SLOT_LOAD, 0, payload));
 }
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -219,6 +219,7 @@
     a->domain = d;
     a->owner = g_strdup(d->owner);
     a->due = ggw_slots_now(p) + answer_time(p, a);
+    g_assert(*(home ? &pd->home : &pd->spill) == NULL);
     *(home ? &pd->home : &pd->spill) = a;
     g_hash_table_insert(p->asks, &a->id, a);
     reschedule(p, pd);
@@ -482,7 +483,9 @@
 
     if (s == NULL || !ggw_slots_server_open(s)) {
         /* This gateway knows already that it takes no new work. */
+        ggw_count("ggw_slots_refused_grants_total");
         withdraw(p, a);
+        reschedule(p, pd);
         if (pd->home == NULL && pd->spill == NULL) {
             go_local(p, pd);
         }
--- a/slots/slots.c
+++ b/slots/slots.c
@@ -180,11 +180,13 @@
     struct ggw_payload_reader list;
     struct ggw_slots_domain *d;
     uint64_t free;
+    bool same_warm;
     uint32_t n;
 
     ggw_payload_open(&r, data, len);
     d = ggw_slots_read_domain(p, &r);
     free = ggw_payload_uint(&r);
+    same_warm = ggw_payload_bool(&r);
     n = ggw_payload_array(&r, &list);
     if (!r.ok || d == NULL || g_strcmp0(d->owner, frame->peer) != 0) {
         ggw_payload_close(&r);
@@ -195,7 +197,7 @@
     for (guint i = 0; i < d->group->servers->len; i++) {
         struct ggw_slots_server *s = g_ptr_array_index(d->group->servers, i);
 
-        if (s->domain == d) {
+        if (s->domain == d && !same_warm) {
             s->warm = false;
         }
     }
--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -22,6 +22,13 @@
     "{\"services\":{\"S\":{\"slots\":2,\"queue\":64,"
     "\"policy\":\"round_robin\",\"kinds\":{}}}}";
 
+static const char tree_server_out_json[] =
+    "{\"failure_domains\":{},\"backend_servers\":{\"s-1\":{\"state\":"
+    "\"draining\"}}"
+    ","
+    "\"services\":{\"S\":{\"slots\":2,\"connections\":200,\"queue\":64,"
+    "\"policy\":\"slots\",\"kinds\":{}}}}";
+
 static const char tree_out_json[] =
     "{\"failure_domains\":{\"cairo-a\":{\"state\":\"out\"}},"
     "\"services\":{\"S\":{\"slots\":2,\"queue\":64,\"kinds\":{}}}}";
@@ -537,6 +544,30 @@
     free_cluster(c);
 }
 
+static bool
+was_granted_out(struct cluster *c)
+{
+    return *ggw_counter("ggw_slots_refused_grants_total") >= 20;
+}
+
+/*
+ * Guards against a second question to the home owner after a spilled request
+ * was granted a server that only this gateway knows to be out: the first
+ * question outlived its request.
+ */
+static void
+test_spill_to_closed(void)
+{
+    struct cluster *c = new_cluster_in("cairo-b", 2, 4, false);
+
+    publish_tree(&c->nodes[0], 2, tree_server_out_json);
+    seen.open[0] = -12;
+    seen.open[1] = 1000;
+    CU_ASSERT_TRUE(drive_until(c, was_granted_out));
+    drive_for(c, 500);
+    free_cluster(c);
+}
+
 /* Guards against a baseline that is limited or asks an owner. */
 static void
 test_baseline(void)
@@ -594,6 +625,7 @@
     CU_add_test(suite, "closed servers", test_closed_servers);
     CU_add_test(suite, "cancel", test_cancel);
     CU_add_test(suite, "spill", test_spill);
+    CU_add_test(suite, "spill to closed", test_spill_to_closed);
     CU_add_test(suite, "baseline", test_baseline);
     CU_add_test(suite, "probe", test_probe);
     CU_basic_run_tests();
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -213,6 +213,35 @@
     }
 }
 
+/* Guards against heartbeats that grow with the square of the gateways. */
+static void
+test_pace(void)
+{
+    struct ggw_view_hello self = {.name = "gw-00",
+                                  .incarnation = 1,
+                                  .failure_domain = "fd",
+                                  .host = "10.0.0.1",
+                                  .port = 1};
+    struct ggw_view *v = ggw_view_new(&self, 0, 0);
+    char name[8];
+
+    for (int i = 1; i < 30; i++) {
+        struct ggw_view_hello hello = self;
+
+        CU_ASSERT_EQUAL(ggw_view_pace(v) > 1, i > GGW_VIEW_SMALL);
+        g_snprintf(name, sizeof(name), "gw-%02d", i);
+        hello.name = name;
+        CU_ASSERT_TRUE(ggw_view_hello(v, &hello, 0));
+    }
+    ggw_view_tick(v, GGW_SUSPECT_AFTER + 1);
+    CU_ASSERT_EQUAL(ggw_view_state(ggw_view_find(v, "gw-01")),
+                    GGW_MEMBER_ALIVE);
+    ggw_view_tick(v, ggw_view_pace(v) * GGW_SUSPECT_AFTER + 1);
+    CU_ASSERT_EQUAL(ggw_view_state(ggw_view_find(v, "gw-01")),
+                    GGW_MEMBER_SUSPECTED);
+    ggw_view_free(v);
+}
+
 int
 main(void)
 {
@@ -225,6 +254,7 @@
     CU_add_test(suite, "late list", test_late_list);
     CU_add_test(suite, "majority", test_majority);
     CU_add_test(suite, "random histories", test_random_histories);
+    CU_add_test(suite, "pace", test_pace);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
