--- a/claims/claims.c
+++ b/claims/claims.c
@@ -11,7 +11,7 @@
 
 /*
  * Claims and settlements are writes to one row each. They wait in one queue
- * and go to the table service in batches: the platform takes only several
+ * and go to the store in batches: the platform takes only several
  * hundred writes a second, and a batch counts as one.
  */
 
@@ -26,7 +26,7 @@
 #define TXN_LATENCIES 4
 #define RETRY_DELAY 50.0
 /* With 6 gateways at most 600 transactions a second, claims and settlements
- * together; the table service takes several hundred writes a second. */
+ * together; the store takes several hundred writes a second. */
 #define TXN_INTERVAL 10.0
 /* A settlement is worth less than memory: repeats of its order are then
  * answered "unknown" instead of "already run". */
@@ -332,7 +332,7 @@
     return NULL;
 }
 
-/* Follows the time that the table service takes to answer. */
+/* Follows the time that the store takes to answer. */
 static void
 adapt_timeout(struct priv *p, const struct batch *b,
               enum ggw_platform_status status)
--- a/config/config.c
+++ b/config/config.c
@@ -31,7 +31,7 @@
 #define FULL_READ_EVERY 20
 
 /*
- * A gateway that does not read the table service asks a peer for a higher
+ * A gateway that does not read the store asks a peer for a higher
  * revision after this time: by then it has usually been given it.
  */
 #define PULL_AFTER_MS 400.0
@@ -347,7 +347,7 @@
 }
 
 /*
- * A peer has a higher revision. A gateway that reads the table service asks
+ * A peer has a higher revision. A gateway that reads the store asks
  * all peers from time to time anyway.
  */
 static void
--- a/config/config.h
+++ b/config/config.h
@@ -6,7 +6,7 @@
 
 /*
  * Service "config": keeps the settings of every team in force. It reads them
- * from the table service, learns newer revisions from other gateways and
+ * from the store, learns newer revisions from other gateways and
  * never applies a lower one.
  */
 
@@ -25,7 +25,7 @@
 /**
  * struct ggw_config_given - settings that another service has read
  *
- * For a gateway whose settings do not come from the table service.
+ * For a gateway whose settings do not come from the store.
  */
 struct ggw_config_given {
     struct ggw_message base;
@@ -40,7 +40,7 @@
 
 /**
  * ggw_config_service_new() - make the service
- * @poll: time between two reads of the table service; 0 does not read it
+ * @poll: time between two reads of the store; 0 does not read it
  */
 struct ggw_service *ggw_config_service_new(ggw_ms poll);
 
--- a/config/row.h
+++ b/config/row.h
@@ -6,7 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Prefix of the rows "config/TEAM" of the table service. */
+/* Prefix of the rows "config/TEAM" of the store. */
 #define GGW_CONFIG_PREFIX "config/"
 
 /**
--- a/http/exchange.c
+++ b/http/exchange.c
@@ -190,6 +190,28 @@
     }
 }
 
+char *
+ggw_query_parameter(const h2o_req_t *req, const char *name)
+{
+    const h2o_iovec_t *path = &req->input.path;
+    const char *query = memchr(path->base, '?', path->len);
+    g_autofree char *text = NULL;
+    g_auto(GStrv) pairs = NULL;
+    size_t len = strlen(name);
+
+    if (query == NULL) {
+        return NULL;
+    }
+    text = g_strndup(query + 1, (size_t)(path->base + path->len - query - 1));
+    pairs = g_strsplit(text, "&", -1);
+    for (char **p = pairs; *p != NULL; p++) {
+        if (strncmp(*p, name, len) == 0 && (*p)[len] == '=') {
+            return g_uri_unescape_string(*p + len + 1, NULL);
+        }
+    }
+    return NULL;
+}
+
 void
 ggw_exchange_respond(struct ggw_exchange *x, int status, const char *type,
                      const char *body, size_t len)
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -99,6 +99,13 @@
  */
 void ggw_exchange_break(struct ggw_exchange *x);
 
+/**
+ * ggw_query_parameter() - value of a parameter in the query of a request
+ *
+ * Return: the value, to be freed by the caller; NULL when it is absent.
+ */
+char *ggw_query_parameter(const h2o_req_t *req, const char *name);
+
 /**
  * ggw_exchange_respond() - send a whole response with a short body
  * @type: content type, or NULL without a body
--- a/proxy/pages.c
+++ b/proxy/pages.c
@@ -33,29 +33,6 @@
     json_decref(json);
 }
 
-/* Value of a parameter of the query, or NULL; the caller frees it. */
-static char *
-parameter(const h2o_req_t *req, const char *name)
-{
-    const h2o_iovec_t *path = &req->input.path;
-    const char *query = memchr(path->base, '?', path->len);
-    g_autofree char *text = NULL;
-    g_auto(GStrv) pairs = NULL;
-    size_t len = strlen(name);
-
-    if (query == NULL) {
-        return NULL;
-    }
-    text = g_strndup(query + 1, (size_t)(path->base + path->len - query - 1));
-    pairs = g_strsplit(text, "&", -1);
-    for (char **p = pairs; *p != NULL; p++) {
-        if (strncmp(*p, name, len) == 0 && (*p)[len] == '=') {
-            return g_uri_unescape_string(*p + len + 1, NULL);
-        }
-    }
-    return NULL;
-}
-
 static void
 add_gateway(json_t *addresses, json_t *gateways, const char *name,
             const char *domain, const char *host, uint16_t port)
@@ -120,8 +97,8 @@
 page_entry(struct ggw_proxy *proxy, struct ggw_exchange *x)
 {
     h2o_req_t *req = x->req;
-    g_autofree char *team = parameter(req, "team");
-    g_autofree char *domain = parameter(req, "failure_domain");
+    g_autofree char *team = ggw_query_parameter(req, "team");
+    g_autofree char *domain = ggw_query_parameter(req, "failure_domain");
     struct ggw_tree *tree = NULL;
     json_t *addresses, *gateways;
     char age[48];
