decide: ignore a repeated question whose attempt has already failed

The slot of a fast failure stays taken for the usual time, under a grant that is marked done. A question that was repeated before its holder had the grant, and waited for load reports meanwhile, was placed a second time under the same key: the table freed the first grant, which still stood in the order of expiry and whose key the table kept. Found by reading. Test "ask after failure" in test_slots_ledger: heap-use-after-free in ggw_ledger_tick before, passes after.

--- a/decide/slots.c
+++ b/decide/slots.c
@@ -430,7 +430,10 @@
                                    ask->failure_domain, ask->far_cost};
     bool behind = g_hash_table_size(l->waiting) > 0;
 
-    if (g != NULL && !g->done) {
+    if (g != NULL && g->done) {
+        return; /* asked again before the holder knew of its grant */
+    }
+    if (g != NULL) {
         decide(l, &key, GGW_LEDGER_GRANTED, g->server->name,
                GGW_SLOT_NO_SERVER, 0);
     }
--- a/tests/test_slots_ledger.c
+++ b/tests/test_slots_ledger.c
@@ -359,6 +359,44 @@
     g_rand_free(r);
 }
 
+/*
+ * Guards against a repeated question that arrives after its attempt has
+ * failed: a second grant under the same key freed the first one, which still
+ * stood in the order of expiry.
+ */
+static void
+test_ask_after_failure(void)
+{
+    g_autoptr(GRand) r = g_rand_new_with_seed(SEED);
+    struct ggw_ledger *l = new_ledger(r, true);
+    ggw_ms now = 0;
+    int held = 0;
+
+    /* The usual time, for which the slot of a fast failure stays taken. */
+    for (uint64_t id = 1; id <= 100; id++) {
+        ask(l, 0, id, now + 1000, now);
+        now += 100;
+        ggw_ledger_release(l, holder_names[0], id, "", GGW_ATTEMPT_OK, 100,
+                           NULL, now);
+    }
+    decisions(l, GGW_LEDGER_GRANTED);
+    ask(l, 0, 101, now + 1000, now);
+    CU_ASSERT_EQUAL(decisions(l, GGW_LEDGER_GRANTED), 1);
+    ggw_ledger_release(l, holder_names[0], 101, "", GGW_ATTEMPT_REFUSED, 1,
+                       NULL, now + 1);
+    ask(l, 0, 101, now + 1000, now + 2);
+    CU_ASSERT_EQUAL(decisions(l, GGW_LEDGER_GRANTED), 0);
+    for (int i = 0; i < SERVERS; i++) {
+        held += in_flight(l, server_names[i]);
+    }
+    CU_ASSERT_EQUAL(held, 1);
+    ggw_ledger_tick(l, now + 1000 + GGW_LEDGER_MARGIN);
+    for (int i = 0; i < SERVERS; i++) {
+        CU_ASSERT_EQUAL(in_flight(l, server_names[i]), 0);
+    }
+    ggw_ledger_free(l);
+}
+
 int
 main(void)
 {
@@ -373,6 +411,7 @@
     CU_add_test(suite, "takeover", test_takeover);
     CU_add_test(suite, "spare sheds", test_spare_sheds);
     CU_add_test(suite, "scout", test_scout);
+    CU_add_test(suite, "ask after failure", test_ask_after_failure);
     CU_add_test(suite, "random operations", test_random_operations);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
