decide, slots: one grant under one key; questions are detached before they end

The grant that the queue made freed the adopted one, which still stood in the order of expiry. Test "adopt while waiting" in test_slots_ledger: heap-use-after-free in ggw_ledger_tick before, passes after; the random operations now adopt grants too.

Found with it, by reading only: cancelling a question to an owner in the same process serves other requests at once, and while the second question of the same request was still in the tables, an answer to it could free the request that was being ended.

Ruled out: messages between services are queued, so that no handler of "proxy" runs inside one of "slots".

--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -126,6 +126,19 @@
     l->hold_until = MAX(l->hold_until, until);
 }
 
+/* A holder that has a grant does not wait for it any more. */
+static void
+adopt_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key,
+            struct ggw_ledger_entry *s, ggw_ms expires, ggw_ms now)
+{
+    if (g_hash_table_contains(l->grants, key) ||
+        g_hash_table_contains(l->ended, key)) {
+        return;
+    }
+    ggw_ledger_remove_waiting(l, key);
+    ggw_ledger_add_grant(l, key, s, expires, now);
+}
+
 void
 ggw_ledger_adopt(struct ggw_ledger *l, const struct ggw_ledger_state *state,
                  ggw_ms now)
@@ -137,10 +150,7 @@
         return;
     }
     if (state->holder != NULL) {
-        if (!g_hash_table_contains(l->grants, &key) &&
-            !g_hash_table_contains(l->ended, &key)) {
-            ggw_ledger_add_grant(l, &key, s, now + state->expires_in, now);
-        }
+        adopt_grant(l, &key, s, now + state->expires_in, now);
         return;
     }
     if (!s->touched && state->warm && !s->out &&
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -104,10 +104,16 @@
 /* Whether anything may be granted on a server, apart from its limit. */
 bool ggw_ledger_is_open(const struct ggw_ledger *l,
                         const struct ggw_ledger_entry *s, ggw_ms now);
+
+/* @key must have no grant and not wait. */
 void ggw_ledger_add_grant(struct ggw_ledger *l,
                           const struct ggw_ledger_key *key,
                           struct ggw_ledger_entry *s, ggw_ms expires,
                           ggw_ms now);
+
+/* Returns false when the request does not wait. */
+bool ggw_ledger_remove_waiting(struct ggw_ledger *l,
+                               const struct ggw_ledger_key *key);
 void ggw_ledger_drop_grant(struct ggw_ledger *l, struct ggw_ledger_grant *g);
 
 /* Gives free slots to waiting requests. */
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -458,8 +458,9 @@
     }
 }
 
-static bool
-remove_waiting(struct ggw_ledger *l, const struct ggw_ledger_key *key)
+bool
+ggw_ledger_remove_waiting(struct ggw_ledger *l,
+                          const struct ggw_ledger_key *key)
 {
     struct ggw_ledger_waiting *w = g_hash_table_lookup(l->waiting, key);
     struct ggw_waiter out;
@@ -480,7 +481,7 @@
 {
     struct ggw_ledger_key key = {(char *)holder, id};
 
-    if (!remove_waiting(l, &key)) {
+    if (!ggw_ledger_remove_waiting(l, &key)) {
         ggw_ledger_release(l, holder, id, "", GGW_ATTEMPT_UNUSED, 0, NULL,
                            now);
     }
@@ -664,7 +665,7 @@
     for (guint i = 0; i < gone->len; i++) {
         struct ggw_ledger_waiting *w = g_ptr_array_index(gone, i);
 
-        remove_waiting(l, &w->key);
+        ggw_ledger_remove_waiting(l, &w->key);
     }
     ggw_ledger_serve(l, now);
 }
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -266,6 +266,52 @@
                        const struct ggw_peer_received *frame);
 void ggw_slots_adopt_held(struct ggw_slots *p, struct ggw_slots_domain *d);
 
+/* slots/asks.c */
+
+/**
+ * ggw_slots_ask_new() - make a question of a request to a domain's owner
+ * @home: it may queue there; else it is refused when no slot is free
+ */
+struct ggw_slots_ask *ggw_slots_ask_new(struct ggw_slots *p,
+                                        struct ggw_slots_pending *pd,
+                                        struct ggw_slots_domain *d, bool home);
+
+/* The answer may arrive, and free @a, at once. */
+void ggw_slots_ask_send(struct ggw_slots *p, const struct ggw_slots_ask *a);
+
+/* The owner has queued the request. */
+void ggw_slots_ask_queued(struct ggw_slots *p, struct ggw_slots_ask *a);
+
+/* Asks whether a queued request still waits there. */
+void ggw_slots_ask_repeat(struct ggw_slots *p, struct ggw_slots_ask *a);
+
+/**
+ * ggw_slots_ask_detach() - separate a question from its request
+ *
+ * An answer to it is ignored from now on. The caller ends it with
+ * ggw_slots_ask_cancel().
+ */
+void ggw_slots_ask_detach(struct ggw_slots *p, struct ggw_slots_ask *a);
+
+/**
+ * ggw_slots_ask_cancel() - tell the owner that a detached question is void
+ *
+ * Frees it. An owner in this process may answer other requests meanwhile.
+ */
+void ggw_slots_ask_cancel(struct ggw_slots *p, struct ggw_slots_ask *a);
+
+/* Frees a question that has its final answer. */
+void ggw_slots_ask_free(struct ggw_slots *p, struct ggw_slots_ask *a);
+
+/**
+ * ggw_slots_ask_ids() - ids of the questions to one owner
+ * @d: only those for this domain; NULL for all
+ *
+ * Handling one may free others, so that each must be looked up again.
+ */
+GArray *ggw_slots_ask_ids(struct ggw_slots *p, const char *owner,
+                          const struct ggw_slots_domain *d);
+
 /* slots/remote.c */
 void ggw_slots_request(struct ggw_slots *p,
                        const struct ggw_slot_request *request);
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -5,23 +5,10 @@
 #include "slots/events.h"
 #include "slots/internal.h"
 
-/* Requests of "proxy": questions to owners, spill, and waiting here. */
-
-/* An owner has at least this long to answer. */
-#define ANSWER_MIN 5.0
-
-/* The owner of a whole service is farther away, and may ask for reports. */
-#define ANSWER_MIN_WHOLE 40.0
-
-/* A queued request asks again this often whether its owner still runs. */
-#define ASK_AGAIN 50.0
-#define ASK_AGAIN_WHOLE 250.0
+/* Requests of "proxy": from whom they get a slot, and waiting here. */
 
 #define RETRY_AFTER 100.0
 
-/* In a SLOT_ACQUIRE, for a request without a target. */
-#define NO_TARGET 1e9
-
 /* An announced number of free slots loses half of its weight in this time. */
 #define FREE_HALF_LIFE 400.0
 
@@ -52,77 +39,40 @@
     }
 }
 
-static void
-ask_free(struct ggw_slots *p, struct ggw_slots_ask *a)
-{
-    if (a->pending->home == a) {
-        a->pending->home = NULL;
-    }
-    if (a->pending->spill == a) {
-        a->pending->spill = NULL;
-    }
-    g_hash_table_remove(p->asks, &a->id);
-    g_free(a->owner);
-    g_free(a);
-}
-
-/* Takes a question back. */
-static void
-withdraw(struct ggw_slots *p, struct ggw_slots_ask *a)
-{
-    struct ggw_slots_domain *d = a->domain;
-    struct ggw_payload_writer w;
-    uint64_t id = a->id;
-    g_autofree char *owner = g_strdup(a->owner);
-
-    ask_free(p, a);
-    if (strcmp(owner, p->self) == 0) {
-        if (d->ledger != NULL && !ggw_slots_scout_cancel(d, p->self, id)) {
-            ggw_ledger_cancel(d->ledger, p->self, id, ggw_slots_now(p));
-            ggw_slots_drain(p, d);
-        }
-        return;
-    }
-    ggw_payload_begin(&w, 3);
-    ggw_payload_put_string(&w, d->group->team);
-    ggw_payload_put_string(&w, d->group->service);
-    ggw_payload_put_string(&w, d->name);
-    ggw_slots_to_peer(p, owner, GGW_PEER_SLOT_CANCEL, id, &w);
-}
-
 static void
 pending_free(struct ggw_slots *p, struct ggw_slots_pending *pd)
 {
-    struct ggw_slots_ask *home = pd->home;
-    struct ggw_slots_ask *spill = pd->spill;
-
     p->local_len -= pd->local;
     g_sequence_remove(pd->iter);
-    pd->home = NULL;
-    pd->spill = NULL;
-    if (home != NULL) {
-        ask_free(p, home);
+    if (pd->home != NULL) {
+        ggw_slots_ask_free(p, pd->home);
     }
-    if (spill != NULL) {
-        ask_free(p, spill);
+    if (pd->spill != NULL) {
+        ggw_slots_ask_free(p, pd->spill);
     }
     pd->request->base.ops->destroy(&pd->request->base);
     g_free(pd);
 }
 
+/*
+ * Takes the questions of a request back. Both are detached first: an owner
+ * in this process hands a slot that becomes free to another request at once,
+ * and answers that this causes must not reach a request that ends.
+ */
 static void
 withdraw_all(struct ggw_slots *p, struct ggw_slots_pending *pd)
 {
-    struct ggw_slots_ask *home = pd->home;
-    struct ggw_slots_ask *spill = pd->spill;
+    struct ggw_slots_ask *const asks[] = {pd->home, pd->spill};
 
-    pd->home = NULL;
-    pd->spill = NULL;
-    if (home != NULL) {
-        withdraw(p, home);
+    for (size_t i = 0; i < G_N_ELEMENTS(asks); i++) {
+        if (asks[i] != NULL) {
+            ggw_slots_ask_detach(p, asks[i]);
+        }
     }
-    if (spill != NULL) {
-        withdraw(p, spill);
+    for (size_t i = 0; i < G_N_ELEMENTS(asks); i++) {
+        if (asks[i] != NULL) {
+            ggw_slots_ask_cancel(p, asks[i]);
+        }
     }
 }
 
@@ -150,86 +100,15 @@
     pending_free(p, pd);
 }
 
-static void
-send_acquire(struct ggw_slots *p, const struct ggw_slots_ask *a)
-{
-    const struct ggw_slot_request *r = a->pending->request;
-    uint32_t avoid = r->avoid != NULL ? g_strv_length(r->avoid) : 0;
-    struct ggw_payload_writer w;
-
-    ggw_payload_begin(&w, 10);
-    ggw_payload_put_string(&w, r->team);
-    ggw_payload_put_string(&w, r->service);
-    ggw_payload_put_string(&w, a->domain->name);
-    ggw_payload_put_uint(&w, (uint64_t)MAX(r->priority, 0));
-    ggw_payload_put_double(&w, r->deadline - ggw_slots_now(p));
-    ggw_payload_put_bool(&w, a->pending->home == a);
-    ggw_payload_put_array(&w, avoid);
-    for (uint32_t i = 0; i < avoid; i++) {
-        ggw_payload_put_string(&w, r->avoid[i]);
-    }
-    ggw_payload_put_double(&w, r->far_cost);
-    ggw_payload_put_double(&w, r->target > 0 ? r->target - ggw_slots_now(p)
-                                             : NO_TARGET);
-    ggw_payload_put_double(&w, r->work);
-    ggw_slots_to_peer(p, a->owner, GGW_PEER_SLOT_ACQUIRE, a->id, &w);
-}
-
-static ggw_ms
-answer_time(struct ggw_slots *p, const struct ggw_slots_ask *a)
-{
-    ggw_ms least = strcmp(a->domain->name, GGW_SLOTS_ALL) == 0
-                       ? ANSWER_MIN_WHOLE
-                       : ANSWER_MIN;
-
-    if (strcmp(a->owner, p->self) == 0) {
-        return INFINITY;
-    }
-    return MAX(3 * ggw_slots_peer(p, a->owner)->rtt, least);
-}
-
-static ggw_ms
-ask_again(const struct ggw_slots_ask *a)
-{
-    return strcmp(a->domain->name, GGW_SLOTS_ALL) == 0 ? ASK_AGAIN_WHOLE
-                                                       : ASK_AGAIN;
-}
-
 /* Asks the owner of a domain; the answer may arrive, and free @pd, at once. */
 static void
 ask(struct ggw_slots *p, struct ggw_slots_pending *pd,
     struct ggw_slots_domain *d, bool home)
 {
-    struct ggw_slots_ask *a = g_new0(struct ggw_slots_ask, 1);
-    const struct ggw_slot_request *r = pd->request;
-    struct ggw_ledger_ask question = {
-        .holder = p->self,
-        .priority = r->priority,
-        .deadline = r->deadline,
-        .avoid = r->avoid,
-        .may_queue = home,
-        .failure_domain = p->domain,
-        .far_cost = r->far_cost,
-        .target = r->target,
-        .work = r->work,
-    };
-
-    a->id = ++p->next_id;
-    a->pending = pd;
-    a->domain = d;
-    a->owner = g_strdup(d->owner);
-    a->due = ggw_slots_now(p) + answer_time(p, a);
-    g_assert(*(home ? &pd->home : &pd->spill) == NULL);
-    *(home ? &pd->home : &pd->spill) = a;
-    g_hash_table_insert(p->asks, &a->id, a);
+    struct ggw_slots_ask *a = ggw_slots_ask_new(p, pd, d, home);
+
     reschedule(p, pd);
-    if (d->ledger != NULL) {
-        question.id = a->id;
-        ggw_slots_owner_ask(p, d, &question);
-        ggw_slots_drain(p, d);
-        return;
-    }
-    send_acquire(p, a);
+    ggw_slots_ask_send(p, a);
 }
 
 static double
@@ -447,7 +326,7 @@
     if (!home) {
         a->domain->exhausted = true;
     }
-    ask_free(p, a);
+    ggw_slots_ask_free(p, a);
     reschedule(p, pd);
     if (home && reason == GGW_SLOTS_NOT_OWNER) {
         fall_back(p, pd);
@@ -484,14 +363,15 @@
     if (s == NULL || !ggw_slots_server_open(s)) {
         /* This gateway knows already that it takes no new work. */
         ggw_count("ggw_slots_refused_grants_total");
-        withdraw(p, a);
+        ggw_slots_ask_detach(p, a);
         reschedule(p, pd);
         if (pd->home == NULL && pd->spill == NULL) {
             go_local(p, pd);
         }
+        ggw_slots_ask_cancel(p, a);
         return;
     }
-    ask_free(p, a);
+    ggw_slots_ask_free(p, a);
     grant(p, pd, id, s, owner);
 }
 
@@ -513,9 +393,7 @@
         on_refused(p, a, reason, retry_after);
         break;
     case GGW_LEDGER_QUEUED:
-        a->queued = true;
-        a->asked_again = false;
-        a->due = ggw_slots_now(p) + ask_again(a);
+        ggw_slots_ask_queued(p, a);
         reschedule(p, a->pending);
         if (a->pending->home == a) {
             try_spill(p, a->pending);
@@ -594,7 +472,7 @@
     bool home = pd->home == a;
 
     ggw_slots_peer(p, a->owner)->silent = true;
-    withdraw(p, a);
+    ggw_slots_ask_detach(p, a);
     reschedule(p, pd);
     if (home) {
         fall_back(p, pd);
@@ -605,32 +483,13 @@
     else if (pd->home == NULL) {
         go_local(p, pd);
     }
-}
-
-/* Questions of one owner or domain; the handlers may free any of them. */
-static GArray *
-ask_ids(struct ggw_slots *p, const char *owner,
-        const struct ggw_slots_domain *d)
-{
-    GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, p->asks);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct ggw_slots_ask *a = value;
-
-        if (g_strcmp0(a->owner, owner) == 0 && (d == NULL || a->domain == d)) {
-            g_array_append_val(ids, a->id);
-        }
-    }
-    return ids;
+    ggw_slots_ask_cancel(p, a);
 }
 
 void
 ggw_slots_peer_silent(struct ggw_slots *p, const char *peer)
 {
-    g_autoptr(GArray) ids = ask_ids(p, peer, NULL);
+    g_autoptr(GArray) ids = ggw_slots_ask_ids(p, peer, NULL);
 
     ggw_slots_peer(p, peer)->silent = true;
     for (guint i = 0; i < ids->len; i++) {
@@ -647,7 +506,7 @@
 ggw_slots_owner_changed(struct ggw_slots *p, struct ggw_slots_domain *d,
                         const char *old_owner)
 {
-    g_autoptr(GArray) ids = ask_ids(p, old_owner, d);
+    g_autoptr(GArray) ids = ggw_slots_ask_ids(p, old_owner, d);
 
     for (guint i = 0; i < ids->len; i++) {
         struct ggw_slots_ask *a =
@@ -658,7 +517,7 @@
         if (pd == NULL) {
             continue;
         }
-        withdraw(p, a);
+        ggw_slots_ask_detach(p, a);
         reschedule(p, pd);
         if (home) {
             start(p, pd);
@@ -666,11 +525,12 @@
         else if (pd->home == NULL) {
             go_local(p, pd);
         }
+        ggw_slots_ask_cancel(p, a);
     }
 }
 
 static void
-ask_due(struct ggw_slots *p, struct ggw_slots_ask *a, ggw_ms now)
+ask_due(struct ggw_slots *p, struct ggw_slots_ask *a)
 {
     struct ggw_slots_pending *pd = a->pending;
 
@@ -678,14 +538,7 @@
         no_answer(p, a);
         return;
     }
-    if (strcmp(a->owner, p->self) == 0) {
-        a->due = now + ask_again(a);
-    }
-    else {
-        a->asked_again = true;
-        a->due = now + answer_time(p, a);
-        send_acquire(p, a);
-    }
+    ggw_slots_ask_repeat(p, a);
     reschedule(p, pd);
     if (pd->home == a) {
         try_spill(p, pd);
@@ -708,10 +561,10 @@
             refuse(p, pd, GGW_SLOT_TOO_LATE, RETRY_AFTER);
         }
         else if (pd->home != NULL && now >= pd->home->due) {
-            ask_due(p, pd->home, now);
+            ask_due(p, pd->home);
         }
         else if (pd->spill != NULL && now >= pd->spill->due) {
-            ask_due(p, pd->spill, now);
+            ask_due(p, pd->spill);
         }
         else {
             start(p, pd);
--- a/tests/test_slots_ledger.c
+++ b/tests/test_slots_ledger.c
@@ -214,6 +214,20 @@
     }
 }
 
+/* A report of a grant, which may name one that waits, runs or has ended. */
+static void
+adopt(struct model *m, const char *holder, uint64_t id)
+{
+    const struct ggw_ledger_state state = {
+        .server = server_names[id % SERVERS],
+        .holder = holder,
+        .id = id,
+        .expires_in = g_rand_double_range(m->rand, 1, 300),
+    };
+
+    ggw_ledger_adopt(m->l, &state, m->now);
+}
+
 static void
 random_operation(struct model *m)
 {
@@ -222,7 +236,7 @@
     enum ggw_attempt_result result = GGW_ATTEMPT_OK;
     struct ggw_load_report report = {.present = true, .slots = 2};
 
-    switch (g_rand_int_range(m->rand, 0, 12)) {
+    switch (g_rand_int_range(m->rand, 0, 13)) {
     case 0:
         m->closed = (unsigned)g_rand_int_range(m->rand, 0, 1 << SERVERS);
         configure(m->l, false, m->closed, false, m->now);
@@ -252,6 +266,9 @@
     case 7:
         ggw_ledger_tick(m->l, m->now);
         break;
+    case 8:
+        adopt(m, holder_names[holder], id);
+        break;
     default:
         m->next_id++;
         ask(m->l, (int)(m->next_id % HOLDERS), m->next_id,
@@ -397,6 +414,41 @@
     ggw_ledger_free(l);
 }
 
+/*
+ * Guards against two grants under one key: an owner that gave up its ledger
+ * and took over again queues a repeated question, and then hears from the
+ * holder of the grant that the first question got. The second grant freed the
+ * first one, which still stood in the order of expiry.
+ */
+static void
+test_adopt_while_waiting(void)
+{
+    g_autoptr(GRand) r = g_rand_new_with_seed(SEED);
+    struct ggw_ledger *l = new_ledger(r, true);
+    struct ggw_ledger_state state = {.server = "s0",
+                                     .holder = holder_names[1],
+                                     .id = 50,
+                                     .expires_in = 900};
+
+    for (uint64_t id = 1; id <= SERVERS * 2; id++) {
+        ask(l, 0, id, 1000, 0);
+    }
+    CU_ASSERT_EQUAL(decisions(l, GGW_LEDGER_GRANTED), SERVERS * 2);
+    ask(l, 1, 50, 1000, 1);
+    CU_ASSERT_EQUAL(decisions(l, GGW_LEDGER_QUEUED), 1);
+    ggw_ledger_adopt(l, &state, 2);
+    CU_ASSERT_EQUAL(ggw_ledger_waiting(l), 0);
+    for (uint64_t id = 1; id <= SERVERS * 2; id++) {
+        ggw_ledger_release(l, holder_names[0], id, "", GGW_ATTEMPT_OK, 5, NULL,
+                           10);
+    }
+    CU_ASSERT_EQUAL(decisions(l, GGW_LEDGER_GRANTED), 0);
+    CU_ASSERT_EQUAL(in_flight(l, "s0"), 1);
+    ggw_ledger_tick(l, 902);
+    CU_ASSERT_EQUAL(in_flight(l, "s0"), 0);
+    ggw_ledger_free(l);
+}
+
 int
 main(void)
 {
@@ -412,6 +464,7 @@
     CU_add_test(suite, "spare sheds", test_spare_sheds);
     CU_add_test(suite, "scout", test_scout);
     CU_add_test(suite, "ask after failure", test_ask_after_failure);
+    CU_add_test(suite, "adopt while waiting", test_adopt_while_waiting);
     CU_add_test(suite, "random operations", test_random_operations);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
