tests/soak: randomized soak of the gateways as processes

Each run starts the store's stand-in, a relay and six gateways (greengageway node, sanitizer build) as processes on addresses of their own in 127/8; 27 backend servers and the clients are in the soak's own process, so that it sees both ends. A seed gives 6 to 15 steps within 15 s: settings changed, failure domains taken out, SIGTERM, SIGHUP, servers drained; processes killed, all killed, paused; links between gateways, of clients, to the store and to servers cut, silenced, held, held one way, delayed; the store down, slow, silent, losing answers or its history; servers crashed, slow, losing or spoiling responses. Steps overlap. Every third seed has planned work only.

Checked while it runs, from what clients and servers see: responses are genuine and whole, orders run once, refusals are true, nothing unasked or with another path arrives, routes and versions of settings hold and never go back, drained and taken out servers get no work after their bound, cold servers not above theirs, deadlines and repeats within their budget, SIGTERM cuts nothing, no process ends by itself, nine of ten requests are served from 15 s after the last fault on.

test_soak_record shows for each check that it sees the fault it guards against.

standins/relay.c can hold one direction of a route.

--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,11 @@
 BENCH_SRC := $(wildcard bench/*.c)
 TEST_SRC := $(wildcard tests/test_*.c)
 TEST_LIB_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/*.c))
-HEADERS := $(wildcard $(addsuffix /*.h,$(DIRS) main standins tests bench))
+SOAK_SRC := $(wildcard tests/soak/*.c)
+HEADERS := $(wildcard $(addsuffix /*.h,$(DIRS) main standins tests tests/soak \
+	bench))
 ALL_SRC := $(LIB_SRC) $(MAIN_SRC) $(STANDIN_SRC) $(BENCH_SRC) $(TEST_SRC) \
-	$(TEST_LIB_SRC)
+	$(TEST_LIB_SRC) $(SOAK_SRC)
 
 PKGS := libh2o libuv msgpack glib-2.0 log4c jansson libxxhash zlib
 # h2o's headers are included as system headers: they do not compile
@@ -40,6 +42,7 @@
 BENCHES := $(BENCH_SRC:bench/%.c=$(OUT)/bench/%)
 TESTS := $(TEST_SRC:tests/%.c=$(OUT)/tests/%)
 TEST_LIB_OBJ := $(TEST_LIB_SRC:%.c=$(OUT)/%.o)
+SOAK := $(OUT)/soak
 
 .PHONY: all packages format lint test check demo bench clean
 .SECONDARY:
@@ -66,6 +69,11 @@
 $(OUT)/tests/%: $(OUT)/tests/%.o $(TEST_LIB_OBJ) $(LIB)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs cunit)
 
+$(OUT)/tests/test_soak_record: $(OUT)/tests/soak/record.o
+
+$(SOAK): $(SOAK_SRC:%.c=$(OUT)/%.o) $(LIB)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
+
 packages:
 	scripts/install-packages
 
@@ -98,4 +106,4 @@
 clean:
 	rm -rf build
 
--include $(wildcard $(OUT)/*/*.d)
+-include $(wildcard $(OUT)/*/*.d $(OUT)/*/*/*.d)
--- a/standins/relay.c
+++ b/standins/relay.c
@@ -1,6 +1,6 @@
 /*
  * Stand-in for the network: TCP routes with a delay per direction, which the
- * control page can cut, silence or hold.
+ * control page can cut, silence or hold, in one direction or both.
  */
 #include <glib.h>
 
@@ -17,6 +17,7 @@
     ggw_ms delay;
     uv_tcp_t listener;
     bool cut, hold;
+    bool one_way; /* what clients send is held */
     GQueue pairs; /* struct pair */
     uint64_t accepted, bytes;
 };
@@ -183,8 +184,10 @@
 {
     struct chunk *c;
 
-    if (from->pair->route->hold || from->pair->silent ||
-        !from->other->connected) {
+    const struct route *r = from->pair->route;
+
+    if (r->hold || (r->one_way && from == &from->pair->client) ||
+        from->pair->silent || !from->other->connected) {
         return;
     }
     while (!from->other->closed &&
@@ -424,7 +427,6 @@
 static void
 route_release(struct route *r)
 {
-    r->hold = false;
     for (GList *i = r->pairs.head; i != NULL; i = i->next) {
         struct pair *p = i->data;
 
@@ -451,6 +453,12 @@
             route_release(r);
         }
     }
+    else if (strcmp(key, "one_way") == 0) {
+        r->one_way = json_is_true(value);
+        if (!r->one_way) {
+            route_release(r);
+        }
+    }
     else if (strcmp(key, "delay_ms") == 0) {
         r->delay = json_number_value(value);
     }
@@ -460,7 +468,10 @@
     return true;
 }
 
-/* {"add":"NAME,..."}, or {"route":GLOB} with cut, silent, hold, delay_ms. */
+/*
+ * {"add":"NAME,..."}, or {"route":GLOB} with cut, silent, hold, one_way,
+ * delay_ms.
+ */
 static const char *
 control_set_routes(json_t *object)
 {
--- /dev/null
+++ b/tests/soak/servers.c
@@ -0,0 +1,353 @@
+#include "tests/soak/servers.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/soak/wire.h"
+
+#define SLOTS 2
+#define QUEUE 4
+#define WORK_MS 40.0
+#define BODY_BYTES 100
+#define FILE_BYTES 60000
+
+const char *const soak_zones[SOAK_ZONES] = {"zone-a", "zone-b", "zone-c"};
+const char *const soak_services[SOAK_SERVICES] = {"status", "orders", "files"};
+const char *const soak_prefixes[SOAK_KINDS] = {"/status/", "/orders/",
+                                               "/files/", "/moved/"};
+
+struct soak_servers {
+    uv_loop_t *loop;
+    struct soak_record *record;
+    GRand *rand;
+    struct soak_server servers[SOAK_SERVERS];
+};
+
+/* A connection to a server, with the request that it serves, or NULL. */
+struct conn {
+    struct soak_server *server;
+    struct work *work;
+};
+
+/* A request that a server has accepted; @wire is NULL once it is gone. */
+struct work {
+    struct soak_server *server;
+    struct soak_wire *wire;
+    struct soak_attempt *attempt;
+    ggw_ms deadline;
+    uv_timer_t timer;
+    bool running;
+};
+
+ggw_ms
+soak_now(void)
+{
+    return ggw_clock_now(ggw_clock_system());
+}
+
+char *
+soak_body(const char *id, enum soak_kind kind, size_t *len)
+{
+    size_t id_len = strlen(id);
+    char *body;
+
+    *len = kind == SOAK_FILE ? FILE_BYTES : BODY_BYTES;
+    body = g_malloc(*len);
+    for (size_t i = 0; i < *len; i++) {
+        body[i] = id[i % id_len];
+    }
+    return body;
+}
+
+static void
+send_head(struct soak_server *s, struct soak_wire *w, int status,
+          const char *headers, size_t len)
+{
+    ggw_ms now = soak_now();
+    g_autofree char *head = g_strdup_printf(
+        "HTTP/1.1 %d X\r\nInstance-Id: %s\r\nInstance-Load: %d,%u,%d,%.0f\r\n"
+        "%s%sContent-Length: %zu\r\n\r\n",
+        status, s->id, s->busy, s->waiting.length, SLOTS, 100 * s->slow,
+        headers, s->cold_until > now ? "Cold-Remaining: 1000\r\n" : "", len);
+
+    soak_wire_send(w, head, strlen(head));
+}
+
+static void
+refuse(struct soak_server *s, struct soak_wire *w, int status)
+{
+    send_head(s, w, status, "Not-Executed: 1\r\n", 0);
+}
+
+static void fill_slots(struct soak_server *s);
+
+static void
+work_closed(uv_handle_t *handle)
+{
+    g_free(handle->data);
+}
+
+static void
+work_end(struct work *work)
+{
+    struct soak_server *s = work->server;
+
+    if (work->running) {
+        s->busy--;
+    }
+    else {
+        g_queue_remove(&s->waiting, work);
+    }
+    if (work->wire != NULL) {
+        ((struct conn *)work->wire->data)->work = NULL;
+    }
+    uv_close((uv_handle_t *)&work->timer, work_closed);
+    fill_slots(s);
+}
+
+static void
+answer(struct work *work)
+{
+    struct soak_server *s = work->server;
+    struct soak_attempt *a = work->attempt;
+    size_t len;
+    g_autofree char *body = soak_body(a->id, a->kind, &len);
+    g_autofree char *headers =
+        g_strdup_printf("Attempt-Id: %s\r\nResponse-Signature: %s.%s.%zu\r\n",
+                        a->id, s->id, a->id, len);
+    double luck = g_rand_double(s->all->rand);
+
+    if (luck < s->lose) {
+        soak_wire_close(work->wire, true);
+        return;
+    }
+    send_head(s, work->wire, 200, headers, len);
+    if (luck < s->lose + s->spoil) {
+        soak_wire_send(work->wire, body, len / 2);
+        soak_wire_close(work->wire, false);
+        return;
+    }
+    a->whole = true;
+    soak_wire_send(work->wire, body, len);
+}
+
+static void
+work_done_cb(uv_timer_t *timer)
+{
+    struct work *work = timer->data;
+
+    if (work->wire != NULL) {
+        answer(work);
+    }
+    work_end(work);
+}
+
+static void
+work_run(struct work *work)
+{
+    struct soak_server *s = work->server;
+    double factor = g_rand_double_range(s->all->rand, 0.7, 1.5);
+
+    work->running = true;
+    s->busy++;
+    soak_record_ran(s->all->record, work->attempt, soak_now());
+    uv_timer_start(&work->timer, work_done_cb,
+                   (uint64_t)(WORK_MS * factor * s->slow), 0);
+}
+
+static void
+fill_slots(struct soak_server *s)
+{
+    while (s->running && s->busy < SLOTS) {
+        struct work *work = g_queue_pop_head(&s->waiting);
+
+        if (work == NULL) {
+            return;
+        }
+        if (soak_now() > work->deadline) {
+            refuse(s, work->wire, 503);
+            work->running = true; /* off the queue */
+            s->busy++;
+            work_end(work);
+            return;
+        }
+        work_run(work);
+    }
+}
+
+static int
+kind_of(const char *url)
+{
+    for (int i = 0; i < SOAK_KINDS; i++) {
+        if (g_str_has_prefix(url, soak_prefixes[i])) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static struct work *
+work_new(struct soak_server *s, struct soak_wire *w, struct soak_attempt *a,
+         ggw_ms deadline)
+{
+    struct work *work = g_new0(struct work, 1);
+
+    work->server = s;
+    work->wire = w;
+    work->attempt = a;
+    work->deadline = soak_now() + deadline;
+    uv_timer_init(s->all->loop, &work->timer);
+    work->timer.data = work;
+    ((struct conn *)w->data)->work = work;
+    return work;
+}
+
+static void
+accept_request(struct soak_server *s, struct soak_wire *w)
+{
+    const char *deadline = soak_wire_header(w, "request-deadline");
+    ggw_ms now = soak_now();
+    struct soak_arrival arrival = {
+        .id = soak_wire_header(w, "attempt-id"),
+        .server = s->id,
+        .path_kind = kind_of(w->url->str),
+        .service = s->service,
+        .deadline = deadline != NULL ? g_ascii_strtod(deadline, NULL) : -1,
+        .closed_at = s->closed_at,
+        .closed_bound = s->closed_bound,
+        .cold = s->cold_until > now,
+    };
+    struct soak_attempt *a =
+        soak_record_arrived(s->all->record, &arrival, now);
+
+    if (a == NULL) {
+        refuse(s, w, 400);
+        return;
+    }
+    if (s->busy < SLOTS) {
+        work_run(work_new(s, w, a, arrival.deadline));
+    }
+    else if (s->waiting.length < QUEUE) {
+        g_queue_push_tail(&s->waiting, work_new(s, w, a, arrival.deadline));
+    }
+    else {
+        refuse(s, w, 503);
+    }
+}
+
+static void
+on_message(struct soak_wire *w)
+{
+    struct soak_server *s = ((struct conn *)w->data)->server;
+    const char *expected = soak_wire_header(w, "expected-instance");
+
+    if (strcmp(w->url->str, "/health") == 0) {
+        send_head(s, w, 200, "", 0);
+    }
+    else if (expected != NULL && strcmp(expected, s->id) != 0) {
+        refuse(s, w, 421);
+    }
+    else {
+        accept_request(s, w);
+    }
+}
+
+static void
+on_closed(struct soak_wire *w)
+{
+    struct conn *c = w->data;
+
+    g_queue_remove(&c->server->wires, w);
+    if (c->work != NULL) {
+        c->work->wire = NULL; /* a server drops the work of a closed one */
+        uv_timer_stop(&c->work->timer);
+        work_end(c->work);
+    }
+    g_free(c);
+}
+
+static const struct soak_wire_ops wire_ops = {
+    .message = on_message,
+    .closed = on_closed,
+};
+
+static void
+accept_cb(uv_stream_t *listener, int status)
+{
+    struct soak_server *s = listener->data;
+    struct conn *c = g_new0(struct conn, 1);
+    struct soak_wire *w;
+
+    c->server = s;
+    w = soak_wire_accept(listener, &wire_ops, c);
+    if (w == NULL) {
+        return; /* the wire closes, which frees @c */
+    }
+    g_queue_push_tail(&s->wires, w);
+    if (!s->running) {
+        soak_wire_close(w, true);
+    }
+}
+
+void
+soak_server_crash(struct soak_server *s)
+{
+    s->running = false;
+    for (GList *i = s->wires.head; i != NULL; i = i->next) {
+        soak_wire_close(i->data, true);
+    }
+}
+
+void
+soak_server_start(struct soak_server *s, ggw_ms cold)
+{
+    s->running = true;
+    s->born = (guint64)ggw_clock_wall(ggw_clock_system());
+    s->cold_until = cold > 0 ? soak_now() + cold : 0;
+    s->closed_at = INFINITY;
+}
+
+struct soak_server *
+soak_servers_get(struct soak_servers *all, int index)
+{
+    return &all->servers[index];
+}
+
+static void
+server_init(struct soak_servers *all, int index, const char *host, int port)
+{
+    struct soak_server *s = &all->servers[index];
+    g_autofree char *address = g_strdup_printf("%s.%d", host, index + 1);
+    struct sockaddr_in sa;
+
+    s->all = all;
+    s->index = index;
+    s->id = g_strdup_printf("i-%02d", index);
+    s->service = index % SOAK_SERVICES;
+    s->zone = index / SOAK_SERVICES % SOAK_ZONES;
+    s->slow = 1;
+    uv_ip4_addr(address, port, &sa);
+    uv_tcp_init(all->loop, &s->listener);
+    s->listener.data = s;
+    if (uv_tcp_bind(&s->listener, (struct sockaddr *)&sa, 0) != 0 ||
+        uv_listen((uv_stream_t *)&s->listener, 128, accept_cb) != 0) {
+        g_error("cannot listen on %s:%d", address, port);
+    }
+    soak_server_start(s, 0);
+}
+
+struct soak_servers *
+soak_servers_new(uv_loop_t *loop, struct soak_record *r, GRand *rand,
+                 const char *host, int port)
+{
+    struct soak_servers *all = g_new0(struct soak_servers, 1);
+
+    all->loop = loop;
+    all->record = r;
+    all->rand = rand;
+    for (int i = 0; i < SOAK_SERVERS; i++) {
+        server_init(all, i, host, port);
+    }
+    return all;
+}
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,528 @@
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/soak/clients.h"
+#include "tests/soak/plan.h"
+
+/*
+ * Randomized soak: the real gateways as processes, with faults from outside
+ * them. A seed gives the plan; what is seen still depends on the machine.
+ */
+
+#define RATE_PER_S 80.0
+
+/* Faults end then; after the recovery, requests must be served again. */
+#define FAULTS_MS 15000.0
+#define RECOVERY_MS 15000.0
+#define AFTER_MS 4000.0
+
+/* Longest wait for the gateways at the start. */
+#define START_MS 20000.0
+#define TICK_MS 20
+
+/* Time in which a started gateway is not held to anything. */
+#define STARTING_MS 1500.0
+
+/* How long a server that started again says that it is cold. */
+#define COLD_MS 3000.0
+
+struct soak;
+
+/* A step whose effect is taken back at @until. */
+struct active {
+    struct soak *soak;
+    struct soak_step step;
+    ggw_ms until;
+};
+
+struct soak {
+    uv_loop_t loop;
+    uv_timer_t tick;
+    GRand *rand;
+    struct soak_record *record;
+    struct soak_world world;
+    struct soak_servers *servers;
+    struct soak_clients *clients;
+    GArray *plan;
+    guint next;
+    GQueue active;  /* struct active */
+    ggw_ms started; /* of the traffic; 0: not yet */
+    ggw_ms began;
+    int version;
+    bool verbose;
+};
+
+static void
+say(const struct soak *s, const char *what, const struct soak_step *step)
+{
+    if (s->verbose) {
+        printf("%.0f %s %s target=%d how=%d length=%.0f\n", soak_now(), what,
+               soak_fault_names[step->fault], step->target, step->how,
+               step->length);
+        fflush(stdout);
+    }
+}
+
+/* Settings for the next version; SOAK_MOVED goes to the next service. */
+static char *
+config_text(int version)
+{
+    static const char *const types[SOAK_KINDS] = {
+        "idempotent", "non_idempotent", "download", "idempotent"};
+    GString *s = g_string_new(NULL);
+
+    g_string_append_printf(s,
+                           "{\"Version\":\"%08x\",\"Listeners\":[{\"Host\":"
+                           "\"soak.example\",\"Rules\":[",
+                           version);
+    for (int i = 0; i < SOAK_KINDS; i++) {
+        int service = i == SOAK_MOVED ? version % SOAK_SERVICES : i;
+
+        g_string_append_printf(
+            s,
+            "%s{\"Name\":\"r%d\",\"RouteType\":\"%s\",\"Priority\":%d,"
+            "\"TargetLatencyMs\":400,\"Match\":{\"Prefix\":\"%s\"},"
+            "\"Action\":{\"Service\":\"%s\",\"TimeoutMs\":3000,"
+            "\"MaxAttempts\":3}}",
+            i > 0 ? "," : "", i, types[i], i, soak_prefixes[i],
+            soak_services[service]);
+    }
+    g_string_append(s, "]}],\"Clusters\":[");
+    for (int i = 0; i < SOAK_SERVICES; i++) {
+        g_string_append_printf(
+            s,
+            "%s{\"Name\":\"%s\",\"HealthPath\":\"/health\",\"MaxConns\":220,"
+            "\"ColdStartS\":3,\"ColdPerS\":%g}",
+            i > 0 ? "," : "", soak_services[i], SOAK_COLD_PER_S);
+    }
+    g_string_append(s, "]}");
+    return g_string_free(s, FALSE);
+}
+
+struct version_ack {
+    struct soak *soak;
+    int version;
+};
+
+static void
+version_acked(void *data)
+{
+    struct version_ack *ack = data;
+
+    soak_record_version_acked(ack->soak->record, ack->version, soak_now());
+    g_free(ack);
+}
+
+static void
+change_config(struct soak *s)
+{
+    struct version_ack *ack = g_new0(struct version_ack, 1);
+    g_autofree char *text = NULL;
+
+    ack->soak = s;
+    ack->version = ++s->version;
+    text = config_text(s->version);
+    soak_record_version(s->record, s->version, s->version % SOAK_SERVICES,
+                        soak_now());
+    soak_world_write(&s->world, "op", "config", text, version_acked, ack);
+}
+
+static void
+write_entry(struct soak *s, struct soak_server *server, const char *state,
+            void (*acked)(void *data))
+{
+    g_autofree char *host =
+        soak_world_host(&s->world, SOAK_NET_PUBLIC, server->index);
+    g_autofree char *text = g_strdup_printf(
+        "{\"Service\":\"%s\",\"Address\":\"%s:%d\",\"Zone\":\"%s\","
+        "\"Version\":\"v1\",\"Slots\":2,\"State\":\"%s\",\"ColdLeftMs\":%.0f,"
+        "\"Sequence\":1,\"born\":%" G_GUINT64_FORMAT "}",
+        soak_services[server->service], host, SOAK_SERVER_PORT,
+        soak_zones[server->zone], state,
+        MAX(server->cold_until - soak_now(), 0), server->born);
+
+    soak_world_write(&s->world, "servers", server->id, text, acked, server);
+}
+
+static void
+close_server(struct soak_server *server, ggw_ms bound)
+{
+    if (isinf(server->closed_at)) {
+        server->closed_at = soak_now();
+        server->closed_bound = bound;
+    }
+}
+
+static void
+server_drained(void *data)
+{
+    struct soak_server *server = data;
+
+    if (server->running) {
+        close_server(server, SOAK_DRAIN_MS);
+    }
+}
+
+struct zone_ack {
+    struct soak *soak;
+    int zone;
+};
+
+static bool
+zone_is_out(const struct soak *s, int zone)
+{
+    for (GList *i = s->active.head; i != NULL; i = i->next) {
+        const struct active *a = i->data;
+
+        if (a->step.fault == SOAK_TAKE_ZONE_OUT && a->step.target == zone) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+zone_out(void *data)
+{
+    struct zone_ack *ack = data;
+    struct soak *s = ack->soak;
+
+    for (int i = 0; i < SOAK_SERVERS && zone_is_out(s, ack->zone); i++) {
+        struct soak_server *server = soak_servers_get(s->servers, i);
+
+        if (server->zone == ack->zone) {
+            close_server(server, SOAK_OUT_MS);
+        }
+    }
+    g_free(ack);
+}
+
+static void
+take_zone_out(struct soak *s, int zone, bool out)
+{
+    g_autofree char *key = g_strdup_printf("evacuate/%s", soak_zones[zone]);
+    struct zone_ack *ack;
+
+    if (out) {
+        ack = g_new0(struct zone_ack, 1);
+        ack->soak = s;
+        ack->zone = zone;
+        soak_world_write(&s->world, "op", key, "{}", zone_out, ack);
+        return;
+    }
+    for (int i = 0; i < SOAK_SERVERS; i++) {
+        struct soak_server *server = soak_servers_get(s->servers, i);
+
+        if (server->zone == zone && server->closed_bound == SOAK_OUT_MS) {
+            server->closed_at = INFINITY;
+        }
+    }
+    soak_world_write(&s->world, "op", key, NULL, NULL, NULL);
+}
+
+static void
+set_link(struct soak *s, const char *route, const struct soak_step *step,
+         bool on)
+{
+    g_autofree char *json = NULL;
+
+    json = on ? g_strdup_printf("{\"route\":\"%s-%02d\",%s}", route,
+                                step->target, soak_link_faults[step->how])
+              : g_strdup_printf("{\"route\":\"%s-%02d\",\"cut\":false,"
+                                "\"hold\":false,\"one_way\":false,"
+                                "\"delay_ms\":0.1}",
+                                route, step->target);
+    soak_world_relay(&s->world, json);
+}
+
+static void
+restart_server(struct soak *s, struct soak_server *server)
+{
+    soak_server_start(server, COLD_MS);
+    write_entry(s, server, "ready", NULL);
+    if (zone_is_out(s, server->zone)) {
+        close_server(server, SOAK_OUT_MS);
+    }
+}
+
+/* What a fault disturbs; INT_MAX for planned work. */
+static int
+disturbs(const struct soak_step *step)
+{
+    switch (step->fault) {
+    case SOAK_KILL_GATEWAY:
+    case SOAK_PAUSE_GATEWAY:
+    case SOAK_PEER_LINK:
+    case SOAK_FRONT_LINK:
+    case SOAK_STORE_LINK:
+        return step->target;
+    case SOAK_STORE_FAULT:
+    case SOAK_KILL_ALL:
+        return SOAK_STORE;
+    case SOAK_SERVER_LINK:
+    case SOAK_CRASH_SERVER:
+    case SOAK_SLOW_SERVER:
+    case SOAK_LOSE_RESPONSES:
+    case SOAK_SPOIL_RESPONSES:
+        return SOAK_OTHERS;
+    default:
+        return G_MAXINT;
+    }
+}
+
+/* Begins a step if @on, or takes it back. */
+static void
+apply(struct soak *s, const struct soak_step *step, bool on)
+{
+    struct soak_world *w = &s->world;
+    struct soak_server *server =
+        soak_servers_get(s->servers, step->target % SOAK_SERVERS);
+
+    switch (step->fault) {
+    case SOAK_CHANGE_CONFIG:
+        if (on) {
+            change_config(s);
+        }
+        break;
+    case SOAK_TAKE_ZONE_OUT:
+        take_zone_out(s, step->target, on);
+        break;
+    case SOAK_STOP_GATEWAY:
+        if (on && w->gateways[step->target].state == SOAK_RUNNING) {
+            soak_world_signal(w, step->target, SIGTERM);
+        }
+        break;
+    case SOAK_RELOAD_GATEWAY:
+        if (on) {
+            soak_world_signal(w, step->target, SIGHUP);
+        }
+        break;
+    case SOAK_DRAIN_SERVER:
+        if (on) {
+            write_entry(s, server, "draining", server_drained);
+        }
+        else {
+            soak_server_crash(server);
+            restart_server(s, server);
+        }
+        break;
+    case SOAK_KILL_GATEWAY:
+        if (on) {
+            soak_world_signal(w, step->target, SIGKILL);
+        }
+        break;
+    case SOAK_KILL_ALL:
+        for (int i = 0; on && i < SOAK_GATEWAYS; i++) {
+            soak_world_signal(w, i, SIGKILL);
+        }
+        break;
+    case SOAK_PAUSE_GATEWAY:
+        soak_world_signal(w, step->target, on ? SIGSTOP : SIGCONT);
+        break;
+    case SOAK_PEER_LINK:
+        set_link(s, "peer", step, on);
+        break;
+    case SOAK_FRONT_LINK:
+        set_link(s, "front", step, on);
+        break;
+    case SOAK_STORE_LINK:
+        set_link(s, "store", step, on);
+        break;
+    case SOAK_SERVER_LINK:
+        set_link(s, "server", step, on);
+        break;
+    case SOAK_STORE_FAULT:
+        soak_world_store_fault(w, on ? soak_store_faults[step->how]
+                                     : "{\"mode\":\"none\"}");
+        break;
+    case SOAK_CRASH_SERVER:
+        if (on) {
+            soak_server_crash(server);
+        }
+        else {
+            restart_server(s, server);
+        }
+        break;
+    case SOAK_SLOW_SERVER:
+        server->slow = on ? 5 : 1;
+        break;
+    case SOAK_LOSE_RESPONSES:
+        server->lose = on ? 0.2 : 0;
+        break;
+    case SOAK_SPOIL_RESPONSES:
+        server->spoil = on ? 0.2 : 0;
+        break;
+    case SOAK_FAULTS:
+        break;
+    }
+}
+
+/* Two faults of one kind at one place would end together. */
+static bool
+is_active(const struct soak *s, const struct soak_step *step)
+{
+    for (GList *i = s->active.head; i != NULL; i = i->next) {
+        const struct active *a = i->data;
+
+        if (a->step.fault == step->fault &&
+            (a->step.target == step->target ||
+             step->fault == SOAK_STORE_FAULT)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+begin_step(struct soak *s, const struct soak_step *step, ggw_ms now)
+{
+    struct active *a;
+    int what = disturbs(step);
+
+    if (is_active(s, step)) {
+        return;
+    }
+    a = g_new0(struct active, 1);
+    a->soak = s;
+    a->step = *step;
+    a->until = now + step->length;
+    g_queue_push_tail(&s->active, a);
+    if (what != G_MAXINT) {
+        soak_record_disturb(s->record, what,
+                            a->until +
+                                (what == SOAK_OTHERS ? 0 : STARTING_MS));
+    }
+    say(s, "begin", step);
+    apply(s, step, true);
+}
+
+static void
+end_steps(struct soak *s, ggw_ms now)
+{
+    GList *next;
+
+    for (GList *i = s->active.head; i != NULL; i = next) {
+        struct active *a = i->data;
+
+        next = i->next;
+        if (a->until <= now) {
+            g_queue_delete_link(&s->active, i);
+            say(s, "end", &a->step);
+            apply(s, &a->step, false);
+            g_free(a);
+        }
+    }
+}
+
+/* Starts the traffic once each group of clients could be served. */
+static void
+wait_for_start(struct soak *s, ggw_ms now)
+{
+    if (now > s->began + STARTING_MS + START_MS) {
+        soak_record_violate(s->record, now, "START", "no gateway is ready");
+        uv_stop(&s->loop);
+    }
+    if (now > s->began + 2 * STARTING_MS) {
+        s->started = now;
+        soak_clients_set_rate(s->clients, RATE_PER_S);
+    }
+}
+
+static void
+tick_cb(uv_timer_t *timer)
+{
+    struct soak *s = timer->data;
+    ggw_ms now = soak_now();
+    ggw_ms at;
+
+    soak_world_poll(&s->world, now);
+    if (s->started == 0) {
+        wait_for_start(s, now);
+        return;
+    }
+    at = now - s->started;
+    end_steps(s, now);
+    while (s->next < s->plan->len &&
+           g_array_index(s->plan, struct soak_step, s->next).at <= at) {
+        begin_step(s, &g_array_index(s->plan, struct soak_step, s->next++),
+                   now);
+    }
+    if (at > FAULTS_MS + RECOVERY_MS + AFTER_MS) {
+        soak_clients_set_rate(s->clients, 0);
+        if (soak_clients_open(s->clients) == 0) {
+            uv_stop(&s->loop);
+        }
+    }
+}
+
+static void
+set_up(struct soak *s, guint32 seed, const char *build, const char *dir)
+{
+    g_autofree char *servers = NULL;
+
+    uv_loop_init(&s->loop);
+    s->rand = g_rand_new_with_seed(seed + 1);
+    s->record = soak_record_new();
+    s->plan = soak_plan(seed, FAULTS_MS);
+    soak_world_init(&s->world, &s->loop, s->record, build, dir);
+    servers = g_strdup_printf("%s.%d", s->world.prefix, SOAK_NET_SERVERS);
+    s->servers = soak_servers_new(&s->loop, s->record, s->rand, servers,
+                                  SOAK_SERVER_PORT);
+    change_config(s);
+    for (int i = 0; i < SOAK_SERVERS; i++) {
+        write_entry(s, soak_servers_get(s->servers, i), "ready", NULL);
+    }
+    for (int i = 0; i < SOAK_GATEWAYS; i++) {
+        soak_world_start_gateway(&s->world, i);
+    }
+    s->clients = soak_clients_new(&s->world, s->rand);
+    s->began = soak_now();
+    uv_timer_init(&s->loop, &s->tick);
+    s->tick.data = s;
+    uv_timer_start(&s->tick, tick_cb, TICK_MS, TICK_MS);
+}
+
+/* Prints the outcome; returns the number of violations. */
+static guint
+report(struct soak *s, guint32 seed, const char *dir)
+{
+    const GPtrArray *violations = soak_record_violations(s->record);
+    g_autofree char *summary = NULL;
+
+    soak_record_finish(s->record, s->started + FAULTS_MS + RECOVERY_MS,
+                       soak_now());
+    summary = soak_record_summary(s->record);
+    printf("seed %u: %s\n", seed, summary);
+    for (guint i = 0; i < violations->len && i < 20; i++) {
+        printf("  %s\n", (char *)g_ptr_array_index(violations, i));
+    }
+    if (violations->len > 0) {
+        printf("  traffic began at %.0f; logs are in %s\n", s->started, dir);
+    }
+    return violations->len;
+}
+
+int
+main(int argc, char **argv)
+{
+    static struct soak soak;
+    const char *build = g_getenv("GGW_BUILD");
+    g_autofree char *dir = NULL;
+    guint32 seed;
+
+    if (argc < 2) {
+        fprintf(stderr, "usage: soak SEED [-v]\n");
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    seed = (guint32)strtoul(argv[1], NULL, 10);
+    soak.verbose = argc > 2;
+    dir = g_dir_make_tmp("soak-XXXXXX", NULL);
+    set_up(&soak, seed, build != NULL ? build : "build/asan", dir);
+    uv_run(&soak.loop, UV_RUN_DEFAULT);
+    soak_world_end(&soak.world);
+    return report(&soak, seed, dir) > 0;
+}
--- /dev/null
+++ b/tests/soak/wire.c
@@ -0,0 +1,268 @@
+#include "tests/soak/wire.h"
+
+#include <string.h>
+
+struct write {
+    uv_write_t req;
+    char *bytes;
+};
+
+static void
+freed_cb(uv_handle_t *handle)
+{
+    struct soak_wire *w = handle->data;
+
+    w->ops->closed(w);
+    g_string_free(w->url, TRUE);
+    g_string_free(w->body, TRUE);
+    g_string_free(w->field, TRUE);
+    g_string_free(w->value, TRUE);
+    g_string_free(w->unsent, TRUE);
+    g_hash_table_unref(w->headers);
+    g_free(w);
+}
+
+void
+soak_wire_close(struct soak_wire *w, bool reset)
+{
+    if (w->closing) {
+        return;
+    }
+    w->closing = true;
+    if (!reset || !w->connected ||
+        uv_tcp_close_reset(&w->tcp, freed_cb) != 0) {
+        uv_close((uv_handle_t *)&w->tcp, freed_cb);
+    }
+}
+
+static struct soak_wire *
+wire_of(http_parser *parser)
+{
+    return parser->data;
+}
+
+static void
+end_header(struct soak_wire *w)
+{
+    if (w->field->len > 0 && w->value->len > 0) {
+        g_hash_table_replace(w->headers, g_ascii_strdown(w->field->str, -1),
+                             g_strdup(w->value->str));
+        g_string_truncate(w->field, 0);
+        g_string_truncate(w->value, 0);
+    }
+}
+
+static int
+on_begin(http_parser *parser)
+{
+    struct soak_wire *w = wire_of(parser);
+
+    w->begun = true;
+    g_string_truncate(w->url, 0);
+    g_string_truncate(w->body, 0);
+    g_string_truncate(w->field, 0);
+    g_string_truncate(w->value, 0);
+    g_hash_table_remove_all(w->headers);
+    return 0;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+    g_string_append_len(wire_of(parser)->url, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_field(http_parser *parser, const char *at, size_t len)
+{
+    end_header(wire_of(parser));
+    g_string_append_len(wire_of(parser)->field, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+    g_string_append_len(wire_of(parser)->value, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_headers(http_parser *parser)
+{
+    end_header(wire_of(parser));
+    return 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+    g_string_append_len(wire_of(parser)->body, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+    struct soak_wire *w = wire_of(parser);
+
+    w->begun = false;
+    if (!w->closing) {
+        w->ops->message(w);
+    }
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+static void
+alloc_cb(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+    static char space[64 * 1024];
+
+    *buf = uv_buf_init(space, sizeof(space));
+}
+
+static void
+read_cb(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+    struct soak_wire *w = stream->data;
+    size_t len = n > 0 ? (size_t)n : 0;
+
+    if (n == 0) {
+        return;
+    }
+    if (n == UV_EOF) {
+        http_parser_execute(&w->parser, &parser_settings, NULL, 0);
+    }
+    if (n < 0 || http_parser_execute(&w->parser, &parser_settings, buf->base,
+                                     len) != len) {
+        soak_wire_close(w, n < 0 && n != UV_EOF);
+    }
+}
+
+static struct soak_wire *
+wire_new(uv_loop_t *loop, const struct soak_wire_ops *ops, void *data,
+         enum http_parser_type type)
+{
+    struct soak_wire *w = g_new0(struct soak_wire, 1);
+
+    w->ops = ops;
+    w->data = data;
+    w->url = g_string_new(NULL);
+    w->body = g_string_new(NULL);
+    w->field = g_string_new(NULL);
+    w->value = g_string_new(NULL);
+    w->unsent = g_string_new(NULL);
+    w->headers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    http_parser_init(&w->parser, type);
+    w->parser.data = w;
+    uv_tcp_init(loop, &w->tcp);
+    w->tcp.data = w;
+    w->connect.data = w;
+    return w;
+}
+
+static void
+opened(struct soak_wire *w)
+{
+    w->connected = true;
+    uv_tcp_nodelay(&w->tcp, 1);
+    uv_read_start((uv_stream_t *)&w->tcp, alloc_cb, read_cb);
+}
+
+static void
+connect_cb(uv_connect_t *req, int status)
+{
+    struct soak_wire *w = req->data;
+
+    if (w->closing) {
+        return;
+    }
+    if (status != 0) {
+        soak_wire_close(w, false);
+        return;
+    }
+    opened(w);
+    soak_wire_send(w, w->unsent->str, w->unsent->len);
+}
+
+struct soak_wire *
+soak_wire_dial(uv_loop_t *loop, const struct sockaddr_in *to,
+               const struct soak_wire_ops *ops, void *data)
+{
+    struct soak_wire *w = wire_new(loop, ops, data, HTTP_RESPONSE);
+
+    if (uv_tcp_connect(&w->connect, &w->tcp, (const struct sockaddr *)to,
+                       connect_cb) != 0) {
+        soak_wire_close(w, false);
+    }
+    return w;
+}
+
+struct soak_wire *
+soak_wire_accept(uv_stream_t *listener, const struct soak_wire_ops *ops,
+                 void *data)
+{
+    struct soak_wire *w = wire_new(listener->loop, ops, data, HTTP_REQUEST);
+
+    if (uv_accept(listener, (uv_stream_t *)&w->tcp) != 0) {
+        soak_wire_close(w, false);
+        return NULL;
+    }
+    opened(w);
+    return w;
+}
+
+static void
+written_cb(uv_write_t *req, int status)
+{
+    struct write *out = (struct write *)req;
+    struct soak_wire *w = req->handle->data;
+
+    g_free(out->bytes);
+    g_free(out);
+    if (status != 0) {
+        soak_wire_close(w, false);
+    }
+}
+
+void
+soak_wire_send(struct soak_wire *w, const char *bytes, size_t len)
+{
+    struct write *out;
+    uv_buf_t buf;
+
+    if (w->closing || len == 0) {
+        return;
+    }
+    if (!w->connected) {
+        g_string_append_len(w->unsent, bytes, (gssize)len);
+        return;
+    }
+    out = g_new0(struct write, 1);
+    out->bytes = g_memdup2(bytes, len);
+    buf = uv_buf_init(out->bytes, (unsigned)len);
+    if (uv_write(&out->req, (uv_stream_t *)&w->tcp, &buf, 1, written_cb) !=
+        0) {
+        g_free(out->bytes);
+        g_free(out);
+        soak_wire_close(w, false);
+    }
+}
+
+const char *
+soak_wire_header(const struct soak_wire *w, const char *name)
+{
+    return g_hash_table_lookup(w->headers, name);
+}
