peers, platform, slots: fewer bytes between gateways

Change: a gateway tells the others only addresses that are new, once a tick; before, each address that it learned made it send all addresses to all. A wish for rows names the tables. A number of free slots other than 0 is announced at most once a second. (Before a link opens nothing was told; then all is.)

--- a/peers/hello.c
+++ b/peers/hello.c
@@ -1,13 +1,28 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "common/metrics.h"
 #include "peers/internal.h"
 #include "peers/payload.h"
 
 #define MAX_ADDRESSES 64
 
+/* Which addresses of other gateways a hello has. */
+enum addresses {
+    ADDRESSES_ALL,
+    ADDRESSES_NEW, /* learned since the others were told last */
+};
+
+static bool
+is_told(const struct ggw_target *t, enum addresses which)
+{
+    return t->name != NULL && !t->self &&
+           (which == ADDRESSES_ALL || t->untold);
+}
+
 static void
-put_addresses(struct ggw_peers *p, struct ggw_payload_writer *w)
+put_addresses(struct ggw_peers *p, struct ggw_payload_writer *w,
+              enum addresses which)
 {
     GHashTableIter iter;
     gpointer value;
@@ -15,17 +30,16 @@
 
     g_hash_table_iter_init(&iter, p->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct ggw_target *t = value;
-
-        n += t->name != NULL && !t->self && n < MAX_ADDRESSES;
+        n += is_told(value, which) && n < MAX_ADDRESSES;
     }
+    *ggw_counter("ggw_peer_addresses_sent_total") += n;
     ggw_payload_put_array(w, n * 2);
     g_hash_table_iter_init(&iter, p->targets);
     while (n > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct ggw_target *t = value;
         char host[INET_ADDRSTRLEN];
 
-        if (t->name != NULL && !t->self) {
+        if (is_told(t, which)) {
             uv_ip4_name(&t->address, host, sizeof(host));
             ggw_payload_put_string(w, host);
             ggw_payload_put_uint(w, ntohs(t->address.sin_port));
@@ -34,8 +48,8 @@
     }
 }
 
-void
-ggw_peers_send_hello(struct ggw_conn *conn, uint64_t refused)
+static void
+send_hello(struct ggw_conn *conn, uint64_t refused, enum addresses which)
 {
     struct ggw_peers *p = conn->peers;
     const struct ggw_view_member *self = ggw_view_self(p->view);
@@ -52,11 +66,17 @@
     ggw_payload_put_uint(&w, refused);
     ggw_payload_put_string(&w, p->peer_host);
     ggw_payload_put_uint(&w, p->listen_port);
-    put_addresses(p, &w);
+    put_addresses(p, &w, which);
     payload = ggw_payload_end(&w);
     ggw_peers_send(conn, GGW_PEER_HELLO, 0, payload);
 }
 
+void
+ggw_peers_send_hello(struct ggw_conn *conn, uint64_t refused)
+{
+    send_hello(conn, refused, ADDRESSES_ALL);
+}
+
 struct hello {
     struct ggw_view_hello view;
     uint64_t refused;
@@ -119,22 +139,30 @@
 }
 
 /*
- * Tells the others of an address that was just learned. With a list of VMs
- * they know it already, and every gateway telling every other would be too
- * much in a large deployment.
+ * With a list of VMs the others know new addresses already. Each of them was
+ * sent all that was known when its link opened, so that only new ones follow.
  */
-static void
-pass_on_address(struct ggw_conn *from)
+void
+ggw_peers_tell_addresses(struct ggw_peers *p)
 {
-    struct ggw_peers *p = from->peers;
+    GHashTableIter iter;
+    gpointer value;
 
+    if (!p->new_addresses) {
+        return;
+    }
+    p->new_addresses = false;
     for (guint i = 0; !p->has_list && i < p->conns->len; i++) {
         struct ggw_conn *c = g_ptr_array_index(p->conns, i);
 
-        if (c != from && c->peer != NULL) {
-            ggw_peers_send_hello(c, 0);
+        if (c->peer != NULL) {
+            send_hello(c, 0, ADDRESSES_NEW);
         }
     }
+    g_hash_table_iter_init(&iter, p->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((struct ggw_target *)value)->untold = false;
+    }
 }
 
 /*
@@ -177,7 +205,8 @@
     }
     if (t != NULL && t->name == NULL) {
         t->name = g_strdup(h->view.name);
-        pass_on_address(conn);
+        t->untold = true;
+        p->new_addresses = true;
     }
 }
 
--- a/peers/internal.h
+++ b/peers/internal.h
@@ -20,6 +20,7 @@
 /**
  * struct ggw_target - an address to keep a link to
  * @name: gateway that was found there; NULL while unknown
+ * @untold: learned since the other gateways were told of addresses
  * @seed: from the settings, never dropped
  * @listed: in the current list of VMs
  * @self: this gateway itself, not dialled
@@ -31,6 +32,7 @@
     char *key; /* "IP:PORT" */
     struct sockaddr_in address;
     char *name;
+    bool untold;
     bool seed;
     bool listed;
     bool self;
@@ -96,7 +98,8 @@
     ggw_ms next_heartbeat;
     ggw_ms ticked_at;
     bool flush_queued;
-    bool has_list; /* of VMs */
+    bool has_list;
+    bool new_addresses; /* some targets are untold */ /* of VMs */
     bool stopping;
 };
 
@@ -133,6 +136,9 @@
  *           that it takes a new one; 0 for none
  */
 void ggw_peers_send_hello(struct ggw_conn *conn, uint64_t refused);
+
+/* Tells all others of the addresses that were learned since the last call. */
+void ggw_peers_tell_addresses(struct ggw_peers *p);
 bool ggw_peers_on_hello(struct ggw_conn *conn, const struct ggw_frame *frame);
 void ggw_peers_send_heartbeat(struct ggw_peer *peer, struct ggw_conn *conn,
                               ggw_ms now);
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -69,6 +69,7 @@
  * @exhausted: the owner had no free slot for a spilled request in this tick
  * @announced: names of warm servers in the last SLOT_LOAD sent
  * @announced_free: free slots in it
+ * @announced_at: when it was sent
  */
 struct ggw_slots_domain {
     struct ggw_slots_group *group;
@@ -81,6 +82,7 @@
     ggw_ms free_at;
     GBytes *announced;
     int announced_free;
+    ggw_ms announced_at;
     GPtrArray *scouts;
     ggw_ms logged_at;
 };
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -10,6 +10,9 @@
 
 #define PROBE_TIMEOUT 100.0
 
+/* Least time between two numbers of free slots that are not 0, in ms. */
+#define FREE_INTERVAL 1000.0
+
 /* Expected time of a probe; corrected when it has ended. */
 #define PROBE_COST 1.0
 
@@ -386,6 +389,20 @@
     return step;
 }
 
+/*
+ * Whether another number of free slots is told. Those that look for a slot
+ * need to know at once whether there is any, and the number only roughly.
+ */
+static bool
+tells_free(const struct ggw_slots_domain *d, int free, ggw_ms now)
+{
+    if (free == d->announced_free) {
+        return false;
+    }
+    return free == 0 || d->announced_free == 0 ||
+           now - d->announced_at >= FREE_INTERVAL;
+}
+
 /* Tells all gateways of free slots and warm servers when they changed. */
 static void
 announce(struct ggw_slots *p, struct ggw_slots_domain *d, ggw_ms now)
@@ -400,10 +417,11 @@
 
     g_clear_pointer(&d->announced, g_bytes_unref);
     d->announced = names;
-    if (same_warm && free == d->announced_free) {
+    if (same_warm && !tells_free(d, free, now)) {
         return;
     }
     d->announced_free = free;
+    d->announced_at = now;
     ggw_payload_begin(&w, 6);
     ggw_payload_put_string(&w, d->group->team);
     ggw_payload_put_string(&w, d->group->service);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -45,6 +45,35 @@
     free_cluster(c);
 }
 
+/*
+ * Guards against gateways that tell each other again what they know whenever
+ * one joins: with 48 of them, half of all bytes between them.
+ */
+static void
+test_few_addresses(void)
+{
+    struct cluster c;
+    uint64_t *sent = ggw_counter("ggw_peer_addresses_sent_total");
+    const uint64_t others = CLUSTER_MAX - 1;
+
+    cluster_init(&c);
+    for (int i = 0; i < CLUSTER_MAX - 1; i++) {
+        cluster_add(&c, "cairo-a", NULL, NULL);
+    }
+    CU_ASSERT_TRUE(cluster_wait(&c, cluster_joined));
+    cluster_run(&c, 200);
+    *sent = 0;
+    cluster_add(&c, "cairo-a", NULL, NULL);
+    CU_ASSERT_TRUE(cluster_wait(&c, cluster_joined));
+    cluster_run(&c, 200);
+    /*
+     * The new gateway and each other one tell each other all that they know,
+     * and the others tell each other of the new one.
+     */
+    CU_ASSERT_TRUE(*sent <= 3 * others * others);
+    cluster_destroy(&c);
+}
+
 static bool
 first_is_left_or_dead(struct cluster *c)
 {
@@ -309,6 +338,7 @@
     CU_initialize_registry();
     suite = CU_add_suite("peers", NULL, NULL);
     CU_add_test(suite, "join", test_join);
+    CU_add_test(suite, "few addresses", test_few_addresses);
     CU_add_test(suite, "leave", test_leave);
     CU_add_test(suite, "pause and resume", test_pause_and_resume);
     CU_add_test(suite, "cut and heal", test_cut_and_heal);
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -312,6 +312,57 @@
     g_ptr_array_unref(out.delta.rows);
 }
 
+/* Frames that the node has sent with rows of a table. */
+static int
+frames_of(const struct node *n, const char *table)
+{
+    int frames = 0;
+
+    for (guint i = 0; i < n->sent->len; i++) {
+        struct ggw_relay_frame frame;
+
+        if (ggw_relay_unpack(g_ptr_array_index(n->sent, i), &frame)) {
+            frames += frame.whole && strcmp(frame.delta.table, table) == 0;
+        }
+        ggw_relay_clear(&frame);
+    }
+    return frames;
+}
+
+static bool
+has_answered(const struct node *n)
+{
+    return frames_of(n, "op") > 0;
+}
+
+/*
+ * Guards against a gateway that waits for the first configuration and is sent
+ * all servers each time it asks for it.
+ */
+static void
+test_wish(void)
+{
+    struct node *n;
+    struct ggw_peer_received *m = g_new0(struct ggw_peer_received, 1);
+    g_autoptr(GPtrArray) tables = g_ptr_array_new();
+
+    write_row("op/config", CONFIG);
+    write_row("servers/i-1", ENTRY);
+    n = node_start(store.port);
+    CU_ASSERT_TRUE(run_until(n, has_one));
+    CU_ASSERT_TRUE(run_until(n, has_config));
+    g_ptr_array_add(tables, (gpointer) "op");
+    m->base.ops = &ggw_peer_received_ops;
+    m->peer = g_strdup("n2");
+    m->type = GGW_PEER_ROWS_GET;
+    m->payload = ggw_relay_pack_wish(tables);
+    ggw_kernel_send(n->kernel, "site", &n->peers, &m->base);
+    CU_ASSERT_TRUE(run_until(n, has_answered));
+    CU_ASSERT_EQUAL(frames_of(n, "servers"), 0);
+    write_row("servers/i-1", NULL);
+    node_stop(n);
+}
+
 /*
  * Guards against a large configuration that a reader sends to every gateway
  * over its thin link.
@@ -366,10 +417,15 @@
 main(void)
 {
     static CU_TestInfo tests[] = {
-        {"follows", test_follows},       {"history lost", test_history_lost},
-        {"store away", test_store_away}, {"outage", test_outage},
-        {"frames", test_frames},         {"large rows", test_large_rows},
-        {"readers", test_readers},       CU_TEST_INFO_NULL,
+        {"follows", test_follows},
+        {"history lost", test_history_lost},
+        {"store away", test_store_away},
+        {"outage", test_outage},
+        {"frames", test_frames},
+        {"large rows", test_large_rows},
+        {"wish", test_wish},
+        {"readers", test_readers},
+        CU_TEST_INFO_NULL,
     };
     int status;
 
