decide, peers: directory and owners prefer gateways with fast links

Two in each failure domain have 200 Mbit/s, and carried a 16th of the clients each, like the others.

Ruled out: slow spells of servers.

Change: a gateway tells the speed of its link and its share of processor time in its hello (from the settings file; 0 where it does not know). Load: downloads of 90 kB beside short requests.

--- a/decide/owner.c
+++ b/decide/owner.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "decide/capacity.h"
+
 static uint64_t
 hash_key(const char *team, const char *service, const char *failure_domain)
 {
@@ -16,6 +18,7 @@
 pick(uint64_t key, const char *failure_domain,
      const struct ggw_member *members, size_t len)
 {
+    int fastest = ggw_capacity_fastest(members, len, failure_domain);
     size_t best = (size_t)-1;
     uint64_t best_hash = 0;
 
@@ -25,7 +28,8 @@
 
         if (m->state != GGW_MEMBER_ALIVE ||
             (failure_domain != NULL &&
-             strcmp(m->failure_domain, failure_domain) != 0)) {
+             strcmp(m->failure_domain, failure_domain) != 0) ||
+            !ggw_capacity_is_fast(m, fastest)) {
             continue;
         }
         h = XXH64(m->name, strlen(m->name), key);
--- a/decide/view.c
+++ b/decide/view.c
@@ -97,6 +97,7 @@
     replace_string(&m->member.failure_domain, hello->failure_domain);
     replace_string(&m->member.host, hello->host);
     m->member.port = hello->port;
+    m->member.capacity = hello->capacity;
     m->member.incarnation = hello->incarnation;
 }
 
--- a/decide/view.h
+++ b/decide/view.h
@@ -65,6 +65,7 @@
     uint16_t port;
     uint64_t incarnation;
     bool leaving;
+    struct ggw_capacity capacity;
 };
 
 struct ggw_view;
--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -65,6 +65,7 @@
         .advertise_host = s->front.host,
         .advertise_port = s->front.port,
         .seeds = s->seeds,
+        .capacity = s->capacity,
     };
     const struct ggw_proxy_options proxy = {
         .name = s->name,
--- a/peers/hello.c
+++ b/peers/hello.c
@@ -56,7 +56,7 @@
     struct ggw_payload_writer w;
     g_autoptr(GBytes) payload = NULL;
 
-    ggw_payload_begin(&w, 10);
+    ggw_payload_begin(&w, 12);
     ggw_payload_put_string(&w, p->name);
     ggw_payload_put_uint(&w, self->member.incarnation);
     ggw_payload_put_string(&w, self->member.failure_domain);
@@ -67,6 +67,8 @@
     ggw_payload_put_string(&w, p->peer_host);
     ggw_payload_put_uint(&w, p->listen_port);
     put_addresses(p, &w, which);
+    ggw_payload_put_uint(&w, (uint64_t)self->member.capacity.link_mbps);
+    ggw_payload_put_uint(&w, (uint64_t)self->member.capacity.cpu_percent);
     payload = ggw_payload_end(&w);
     ggw_peers_send(conn, GGW_PEER_HELLO, 0, payload);
 }
@@ -82,14 +84,33 @@
     uint64_t refused;
     const char *peer_host;
     uint16_t peer_port;
+    struct ggw_payload_reader addresses;
+    uint32_t addresses_len;
 };
 
+#define CAPACITY_MAX 10000000 /* of a figure in a hello */
+
+/* Gateways of earlier versions do not tell it. */
+static void
+read_capacity(struct ggw_payload_reader *r, struct ggw_capacity *c)
+{
+    uint64_t link = ggw_payload_uint(r);
+    uint64_t cpu = ggw_payload_uint(r);
+
+    if (r->ok && link <= CAPACITY_MAX && cpu <= CAPACITY_MAX) {
+        c->link_mbps = (int)link;
+        c->cpu_percent = (int)cpu;
+    }
+}
+
 static bool
 read_hello(struct ggw_payload_reader *r, struct hello *h)
 {
     uint64_t port;
     uint64_t peer_port;
+    bool ok;
 
+    memset(h, 0, sizeof(*h));
     h->view.name = ggw_payload_string(r);
     h->view.incarnation = ggw_payload_uint(r);
     h->view.failure_domain = ggw_payload_string(r);
@@ -101,22 +122,25 @@
     peer_port = ggw_payload_uint(r);
     h->view.port = (uint16_t)port;
     h->peer_port = (uint16_t)peer_port;
-    return r->ok && *h->view.name != '\0' && h->view.incarnation != 0 &&
+    ok = r->ok;
+    h->addresses_len = ggw_payload_array(r, &h->addresses) / 2;
+    read_capacity(r, &h->view.capacity);
+    return ok && *h->view.name != '\0' && h->view.incarnation != 0 &&
            port <= UINT16_MAX && peer_port <= UINT16_MAX;
 }
 
 /* Addresses that the other end knows, so that one seed is enough. */
 static void
-learn_addresses(struct ggw_peers *p, struct ggw_payload_reader *r)
+learn_addresses(struct ggw_peers *p, struct hello *h)
 {
-    struct ggw_payload_reader list;
-    uint32_t n = ggw_payload_array(r, &list) / 2;
+    struct ggw_payload_reader *list = &h->addresses;
+    uint32_t n = MIN(h->addresses_len, MAX_ADDRESSES);
 
-    for (uint32_t i = 0; i < MIN(n, MAX_ADDRESSES) && list.ok; i++) {
-        const char *host = ggw_payload_string(&list);
-        uint64_t port = ggw_payload_uint(&list);
+    for (uint32_t i = 0; i < n && list->ok; i++) {
+        const char *host = ggw_payload_string(list);
+        uint64_t port = ggw_payload_uint(list);
 
-        if (list.ok && port <= UINT16_MAX) {
+        if (list->ok && port <= UINT16_MAX) {
             ggw_peers_target(p, host, (uint16_t)port);
         }
     }
@@ -300,7 +324,7 @@
     ggw_payload_open(&r, frame->payload, frame->payload_len);
     ok = read_hello(&r, &h) && handle_hello(conn, &h);
     if (ok) {
-        learn_addresses(p, &r);
+        learn_addresses(p, &h);
     }
     ggw_payload_close(&r);
     return ok;
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -543,6 +543,7 @@
         .failure_domain = options->failure_domain,
         .host = options->advertise_host,
         .port = options->advertise_port,
+        .capacity = options->capacity,
     };
     p->view = ggw_view_new(&self, count_other_seeds(p), 0);
     return &p->base;
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -20,6 +20,16 @@
     GGW_MEMBER_DEAD,
 };
 
+/**
+ * struct ggw_capacity - how much a gateway's machine can do
+ * @link_mbps: speed of its link; 0: not known
+ * @cpu_percent: its share of a core, in percent; 0: not known
+ */
+struct ggw_capacity {
+    int link_mbps;
+    int cpu_percent;
+};
+
 /**
  * struct ggw_member - one gateway as this one sees it
  * @incarnation: start time of its process in Unix ms
@@ -33,6 +43,7 @@
     enum ggw_member_state state;
     uint16_t port;
     bool self;
+    struct ggw_capacity capacity;
 };
 
 /**
@@ -169,6 +180,7 @@
     uint16_t listen_port;
     const char *advertise_host;
     uint16_t advertise_port;
+    struct ggw_capacity capacity;
     char **seeds;
 };
 
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -47,6 +47,22 @@
     CU_ASSERT_TRUE(count[4] > SERVICES * 4 / 10);
 }
 
+/* Guards against an owner whose link is often busy with large responses. */
+static void
+test_thin_link(void)
+{
+    reset();
+    members[1].capacity.link_mbps = 10;
+    members[4].capacity.link_mbps = 200;
+    for (int s = 0; s < SERVICES; s++) {
+        CU_ASSERT_EQUAL(owner_of(s, "cairo-b"), 4);
+    }
+    members[4].state = GGW_MEMBER_DEAD;
+    CU_ASSERT_EQUAL(owner_of(0, "cairo-b"), 1);
+    members[4].capacity.link_mbps = 0;
+    members[1].capacity.link_mbps = 0;
+}
+
 /* Guards against moving what a change of members does not concern. */
 static void
 test_change_moves_only_its_own(void)
@@ -97,6 +113,7 @@
     CU_initialize_registry();
     suite = CU_add_suite("owner", NULL, NULL);
     CU_add_test(suite, "spread", test_spread);
+    CU_add_test(suite, "thin link", test_thin_link);
     CU_add_test(suite, "change moves only its own",
                 test_change_moves_only_its_own);
     CU_add_test(suite, "other domains take over",
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -12,8 +12,11 @@
 static struct ggw_view *
 new_view(int seeds)
 {
-    struct ggw_view_hello self = {"g0", "cairo-a", "127.0.0.1",
-                                  80,   100,       false};
+    struct ggw_view_hello self = {.name = "g0",
+                                  .failure_domain = "cairo-a",
+                                  .host = "127.0.0.1",
+                                  .port = 80,
+                                  .incarnation = 100};
 
     return ggw_view_new(&self, seeds, 0);
 }
@@ -22,8 +25,12 @@
 hello(struct ggw_view *v, const char *name, uint64_t incarnation, bool leaving,
       ggw_ms now)
 {
-    struct ggw_view_hello h = {name, "cairo-b",   "127.0.0.1",
-                               81,   incarnation, leaving};
+    struct ggw_view_hello h = {.name = name,
+                               .failure_domain = "cairo-b",
+                               .host = "127.0.0.1",
+                               .port = 81,
+                               .incarnation = incarnation,
+                               .leaving = leaving};
 
     return ggw_view_hello(v, &h, now);
 }
