--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 #   make          optimised build in build/release
 #   make check    packages, format, lint, sanitizer build, all tests
 #   make demo     serves the Cairo example and takes a failure domain out
+#   make soak     plays the randomized soak with the seeds of the CI script
 #   make bench    prints measured figures, one "name value unit" per line
 
 VARIANT ?= release
@@ -44,7 +45,7 @@
 TEST_LIB_OBJ := $(TEST_LIB_SRC:%.c=$(OUT)/%.o)
 SOAK := $(OUT)/soak
 
-.PHONY: all packages format lint test check demo bench clean
+.PHONY: all packages format lint test soak check demo bench clean
 .SECONDARY:
 
 all: $(BINARY) $(STANDINS)
@@ -90,9 +91,16 @@
 test: $(BINARY) $(STANDINS) $(TESTS)
 	scripts/run-tests $(OUT)
 
+# SEEDS="1 2 3" runs others; JOBS at a time.
+JOBS ?= 3
+SEEDS ?= $(shell sed 's/\#.*//' tests/soak/seeds.txt | cut -f 1)
+soak: $(BINARY) $(STANDINS) $(SOAK)
+	scripts/soak $(OUT) $(JOBS) $(SEEDS)
+
 check: packages
 	$(MAKE) lint
 	$(MAKE) -j8 VARIANT=release all
+	$(MAKE) -j8 VARIANT=asan soak
 	$(MAKE) -j8 VARIANT=asan test
 
 demo: packages
