--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -123,21 +123,22 @@
                     g_strdup_printf("%.0f %s: %s", now, rule, what));
 }
 
+static void
+prolong(ggw_ms *at, ggw_ms until)
+{
+    *at = MAX(*at, until);
+}
+
 void
 soak_record_disturb(struct soak_record *r, int what, ggw_ms until)
 {
-    ggw_ms *at = NULL;
-
     if (what == SOAK_STORE) {
-        at = &r->store_disturbed_until;
+        prolong(&r->store_disturbed_until, until);
     }
     else if (what >= 0) {
-        at = &r->disturbed_until[what];
-    }
-    if (at != NULL) {
-        *at = MAX(*at, until);
+        prolong(&r->disturbed_until[what], until);
     }
-    r->any_disturbed_until = MAX(r->any_disturbed_until, until);
+    prolong(&r->any_disturbed_until, until);
 }
 
 bool
