main: SIGHUP no longer ends a gateway that starts or stops

Its log: SIGTERM at 23.331 s, "has stopped" at 26.552 s; SIGHUP came at about 26.6 s. The handlers are closed before the process cleans up, and libuv then restores the default action, which ends the process. The same window exists before the handler is set.

Ruled out: a reload does nothing but log, and the gateway had cut no request.

Change: SIGHUP is blocked from the first line of a daemon until its handler is set, and again before that is closed.

--- a/main/daemon.c
+++ b/main/daemon.c
@@ -30,6 +30,22 @@
                  signum);
 }
 
+static void
+mask_hangup(int how)
+{
+    sigset_t set;
+
+    sigemptyset(&set);
+    sigaddset(&set, SIGHUP);
+    sigprocmask(how, &set, NULL);
+}
+
+void
+ggw_daemon_prepare(void)
+{
+    mask_hangup(SIG_BLOCK);
+}
+
 /* The handle does not keep the loop alive once every service has stopped. */
 static void
 watch(struct ggw_kernel *kernel, uv_signal_t *handle, int signum,
@@ -47,6 +63,7 @@
     watch(kernel, &daemon->term, SIGTERM, on_leave);
     watch(kernel, &daemon->interrupt, SIGINT, on_leave);
     watch(kernel, &daemon->hangup, SIGHUP, on_hangup);
+    mask_hangup(SIG_UNBLOCK);
     signal(SIGPIPE, SIG_IGN);
     uv_timer_init(ggw_kernel_loop(kernel), &daemon->flush);
     uv_timer_start(&daemon->flush, flush_cb, FLUSH_MS, FLUSH_MS);
@@ -56,6 +73,8 @@
 void
 ggw_daemon_close(struct ggw_daemon *daemon)
 {
+    /* Without a handler the signal would end a process that just stops. */
+    mask_hangup(SIG_BLOCK);
     uv_close((uv_handle_t *)&daemon->term, NULL);
     uv_close((uv_handle_t *)&daemon->interrupt, NULL);
     uv_close((uv_handle_t *)&daemon->hangup, NULL);
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -18,6 +18,13 @@
     uv_timer_t flush;
 };
 
+/**
+ * ggw_daemon_prepare() - hold SIGHUP back until ggw_daemon_start()
+ *
+ * Called first, since the signal ends a process that has no handler yet.
+ */
+void ggw_daemon_prepare(void);
+
 /**
  * ggw_daemon_start() - handle signals and pass log lines on; SIGPIPE is
  *                      ignored
--- a/main/main.c
+++ b/main/main.c
@@ -6,6 +6,7 @@
 #include "ctl/ctl.h"
 #include "main/cmd_gateway.h"
 #include "main/cmd_node.h"
+#include "main/daemon.h"
 
 const char *argp_program_version = "greengageway 0.1.0";
 
@@ -69,6 +70,7 @@
     argv[0] = name;
     for (size_t i = 0; i < G_N_ELEMENTS(daemons); i++) {
         if (strcmp(word, daemons[i].name) == 0) {
+            ggw_daemon_prepare();
             return daemons[i].run(argc, argv);
         }
     }
--- a/tests/test_proof_leave.c
+++ b/tests/test_proof_leave.c
@@ -193,6 +193,34 @@
     CU_ASSERT(system_free(s));
 }
 
+static bool
+process_ended(const struct system_process *process)
+{
+    siginfo_t info = {0};
+
+    waitid(P_PID, (id_t)process->pid, &info, WEXITED | WNOHANG | WNOWAIT);
+    return info.si_pid != 0;
+}
+
+/*
+ * Guards against a change of the settings file, told by SIGHUP, that ends a
+ * gateway while it stops: the signal came when its handler was closed already.
+ */
+static void
+test_reload_while_stopping(void)
+{
+    struct system *s = system_new(&system_cairo, 1);
+    const struct system_process *process = &s->gateways[0].process;
+
+    system_signal_gateway(s, 0, SIGTERM);
+    while (!process_ended(process)) {
+        system_signal_gateway(s, 0, SIGHUP);
+        g_usleep(500);
+    }
+    CU_ASSERT_EQUAL(system_wait_gateway(s, 0), 0);
+    CU_ASSERT_TRUE(system_free(s));
+}
+
 int
 main(void)
 {
@@ -200,6 +228,7 @@
         {"failure domain taken out", test_domain_out},
         {"server leaving in the VM list", test_leaving_in_list},
         {"graceful stop", test_graceful_stop},
+        {"reload while stopping", test_reload_while_stopping},
         CU_TEST_INFO_NULL,
     };
 
