main, platform: SIGHUP reads the settings file again and says what is wrong

Cause: the platform tells by SIGHUP that the settings file has changed. The signal was only logged, so that a file which a start refuses showed at the next start, when the gateway was gone.

Change: the file is read and checked; one line says what differs ("in use from the next start on"), or the path and the field that is wrong ("the last settings stay in use").

--- a/main/cmd_gateway.c
+++ b/main/cmd_gateway.c
@@ -113,7 +113,7 @@
     struct settings s = {0};
     g_autoptr(GError) error = NULL;
     struct ggw_kernel *kernel = NULL;
-    struct ggw_daemon daemon;
+    struct ggw_daemon daemon = {0};
     uint64_t incarnation;
     int status = 2;
 
--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -90,6 +90,40 @@
     ggw_kernel_add(kernel, ggw_pages_service_new(s, keep));
 }
 
+/* What the process runs with, and where the file is read again. */
+struct reload {
+    const char *path;
+    const struct ggw_node_settings *settings;
+};
+
+/*
+ * The platform changes the file before a restart. A file that a start would
+ * refuse is reported now, while the gateway still runs.
+ */
+static void
+reload(void *data)
+{
+    const struct reload *r = data;
+    g_autoptr(GError) error = NULL;
+    struct ggw_node_settings *s = ggw_node_settings_read(r->path, &error);
+    g_autofree char *changed =
+        s != NULL ? ggw_node_settings_changed(r->settings, s) : NULL;
+
+    if (s == NULL) {
+        ggw_log_error("main", "%s; the last settings stay in use",
+                      error->message);
+        return;
+    }
+    if (changed != NULL) {
+        ggw_log_warn("main", "%s: changed: %s; in use from the next start on",
+                     r->path, changed);
+    }
+    else {
+        ggw_log_info("main", "%s is read again, nothing has changed", r->path);
+    }
+    ggw_node_settings_free(s);
+}
+
 int
 ggw_cmd_node(int argc, char **argv)
 {
@@ -97,7 +131,8 @@
     struct ggw_node_settings *s = NULL;
     g_autoptr(GError) error = NULL;
     struct ggw_kernel *kernel;
-    struct ggw_daemon daemon;
+    struct reload reloaded;
+    struct ggw_daemon daemon = {.reload = reload, .data = &reloaded};
     uint64_t incarnation;
     int status = 2;
 
@@ -113,6 +148,7 @@
         ggw_log_error("main", "%s", error->message);
         goto done;
     }
+    reloaded = (struct reload){o.settings, s};
     kernel = ggw_kernel_new(ggw_clock_system());
     incarnation = (uint64_t)ggw_clock_wall(ggw_clock_system());
     add_services(kernel, s, incarnation);
--- a/main/daemon.c
+++ b/main/daemon.c
@@ -26,6 +26,12 @@
 static void
 on_hangup(uv_signal_t *handle, int signum)
 {
+    const struct ggw_daemon *daemon = handle->data;
+
+    if (daemon->reload != NULL) {
+        daemon->reload(daemon->data);
+        return;
+    }
     ggw_log_info("main", "signal %d, settings stay as they were at the start",
                  signum);
 }
@@ -63,6 +69,7 @@
     watch(kernel, &daemon->term, SIGTERM, on_leave);
     watch(kernel, &daemon->interrupt, SIGINT, on_leave);
     watch(kernel, &daemon->hangup, SIGHUP, on_hangup);
+    daemon->hangup.data = daemon;
     mask_hangup(SIG_UNBLOCK);
     signal(SIGPIPE, SIG_IGN);
     uv_timer_init(ggw_kernel_loop(kernel), &daemon->flush);
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -7,15 +7,18 @@
 
 /**
  * struct ggw_daemon - what the gateway commands share: signals and the log
+ * @reload: called at SIGHUP with @data; NULL only logs the signal
  *
- * SIGTERM and SIGINT let every service leave. SIGHUP is logged only: settings
- * of the process are read at its start.
+ * SIGTERM and SIGINT let every service leave. @reload and @data are the
+ * caller's.
  */
 struct ggw_daemon {
     uv_signal_t term;
     uv_signal_t interrupt;
     uv_signal_t hangup;
     uv_timer_t flush;
+    void (*reload)(void *data);
+    void *data;
 };
 
 /**
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -43,6 +43,27 @@
     ggw_node_settings_free(s);
 }
 
+/*
+ * Guards against a changed settings file that nobody is told of before the
+ * next start.
+ */
+static void
+test_settings_changed(void)
+{
+    struct ggw_node_settings *a = settings();
+    struct ggw_node_settings *b = settings();
+    g_autofree char *same = ggw_node_settings_changed(a, b);
+    g_autofree char *changed = NULL;
+
+    CU_ASSERT_PTR_NULL(same);
+    b->store.port++;
+    b->grace += 1;
+    changed = ggw_node_settings_changed(a, b);
+    CU_ASSERT_STRING_EQUAL(changed, "Platform.Address, Bounds");
+    ggw_node_settings_free(a);
+    ggw_node_settings_free(b);
+}
+
 /* Guards against a refusal that does not name file and field. */
 static void
 test_settings_refused(void)
@@ -323,6 +344,7 @@
 {
     static CU_TestInfo tests[] = {
         {"settings", test_settings},
+        {"settings changed", test_settings_changed},
         {"settings refused", test_settings_refused},
         {"config", test_config},
         {"unknown type", test_unknown_type},
