--- a/peers/hello.c
+++ b/peers/hello.c
@@ -32,7 +32,9 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         n += is_told(value, which) && n < MAX_ADDRESSES;
     }
-    *ggw_counter("ggw_peer_addresses_sent_total") += n;
+    if (which == ADDRESSES_NEW) {
+        *ggw_counter("ggw_peer_new_addresses_sent_total") += n;
+    }
     ggw_payload_put_array(w, n * 2);
     g_hash_table_iter_init(&iter, p->targets);
     while (n > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
