build: ask pkg-config for the product's modules without those of the tests

Cause: the product's flags came from one call of pkg-config for its own modules and for cunit, the tests' library. pkg-config answers nothing when one module of a call is missing, so without libcunit1-dev no include folder was named at all.

Evidence: tried on a clean machine, after installing exactly the list: "Package 'cunit', required by 'virtual:world', not found", then the users' lines.

Why nobody saw it: make check and make demo install libcunit1-dev before they build.

--- a/Makefile
+++ b/Makefile
@@ -21,11 +21,19 @@
 ALL_SRC := $(LIB_SRC) $(MAIN_SRC) $(STANDIN_SRC) $(BENCH_SRC) $(TEST_SRC) \
 	$(TEST_LIB_SRC) $(SOAK_SRC)
 
+# The modules of the product and of the tests are asked for apart: pkg-config
+# answers nothing at all when one module of a call is missing. The rules of
+# MODULES and TEST_MODULES report a missing one by its name.
 PKGS := libh2o libuv msgpack glib-2.0 log4c jansson libxxhash zlib
+TEST_PKGS := cunit
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+# Recursive: only rules of the tests ask for these.
+TEST_PKG_CFLAGS = $(shell pkg-config --cflags $(TEST_PKGS))
+TEST_PKG_LIBS = $(shell pkg-config --libs $(TEST_PKGS))
 # h2o's headers are included as system headers: they do not compile
 # warning-free. -iquote keeps a folder name such as "http" off <> lookups.
-CPPFLAGS += -D_GNU_SOURCE -iquote . \
-	$(subst -I,-isystem ,$(shell pkg-config --cflags $(PKGS) cunit))
+CPPFLAGS += -D_GNU_SOURCE -iquote . $(subst -I,-isystem ,$(PKG_CFLAGS))
 CFLAGS_COMMON := -std=gnu11 -g -Wall -Wextra -Werror -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
 CFLAGS_release := -O2
@@ -33,8 +41,7 @@
 	-fno-sanitize-recover=undefined
 CFLAGS_ALL := $(CFLAGS_COMMON) $(CFLAGS_$(VARIANT)) $(CFLAGS)
 # libhttp-parser-dev has no pkg-config file.
-LDLIBS := $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lssl -lcrypto \
-	-lm -lpthread
+LDLIBS := $(PKG_LIBS) -lhttp_parser -lssl -lcrypto -lm -lpthread
 
 LIB := $(OUT)/libgreengageway.a
 LIB_OBJ := $(LIB_SRC:%.c=$(OUT)/%.o)
@@ -42,15 +49,31 @@
 STANDINS := $(STANDIN_SRC:standins/%.c=$(OUT)/standins/%)
 BENCHES := $(BENCH_SRC:bench/%.c=$(OUT)/bench/%)
 TESTS := $(TEST_SRC:tests/%.c=$(OUT)/tests/%)
+TEST_OBJ := $(TEST_SRC:%.c=$(OUT)/%.o) $(TEST_LIB_SRC:%.c=$(OUT)/%.o)
 TEST_LIB_OBJ := $(TEST_LIB_SRC:%.c=$(OUT)/%.o)
 SOAK := $(OUT)/soak
+MODULES := $(OUT)/modules
+TEST_MODULES := $(OUT)/test-modules
 
-.PHONY: all packages format lint test soak check demo bench clean
+.PHONY: all packages build-packages format lint test soak check demo bench clean
 .SECONDARY:
 
 all: $(BINARY) $(STANDINS)
 
-$(OUT)/%.o: %.c
+$(MODULES): Makefile
+	@pkg-config --print-errors --exists $(PKGS)
+	@mkdir -p $(@D)
+	@touch $@
+
+$(TEST_MODULES): Makefile
+	@pkg-config --print-errors --exists $(TEST_PKGS)
+	@mkdir -p $(@D)
+	@touch $@
+
+$(TEST_OBJ): CPPFLAGS += $(TEST_PKG_CFLAGS)
+$(TEST_OBJ): | $(TEST_MODULES)
+
+$(OUT)/%.o: %.c | $(MODULES)
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS_ALL) -MMD -MP -c -o $@ $<
 
@@ -68,7 +91,7 @@
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
 
 $(OUT)/tests/%: $(OUT)/tests/%.o $(TEST_LIB_OBJ) $(LIB)
-	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs cunit)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS) $(TEST_PKG_LIBS)
 
 $(OUT)/tests/test_soak_record: $(OUT)/tests/soak/record.o
 
@@ -84,7 +107,8 @@
 lint:
 	@clang-format --dry-run -Werror $(ALL_SRC) $(HEADERS)
 	@printf '%s\n' $(ALL_SRC) | xargs -P 8 -n 4 sh -c \
-		'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' _
+		'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) $(TEST_PKG_CFLAGS) \
+		2>/dev/null' _
 
 # The platform, backend servers and gateways that a test needs run from the
 # same build, so a sanitizer report in any of them fails the test.
@@ -97,7 +121,12 @@
 soak: $(BINARY) $(STANDINS) $(SOAK)
 	scripts/soak $(OUT) $(JOBS) $(SEEDS)
 
-check: packages
+# What the users' clean machines get: the build with the listed packages alone.
+build-packages: packages
+	tests/build/test-check-packages
+	tests/build/check-packages .
+
+check: build-packages
 	$(MAKE) lint
 	$(MAKE) -j8 VARIANT=release all
 	$(MAKE) -j8 VARIANT=asan soak
