platform: readers tell the others at once when the store no longer answers

The bound is 2 s.

Besides, a gateway that took over said that it was answered before it had an answer, which would have kept the next one away.

Ruled out: a slow machine or link; the others read the change within 10 ms of asking.

Mend: a poll lasts 0.45 of the time for a change; a reader whose answer is overdue by 300 ms or whose call fails says so, and the next gateway then reads at once. The first poll of a gateway that takes over comes back at once, and only an answer counts. Who reads is decided in decide/readers.c, a pure module.

--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -1,8 +1,10 @@
 #include <CUnit/CUnit.h>
+#include <signal.h>
 #include <string.h>
 
 #include "config/config.h"
 #include "config/vms.h"
+#include "decide/readers.h"
 #include "peers/peers.h"
 #include "platform/relay.h"
 #include "platform/site.h"
@@ -13,6 +15,9 @@
 /* Limit for what must happen; generous for a busy machine. */
 #define PATIENT_S 20
 
+/* Time within which a change has to reach every gateway. */
+#define CHANGE_LIMIT_MS 2000
+
 /**
  * struct node - the service "site" with fakes of its neighbours
  * @given: settings handed to "config"
@@ -75,6 +80,7 @@
     n->sent = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
     n->settings.name = (char *)"n1";
     n->settings.retry_percent = 20;
+    n->settings.change_limit = CHANGE_LIMIT_MS;
     g_strlcpy(n->settings.store.host, "127.0.0.1",
               sizeof(n->settings.store.host));
     n->settings.store.port = port;
@@ -206,19 +212,26 @@
 }
 
 static void
-deliver(struct node *n, const struct ggw_relay_frame *frame)
+deliver_from(struct node *n, const char *peer,
+             const struct ggw_relay_frame *frame)
 {
     g_autoptr(GBytes) payload =
         ggw_relay_pack(frame, 0, frame->delta.rows->len);
     struct ggw_peer_received *m = g_new0(struct ggw_peer_received, 1);
 
     m->base.ops = &ggw_peer_received_ops;
-    m->peer = g_strdup("n2");
+    m->peer = g_strdup(peer);
     m->type = GGW_PEER_ROWS;
     m->payload = g_bytes_ref(payload);
     ggw_kernel_send(n->kernel, "site", &n->peers, &m->base);
 }
 
+static void
+deliver(struct node *n, const struct ggw_relay_frame *frame)
+{
+    deliver_from(n, "n2", frame);
+}
+
 static struct ggw_store_row *
 entry_row(const char *id, uint64_t version)
 {
@@ -404,12 +417,12 @@
         m.state = i % 5 == 4 ? GGW_MEMBER_DEAD : GGW_MEMBER_ALIVE;
         g_array_append_val(members, m);
         for (int j = 0; j <= i; j++) {
-            if (ggw_relay_rank(members, names[j]) < GGW_RELAY_READERS &&
+            if (ggw_relay_rank(members, names[j]) < GGW_READERS &&
                 j % 5 != 4) {
                 readers++;
             }
         }
-        CU_ASSERT_EQUAL(readers, MIN(i + 1, GGW_RELAY_READERS));
+        CU_ASSERT_EQUAL(readers, MIN(i + 1, GGW_READERS));
     }
 }
 
@@ -469,6 +482,93 @@
     node_stop(n);
 }
 
+/* Tells the node whether the store answers a reader. */
+static void
+deliver_state(struct node *n, const char *peer, bool lost)
+{
+    struct ggw_relay_frame frame = {
+        .delta = {.table = "op"}, .lost = lost, .back_for = PATIENT_S * 1000};
+
+    frame.delta.rows = g_ptr_array_new();
+    deliver_from(n, peer, &frame);
+    g_ptr_array_unref(frame.delta.rows);
+}
+
+static bool
+tells_lost(const struct node *n)
+{
+    bool lost = false;
+
+    for (guint i = 0; i < n->sent->len; i++) {
+        struct ggw_relay_frame frame;
+
+        if (ggw_relay_unpack(g_ptr_array_index(n->sent, i), &frame)) {
+            lost =
+                lost || (frame.lost && strcmp(frame.delta.table, "op") == 0);
+        }
+        ggw_relay_clear(&frame);
+    }
+    return lost;
+}
+
+static double
+ms_until(struct node *n, bool (*holds)(const struct node *))
+{
+    gint64 start = g_get_monotonic_time();
+
+    CU_ASSERT_TRUE(run_until(n, holds));
+    return (double)(g_get_monotonic_time() - start) / 1000;
+}
+
+/* Runs the node for some time. */
+static void
+run_for(struct node *n, ggw_ms time)
+{
+    gint64 end = g_get_monotonic_time() + (gint64)(1000 * time);
+
+    while (g_get_monotonic_time() < end) {
+        uv_run(ggw_kernel_loop(n->kernel), UV_RUN_NOWAIT);
+        g_usleep(1000);
+    }
+}
+
+/*
+ * Guards against a change that reaches nobody in time because the store went
+ * silent for just those gateways that read it for the others.
+ */
+static void
+test_silent_for_readers(void)
+{
+    struct node *n;
+    ggw_ms until_told;
+    ggw_ms until_read;
+
+    write_row("op/config", CONFIG);
+    n = node_start(store.port);
+    CU_ASSERT_TRUE(run_until(n, has_config));
+    run_for(n, 500);
+    kill(store.pid, SIGSTOP);
+    g_ptr_array_set_size(n->sent, 0);
+    until_told = ms_until(n, tells_lost);
+    kill(store.pid, SIGCONT);
+    node_stop(n);
+
+    n = node_start(store.port);
+    publish_members(n);
+    CU_ASSERT_TRUE(run_until(n, has_config));
+    for (int i = 0; i < 5; i++) {
+        deliver_state(n, "n2", false);
+        deliver_state(n, "n3", false);
+        run_for(n, 300);
+    }
+    deliver_state(n, "n2", true);
+    deliver_state(n, "n3", true);
+    g_ptr_array_set_size(n->sent, 0);
+    until_read = ms_until(n, tells_state);
+    node_stop(n);
+    CU_ASSERT_TRUE(until_told + until_read < CHANGE_LIMIT_MS);
+}
+
 int
 main(void)
 {
@@ -482,6 +582,7 @@
         {"wish", test_wish},
         {"readers", test_readers},
         {"takes over", test_takes_over},
+        {"silent for readers", test_silent_for_readers},
         CU_TEST_INFO_NULL,
     };
     int status;
