slots: a gateway that was paused does not count the owner as silent

A grant without the owner can put a request on a server that is full.

Cause: timers run before sockets are read. A gateway that did not run itself for more than the 40 ms that an owner has, for example when its processor share is used up, found its questions overdue and gave the owner up before it read the answers that had arrived.

Evidence: "paused gateway" in test_slots pauses the process for 60 ms every 100 ms.

Why it works: the loop knows when its timers should have run. By the time that it is late, at most the time of an answer, the questions that wait for an answer are extended, so that the sockets are read first. Deadlines of requests stay as they are.

--- a/slots/asks.c
+++ b/slots/asks.c
@@ -178,6 +178,16 @@
     send_acquire(p, a);
 }
 
+void
+ggw_slots_ask_paused(struct ggw_slots *p, struct ggw_slots_ask *a, ggw_ms late)
+{
+    bool awaits_answer = !a->queued || a->asked_again;
+
+    if (awaits_answer) {
+        a->due = MAX(a->due, ggw_slots_now(p) + MIN(late, answer_time(p, a)));
+    }
+}
+
 GArray *
 ggw_slots_ask_ids(struct ggw_slots *p, const char *owner,
                   const struct ggw_slots_domain *d)
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -202,6 +202,7 @@
     uv_timer_t tick;
     uv_timer_t wake;
     ggw_ms wake_at;
+    ggw_ms tick_at; /* when @tick fires next */
     ggw_ms seen_at; /* last time the loop ran */
 };
 
@@ -291,6 +292,13 @@
 /* Asks whether a queued request still waits there. */
 void ggw_slots_ask_repeat(struct ggw_slots *p, struct ggw_slots_ask *a);
 
+/**
+ * ggw_slots_ask_paused() - allow for a time in which this gateway did not run
+ * @late: how long, ms
+ */
+void ggw_slots_ask_paused(struct ggw_slots *p, struct ggw_slots_ask *a,
+                          ggw_ms late);
+
 /**
  * ggw_slots_ask_detach() - separate a question from its request
  *
@@ -330,6 +338,14 @@
 void ggw_slots_owner_changed(struct ggw_slots *p, struct ggw_slots_domain *d,
                              const char *old_owner);
 void ggw_slots_peer_silent(struct ggw_slots *p, const char *peer);
+
+/**
+ * ggw_slots_paused() - this gateway has not run for @late ms
+ *
+ * Owners count as silent only for the time in which their answers could be
+ * read.
+ */
+void ggw_slots_paused(struct ggw_slots *p, ggw_ms late);
 void ggw_slots_due(struct ggw_slots *p, ggw_ms now);
 void ggw_slots_drop_all(struct ggw_slots *p);
 
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -551,6 +551,21 @@
     }
 }
 
+void
+ggw_slots_paused(struct ggw_slots *p, ggw_ms late)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->asks);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_slots_ask *a = value;
+
+        ggw_slots_ask_paused(p, a, late);
+        reschedule(p, a->pending);
+    }
+}
+
 void
 ggw_slots_due(struct ggw_slots *p, ggw_ms now)
 {
--- a/slots/slots.c
+++ b/slots/slots.c
@@ -10,6 +10,12 @@
 /* Period of announcements, and the longest wait for anything that is due. */
 #define TICK 100.0
 
+/*
+ * A loop that runs this much later than its timers asked for was paused: what
+ * others have answered meanwhile is not read yet.
+ */
+#define PAUSED_AFTER 10.0
+
 /*
  * A loop that did not run for longer than a suspicion takes may have been
  * replaced as an owner; it grants nothing until it has heard of that.
@@ -57,7 +63,12 @@
 check_stall(struct ggw_slots *p)
 {
     ggw_ms now = ggw_slots_now(p);
+    ggw_ms expected = MAX(p->seen_at, MIN(p->wake_at, p->tick_at));
 
+    if (now - expected > PAUSED_AFTER) {
+        ggw_slots_paused(p, now - expected);
+        ggw_count("ggw_slots_pauses_total");
+    }
     if (now - p->seen_at > STALLED_AFTER) {
         p->gate.stopped_until = now + STALLED_STOP;
         ggw_count("ggw_slots_stalls_total");
@@ -102,6 +113,7 @@
 
     check_stall(p);
     now = ggw_slots_now(p);
+    p->tick_at = now + TICK;
     ggw_slots_iter_init(&iter, p);
     while ((d = ggw_slots_iter_next(&iter)) != NULL) {
         d->spent = 0;
@@ -308,6 +320,7 @@
     p->tick.data = p;
     p->wake.data = p;
     p->seen_at = ggw_slots_now(p);
+    p->tick_at = p->seen_at + TICK;
     /* Grant ids of an earlier process must not match those of this one. */
     p->next_id = (uint64_t)ggw_clock_wall(ggw_kernel_clock(service->kernel))
                  << 20;
--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -41,6 +41,9 @@
 /* Servers need this long for a load report, ms. */
 #define PROBE_TIME 7.0
 
+/* Longer than any owner has to answer, ms. */
+#define PAUSE 60
+
 /* A probe that is answered later. */
 struct late_probe {
     struct node *node;
@@ -670,6 +673,41 @@
     free_cluster(c);
 }
 
+/* Runs the cluster with a pause of this process every 100 ms. */
+static bool
+drive_with_pauses(struct cluster *c, bool (*condition)(struct cluster *))
+{
+    ggw_ms end = now_ms() + CLUSTER_LIMIT;
+
+    while (!condition(c) && now_ms() < end) {
+        drive_for(c, 100);
+        g_usleep(PAUSE * 1000);
+    }
+    return condition(c);
+}
+
+/*
+ * Guards against a gateway that counts the owner as silent because it did not
+ * run itself: answers that had arrived meanwhile were read only after that.
+ */
+static void
+test_paused_gateway(void)
+{
+    struct cluster *c = new_cluster(2, 4, false);
+    uint64_t before;
+
+    drive_for(c, 1500);
+    seen.late_probes = true;
+    for (int i = 0; i < 2; i++) {
+        publish_tree(&c->nodes[i], 2, tree_scout_json);
+    }
+    before = fallback_grants();
+    grants_wanted = seen.grants + 400;
+    CU_ASSERT_TRUE(drive_with_pauses(c, enough_grants));
+    CU_ASSERT_EQUAL(fallback_grants() - before, 0);
+    free_cluster(c);
+}
+
 /* Guards against a silent server whose draining nobody notices. */
 static void
 test_probe(void)
@@ -705,6 +743,7 @@
     CU_add_test(suite, "spill to closed", test_spill_to_closed);
     CU_add_test(suite, "baseline", test_baseline);
     CU_add_test(suite, "owner that scouts", test_owner_that_scouts);
+    CU_add_test(suite, "paused gateway", test_paused_gateway);
     CU_add_test(suite, "probe", test_probe);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
