slots: extend questions by the whole pause of the own process

Cause: the extension was the time by which the loop ran later than its next timer. A pause of 60 ms that ended shortly after a timer was due counted for a few ms, or, below 10 ms, not at all, although the sockets had not been read for 60 ms.

Mend: a loop that is late by more than 2 ms (timers count whole ms) counts all the time since it last ran as a pause. Over its pauses a question waits at most three times as long again, so that a gateway which is always late still gives up an owner that is gone.

--- a/slots/asks.c
+++ b/slots/asks.c
@@ -12,6 +12,9 @@
 #define ANSWER_MIN 5.0
 #define ANSWER_MIN_LONG 40.0
 
+/* Pauses of this gateway add at most this many times that time. */
+#define GRACE_TIMES 3
+
 /* A queued request asks again this often whether its owner still runs. */
 #define ASK_AGAIN 50.0
 #define ASK_AGAIN_WHOLE 250.0
@@ -51,6 +54,7 @@
     a->domain = d;
     a->owner = g_strdup(d->owner);
     a->sent_at = ggw_slots_now(p);
+    a->grace = GRACE_TIMES * answer_time(p, a);
     a->due = a->sent_at + answer_time(p, a);
     g_assert(*(home ? &pd->home : &pd->spill) == NULL);
     *(home ? &pd->home : &pd->spill) = a;
@@ -174,17 +178,21 @@
     }
     a->asked_again = true;
     a->sent_at = ggw_slots_now(p);
+    a->grace = GRACE_TIMES * answer_time(p, a);
     a->due = a->sent_at + answer_time(p, a);
     send_acquire(p, a);
 }
 
 void
-ggw_slots_ask_paused(struct ggw_slots *p, struct ggw_slots_ask *a, ggw_ms late)
+ggw_slots_ask_paused(struct ggw_slots *p, struct ggw_slots_ask *a,
+                     ggw_ms pause)
 {
     bool awaits_answer = !a->queued || a->asked_again;
+    ggw_ms due = MAX(a->due, ggw_slots_now(p) + MIN(pause, a->grace));
 
-    if (awaits_answer) {
-        a->due = MAX(a->due, ggw_slots_now(p) + MIN(late, answer_time(p, a)));
+    if (awaits_answer && due > a->due) {
+        a->grace -= MIN(a->grace, due - a->due);
+        a->due = due;
     }
 }
 
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -118,6 +118,7 @@
 /**
  * struct ggw_slots_ask - one question to one owner
  * @due: when to stop waiting for an answer, or to ask again if @queued
+ * @grace: how much later that may become for pauses of this gateway
  * @asked_again: a repeated question has not been answered
  */
 struct ggw_slots_ask {
@@ -127,6 +128,7 @@
     char *owner;
     ggw_ms sent_at;
     ggw_ms due;
+    ggw_ms grace;
     bool queued;
     bool asked_again;
 };
@@ -294,10 +296,10 @@
 
 /**
  * ggw_slots_ask_paused() - allow for a time in which this gateway did not run
- * @late: how long, ms
+ * @pause: at most how long, ms
  */
 void ggw_slots_ask_paused(struct ggw_slots *p, struct ggw_slots_ask *a,
-                          ggw_ms late);
+                          ggw_ms pause);
 
 /**
  * ggw_slots_ask_detach() - separate a question from its request
@@ -340,12 +342,12 @@
 void ggw_slots_peer_silent(struct ggw_slots *p, const char *peer);
 
 /**
- * ggw_slots_paused() - this gateway has not run for @late ms
+ * ggw_slots_paused() - this gateway has not run for up to @pause ms
  *
  * Owners count as silent only for the time in which their answers could be
  * read.
  */
-void ggw_slots_paused(struct ggw_slots *p, ggw_ms late);
+void ggw_slots_paused(struct ggw_slots *p, ggw_ms pause);
 void ggw_slots_due(struct ggw_slots *p, ggw_ms now);
 void ggw_slots_drop_all(struct ggw_slots *p);
 
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -552,7 +552,7 @@
 }
 
 void
-ggw_slots_paused(struct ggw_slots *p, ggw_ms late)
+ggw_slots_paused(struct ggw_slots *p, ggw_ms pause)
 {
     GHashTableIter iter;
     gpointer value;
@@ -561,7 +561,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct ggw_slots_ask *a = value;
 
-        ggw_slots_ask_paused(p, a, late);
+        ggw_slots_ask_paused(p, a, pause);
         reschedule(p, a->pending);
     }
 }
--- a/slots/slots.c
+++ b/slots/slots.c
@@ -12,9 +12,9 @@
 
 /*
  * A loop that runs this much later than its timers asked for was paused: what
- * others have answered meanwhile is not read yet.
+ * others have answered meanwhile is not read yet. Timers count whole ms.
  */
-#define PAUSED_AFTER 10.0
+#define PAUSED_AFTER 2.0
 
 /*
  * A loop that did not run for longer than a suspicion takes may have been
@@ -66,7 +66,7 @@
     ggw_ms expected = MAX(p->seen_at, MIN(p->wake_at, p->tick_at));
 
     if (now - expected > PAUSED_AFTER) {
-        ggw_slots_paused(p, now - expected);
+        ggw_slots_paused(p, now - p->seen_at);
         ggw_count("ggw_slots_pauses_total");
     }
     if (now - p->seen_at > STALLED_AFTER) {
