slots: decide with the first list of servers how a service is divided

In an unseen case of the same cause requests would be spilled or refused until a service grows or shrinks.

Cause, traced with the name of the owner in the log of a trial: the two gateways took each service for one with a single owner ("*") and asked that one. Its ledger held no server, since large services have an owner in each failure domain, and it refused. A gateway decided on the division before it made the group of a service, so that with its first list of servers every service counted as small. Besides, between 8 and 14 servers the division depends on the past, which a gateway that starts then does not know: it would differ from the others for good.

Ruled out: lost links (the owners answered within 3 ms), cold servers (43 warm in the ledger of the right owner).

Mend: groups are made first. Between the two bounds an owner's announcement for a failure domain makes a gateway divide the service as well. Nobody owns a domain that is not in use, so that a question there is answered "not owner" and the request asks again.

Tests, both failed before: "first list" (no grant at all, requests refused) and "started after scale-in" (spilled) in test_slots.

--- a/slots/groups.c
+++ b/slots/groups.c
@@ -85,6 +85,12 @@
            (g->rule->scope == GGW_SCOPE_SIZE && !g->split);
 }
 
+bool
+ggw_slots_domain_used(const struct ggw_slots_domain *d)
+{
+    return is_owned_whole(d->group) == (strcmp(d->name, GGW_SLOTS_ALL) == 0);
+}
+
 struct ggw_slots_domain *
 ggw_slots_home(const struct ggw_slots *p, const struct ggw_slots_group *g)
 {
@@ -354,12 +360,26 @@
     }
 }
 
+/* The owners of a service's servers are known only with its whole group. */
+static void
+add_groups(struct ggw_slots *p)
+{
+    for (size_t i = 0; p->vms != NULL && i < p->vms->len; i++) {
+        const struct ggw_vm *vm = &p->vms->vms[i];
+
+        if (vm->role == GGW_VM_BACKEND_SERVER) {
+            group_of(p, vm->team, vm->service);
+        }
+    }
+}
+
 void
 ggw_slots_update(struct ggw_slots *p)
 {
     GHashTableIter iter;
     gpointer value;
 
+    add_groups(p);
     g_hash_table_iter_init(&iter, p->groups);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct ggw_slots_group *g = value;
@@ -389,6 +409,21 @@
     }
 }
 
+void
+ggw_slots_announced(struct ggw_slots *p, const char *team, const char *service,
+                    const char *domain)
+{
+    struct ggw_slots_group *g = ggw_slots_group(p, team, service);
+
+    if (g == NULL || g->rule == NULL || g->rule->scope != GGW_SCOPE_SIZE ||
+        g->split || strcmp(domain, GGW_SLOTS_ALL) == 0 ||
+        fewest_servers(p, g) < SPLIT_UNTIL) {
+        return;
+    }
+    g->split = true;
+    ggw_slots_update(p);
+}
+
 void
 ggw_slots_iter_init(struct ggw_slots_iter *it, struct ggw_slots *p)
 {
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -226,6 +226,18 @@
                                                const char *name);
 struct ggw_slots_domain *ggw_slots_find_domain(const struct ggw_slots_group *g,
                                                const char *name);
+
+/* Whether servers are counted in it as the service is divided now. */
+bool ggw_slots_domain_used(const struct ggw_slots_domain *d);
+
+/**
+ * ggw_slots_announced() - an owner announced the free slots of a domain
+ *
+ * Between SPLIT_UNTIL and SPLIT_FROM servers the division of a service depends
+ * on the past, which a gateway that has just started learns in this way.
+ */
+void ggw_slots_announced(struct ggw_slots *p, const char *team,
+                         const char *service, const char *domain);
 struct ggw_slots_domain *ggw_slots_home(const struct ggw_slots *p,
                                         const struct ggw_slots_group *g);
 bool ggw_slots_domain_open(const struct ggw_slots_domain *d);
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -113,13 +113,19 @@
     g_clear_pointer(&d->ledger, ggw_ledger_free);
 }
 
+/* Nobody owns a domain that holds no servers as the service is divided now. */
 static const char *
 owner_of(struct ggw_slots *p, const struct ggw_slots_domain *d)
 {
     const struct ggw_member *members =
         (const struct ggw_member *)p->members->data;
-    size_t i = ggw_owner_pick(d->group->team, d->group->service, d->name,
-                              members, p->members->len);
+    size_t i;
+
+    if (!ggw_slots_domain_used(d)) {
+        return NULL;
+    }
+    i = ggw_owner_pick(d->group->team, d->group->service, d->name, members,
+                       p->members->len);
 
     return i != (size_t)-1 ? members[i].name : NULL;
 }
@@ -197,9 +203,14 @@
     struct ggw_slots_iter iter;
     struct ggw_slots_domain *d;
 
-    ggw_slots_iter_init(&iter, p);
-    while ((d = ggw_slots_iter_next(&iter)) != NULL) {
-        reassign_domain(p, d, old_members);
+    /* Requests that lose their owner ask one of a domain in use at once. */
+    for (int used = 1; used >= 0; used--) {
+        ggw_slots_iter_init(&iter, p);
+        while ((d = ggw_slots_iter_next(&iter)) != NULL) {
+            if (ggw_slots_domain_used(d) == used) {
+                reassign_domain(p, d, old_members);
+            }
+        }
     }
 }
 
--- a/slots/slots.c
+++ b/slots/slots.c
@@ -183,6 +183,25 @@
     clear_members(old);
 }
 
+/* Tells whether others have an owner of this service in each domain. */
+static void
+note_announced(struct ggw_slots *p, gconstpointer data, gsize len)
+{
+    struct ggw_payload_reader r;
+    const char *team;
+    const char *service;
+    const char *domain;
+
+    ggw_payload_open(&r, data, len);
+    team = ggw_payload_string(&r);
+    service = ggw_payload_string(&r);
+    domain = ggw_payload_string(&r);
+    if (r.ok) {
+        ggw_slots_announced(p, team, service, domain);
+    }
+    ggw_payload_close(&r);
+}
+
 static void
 on_load(struct ggw_slots *p, const struct ggw_peer_received *frame)
 {
@@ -195,6 +214,7 @@
     bool same_warm;
     uint32_t n;
 
+    note_announced(p, data, len);
     ggw_payload_open(&r, data, len);
     d = ggw_slots_read_domain(p, &r);
     free = ggw_payload_uint(&r);
--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -29,6 +29,11 @@
     "\"services\":{\"S\":{\"slots\":2,\"connections\":200,\"queue\":64,"
     "\"policy\":\"slots\",\"kinds\":{}}}}";
 
+static const char tree_size_json[] =
+    "{\"failure_domains\":{},\"backend_servers\":{},\"services\":{\"S\":{"
+    "\"slots\":2,\"connections\":200,\"queue\":64,"
+    "\"policy\":\"slots\",\"owner_scope\":\"size\",\"kinds\":{}}}}";
+
 static const char tree_out_json[] =
     "{\"failure_domains\":{\"cairo-a\":{\"state\":\"out\"}},"
     "\"services\":{\"S\":{\"slots\":2,\"queue\":64,\"kinds\":{}}}}";
@@ -625,6 +630,75 @@
     free_cluster(c);
 }
 
+/* Gateways in two failure domains, without servers. */
+static struct cluster *
+new_sized_cluster(int gateways)
+{
+    struct cluster *c = new_cluster_in("cairo-b", gateways, 0, false);
+
+    for (int i = 0; i < gateways; i++) {
+        publish_tree(&c->nodes[i], 2, tree_size_json);
+    }
+    cluster_turn(c);
+    return c;
+}
+
+/* Requests of gateway @i only, until it got @n grants. */
+static void
+expect_grants_of(struct cluster *c, int i, int n)
+{
+    for (int j = 0; j < c->len; j++) {
+        seen.open[j] = j == i ? 0 : 1000;
+    }
+    seen.refusals = 0;
+    seen.spilled = 0;
+    grants_wanted = seen.grants + n;
+    CU_ASSERT_TRUE(drive_until(c, enough_grants));
+    CU_ASSERT_EQUAL(seen.refusals, 0);
+    CU_ASSERT_EQUAL(seen.spilled, 0);
+}
+
+/*
+ * Guards against a gateway that takes a large service for one with a single
+ * owner until it hears of its servers for a second time: that owner has none.
+ */
+static void
+test_first_list(void)
+{
+    struct cluster *c = new_sized_cluster(4);
+
+    for (int i = 0; i < 4; i++) {
+        publish_servers(c, &c->nodes[i], 2, 4 * 14, false, false);
+    }
+    for (int i = 0; i < 2; i++) {
+        publish_servers(c, &c->nodes[i], 3, 4 * 14, false, false);
+    }
+    drive_for(c, 1500);
+    expect_grants_of(c, 3, 100);
+    free_cluster(c);
+}
+
+/*
+ * Guards against a gateway that starts after a service has shrunk, and divides
+ * it otherwise than those which knew it before.
+ */
+static void
+test_started_after_scale_in(void)
+{
+    struct cluster *c = new_sized_cluster(4);
+
+    for (int i = 0; i < 3; i++) {
+        publish_servers(c, &c->nodes[i], 2, 4 * 14, false, false);
+    }
+    for (int i = 0; i < 4; i++) {
+        publish_servers(c, &c->nodes[i], 3, 4 * 5, false, false);
+    }
+    seen.open[3] = 1000;
+    drive_for(c, 3000);
+    expect_grants_of(c, 3, 100);
+    free_cluster(c);
+}
+
 /* Guards against a baseline that is limited or asks an owner. */
 static void
 test_baseline(void)
@@ -741,6 +815,8 @@
     CU_add_test(suite, "cancel", test_cancel);
     CU_add_test(suite, "spill", test_spill);
     CU_add_test(suite, "spill to closed", test_spill_to_closed);
+    CU_add_test(suite, "first list", test_first_list);
+    CU_add_test(suite, "started after scale-in", test_started_after_scale_in);
     CU_add_test(suite, "baseline", test_baseline);
     CU_add_test(suite, "owner that scouts", test_owner_that_scouts);
     CU_add_test(suite, "paused gateway", test_paused_gateway);
