proxy: a leaving gateway refuses requests that it might have to cut

Cause: the listener stays open for three times the directory's answer plus 0.2 s, 3.2 s in all, and every request that arrives until then is taken. The process has to end within 6 s.

Mend: from 2.9 s on a request is refused at once with 503, "leaving", not run, and Connection: close, while the listener stays open: the client comes back at another gateway within 50 ms. The listener is not closed sooner, since clients keep an answer of the directory that long and a refused connection costs them more.

Test: "late while leaving" in test_proxy_kept; before, requests were served until the listener closed and no refusal came.

--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -33,6 +33,12 @@
  */
 #define DEADLINE_GRACE_MS 100.0
 
+/*
+ * A request taken later than this after SIGTERM might be cut at the end, when
+ * its server needs long; the client is served better elsewhere at once.
+ */
+#define TAKE_MS 2900.0
+
 /* The process ends this long before the platform would kill it. */
 #define GRACE_MARGIN_MS 500.0
 
@@ -75,6 +81,7 @@
         .incarnation = incarnation,
         .keep = keep,
         .leave_wait = leave_wait,
+        .leave_take = MIN(TAKE_MS, leave_wait),
         .deadline_grace = DEADLINE_GRACE_MS,
         .drain = MAX(s->grace - leave_wait - GRACE_MARGIN_MS, 0),
         .dialect = &ggw_site_dialect,
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -144,6 +144,10 @@
     ggw_log_info(PART, "leaves, serves for another %.0f ms",
                  p->options.leave_wait);
     p->leaving = true;
+    p->take_until =
+        p->options.leave_take > 0
+            ? ggw_kernel_now(p->base.kernel) + p->options.leave_take
+            : INFINITY;
     ggw_listener_leave(p->listener);
     uv_timer_start(&p->shutdown_timer, leave_cb,
                    (uint64_t)ceil(p->options.leave_wait), 0);
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -28,6 +28,9 @@
  * @progress_timeout: longest gap in a response's body; 0 for 5 s
  * @leave_wait: time from the start of leaving until the listener is closed;
  *              0 for a little more than @keep
+ * @leave_take: time from the start of leaving in which requests are taken;
+ *              later ones that a route names are refused at once; 0 for
+ *              all that arrive
  * @deadline_grace: time after a request's deadline in which its server's own
  *                  answer is awaited
  * @dialect: NULL for the project's own
@@ -49,6 +52,7 @@
     ggw_ms ready_after;
     ggw_ms progress_timeout;
     ggw_ms leave_wait;
+    ggw_ms leave_take;
     ggw_ms deadline_grace;
     const struct ggw_dialect *dialect;
     bool half_close_leaves;
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -747,6 +747,11 @@
 
     x->retry_after_decimals = proxy->options.dialect->retry_after_decimals;
     rule = ggw_request_find_route(proxy, x->req, &tree);
+    if (rule != NULL && proxy->leaving &&
+        ggw_kernel_now(proxy->base.kernel) >= proxy->take_until) {
+        ggw_request_refuse(x, 503, "leaving", ROUTED_SHED_RETRY_MS);
+        return;
+    }
     if (rule != NULL) {
         ggw_request_route(proxy, x, tree, rule);
         return;
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -91,6 +91,7 @@
     ggw_ms started_at;
     bool stopped;
     bool leaving;
+    ggw_ms take_until; /* while leaving */
     ggw_ms drain_end; /* monotonic; 0 before the listener is closed */
     ggw_ms settled;   /* last CLAIM_SETTLE, monotonic */
 
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -592,6 +592,7 @@
         .drain = drain,
         .head_timeout = 300,
         .progress_timeout = 300,
+        .leave_take = keep + 500,
     };
 
     pthread_mutex_init(&env->lock, NULL);
--- a/tests/test_proxy_kept.c
+++ b/tests/test_proxy_kept.c
@@ -134,6 +134,35 @@
     env_stop(env);
 }
 
+/*
+ * Guards against a request that a leaving gateway takes so late that it has to
+ * cut it at its end: it is refused while the listener is still open.
+ */
+static void
+test_late_while_leaving(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    int served = 0;
+    GString *r;
+
+    env_publish(env, ggw_shutdown_new());
+    while (is_answered_by(env, KEPT, "s0")) {
+        served++;
+        g_usleep(20000);
+    }
+    CU_ASSERT_TRUE(served > 0);
+    r = env_ask(env, KEPT);
+    CU_ASSERT_EQUAL(env_status(r), 503);
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "greengageway-reason"), "leaving");
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "greengageway-outcome"),
+                           "not-run");
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "connection"), "close");
+    g_string_free(r, TRUE);
+    CU_ASSERT_EQUAL(env->servers[0].requests, served);
+    CU_ASSERT_TRUE(env_wait_ended(env));
+    env_stop(env);
+}
+
 int
 main(void)
 {
@@ -144,6 +173,7 @@
         {"slow goes on", test_slow_goes_on},
         {"once", test_once},
         {"unframed", test_unframed},
+        {"late while leaving", test_late_while_leaving},
         CU_TEST_INFO_NULL,
     };
 
