decide: fewer heartbeats among hundreds of gateways

Cause, in part: every gateway sends a heartbeat to every other twice a second, 71,000 a second over the site, however many there are.

Change: beyond 60 gateways the pace grows with their number, so that a gateway sends 120 a second, up to a pace of 6 (1.2 s apart, suspected after 4.2 s). Sites with up to 60 are as before.

Test: "pace of hundreds" in test_view; before, two sizes failed (378 and 600 heartbeats a second of one gateway).

--- a/decide/view.c
+++ b/decide/view.c
@@ -6,6 +6,13 @@
 /* Of the times of a view with more than GGW_VIEW_SMALL members. */
 #define LARGE_PACE 2.5
 
+/*
+ * With more members a gateway sends no more heartbeats a second than with this
+ * many, until the pace is so slow that the death of one is noticed too late.
+ */
+#define PACED_MEMBERS 60
+#define LONGEST_PACE 6.0
+
 struct ggw_view {
     GPtrArray *members; /* of struct ggw_view_member, sorted by name */
     struct ggw_view_member *self;
@@ -18,7 +25,12 @@
 double
 ggw_view_pace(const struct ggw_view *v)
 {
-    return v->members->len > GGW_VIEW_SMALL ? LARGE_PACE : 1;
+    double paced = LARGE_PACE * v->members->len / PACED_MEMBERS;
+
+    if (v->members->len <= GGW_VIEW_SMALL) {
+        return 1;
+    }
+    return CLAMP(paced, LARGE_PACE, LONGEST_PACE);
 }
 
 static void
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -249,6 +249,47 @@
     ggw_view_free(v);
 }
 
+/* Longest time in which a gateway that lost its power may still be named. */
+#define NAMED_AFTER_DEATH 7000.0
+
+/* Heartbeats of 100 bytes a second on 1% of a link of 20 Mbit/s. */
+#define HEARTBEATS_MOST 250
+
+/*
+ * Guards against heartbeats of hundreds of gateways that take more of a thin
+ * link than the requests, and against a death that is noticed too late.
+ */
+static void
+test_pace_of_hundreds(void)
+{
+    static const int sizes[] = {48, 100, 189, 300};
+    struct ggw_view_hello self = {.name = "gw-000",
+                                  .incarnation = 1,
+                                  .failure_domain = "fd",
+                                  .host = "10.0.0.1",
+                                  .port = 1};
+    struct ggw_view *v = ggw_view_new(&self, 0, 0);
+    char name[8];
+    int n = 1;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        double a_second;
+
+        for (; n < sizes[i]; n++) {
+            struct ggw_view_hello hello = self;
+
+            g_snprintf(name, sizeof(name), "gw-%03d", n);
+            hello.name = name;
+            CU_ASSERT_TRUE(ggw_view_hello(v, &hello, 0));
+        }
+        a_second = n * 1000 / (ggw_view_pace(v) * GGW_HEARTBEAT_INTERVAL);
+        CU_ASSERT_TRUE(a_second <= HEARTBEATS_MOST);
+        CU_ASSERT_TRUE(ggw_view_pace(v) * GGW_SUSPECT_AFTER <
+                       NAMED_AFTER_DEATH - 2000);
+    }
+    ggw_view_free(v);
+}
+
 int
 main(void)
 {
@@ -262,6 +303,7 @@
     CU_add_test(suite, "majority", test_majority);
     CU_add_test(suite, "random histories", test_random_histories);
     CU_add_test(suite, "pace", test_pace);
+    CU_add_test(suite, "pace of hundreds", test_pace_of_hundreds);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
