--- a/Makefile
+++ b/Makefile
@@ -12,14 +12,15 @@
 LIB_SRC := $(wildcard $(addsuffix /*.c,$(DIRS)))
 MAIN_SRC := $(wildcard main/*.c)
 STANDIN_SRC := $(wildcard standins/*.c)
+STANDIN_LIB_SRC := $(wildcard standins/*/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
 TEST_SRC := $(wildcard tests/test_*.c)
 TEST_LIB_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/*.c))
 SOAK_SRC := $(wildcard tests/soak/*.c)
-HEADERS := $(wildcard $(addsuffix /*.h,$(DIRS) main standins tests tests/soak \
+HEADERS := $(wildcard $(addsuffix /*.h,$(DIRS) main standins standins/store tests tests/soak \
 	bench))
-ALL_SRC := $(LIB_SRC) $(MAIN_SRC) $(STANDIN_SRC) $(BENCH_SRC) $(TEST_SRC) \
-	$(TEST_LIB_SRC) $(SOAK_SRC)
+ALL_SRC := $(LIB_SRC) $(MAIN_SRC) $(STANDIN_SRC) $(STANDIN_LIB_SRC) $(BENCH_SRC) \
+	$(TEST_SRC) $(TEST_LIB_SRC) $(SOAK_SRC)
 
 # The modules of the product and of the tests are asked for apart: pkg-config
 # answers nothing at all when one module of a call is missing. The rules of
@@ -47,6 +48,7 @@
 LIB_OBJ := $(LIB_SRC:%.c=$(OUT)/%.o)
 BINARY := $(OUT)/greengageway
 STANDINS := $(STANDIN_SRC:standins/%.c=$(OUT)/standins/%)
+STANDIN_LIB_OBJ := $(STANDIN_LIB_SRC:%.c=$(OUT)/%.o)
 BENCHES := $(BENCH_SRC:bench/%.c=$(OUT)/bench/%)
 TESTS := $(TEST_SRC:tests/%.c=$(OUT)/tests/%)
 TEST_OBJ := $(TEST_SRC:%.c=$(OUT)/%.o) $(TEST_LIB_SRC:%.c=$(OUT)/%.o)
@@ -84,7 +86,7 @@
 $(BINARY): $(MAIN_SRC:%.c=$(OUT)/%.o) $(LIB)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
 
-$(OUT)/standins/%: $(OUT)/standins/%.o $(LIB)
+$(OUT)/standins/%: $(OUT)/standins/%.o $(STANDIN_LIB_OBJ) $(LIB)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
 
 $(OUT)/bench/%: $(OUT)/bench/%.o $(LIB)
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "standins/store/rows.h"
+
 /*
  * Stand-in for the platform's store: rows in tables with a feed of changes,
  * and objects, by the calls that the platform publishes. Everything is in
@@ -16,11 +18,6 @@
  * requests handled.
  */
 
-/* Most rows in an answer, entries in a transaction, and bytes of a key. */
-#define ROWS_MAX 500
-#define ENTRIES_MAX 100
-#define KEY_MAX 200
-
 #define BLOB_GET "/v1/blob-get/"
 #define BLOB_PUT "/v1/blob-put/"
 
@@ -45,13 +42,6 @@
     char *prefix;
 };
 
-/* A removed row stays, so that the feed can tell of it. */
-struct kv {
-    char *value;
-    int64_t version;
-    bool removed;
-};
-
 struct object {
     GBytes *body;
     uint64_t etag;
@@ -65,15 +55,13 @@
     h2o_globalconf_t config;
     h2o_context_t ctx;
     h2o_accept_ctx_t accept_ctx;
-    GTree *table;         /* "TABLE/KEY", struct kv */
-    int64_t version;      /* of the last transaction */
-    int64_t history_from; /* feeds after a lower version get 410 */
-    GQueue feeds;         /* of struct feed */
-    GHashTable *objects;  /* key, GPtrArray of struct object */
+    struct store_rows *rows;
+    GQueue feeds;        /* of struct feed */
+    GHashTable *objects; /* key, GPtrArray of struct object */
     uint64_t last_etag;
     uint64_t lag;
     struct fault fault;
-    int64_t ranges, feed_calls, txns, writes, gets, puts;
+    int64_t ranges, feed_calls, txns, gets, puts;
 } srv;
 
 /* A request that waits for its delay; freed with the request. */
@@ -82,15 +70,6 @@
     h2o_req_t *req;
 };
 
-static void
-kv_free(void *item)
-{
-    struct kv *kv = item;
-
-    g_free(kv->value);
-    g_free(kv);
-}
-
 static void
 object_free(void *item)
 {
@@ -100,10 +79,10 @@
     g_free(o);
 }
 
-static int
-compare_keys(const void *a, const void *b, void *data)
+static int64_t
+now(void)
 {
-    return strcmp(a, b);
+    return (int64_t)uv_now(&srv.loop);
 }
 
 static void
@@ -163,242 +142,6 @@
     return NULL;
 }
 
-static char *
-row_key(const char *table, const char *key)
-{
-    return g_strconcat(table, "/", key, NULL);
-}
-
-static json_t *
-row_json(const char *full, const struct kv *kv)
-{
-    size_t len = strcspn(full, "/");
-    json_t *row = json_pack("{s:s%,s:s,s:s,s:I}", "Table", full, len, "part",
-                            "", "Key", full + len + 1, "Ver",
-                            (json_int_t)(kv != NULL ? kv->version : 0));
-    g_autofree char *value = NULL;
-
-    if (kv != NULL && kv->removed) {
-        json_object_set_new(row, "Deleted", json_true());
-    }
-    else if (kv != NULL) {
-        value = g_base64_encode((const guchar *)kv->value, strlen(kv->value));
-        json_object_set_new(row, "Value", json_string(value));
-    }
-    return row;
-}
-
-static json_t *
-rows_answer(json_t *rows, bool more)
-{
-    return json_pack("{s:o,s:b,s:I,s:I}", "Rows", rows, "HasMore", (int)more,
-                     "Ver", (json_int_t)srv.version, "NowMs",
-                     (json_int_t)uv_now(&srv.loop));
-}
-
-static bool
-is_present(const struct kv *kv)
-{
-    return kv != NULL && !kv->removed;
-}
-
-/* Rows of a table from a key up to another one, at most ROWS_MAX. */
-static json_t *
-do_get(const h2o_req_t *req)
-{
-    g_autofree char *table = parameter(req, "Table");
-    g_autofree char *from = parameter(req, "From");
-    g_autofree char *target = parameter(req, "Target");
-    g_autofree char *first = NULL;
-    g_autofree char *end = NULL;
-    json_t *rows;
-    bool more = false;
-
-    if (table == NULL) {
-        return NULL;
-    }
-    first = row_key(table, from != NULL ? from : "");
-    /* '0' follows '/' */
-    end = target != NULL ? row_key(table, target)
-                         : g_strconcat(table, "0", NULL);
-    rows = json_array();
-    for (GTreeNode *n = g_tree_lower_bound(srv.table, first); n != NULL;
-         n = g_tree_node_next(n)) {
-        const char *key = g_tree_node_key(n);
-
-        if (strcmp(key, end) >= 0) {
-            break;
-        }
-        if (json_array_size(rows) == ROWS_MAX) {
-            more = true;
-            break;
-        }
-        if (is_present(g_tree_node_value(n))) {
-            json_array_append_new(rows, row_json(key, g_tree_node_value(n)));
-        }
-    }
-    return rows_answer(rows, more);
-}
-
-/* "TABLE/KEY" of an entry of a transaction, or NULL when it is malformed. */
-static char *
-entry_key(const json_t *entry)
-{
-    const char *table = json_string_value(json_object_get(entry, "Table"));
-    const char *key = json_string_value(json_object_get(entry, "Key"));
-
-    if (table == NULL || key == NULL || strlen(key) > KEY_MAX) {
-        return NULL;
-    }
-    return row_key(table, key);
-}
-
-static bool
-entries_valid(const json_t *list, const char *needed, size_t *count)
-{
-    const json_t *entry;
-    size_t i;
-
-    json_array_foreach(list, i, entry)
-    {
-        g_autofree char *key = entry_key(entry);
-
-        (*count)++;
-        if (key == NULL ||
-            (needed != NULL && json_object_get(entry, needed) == NULL)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/* Whether all expected versions hold; fills the present rows otherwise. */
-static bool
-expected_holds(const json_t *list, json_t *rows)
-{
-    bool holds = true;
-    const json_t *entry;
-    size_t i;
-
-    json_array_foreach(list, i, entry)
-    {
-        g_autofree char *key = entry_key(entry);
-        const struct kv *kv = g_tree_lookup(srv.table, key);
-        json_int_t have = is_present(kv) ? kv->version : 0;
-
-        holds =
-            holds && json_integer_value(json_object_get(entry, "Ver")) == have;
-        if (is_present(kv)) {
-            json_array_append_new(rows, row_json(key, kv));
-        }
-    }
-    return holds;
-}
-
-static void
-write_row(const char *key, const char *value)
-{
-    struct kv *kv = g_new0(struct kv, 1);
-
-    kv->value = g_strdup(value);
-    kv->removed = value == NULL;
-    kv->version = srv.version;
-    g_tree_replace(srv.table, g_strdup(key), kv);
-}
-
-static void
-apply_entries(const json_t *list, bool put)
-{
-    const json_t *entry;
-    size_t i;
-
-    json_array_foreach(list, i, entry)
-    {
-        g_autofree char *key = entry_key(entry);
-        const char *text = json_string_value(json_object_get(entry, "Value"));
-        g_autofree guchar *raw = NULL;
-        g_autofree char *value = NULL;
-        gsize len = 0;
-
-        if (put) {
-            raw = g_base64_decode(text != NULL ? text : "", &len);
-            value = g_strndup((const char *)raw, len);
-        }
-        write_row(key, value);
-    }
-}
-
-/*
- * Answer to a transaction, or NULL when the request is malformed. All checks
- * come before the first effect.
- */
-static json_t *
-do_txn(const json_t *request, int *status)
-{
-    const json_t *expected = json_object_get(request, "Expected");
-    const json_t *put = json_object_get(request, "Put");
-    const json_t *remove = json_object_get(request, "Remove");
-    size_t count = 0;
-    json_t *rows;
-
-    if (!entries_valid(expected, "Ver", &count) ||
-        !entries_valid(put, "Value", &count) ||
-        !entries_valid(remove, NULL, &count) || count == 0 ||
-        count > ENTRIES_MAX) {
-        return NULL;
-    }
-    rows = json_array();
-    if (!expected_holds(expected, rows)) {
-        *status = 412;
-        return rows_answer(rows, false);
-    }
-    json_decref(rows);
-    srv.version++;
-    srv.writes++;
-    apply_entries(put, true);
-    apply_entries(remove, false);
-    *status = 200;
-    return json_pack("{s:I,s:I}", "Ver", (json_int_t)srv.version, "NowMs",
-                     (json_int_t)uv_now(&srv.loop));
-}
-
-static int
-compare_versions(gconstpointer a, gconstpointer b)
-{
-    const struct kv *x = g_tree_lookup(srv.table, *(char *const *)a);
-    const struct kv *y = g_tree_lookup(srv.table, *(char *const *)b);
-
-    return (x->version > y->version) - (x->version < y->version);
-}
-
-/* Rows of a table that changed after a version, in the order of changes. */
-static json_t *
-changes_after(const char *table, int64_t after)
-{
-    g_autofree char *first = row_key(table, "");
-    g_autofree char *end = g_strconcat(table, "0", NULL);
-    g_autoptr(GPtrArray) keys = g_ptr_array_new();
-    json_t *rows = json_array();
-
-    for (GTreeNode *n = g_tree_lower_bound(srv.table, first);
-         n != NULL && strcmp(g_tree_node_key(n), end) < 0;
-         n = g_tree_node_next(n)) {
-        const struct kv *kv = g_tree_node_value(n);
-
-        if (kv->version > after) {
-            g_ptr_array_add(keys, g_tree_node_key(n));
-        }
-    }
-    g_ptr_array_sort(keys, compare_versions);
-    for (guint i = 0; i < keys->len; i++) {
-        const char *key = g_ptr_array_index(keys, i);
-
-        json_array_append_new(rows,
-                              row_json(key, g_tree_lookup(srv.table, key)));
-    }
-    return rows;
-}
-
 static struct object *
 visible_object(const char *key)
 {
@@ -512,7 +255,9 @@
 answer_feed(struct feed *f)
 {
     h2o_req_t *req = f->req;
-    json_t *answer = rows_answer(changes_after(f->table, f->after), false);
+    json_t *answer = store_rows_answer(
+        srv.rows, store_rows_after(srv.rows, f->table, f->after), false,
+        now());
 
     feed_dispose(f);
     send_json(req, 200, answer);
@@ -532,7 +277,7 @@
 
     for (GList *at = srv.feeds.head; at != NULL; at = next) {
         struct feed *f = at->data;
-        json_t *rows = changes_after(f->table, f->after);
+        json_t *rows = store_rows_after(srv.rows, f->table, f->after);
         bool any = json_array_size(rows) > 0;
 
         next = at->next;
@@ -577,13 +322,13 @@
         return;
     }
     after = g_ascii_strtoll(after_text, NULL, 10);
-    if (after < srv.history_from) {
+    if (!store_rows_has_history(srv.rows, after)) {
         send_error(req, 410, "history is lost");
         return;
     }
-    rows = changes_after(table, after);
+    rows = store_rows_after(srv.rows, table, after);
     if (json_array_size(rows) > 0) {
-        send_json(req, 200, rows_answer(rows, false));
+        send_json(req, 200, store_rows_answer(srv.rows, rows, false, now()));
         return;
     }
     json_decref(rows);
@@ -612,7 +357,7 @@
     json_t *answer;
 
     srv.txns++;
-    answer = do_txn(body, &status);
+    answer = store_rows_apply(srv.rows, body, now(), &status);
     json_decref(body);
     wake_feeds();
     if (lose) {
@@ -630,7 +375,12 @@
 static void
 serve_range(h2o_req_t *req)
 {
-    json_t *answer = do_get(req);
+    g_autofree char *table = parameter(req, "Table");
+    g_autofree char *from = parameter(req, "From");
+    g_autofree char *target = parameter(req, "Target");
+    json_t *answer =
+        table != NULL ? store_rows_range(srv.rows, table, from, target, now())
+                      : NULL;
 
     srv.ranges++;
     if (answer != NULL) {
@@ -684,7 +434,7 @@
 
     json_array_foreach(list, i, entry)
     {
-        g_autofree char *key = entry_key(entry);
+        g_autofree char *key = store_entry_key(entry);
 
         if (key != NULL && g_str_has_prefix(key, prefix)) {
             return true;
@@ -712,7 +462,7 @@
         return any;
     }
     if (table != NULL) {
-        key = row_key(table, from != NULL ? from : "");
+        key = store_row_key(table, from != NULL ? from : "");
         return g_str_has_prefix(key, prefix);
     }
     return g_str_has_prefix(path, BLOB_GET) &&
@@ -783,7 +533,7 @@
         }
     }
     if (g_strcmp0(mode, "compact") == 0) {
-        srv.history_from = srv.version;
+        store_rows_forget_history(srv.rows);
         send_json(req, 200, json_object());
         json_decref(body);
         return;
@@ -809,10 +559,10 @@
               json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "ranges",
                         (json_int_t)srv.ranges, "feeds",
                         (json_int_t)srv.feed_calls, "txns",
-                        (json_int_t)srv.txns, "writes", (json_int_t)srv.writes,
-                        "gets", (json_int_t)srv.gets, "puts",
-                        (json_int_t)srv.puts, "fault_count",
-                        (json_int_t)srv.fault.count));
+                        (json_int_t)srv.txns, "writes",
+                        (json_int_t)store_rows_writes(srv.rows), "gets",
+                        (json_int_t)srv.gets, "puts", (json_int_t)srv.puts,
+                        "fault_count", (json_int_t)srv.fault.count));
 }
 
 static int
@@ -965,7 +715,7 @@
     srv.lag = args.lag;
     srv.fault.count = -1;
     g_queue_init(&srv.feeds);
-    srv.table = g_tree_new_full(compare_keys, NULL, g_free, kv_free);
+    srv.rows = store_rows_new();
     srv.objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         (GDestroyNotify)g_ptr_array_unref);
     set_up_h2o();
--- /dev/null
+++ b/standins/store/rows.c
@@ -0,0 +1,299 @@
+#include "standins/store/rows.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Most rows in an answer, entries in a transaction, and bytes of a key. */
+#define ROWS_MAX 500
+#define ENTRIES_MAX 100
+#define KEY_MAX 200
+
+/* A removed row stays, so that the feed can tell of it. */
+struct kv {
+    char *value;
+    int64_t version;
+    bool removed;
+};
+
+struct store_rows {
+    GTree *table;         /* "TABLE/KEY", struct kv */
+    int64_t version;      /* of the last transaction */
+    int64_t history_from; /* changes after a lower version are forgotten */
+    int64_t writes;
+};
+
+static void
+kv_free(void *item)
+{
+    struct kv *kv = item;
+
+    g_free(kv->value);
+    g_free(kv);
+}
+
+static int
+compare_keys(const void *a, const void *b, void *data)
+{
+    return strcmp(a, b);
+}
+
+char *
+store_row_key(const char *table, const char *key)
+{
+    return g_strconcat(table, "/", key, NULL);
+}
+
+static json_t *
+row_json(const char *full, const struct kv *kv)
+{
+    size_t len = strcspn(full, "/");
+    json_t *row = json_pack("{s:s%,s:s,s:s,s:I}", "Table", full, len, "part",
+                            "", "Key", full + len + 1, "Ver",
+                            (json_int_t)(kv != NULL ? kv->version : 0));
+    g_autofree char *value = NULL;
+
+    if (kv != NULL && kv->removed) {
+        json_object_set_new(row, "Deleted", json_true());
+    }
+    else if (kv != NULL) {
+        value = g_base64_encode((const guchar *)kv->value, strlen(kv->value));
+        json_object_set_new(row, "Value", json_string(value));
+    }
+    return row;
+}
+
+json_t *
+store_rows_answer(const struct store_rows *s, json_t *rows, bool more,
+                  int64_t now)
+{
+    return json_pack("{s:o,s:b,s:I,s:I}", "Rows", rows, "HasMore", (int)more,
+                     "Ver", (json_int_t)s->version, "NowMs", (json_int_t)now);
+}
+
+static bool
+is_present(const struct kv *kv)
+{
+    return kv != NULL && !kv->removed;
+}
+
+json_t *
+store_rows_range(const struct store_rows *s, const char *table,
+                 const char *from, const char *target, int64_t now)
+{
+    g_autofree char *first = NULL;
+    g_autofree char *end = NULL;
+    json_t *rows;
+    bool more = false;
+
+    first = store_row_key(table, from != NULL ? from : "");
+    /* '0' follows '/' */
+    end = target != NULL ? store_row_key(table, target)
+                         : g_strconcat(table, "0", NULL);
+    rows = json_array();
+    for (GTreeNode *n = g_tree_lower_bound(s->table, first); n != NULL;
+         n = g_tree_node_next(n)) {
+        const char *key = g_tree_node_key(n);
+
+        if (strcmp(key, end) >= 0) {
+            break;
+        }
+        if (json_array_size(rows) == ROWS_MAX) {
+            more = true;
+            break;
+        }
+        if (is_present(g_tree_node_value(n))) {
+            json_array_append_new(rows, row_json(key, g_tree_node_value(n)));
+        }
+    }
+    return store_rows_answer(s, rows, more, now);
+}
+
+char *
+store_entry_key(const json_t *entry)
+{
+    const char *table = json_string_value(json_object_get(entry, "Table"));
+    const char *key = json_string_value(json_object_get(entry, "Key"));
+
+    if (table == NULL || key == NULL || strlen(key) > KEY_MAX) {
+        return NULL;
+    }
+    return store_row_key(table, key);
+}
+
+static bool
+entries_valid(const json_t *list, const char *needed, size_t *count)
+{
+    const json_t *entry;
+    size_t i;
+
+    json_array_foreach(list, i, entry)
+    {
+        g_autofree char *key = store_entry_key(entry);
+
+        (*count)++;
+        if (key == NULL ||
+            (needed != NULL && json_object_get(entry, needed) == NULL)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether all expected versions hold; fills the present rows otherwise. */
+static bool
+expected_holds(const struct store_rows *s, const json_t *list, json_t *rows)
+{
+    bool holds = true;
+    const json_t *entry;
+    size_t i;
+
+    json_array_foreach(list, i, entry)
+    {
+        g_autofree char *key = store_entry_key(entry);
+        const struct kv *kv = g_tree_lookup(s->table, key);
+        json_int_t have = is_present(kv) ? kv->version : 0;
+
+        holds =
+            holds && json_integer_value(json_object_get(entry, "Ver")) == have;
+        if (is_present(kv)) {
+            json_array_append_new(rows, row_json(key, kv));
+        }
+    }
+    return holds;
+}
+
+static void
+write_row(struct store_rows *s, const char *key, const char *value)
+{
+    struct kv *kv = g_new0(struct kv, 1);
+
+    kv->value = g_strdup(value);
+    kv->removed = value == NULL;
+    kv->version = s->version;
+    g_tree_replace(s->table, g_strdup(key), kv);
+}
+
+static void
+apply_entries(struct store_rows *s, const json_t *list, bool put)
+{
+    const json_t *entry;
+    size_t i;
+
+    json_array_foreach(list, i, entry)
+    {
+        g_autofree char *key = store_entry_key(entry);
+        const char *text = json_string_value(json_object_get(entry, "Value"));
+        g_autofree guchar *raw = NULL;
+        g_autofree char *value = NULL;
+        gsize len = 0;
+
+        if (put) {
+            raw = g_base64_decode(text != NULL ? text : "", &len);
+            value = g_strndup((const char *)raw, len);
+        }
+        write_row(s, key, value);
+    }
+}
+
+/* All checks come before the first effect. */
+json_t *
+store_rows_apply(struct store_rows *s, const json_t *request, int64_t now,
+                 int *status)
+{
+    const json_t *expected = json_object_get(request, "Expected");
+    const json_t *put = json_object_get(request, "Put");
+    const json_t *remove = json_object_get(request, "Remove");
+    size_t count = 0;
+    json_t *rows;
+
+    if (!entries_valid(expected, "Ver", &count) ||
+        !entries_valid(put, "Value", &count) ||
+        !entries_valid(remove, NULL, &count) || count == 0 ||
+        count > ENTRIES_MAX) {
+        return NULL;
+    }
+    rows = json_array();
+    if (!expected_holds(s, expected, rows)) {
+        *status = 412;
+        return store_rows_answer(s, rows, false, now);
+    }
+    json_decref(rows);
+    s->version++;
+    s->writes++;
+    apply_entries(s, put, true);
+    apply_entries(s, remove, false);
+    *status = 200;
+    return json_pack("{s:I,s:I}", "Ver", (json_int_t)s->version, "NowMs",
+                     (json_int_t)now);
+}
+
+static int
+compare_versions(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const struct store_rows *s = data;
+    const struct kv *x = g_tree_lookup(s->table, *(char *const *)a);
+    const struct kv *y = g_tree_lookup(s->table, *(char *const *)b);
+
+    return (x->version > y->version) - (x->version < y->version);
+}
+
+json_t *
+store_rows_after(struct store_rows *s, const char *table, int64_t after)
+{
+    g_autofree char *first = store_row_key(table, "");
+    g_autofree char *end = g_strconcat(table, "0", NULL);
+    g_autoptr(GPtrArray) keys = g_ptr_array_new();
+    json_t *rows = json_array();
+
+    for (GTreeNode *n = g_tree_lower_bound(s->table, first);
+         n != NULL && strcmp(g_tree_node_key(n), end) < 0;
+         n = g_tree_node_next(n)) {
+        const struct kv *kv = g_tree_node_value(n);
+
+        if (kv->version > after) {
+            g_ptr_array_add(keys, g_tree_node_key(n));
+        }
+    }
+    g_ptr_array_sort_with_data(keys, compare_versions, s);
+    for (guint i = 0; i < keys->len; i++) {
+        const char *key = g_ptr_array_index(keys, i);
+
+        json_array_append_new(rows,
+                              row_json(key, g_tree_lookup(s->table, key)));
+    }
+    return rows;
+}
+
+bool
+store_rows_has_history(const struct store_rows *s, int64_t after)
+{
+    return after >= s->history_from;
+}
+
+void
+store_rows_forget_history(struct store_rows *s)
+{
+    s->history_from = s->version;
+}
+
+int64_t
+store_rows_writes(const struct store_rows *s)
+{
+    return s->writes;
+}
+
+struct store_rows *
+store_rows_new(void)
+{
+    struct store_rows *s = g_new0(struct store_rows, 1);
+
+    s->table = g_tree_new_full(compare_keys, NULL, g_free, kv_free);
+    return s;
+}
+
+void
+store_rows_free(struct store_rows *s)
+{
+    g_tree_unref(s->table);
+    g_free(s);
+}
