--- a/proxy/state.h
+++ b/proxy/state.h
@@ -92,8 +92,8 @@
     bool stopped;
     bool leaving;
     ggw_ms take_until; /* while leaving */
-    ggw_ms drain_end; /* monotonic; 0 before the listener is closed */
-    ggw_ms settled;   /* last CLAIM_SETTLE, monotonic */
+    ggw_ms drain_end;  /* monotonic; 0 before the listener is closed */
+    ggw_ms settled;    /* last CLAIM_SETTLE, monotonic */
 
     struct ggw_histogram *added;
     struct ggw_histogram *slot_wait;
