--- a/Makefile
+++ b/Makefile
@@ -125,8 +125,8 @@
 
 # What the users' clean machines get: the build with the listed packages alone.
 build-packages: packages
-	tests/build/test-check-packages
-	tests/build/check-packages .
+	tests/packages/test-check-packages
+	tests/packages/check-packages .
 
 check: build-packages
 	$(MAKE) lint
