--- a/decide/view.h
+++ b/decide/view.h
@@ -23,8 +23,8 @@
 
 /*
  * Every gateway sends heartbeats to every other. Beyond this number of them,
- * all of these times are longer by ggw_view_pace(), the more the more they
- * are.
+ * all of these times are longer by ggw_view_pace(), which grows with their
+ * number.
  */
 #define GGW_VIEW_SMALL 12
 
