proxy, platform: an answer of another server says that the one meant is gone

Cause: four servers had crashed and their addresses went to another service, whose servers answer 421. That counted as a server that sheds although it has a free slot, whose limit is not lowered, and the load report in the answer, 0 of 2 slots busy, was taken for that of the server that was gone. It looked idle and drew most requests: 404 of the attempts of 2.3 s went to these four. Health pages of the new servers were taken for theirs as well.

Ruled out: full servers (4 of 32 slots in use at 8.9 s) and lost links.

Mend: the dialect says whether another server answered. Its load report, and one of a probe, is not used.

--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -208,8 +208,14 @@
 
     a->has_head = true;
     a->status = head->status;
-    a->report = dialect->load(head->headers, head->headers_len);
-    a->shed = dialect->not_run(head->status, head->headers, head->headers_len);
+    a->other_server = dialect->other_server != NULL &&
+                      dialect->other_server(head->status, head->headers,
+                                            head->headers_len, a->vm);
+    if (!a->other_server) {
+        a->report = dialect->load(head->headers, head->headers_len);
+    }
+    a->shed = a->other_server ||
+              dialect->not_run(head->status, head->headers, head->headers_len);
     a->forged = !is_signed(a, head);
     if (a->shed || a->forged || r->winner != NULL) {
         return;
@@ -288,9 +294,16 @@
     }
 }
 
+/*
+ * Another server at the address means that the one that was meant is gone,
+ * just as a refused connection does.
+ */
 static enum ggw_attempt_result
 result_of(const struct ggw_attempt *a, enum ggw_call_end end)
 {
+    if (a->other_server) {
+        return GGW_ATTEMPT_REFUSED;
+    }
     switch (end) {
     case GGW_CALL_NOT_SENT:
         return GGW_ATTEMPT_REFUSED;
--- a/proxy/dialect.h
+++ b/proxy/dialect.h
@@ -25,6 +25,9 @@
  * @replaced: NULL-terminated prefixes of headers that are not passed on
  * @retry_after_decimals: digits behind the point in Retry-After
  * @not_run: whether a response proves that the request did not run
+ * @other_server: whether the response is that of another server, which has the
+ *                address of the one that is meant now; it did not run the
+ *                request; NULL: servers keep their addresses
  * @load: load report of a response
  * @probe_load: load report of the response to a probe
  */
@@ -40,6 +43,8 @@
     const char *const *replaced;
     int retry_after_decimals;
     bool (*not_run)(int status, const h2o_header_t *headers, size_t len);
+    bool (*other_server)(int status, const h2o_header_t *headers, size_t len,
+                         const char *meant);
     struct ggw_load_report (*load)(const h2o_header_t *headers, size_t len);
     struct ggw_load_report (*probe_load)(const h2o_header_t *headers,
                                          size_t len);
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -14,6 +14,7 @@
     char *vm;
     char *head;
     struct ggw_call *call;
+    bool other_server;
     struct ggw_load_report report;
 };
 
@@ -37,9 +38,12 @@
 on_head(void *data, const struct ggw_call_head *head)
 {
     struct probe *p = data;
+    const struct ggw_dialect *dialect = p->proxy->options.dialect;
 
-    p->report = p->proxy->options.dialect->probe_load(head->headers,
-                                                      head->headers_len);
+    p->other_server = dialect->other_server != NULL &&
+                      dialect->other_server(head->status, head->headers,
+                                            head->headers_len, p->vm);
+    p->report = dialect->probe_load(head->headers, head->headers_len);
 }
 
 static void
@@ -65,7 +69,7 @@
 {
     struct probe *p = data;
 
-    answer(p, end == GGW_CALL_WHOLE);
+    answer(p, end == GGW_CALL_WHOLE && !p->other_server);
     probe_free(p);
 }
 
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -104,6 +104,7 @@
  * @id: value of Greengageway-Request
  * @head: text of the request's head
  * @shed: the server said that it did not run the request
+ * @other_server: another server answered at the address
  * @forged: a success without the server's signature
  * @has_head: a head has arrived
  * @answer: a response that is kept until it is whole, or NULL
@@ -120,6 +121,7 @@
     int status;
     bool has_head;
     bool shed;
+    bool other_server;
     bool forged;
     bool ended;
     struct ggw_answer *answer;
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -1,5 +1,7 @@
 #include "tests/proxy_env.h"
 
+#include "proxy/dialect.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
@@ -123,6 +125,7 @@
                      KEEP},
     [SCRIPT_LATE] = {"HTTP/1.1 504 Late\r\nBackend-Outcome: not-run\r\n" SIZED,
                      KEEP},
+    [SCRIPT_OTHER] = {"HTTP/1.1 421 Other\r\n" SIZED, KEEP},
     [SCRIPT_BARE_503] = {"HTTP/1.1 503 Broken\r\n" SIZED, KEEP},
     [SCRIPT_ERROR_500] = {"HTTP/1.1 500 Error\r\n" SIZED, KEEP},
     [SCRIPT_RESET] = {"", RESET},
@@ -579,10 +582,18 @@
     return tree;
 }
 
+static bool
+is_other_server(int status, const h2o_header_t *headers, size_t len,
+                const char *meant)
+{
+    return status == 421;
+}
+
 static struct env *
 start(ggw_ms keep, ggw_ms drain)
 {
     struct env *env = g_new0(struct env, 1);
+    static struct ggw_dialect dialect;
     struct ggw_proxy_options options = {
         .name = "gw-1",
         .failure_domain = "fd-a",
@@ -593,8 +604,12 @@
         .head_timeout = 300,
         .progress_timeout = 300,
         .leave_take = keep + 500,
+        .dialect = &dialect,
     };
 
+    dialect = ggw_own_dialect;
+    dialect.other_server = is_other_server;
+
     pthread_mutex_init(&env->lock, NULL);
     pthread_cond_init(&env->changed, NULL);
     g_queue_init(&env->posted);
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -45,6 +45,7 @@
     SCRIPT_NO_BODY,     /* 204 */
     SCRIPT_HEAD,        /* 200 without the body that its head states */
     SCRIPT_INTERIM,     /* 100, then 200 */
+    SCRIPT_OTHER,       /* 421, of another server at the address */
     SCRIPT_CLOSED,      /* nothing listens */
 };
 
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -127,6 +127,7 @@
         {SCRIPT_SHED, 503, "not-run", "shed", GGW_ATTEMPT_SHED},
         {SCRIPT_LATE, 503, "not-run", "shed", GGW_ATTEMPT_SHED},
         {SCRIPT_CLOSED, 503, "not-run", "shed", GGW_ATTEMPT_REFUSED},
+        {SCRIPT_OTHER, 503, "not-run", "shed", GGW_ATTEMPT_REFUSED},
         {SCRIPT_BARE_503, 503, "unknown", "", GGW_ATTEMPT_ERROR},
         {SCRIPT_ERROR_500, 500, "done", "", GGW_ATTEMPT_ERROR},
         {SCRIPT_RESET, 502, "unknown", "broken", GGW_ATTEMPT_BROKEN},
@@ -151,6 +152,26 @@
     env_stop(env);
 }
 
+/*
+ * Guards against the load report of another server at a reused address, which
+ * made the server that is gone look idle and drew most requests to it.
+ */
+static void
+test_other_server(void)
+{
+    struct env *env = env_start(400, 100, 1000);
+    const struct ggw_slot_release *release;
+
+    env->servers[0].script = SCRIPT_OTHER;
+    env->servers[0].load = "0,0,2";
+    CU_ASSERT_TRUE(env_expect(env, OTHER, 503, "not-run", "shed"));
+    CU_ASSERT_TRUE(env_wait_len(env, env->releases, 1));
+    release = &g_array_index(env->releases, struct ggw_slot_release, 0);
+    CU_ASSERT_EQUAL(release->result, GGW_ATTEMPT_REFUSED);
+    CU_ASSERT_FALSE(release->report.present);
+    env_stop(env);
+}
+
 /* Guards against an idempotent request that is not tried elsewhere. */
 static void
 test_retry(void)
@@ -376,6 +397,7 @@
         {"refusals", test_refusals},
         {"no configuration", test_no_configuration},
         {"single failures", test_single_failures},
+        {"other server", test_other_server},
         {"retry", test_retry},
         {"no retry below", test_no_retry_below},
         {"attempts bound", test_attempts_bound},
