slots: an owner waits for load reports within the answer time of the request

Callers: for a moment after a configuration turned probes before placement on, or whenever the owner had newer settings than the gateway of a request, requests were placed without the owner's grant, and the gateway took its owner for silent for up to 200 ms more.

Cause: the owner waited up to 8 ms for load reports by its own settings; the gateway of the request waited 5 ms for the answer by its older ones.

Ruled out: the rule on pauses and its clock (no timeout within a pause was seen).

Change: SLOT_ACQUIRE states how long its gateway waits; the owner waits for reports for half of that at most (decide/measure.c). Earlier versions neither write nor read the field.

--- a/decide/measure.c
+++ b/decide/measure.c
@@ -10,6 +10,15 @@
  */
 #define BURST_SHARE 0.1
 
+/* Longest wait in ms for load reports; a round trip takes a few ms. */
+#define MAX_WAIT 8.0
+
+/*
+ * Part of the answer time that may pass before the placement. The rest is for
+ * the acquire request and the answer on their way.
+ */
+#define WAIT_SHARE 0.5
+
 static double
 capacity(const struct ggw_probe_budget *b)
 {
@@ -96,3 +105,9 @@
     }
     return heard_at + GGW_PROBE_SILENCE;
 }
+
+ggw_ms
+ggw_probe_max_wait(ggw_ms answer_time)
+{
+    return CLAMP(answer_time * WAIT_SHARE, 0, MAX_WAIT);
+}
--- a/decide/measure.h
+++ b/decide/measure.h
@@ -100,4 +100,16 @@
  */
 ggw_ms ggw_probe_due_at(const struct ggw_probe_candidate *servers, size_t len);
 
+/**
+ * ggw_probe_max_wait() - get how long a placement may wait for load reports
+ * @answer_time: time that the gateway of the request waits for an answer, ms;
+ *               INFINITY if it does not give up
+ *
+ * The settings of that gateway may differ from those of the owner, so the
+ * owner cannot derive @answer_time from its own settings.
+ *
+ * Return: time in ms.
+ */
+ggw_ms ggw_probe_max_wait(ggw_ms answer_time);
+
 #endif
--- a/peers/payload.c
+++ b/peers/payload.c
@@ -47,6 +47,12 @@
     return o;
 }
 
+bool
+ggw_payload_at_end(const struct ggw_payload_reader *r)
+{
+    return r->next >= r->len;
+}
+
 uint64_t
 ggw_payload_uint(struct ggw_payload_reader *r)
 {
--- a/peers/payload.h
+++ b/peers/payload.h
@@ -50,6 +50,13 @@
  */
 void ggw_payload_close(struct ggw_payload_reader *r);
 
+/**
+ * ggw_payload_at_end() - check whether all fields have been read
+ *
+ * For fields that earlier versions do not write.
+ */
+bool ggw_payload_at_end(const struct ggw_payload_reader *r);
+
 /**
  * ggw_payload_uint() - read a non-negative integer; 0 on error
  */
--- a/slots/acquire.c
+++ b/slots/acquire.c
@@ -127,7 +127,7 @@
     uint32_t avoid = r->avoid != NULL ? g_strv_length(r->avoid) : 0;
     struct ggw_payload_writer w;
 
-    ggw_payload_begin(&w, 10);
+    ggw_payload_begin(&w, 11);
     ggw_payload_put_string(&w, r->team);
     ggw_payload_put_string(&w, r->service);
     ggw_payload_put_string(&w, a->domain->name);
@@ -142,6 +142,7 @@
     ggw_payload_put_double(&w, r->target > 0 ? r->target - ggw_slots_now(p)
                                              : NO_TARGET);
     ggw_payload_put_double(&w, r->median_latency);
+    ggw_payload_put_double(&w, answer_time(p, a));
     ggw_slots_send_frame(p, a->owner, GGW_PEER_SLOT_ACQUIRE, a->id, &w);
 }
 
@@ -167,7 +168,7 @@
         send_acquire(p, a);
         return;
     }
-    ggw_slots_owner_acquire(p, d, &request);
+    ggw_slots_owner_acquire(p, d, &request, INFINITY);
     ggw_slots_flush_ledger(p, d);
 }
 
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -402,12 +402,15 @@
 /**
  * ggw_slots_owner_acquire() - request a slot from the ledger of this gateway
  * @request: request; its strings are copied if it has to wait
+ * @answer_time: time in ms that the gateway of the request waits for an answer
  *
  * If the service has probes before placements, the request waits for fresh
- * load reports first. The caller calls ggw_slots_flush_ledger() afterwards.
+ * load reports first, for a part of @answer_time at most. The caller calls
+ * ggw_slots_flush_ledger() afterwards.
  */
 void ggw_slots_owner_acquire(struct ggw_slots *p, struct ggw_slots_domain *d,
-                             const struct ggw_ledger_request *request);
+                             const struct ggw_ledger_request *request,
+                             ggw_ms answer_time);
 
 /* Returns false if the request does not wait for load reports. */
 bool ggw_slots_cancel_probing_request(struct ggw_slots_domain *d,
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -271,6 +271,7 @@
     struct ggw_ledger_request request = {.holder = frame->peer,
                                          .id = frame->request_id};
     g_autoptr(GPtrArray) avoid = g_ptr_array_new();
+    ggw_ms answer_time;
     uint32_t n;
 
     request.priority = read_capped_int(r, 100);
@@ -283,6 +284,8 @@
     request.cross_domain_cost = ggw_payload_double(r);
     request.target = ggw_slots_now(p) + ggw_payload_double(r);
     request.median_latency = ggw_payload_double(r);
+    /* Earlier versions do not state how long they wait. */
+    answer_time = ggw_payload_at_end(r) ? INFINITY : ggw_payload_double(r);
     if (!r->ok) {
         ggw_count("ggw_slots_frames_malformed_total");
         return;
@@ -296,7 +299,7 @@
     g_ptr_array_add(avoid, NULL);
     request.avoid = n > 0 ? (char *const *)avoid->pdata : NULL;
     request.failure_domain = member_failure_domain(p, frame->peer);
-    ggw_slots_owner_acquire(p, d, &request);
+    ggw_slots_owner_acquire(p, d, &request, answer_time);
     ggw_slots_flush_ledger(p, d);
 }
 
--- a/slots/probing.c
+++ b/slots/probing.c
@@ -10,8 +10,11 @@
  * report shows them.
  */
 
-/* Longest wait in ms for load reports; a round trip takes a few ms. */
-#define PROBE_WAIT 8.0
+/*
+ * Age in ms from which on a probe in flight is no longer waited for: its
+ * answer is late.
+ */
+#define PROBE_LATE 8.0
 
 /* Age in ms up to which a load report makes a new probe unnecessary. */
 #define REPORT_FRESH 30.0
@@ -44,7 +47,7 @@
 }
 
 static struct probing_request *
-probing_request_new(const struct ggw_ledger_request *request, ggw_ms now)
+probing_request_new(const struct ggw_ledger_request *request, ggw_ms due)
 {
     struct probing_request *r = g_new0(struct probing_request, 1);
 
@@ -53,7 +56,7 @@
     r->request.failure_domain = g_strdup(request->failure_domain);
     r->request.avoid = g_strdupv((char **)request->avoid);
     r->servers = g_ptr_array_new_with_free_func(g_free);
-    r->due = now + PROBE_WAIT;
+    r->due = due;
     return r;
 }
 
@@ -103,7 +106,7 @@
         return false;
     }
     if (s->probing) {
-        return now - s->probed_at < PROBE_WAIT;
+        return now - s->probed_at < PROBE_LATE;
     }
     if (now - s->probed_at < 1e3 / d->group->rule->probe_rate) {
         return false;
@@ -114,7 +117,8 @@
 
 void
 ggw_slots_owner_acquire(struct ggw_slots *p, struct ggw_slots_domain *d,
-                        const struct ggw_ledger_request *request)
+                        const struct ggw_ledger_request *request,
+                        ggw_ms answer_time)
 {
     ggw_ms now = ggw_slots_now(p);
     const char *names[PROBE_SERVERS];
@@ -128,7 +132,7 @@
         n = ggw_ledger_probe_candidates(d->ledger, request, REPORT_FRESH,
                                         names, PROBE_SERVERS, now);
     }
-    r = probing_request_new(request, now);
+    r = probing_request_new(request, now + ggw_probe_max_wait(answer_time));
     for (size_t i = 0; i < n; i++) {
         if (probe_server(p, d, names[i], now)) {
             g_ptr_array_add(r->servers, g_strdup(names[i]));
--- a/tests/test_measure.c
+++ b/tests/test_measure.c
@@ -114,6 +114,21 @@
     CU_ASSERT_EQUAL(ggw_probe_due_at(s, 0), INFINITY);
 }
 
+/*
+ * Guards against a placement that comes after the gateway of the request has
+ * given up waiting for it.
+ */
+static void
+test_max_wait(void)
+{
+    CU_ASSERT_EQUAL(ggw_probe_max_wait(INFINITY), 8);
+    CU_ASSERT_EQUAL(ggw_probe_max_wait(40), 8);
+    for (ggw_ms answer_time = 0; answer_time < 40; answer_time += 0.5) {
+        CU_ASSERT_TRUE(ggw_probe_max_wait(answer_time) <= answer_time / 2);
+    }
+    CU_ASSERT_EQUAL(ggw_probe_max_wait(-1), 0);
+}
+
 int
 main(void)
 {
@@ -125,6 +140,7 @@
     CU_add_test(suite, "budget", test_budget);
     CU_add_test(suite, "timeout", test_timeout);
     CU_add_test(suite, "pick", test_pick);
+    CU_add_test(suite, "max wait", test_max_wait);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -432,6 +432,30 @@
     slots_cluster_free(c);
 }
 
+/*
+ * Guards against an owner that waits for load reports longer than a gateway
+ * waits for its answer. A gateway whose settings do not have the probes yet
+ * waits for the shorter time, so all its requests got a fallback grant.
+ */
+static void
+test_owner_has_newer_settings(void)
+{
+    for (int newer = 0; newer < 2; newer++) {
+        struct cluster *c = slots_cluster(2, 4, false);
+        uint64_t before;
+
+        slots_drive_for(c, 1500);
+        slots_stats.delay_probe_results = true;
+        before = fallback_grants();
+        slots_publish_tree(&c->nodes[newer], 2, tree_probe_json);
+        grants_wanted = slots_stats.grants + 200;
+        CU_ASSERT_TRUE(slots_drive_until(c, enough_grants));
+        /* A pause of this process can time out the requests in flight. */
+        CU_ASSERT_TRUE(fallback_grants() - before <= 200 / 10);
+        slots_cluster_free(c);
+    }
+}
+
 /* Runs the cluster and pauses this process every 100 ms. */
 static bool
 drive_with_pauses(struct cluster *c, bool (*condition)(struct cluster *))
@@ -501,6 +525,8 @@
     CU_add_test(suite, "started after scale-in", test_started_after_scale_in);
     CU_add_test(suite, "policy without owner", test_policy_without_owner);
     CU_add_test(suite, "owner that scouts", test_owner_probes_first);
+    CU_add_test(suite, "owner has newer settings",
+                test_owner_has_newer_settings);
     CU_add_test(suite, "paused gateway", test_paused_gateway);
     CU_add_test(suite, "probe", test_probe);
     CU_basic_run_tests();
