slots: announce warm servers once a second, and to one gateway that joins

Cause: each gateway that joined, or asked for the announcement, made every owner send it to all gateways again, with the names of all warm servers; and while servers became warm one after another, each tick of 100 ms did.

Change: a gateway that joins or asks gets the last announcement alone. Servers that have become warm are announced at most once a second, like the number of free slots; a server that is no longer warm, and the change between no and some free slots, at once.

--- a/slots/groups.c
+++ b/slots/groups.c
@@ -31,7 +31,7 @@
 
     ggw_ledger_free(d->ledger);
     g_ptr_array_unref(d->probing_requests);
-    g_clear_pointer(&d->announced_warm, g_bytes_unref);
+    g_clear_pointer(&d->announced_warm, g_ptr_array_unref);
     g_free(d->name);
     g_free(d->owner);
     g_free(d);
--- a/slots/handover.c
+++ b/slots/handover.c
@@ -192,7 +192,7 @@
         ggw_slots_send_sync(p, d, frame->peer);
     }
     else if (r.ok && d != NULL && kind == SYNC_ANNOUNCE) {
-        g_clear_pointer(&d->announced_warm, g_bytes_unref);
+        ggw_slots_announce_to(p, d, frame->peer);
     }
     else if (r.ok && d != NULL && d->ledger != NULL) {
         import_states(p, d, &list, n);
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -87,10 +87,10 @@
  *                    the current tick
  * @exhausted: the owner had no free slot for a spilled request in this tick
  * @free_slots_at: monotonic ms of the owner's last announcement
- * @announced_warm: names of the warm servers in the last SLOT_LOAD sent; NULL
- *                  sends them all again
- * @announced_free_slots: free slots in the last SLOT_LOAD sent
- * @announced_at: monotonic ms at which that SLOT_LOAD was sent
+ * @announced_warm: names of the warm servers in the last SLOT_LOAD sent to all
+ *                  gateways; NULL before the first
+ * @announced_free_slots: free slots in that SLOT_LOAD
+ * @announced_at: monotonic ms at which it was sent
  * @probing_requests: requests that wait for load reports, see slots/probing.c
  * @logged_at: monotonic ms of the last log line about the ledger
  */
@@ -103,7 +103,7 @@
     int spills_this_tick;
     bool exhausted;
     ggw_ms free_slots_at;
-    GBytes *announced_warm;
+    GPtrArray *announced_warm;
     int announced_free_slots;
     ggw_ms announced_at;
     GPtrArray *probing_requests;
@@ -298,7 +298,7 @@
  */
 void ggw_slots_schedule_wake(struct ggw_slots *p, ggw_ms at);
 
-/* Sends a frame to one gateway; frees the contents of @w. */
+/* Sends a frame to one gateway, NULL for all; frees the contents of @w. */
 void ggw_slots_send_frame(struct ggw_slots *p, const char *peer,
                           enum ggw_peer_frame_type type, uint64_t id,
                           struct ggw_payload_writer *w);
@@ -397,6 +397,19 @@
 void ggw_slots_send_probe(struct ggw_slots *p, struct ggw_slots_server *s,
                           ggw_ms now);
 
+/* slots/announce.c */
+
+/* Sends SLOT_LOAD to all gateways if the state of the domain has changed. */
+void ggw_slots_announce(struct ggw_slots *p, struct ggw_slots_domain *d,
+                        ggw_ms now);
+
+/*
+ * Sends the last announcement to one gateway that may not have it. Nothing is
+ * sent unless this gateway owns the domain and has announced it.
+ */
+void ggw_slots_announce_to(struct ggw_slots *p,
+                           const struct ggw_slots_domain *d, const char *peer);
+
 /* slots/probing.c */
 
 /**
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -8,18 +8,12 @@
 
 /*
  * The domains that this gateway owns: their ledgers, the acquire requests of
- * other gateways, and the announcements of free slots and warm servers.
+ * other gateways, and the probes of their servers.
  */
 
 /* Time in ms that a server has for a probe. */
 #define PROBE_TIMEOUT 100.0
 
-/*
- * Minimum interval in ms between announcements in which the number of free
- * slots changes from one value above 0 to another.
- */
-#define FREE_SLOTS_INTERVAL 1000.0
-
 /*
  * Expected time of a probe in ms. The budget is charged with it before the
  * probe and corrected to the real time afterwards.
@@ -95,7 +89,7 @@
     d->ledger = ggw_ledger_new(&p->grant_limits, p->rand, ggw_slots_now(p));
     ggw_slots_configure_ledger(p, d);
     ggw_slots_import_held_grants(p, d);
-    g_clear_pointer(&d->announced_warm, g_bytes_unref);
+    g_clear_pointer(&d->announced_warm, g_ptr_array_unref);
     ggw_slots_request_sync(p, d, NULL);
 }
 
@@ -181,7 +175,7 @@
             is_alive_in(old, m->name)) {
             continue;
         }
-        g_clear_pointer(&d->announced_warm, g_bytes_unref);
+        ggw_slots_announce_to(p, d, m->name);
         ggw_slots_request_sync(p, d, m->name);
         ggw_ledger_extend_hold_down(d->ledger,
                                     ggw_slots_now(p) + GGW_LEDGER_HOLD_DOWN);
@@ -378,107 +372,6 @@
     ggw_payload_close(&r);
 }
 
-/*
- * Sets which servers are warm and appends their names to @warm. Returns the
- * names as one string, which is compared to detect changes.
- */
-static GBytes *
-update_warm(struct ggw_slots_domain *d, GPtrArray *warm)
-{
-    struct ggw_slots_group *g = d->group;
-    GString *names = g_string_new(NULL);
-
-    for (guint i = 0; i < g->servers->len; i++) {
-        struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
-        enum ggw_limit_state state;
-        int in_flight;
-        int limit;
-
-        if (s->domain != d ||
-            !ggw_ledger_server_limit(d->ledger, s->name, &in_flight, &limit,
-                                     &state)) {
-            continue;
-        }
-        s->warm = state == GGW_LIMIT_WARM && !s->out;
-        s->suspect = false;
-        if (s->warm) {
-            g_ptr_array_add(warm, s->name);
-            g_string_append_printf(names, "%s ", s->name);
-        }
-    }
-    return g_string_free_to_bytes(names);
-}
-
-/*
- * Rounds the number of free slots down to a power of two for announcements.
- * Other gateways only need to know whether there are free slots and roughly
- * how many. A domain of all servers announces none, because nothing can spill
- * to it.
- */
-static int
-round_free_slots(const struct ggw_slots_domain *d, ggw_ms now)
-{
-    int free_slots = ggw_ledger_available_slots(d->ledger, now);
-    int step = 1;
-
-    if (strcmp(d->name, GGW_SLOTS_ALL_DOMAINS) == 0 || free_slots == 0) {
-        return 0;
-    }
-    while (2 * step <= free_slots) {
-        step *= 2;
-    }
-    return step;
-}
-
-/*
- * Returns whether to announce a changed number of free slots. Other gateways
- * need to know at once whether there are any, but the number only roughly.
- */
-static bool
-should_announce_free_slots(const struct ggw_slots_domain *d, int free_slots,
-                           ggw_ms now)
-{
-    if (free_slots == d->announced_free_slots) {
-        return false;
-    }
-    return free_slots == 0 || d->announced_free_slots == 0 ||
-           now - d->announced_at >= FREE_SLOTS_INTERVAL;
-}
-
-/* Announces free slots and warm servers to all gateways if they changed. */
-static void
-announce(struct ggw_slots *p, struct ggw_slots_domain *d, ggw_ms now)
-{
-    struct ggw_payload_writer w;
-    g_autoptr(GPtrArray) warm = g_ptr_array_new();
-    GBytes *names = update_warm(d, warm);
-    int free_slots = round_free_slots(d, now);
-    bool same_warm =
-        d->announced_warm != NULL && g_bytes_equal(names, d->announced_warm);
-    g_autoptr(GBytes) payload = NULL;
-
-    g_clear_pointer(&d->announced_warm, g_bytes_unref);
-    d->announced_warm = names;
-    if (same_warm && !should_announce_free_slots(d, free_slots, now)) {
-        return;
-    }
-    d->announced_free_slots = free_slots;
-    d->announced_at = now;
-    ggw_payload_begin(&w, 6);
-    ggw_payload_put_string(&w, d->group->team);
-    ggw_payload_put_string(&w, d->group->service);
-    ggw_payload_put_string(&w, d->name);
-    ggw_payload_put_uint(&w, (uint64_t)free_slots);
-    ggw_payload_put_bool(&w, same_warm);
-    ggw_payload_put_array(&w, same_warm ? 0 : warm->len);
-    for (guint i = 0; i < warm->len && !same_warm; i++) {
-        ggw_payload_put_string(&w, g_ptr_array_index(warm, i));
-    }
-    payload = ggw_payload_end(&w);
-    ggw_kernel_send(p->base.kernel, "peers", &p->base,
-                    ggw_peer_send_new(NULL, GGW_PEER_SLOT_LOAD, 0, payload));
-}
-
 void
 ggw_slots_send_probe(struct ggw_slots *p, struct ggw_slots_server *s,
                      ggw_ms now)
@@ -576,7 +469,7 @@
             if (d->ledger != NULL) {
                 ggw_ledger_tick(d->ledger, now);
                 ggw_slots_flush_ledger(p, d);
-                announce(p, d, now);
+                ggw_slots_announce(p, d, now);
                 ggw_slots_log_ledger(p, d, now);
             }
         }
