peers: gateways ask three others for addresses; less work for each hello

Cause: every gateway told every other one all addresses that it knew when a link opened, and each new one after that; both ends of a pair dialled; each hello caused a heartbeat to all gateways at the next tick and a MEMBERS_CHANGED, for which slots picks all owners again. Each acknowledged heartbeat sorted all members, each received one looked for its sender in a list. A hello held at most 64 addresses, and the rest was never sent.

Change: a gateway asks three others, its seeds first; these send all that they know, in as many hellos as it takes, and each new address. A hello is answered by a heartbeat to its sender only. Members are found by a hash; the majority is computed once a tick; silent links and addresses to dial are looked for less often in large clusters.

--- a/decide/view.c
+++ b/decide/view.c
@@ -18,7 +18,8 @@
 #define MAX_FACTOR 6.0
 
 struct ggw_view {
-    GPtrArray *members; /* of struct ggw_view_member, sorted by name */
+    GPtrArray *members;  /* of struct ggw_view_member, sorted by name */
+    GHashTable *by_name; /* name to the same struct ggw_view_member */
     struct ggw_view_member *self;
     int seeds;
     bool has_list;
@@ -60,14 +61,7 @@
 static struct ggw_view_member *
 find(const struct ggw_view *v, const char *name)
 {
-    for (guint i = 0; i < v->members->len; i++) {
-        struct ggw_view_member *m = g_ptr_array_index(v->members, i);
-
-        if (strcmp(m->member.name, name) == 0) {
-            return m;
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(v->by_name, name);
 }
 
 static struct ggw_view_member *
@@ -84,6 +78,7 @@
         m->acked_at = -INFINITY;
         g_ptr_array_add(v->members, m);
         g_ptr_array_sort(v->members, compare_names);
+        g_hash_table_insert(v->by_name, m->member.name, m);
     }
     return m;
 }
@@ -123,6 +118,7 @@
     struct ggw_view *v = g_new0(struct ggw_view, 1);
 
     v->members = g_ptr_array_new_with_free_func(member_free);
+    v->by_name = g_hash_table_new(g_str_hash, g_str_equal);
     v->self = find_or_add(v, self->name, self->failure_domain);
     apply_hello(v->self, self);
     v->self->member.self = true;
@@ -139,6 +135,7 @@
     if (v == NULL) {
         return;
     }
+    g_hash_table_unref(v->by_name);
     g_ptr_array_unref(v->members);
     g_free(v);
 }
@@ -285,7 +282,10 @@
 ggw_view_tick(struct ggw_view *v, ggw_ms now)
 {
     for (guint i = v->members->len; i > 0; i--) {
-        if (!tick_member(v, g_ptr_array_index(v->members, i - 1), now)) {
+        struct ggw_view_member *m = g_ptr_array_index(v->members, i - 1);
+
+        if (!tick_member(v, m, now)) {
+            g_hash_table_remove(v->by_name, m->member.name);
             g_ptr_array_remove_index(v->members, i - 1);
             v->changed = true;
         }
--- a/peers/dial.c
+++ b/peers/dial.c
@@ -24,6 +24,17 @@
     g_free(t);
 }
 
+int
+ggw_peers_compare_addresses(const struct sockaddr_in *a,
+                            const struct sockaddr_in *b)
+{
+    int order = memcmp(&a->sin_addr, &b->sin_addr, sizeof(a->sin_addr));
+
+    return order != 0
+               ? order
+               : memcmp(&a->sin_port, &b->sin_port, sizeof(a->sin_port));
+}
+
 struct ggw_target *
 ggw_peers_find_or_add_target(struct ggw_peers *p, const char *host,
                              uint16_t port)
@@ -94,7 +105,7 @@
         if (vm->role != GGW_VM_GATEWAY || strcmp(vm->name, p->name) == 0) {
             continue;
         }
-        t = ggw_peers_find_or_add_target(p, vm->host, vm->peer_port);
+        t = ggw_peers_learn_target(p, vm->host, vm->peer_port);
         if (t != NULL) {
             t->listed = true;
             g_free(t->name);
@@ -151,7 +162,8 @@
                        now - t->conn->heard_at <
                            ggw_view_interval_factor(p->view) * STALE_AFTER;
 
-        if (t->self || pending || now < t->next_dial_at ||
+        if (t->self || pending ||
+            now < MAX(t->next_dial_at, t->yields_until) ||
             has_active_link(p, t->name, now)) {
             continue;
         }
--- a/peers/hello.c
+++ b/peers/hello.c
@@ -5,62 +5,16 @@
 #include "peers/internal.h"
 #include "peers/payload.h"
 
-/* Maximum number of addresses in a hello, when sent and when received. */
-#define MAX_ADDRESSES 64
-
-/* Selects the addresses of other gateways that a hello contains. */
-enum address_set {
-    ADDRESSES_ALL,
-    ADDRESSES_NEW, /* those learned since the last announcement */
-};
-
-static bool
-should_announce(const struct ggw_target *t, enum address_set which)
-{
-    return t->name != NULL && !t->self &&
-           (which == ADDRESSES_ALL || t->unannounced);
-}
-
-static void
-put_addresses(struct ggw_peers *p, struct ggw_payload_writer *w,
-              enum address_set which)
-{
-    GHashTableIter iter;
-    gpointer value;
-    uint32_t n = 0;
-
-    g_hash_table_iter_init(&iter, p->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        n += should_announce(value, which) && n < MAX_ADDRESSES;
-    }
-    if (which == ADDRESSES_NEW) {
-        *ggw_counter("ggw_peer_new_addresses_sent_total") += n;
-    }
-    ggw_payload_put_array(w, n * 2);
-    g_hash_table_iter_init(&iter, p->targets);
-    while (n > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct ggw_target *t = value;
-        char host[INET_ADDRSTRLEN];
-
-        if (should_announce(t, which)) {
-            uv_ip4_name(&t->address, host, sizeof(host));
-            ggw_payload_put_string(w, host);
-            ggw_payload_put_uint(w, ntohs(t->address.sin_port));
-            n--;
-        }
-    }
-}
-
-static void
-send_hello(struct ggw_conn *conn, uint64_t dead_incarnation,
-           enum address_set which)
+void
+ggw_peers_send_hello_with(struct ggw_conn *conn, uint64_t dead_incarnation,
+                          const GPtrArray *targets, guint from, guint to)
 {
     struct ggw_peers *p = conn->peers;
     const struct ggw_view_member *self = ggw_view_self(p->view);
     struct ggw_payload_writer w;
     g_autoptr(GBytes) payload = NULL;
 
-    ggw_payload_begin(&w, 12);
+    ggw_payload_begin(&w, 13);
     ggw_payload_put_string(&w, p->name);
     ggw_payload_put_uint(&w, self->member.incarnation);
     ggw_payload_put_string(&w, self->member.failure_domain);
@@ -70,9 +24,10 @@
     ggw_payload_put_uint(&w, dead_incarnation);
     ggw_payload_put_string(&w, p->peer_host);
     ggw_payload_put_uint(&w, p->listen_port);
-    put_addresses(p, &w, which);
+    ggw_peers_put_addresses(&w, targets, from, to);
     ggw_payload_put_uint(&w, (uint64_t)self->member.capacity.link_mbps);
     ggw_payload_put_uint(&w, (uint64_t)self->member.capacity.cpu_percent);
+    ggw_payload_put_bool(&w, conn->asked_addresses);
     payload = ggw_payload_end(&w);
     ggw_peers_send(conn, GGW_PEER_HELLO, 0, payload);
 }
@@ -80,7 +35,7 @@
 void
 ggw_peers_send_hello(struct ggw_conn *conn, uint64_t dead_incarnation)
 {
-    send_hello(conn, dead_incarnation, ADDRESSES_ALL);
+    ggw_peers_send_hello_with(conn, dead_incarnation, NULL, 0, 0);
 }
 
 /* A decoded hello. Strings are valid until its payload reader is closed. */
@@ -91,6 +46,7 @@
     uint16_t peer_port;
     struct ggw_payload_reader addresses;
     uint32_t addresses_len;
+    bool wants_addresses;
 };
 
 /* Maximum of each capacity value in a hello: Mbit/s or percent of a core. */
@@ -134,30 +90,12 @@
     ok = r->ok;
     h->addresses_len = ggw_payload_array(r, &h->addresses) / 2;
     read_capacity(r, &h->view.capacity);
+    /* Gateways of earlier versions expect addresses without asking. */
+    h->wants_addresses = ggw_payload_at_end(r) || ggw_payload_bool(r);
     return ok && *h->view.name != '\0' && h->view.incarnation != 0 &&
            port <= UINT16_MAX && peer_port <= UINT16_MAX;
 }
 
-/*
- * Adds the addresses that the other end knows, so that a gateway finds all
- * others through one seed.
- */
-static void
-learn_addresses(struct ggw_peers *p, struct hello *h)
-{
-    struct ggw_payload_reader *list = &h->addresses;
-    uint32_t n = MIN(h->addresses_len, MAX_ADDRESSES);
-
-    for (uint32_t i = 0; i < n && list->ok; i++) {
-        const char *host = ggw_payload_string(list);
-        uint64_t port = ggw_payload_uint(list);
-
-        if (list->ok && port <= UINT16_MAX) {
-            ggw_peers_find_or_add_target(p, host, (uint16_t)port);
-        }
-    }
-}
-
 static struct ggw_peer *
 find_or_add_peer(struct ggw_peers *p, const char *name)
 {
@@ -177,33 +115,6 @@
     return peer;
 }
 
-/*
- * Every peer was sent all addresses known when its link opened, so only new
- * ones are sent here. With a list of VMs the peers know them already.
- */
-void
-ggw_peers_announce_addresses(struct ggw_peers *p)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    if (!p->has_unannounced) {
-        return;
-    }
-    p->has_unannounced = false;
-    for (guint i = 0; !p->has_vm_list && i < p->conns->len; i++) {
-        struct ggw_conn *c = g_ptr_array_index(p->conns, i);
-
-        if (c->peer != NULL) {
-            send_hello(c, 0, ADDRESSES_NEW);
-        }
-    }
-    g_hash_table_iter_init(&iter, p->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((struct ggw_target *)value)->unannounced = false;
-    }
-}
-
 /*
  * Makes all targets without an active link due for dialling now. A new link
  * often means that a network fault has ended. If some pairs of gateways stayed
@@ -330,8 +241,10 @@
         conn->peer->incarnation = h->view.incarnation;
         conn->peer->seq_received = 0;
     }
-    p->next_heartbeat = MIN(p->next_heartbeat, now);
-    ggw_peers_publish(p);
+    conn->peer->heartbeat_due = true;
+    p->has_due_heartbeats = true;
+    ggw_peers_set_wants_addresses(conn, h->wants_addresses);
+    ggw_peers_publish_soon(p, now);
     return true;
 }
 
@@ -346,7 +259,7 @@
     ggw_payload_open(&r, frame->payload, frame->payload_len);
     ok = read_hello(&r, &h) && handle_hello(conn, &h);
     if (ok) {
-        learn_addresses(p, &h);
+        ggw_peers_learn_addresses(p, &h.addresses, h.addresses_len);
     }
     ggw_payload_close(&r);
     return ok;
@@ -385,6 +298,7 @@
     ggw_payload_put_double(&w, now - peer->received_at);
     put_revisions(p, &w);
     payload = ggw_payload_end(&w);
+    peer->heartbeat_due = false;
     peer->sent_seqs[seq % GGW_PEERS_HEARTBEAT_HISTORY] = seq;
     peer->sent_at[seq % GGW_PEERS_HEARTBEAT_HISTORY] = now;
     ggw_peers_send(conn, GGW_PEER_HEARTBEAT, 0, payload);
@@ -411,8 +325,7 @@
                         peer->sent_at[i]);
     ggw_kernel_send(
         p->base.kernel, "slots", &p->base,
-        ggw_peer_heard_new(peer->name, peer->rtt,
-                           ggw_view_majority_valid_until(p->view)));
+        ggw_peer_heard_new(peer->name, peer->rtt, p->majority_valid_until));
 }
 
 /* Reports the teams whose revision is higher than the one in force here. */
@@ -465,7 +378,7 @@
         conn->peer->received_at = now;
         on_ack(conn, ack, ack_delay, now);
         on_revisions(conn, &r);
-        ggw_peers_publish(p);
+        ggw_peers_publish_soon(p, now);
     }
     ggw_payload_close(&r);
     return ok;
--- a/peers/internal.h
+++ b/peers/internal.h
@@ -7,6 +7,7 @@
 
 #include "decide/view.h"
 #include "peers/link.h"
+#include "peers/payload.h"
 #include "peers/peers.h"
 
 /**
@@ -33,6 +34,8 @@
  * @listed: the address is in the current list of VMs
  * @self: the address is this gateway's own; it is not dialled
  * @conn: connection dialled to the address, or NULL
+ * @yields_until: the gateway at the address dials this one first; until then
+ *                it is not dialled; monotonic ms
  * @backoff: delay before the next dial, in ms, without jitter
  * @next_dial_at: earliest time of the next dial; monotonic ms
  */
@@ -45,6 +48,7 @@
     bool listed;
     bool self;
     struct ggw_conn *conn;
+    ggw_ms yields_until;
     ggw_ms backoff;
     ggw_ms next_dial_at;
 };
@@ -63,6 +67,7 @@
  *             acknowledged
  * @sent_at: their send times, indexed the same way; monotonic ms
  * @rtt: last measured round-trip time in ms
+ * @heartbeat_due: it gets a heartbeat at the next tick
  */
 struct ggw_peer {
     char *name;
@@ -74,6 +79,7 @@
     uint64_t sent_seqs[GGW_PEERS_HEARTBEAT_HISTORY];
     ggw_ms sent_at[GGW_PEERS_HEARTBEAT_HISTORY];
     ggw_ms rtt;
+    bool heartbeat_due;
 };
 
 /**
@@ -85,6 +91,8 @@
  *          that was replaced by a newer one to the same address
  * @dialled_by_lower: the link was dialled by the gateway whose name sorts
  *                    first
+ * @asked_addresses: the other end was asked for the addresses that it knows
+ * @wants_addresses: the other end has asked for them
  * @dirty: the link has buffered frames to flush
  * @opened_at: time when the link was established; monotonic ms
  * @heard_at: arrival time of the last frame, initially @opened_at; moved
@@ -96,6 +104,8 @@
     struct ggw_peer *peer;
     struct ggw_target *target;
     bool dialled_by_lower;
+    bool asked_addresses;
+    bool wants_addresses;
     bool dirty;
     ggw_ms opened_at;
     ggw_ms heard_at;
@@ -117,8 +127,12 @@
  * @listener: listener for other gateways
  * @timer: calls timer_cb() periodically
  * @next_heartbeat: time of the next heartbeats; monotonic ms
+ * @next_scan: time of the next scan_peers(); monotonic ms
+ * @published_at: time of the last MEMBERS_CHANGED; monotonic ms
+ * @majority_valid_until: last ggw_view_majority_valid_until()
  * @ticked_at: time of the last timer_cb(); monotonic ms
  * @flush_queued: a flush message is on its way
+ * @has_due_heartbeats: some peers have a heartbeat due
  * @has_vm_list: a list of VMs with gateways has arrived
  * @has_unannounced: some targets are unannounced
  * @stopping: the service is stopping and ignores messages
@@ -139,8 +153,12 @@
     uv_tcp_t listener;
     uv_timer_t timer;
     ggw_ms next_heartbeat;
+    ggw_ms next_scan;
+    ggw_ms published_at;
+    ggw_ms majority_valid_until;
     ggw_ms ticked_at;
     bool flush_queued;
+    bool has_due_heartbeats;
     bool has_vm_list;
     bool has_unannounced;
     bool stopping;
@@ -197,6 +215,15 @@
  */
 void ggw_peers_publish(struct ggw_peers *p);
 
+/**
+ * ggw_peers_publish_soon() - publish the members if they changed, now or at
+ * the next tick
+ *
+ * When many gateways join within a short time, their changes are published
+ * together.
+ */
+void ggw_peers_publish_soon(struct ggw_peers *p, ggw_ms now);
+
 /* peers/dial.c */
 
 /**
@@ -240,6 +267,63 @@
  */
 void ggw_peers_target_free(gpointer target);
 
+/**
+ * ggw_peers_compare_addresses() - order addresses by IP and port
+ *
+ * Return: a number below, equal to or above 0, like memcmp().
+ */
+int ggw_peers_compare_addresses(const struct sockaddr_in *a,
+                                const struct sockaddr_in *b);
+
+/* peers/addresses.c */
+
+/**
+ * ggw_peers_learn_target() - add the target of an address that another gateway
+ *                            or the list of VMs has given
+ *
+ * Only one of two gateways that learn each other's address dials at once.
+ *
+ * Return: NULL when @host is not an IPv4 address or @port is 0.
+ */
+struct ggw_target *ggw_peers_learn_target(struct ggw_peers *p,
+                                          const char *host, uint16_t port);
+
+/**
+ * ggw_peers_ask_addresses() - ask further gateways for addresses if too few of
+ *                             those that were asked have a link
+ */
+void ggw_peers_ask_addresses(struct ggw_peers *p);
+
+/**
+ * ggw_peers_set_wants_addresses() - note whether the other end of a link has
+ *                                   asked; sends all addresses the first time
+ */
+void ggw_peers_set_wants_addresses(struct ggw_conn *conn, bool wants);
+
+/**
+ * ggw_peers_announce_addresses() - send the addresses learned since the last
+ *                                  call to the gateways that asked
+ *
+ * With a list of VMs nothing is sent, because the list has the addresses.
+ */
+void ggw_peers_announce_addresses(struct ggw_peers *p);
+
+/**
+ * ggw_peers_put_addresses() - write the addresses of a hello
+ * @targets: of struct ggw_target
+ * @from: index of the first address
+ * @to: index after the last address
+ */
+void ggw_peers_put_addresses(struct ggw_payload_writer *w,
+                             const GPtrArray *targets, guint from, guint to);
+
+/**
+ * ggw_peers_learn_addresses() - add the addresses of a received hello
+ * @n: number of addresses in @list
+ */
+void ggw_peers_learn_addresses(struct ggw_peers *p,
+                               struct ggw_payload_reader *list, uint32_t n);
+
 /* peers/hello.c */
 
 /**
@@ -250,12 +334,14 @@
 void ggw_peers_send_hello(struct ggw_conn *conn, uint64_t dead_incarnation);
 
 /**
- * ggw_peers_announce_addresses() - send all peers the addresses learned since
- *                                  the last call
- *
- * With a list of VMs nothing is sent, because the list has the addresses.
+ * ggw_peers_send_hello_with() - send a hello with addresses of other gateways
+ * @targets: of struct ggw_target; may be NULL when there are none
+ * @from: index of the first address
+ * @to: index after the last address
  */
-void ggw_peers_announce_addresses(struct ggw_peers *p);
+void ggw_peers_send_hello_with(struct ggw_conn *conn,
+                               uint64_t dead_incarnation,
+                               const GPtrArray *targets, guint from, guint to);
 
 /**
  * ggw_peers_on_hello() - handle a hello; may close the link and free @conn
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -1,5 +1,6 @@
 #include "peers/peers.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "common/error.h"
@@ -117,6 +118,16 @@
     return true;
 }
 
+/*
+ * Computing this takes time that grows with the number of gateways, so it is
+ * not done for each heartbeat.
+ */
+static void
+update_majority(struct ggw_peers *p)
+{
+    p->majority_valid_until = ggw_view_majority_valid_until(p->view);
+}
+
 void
 ggw_peers_publish(struct ggw_peers *p)
 {
@@ -130,7 +141,8 @@
     message = ggw_members_changed_new();
     m = (struct ggw_members_changed *)message;
     m->known_gateways = ggw_view_cluster_size(p->view);
-    m->majority_valid_until = ggw_view_majority_valid_until(p->view);
+    update_majority(p);
+    m->majority_valid_until = p->majority_valid_until;
     for (guint i = 0; i < members->len; i++) {
         const struct ggw_view_member *known = g_ptr_array_index(members, i);
         struct ggw_member member = known->member;
@@ -141,6 +153,15 @@
         }
     }
     ggw_kernel_publish(p->base.kernel, &p->base, message);
+    p->published_at = ggw_kernel_now(p->base.kernel);
+}
+
+void
+ggw_peers_publish_soon(struct ggw_peers *p, ggw_ms now)
+{
+    if (now - p->published_at >= TICK_INTERVAL) {
+        ggw_peers_publish(p);
+    }
 }
 
 struct ggw_conn *
@@ -163,6 +184,7 @@
     c->link = link;
     c->opened_at = ggw_kernel_now(c->peers->base.kernel);
     c->heard_at = c->opened_at;
+    c->asked_addresses = c->target != NULL && c->target->seed;
     ggw_peers_send_hello(c, 0);
 }
 
@@ -268,20 +290,29 @@
     }
 }
 
+/* Sends heartbeats to all peers, or only to those with one due. */
 static void
-send_heartbeats(struct ggw_peers *p, ggw_ms now)
+send_heartbeats(struct ggw_peers *p, bool all, ggw_ms now)
 {
     GHashTableIter iter;
     gpointer value;
 
     g_hash_table_iter_init(&iter, p->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct ggw_conn *c = preferred_conn(value);
+        struct ggw_peer *peer = value;
+        struct ggw_conn *c = preferred_conn(peer);
 
-        if (c != NULL) {
-            ggw_peers_send_heartbeat(value, c, now);
+        if (c != NULL && (all || peer->heartbeat_due)) {
+            ggw_peers_send_heartbeat(peer, c, now);
         }
     }
+    p->has_due_heartbeats = false;
+}
+
+static void
+send_all_heartbeats(struct ggw_peers *p, ggw_ms now)
+{
+    send_heartbeats(p, true, now);
     p->next_heartbeat =
         now + ggw_view_interval_factor(p->view) * GGW_HEARTBEAT_INTERVAL;
 }
@@ -330,6 +361,25 @@
     }
 }
 
+/*
+ * Looks for silent gateways and links, and for addresses to dial. In large
+ * clusters this is done less often, like the heartbeats.
+ */
+static void
+scan_peers(struct ggw_peers *p, ggw_ms now)
+{
+    if (now < p->next_scan) {
+        return;
+    }
+    p->next_scan =
+        now + (ggw_view_interval_factor(p->view) - 1) * TICK_INTERVAL;
+    ggw_view_tick(p->view, now);
+    g_hash_table_foreach_remove(p->peers, is_unused_peer, p);
+    close_silent_links(p, now);
+    ggw_peers_dial(p, now);
+    ggw_peers_ask_addresses(p);
+}
+
 static void
 timer_cb(uv_timer_t *timer)
 {
@@ -337,14 +387,15 @@
     ggw_ms now = ggw_kernel_now(p->base.kernel);
 
     compensate_for_stall(p, now);
-    ggw_view_tick(p->view, now);
-    g_hash_table_foreach_remove(p->peers, is_unused_peer, p);
-    close_silent_links(p, now);
-    ggw_peers_dial(p, now);
+    scan_peers(p, now);
+    ggw_peers_announce_addresses(p);
     if (now >= p->next_heartbeat) {
-        ggw_peers_announce_addresses(p);
-        send_heartbeats(p, now);
+        send_all_heartbeats(p, now);
+    }
+    else if (p->has_due_heartbeats) {
+        send_heartbeats(p, false, now);
     }
+    update_majority(p);
     ggw_peers_publish(p);
 }
 
@@ -460,7 +511,7 @@
     }
     else if (message->ops == &ggw_shutdown_ops) {
         ggw_view_leave(p->view);
-        send_heartbeats(p, ggw_kernel_now(service->kernel));
+        send_all_heartbeats(p, ggw_kernel_now(service->kernel));
         ggw_peers_publish(p);
     }
 }
@@ -564,6 +615,8 @@
         .capacity = options->capacity,
     };
     p->view = ggw_view_new(&self, count_other_seeds(p), 0);
+    p->published_at = -INFINITY;
+    update_majority(p);
     return &p->base;
 }
 
