site: a gateway that starts gets the rows from another gateway

Cause: each of the 189 gateways read both tables of the store at its start, and again after each change above 48 KiB; both readers sent each row to every gateway, uncompressed.

Change: a gateway without complete rows asks the gateways of its failure domain in the order of their ranks; the first gateway of each domain reads the store, the others only when no rows come (ggw_readers_fill_from_store). Who is asked before it has rows answers once it has them. Rows are taken from one copy at a time and only from a version that has the change that was missing: before, parts of two copies could be mixed, and a server that had left came back. Of the readers the first relays changes; the next one holds them for 300 ms and relays what the first has not. Rows above 512 bytes are sent deflated, as a new type of frame; gateways of earlier versions ignore it and read the store. After changes a reader waits a tenth of the bound on changes, not 100 ms. The order of the readers moved from platform/relay.c to decide/readers.c, the exchange of rows from platform/site.c to platform/site_rows.c.

--- a/common/deflate.h
+++ b/common/deflate.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 
 /*
- * zlib compression of strings. Settings with thousands of routes repeat the
+ * zlib compression. Settings with thousands of routes repeat the
  * same fields for each route, and links between gateways may have little
  * bandwidth.
  */
@@ -29,4 +29,20 @@
  */
 char *ggw_inflate(const void *data, size_t size, size_t len, size_t max);
 
+/**
+ * ggw_deflate_bytes() - compress data that may contain NUL bytes
+ */
+GBytes *ggw_deflate_bytes(GBytes *bytes);
+
+/**
+ * ggw_inflate_bytes() - decompress the result of ggw_deflate_bytes()
+ *
+ * The arguments are those of ggw_inflate().
+ *
+ * Return: NULL when @len exceeds @max, or when the data is malformed or does
+ * not have @len bytes.
+ */
+GBytes *ggw_inflate_bytes(const void *data, size_t size, size_t len,
+                          size_t max);
+
 #endif
--- a/peers/payload.c
+++ b/peers/payload.c
@@ -97,6 +97,16 @@
                                      o->via.str.size);
 }
 
+const void *
+ggw_payload_bytes(struct ggw_payload_reader *r, size_t *size)
+{
+    const msgpack_object *o =
+        next_field(r, MSGPACK_OBJECT_BIN, MSGPACK_OBJECT_BIN);
+
+    *size = o != NULL ? o->via.bin.size : 0;
+    return o != NULL ? o->via.bin.ptr : NULL;
+}
+
 uint32_t
 ggw_payload_array(struct ggw_payload_reader *r,
                   struct ggw_payload_reader *inner)
@@ -143,6 +153,16 @@
     msgpack_pack_double(&w->packer, value);
 }
 
+void
+ggw_payload_put_bytes(struct ggw_payload_writer *w, GBytes *bytes)
+{
+    gsize size;
+    gconstpointer data = g_bytes_get_data(bytes, &size);
+
+    msgpack_pack_bin(&w->packer, size);
+    msgpack_pack_bin_body(&w->packer, data, size);
+}
+
 void
 ggw_payload_put_bool(struct ggw_payload_writer *w, bool value)
 {
--- a/peers/payload.h
+++ b/peers/payload.h
@@ -77,6 +77,14 @@
  */
 const char *ggw_payload_string(struct ggw_payload_reader *r);
 
+/**
+ * ggw_payload_bytes() - read binary data
+ * @size: filled with the size in bytes; 0 on error
+ *
+ * Return: the data, part of the payload; NULL on error.
+ */
+const void *ggw_payload_bytes(struct ggw_payload_reader *r, size_t *size);
+
 /**
  * ggw_payload_array() - read a nested array
  * @r: reader of the enclosing array
@@ -107,6 +115,7 @@
 void ggw_payload_put_string(struct ggw_payload_writer *w, const char *s);
 void ggw_payload_put_uint(struct ggw_payload_writer *w, uint64_t value);
 void ggw_payload_put_double(struct ggw_payload_writer *w, double value);
+void ggw_payload_put_bytes(struct ggw_payload_writer *w, GBytes *bytes);
 void ggw_payload_put_bool(struct ggw_payload_writer *w, bool value);
 
 /**
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -207,6 +207,7 @@
         return "config";
     case GGW_PEER_ROWS:
     case GGW_PEER_ROWS_GET:
+    case GGW_PEER_ROWS_DEFLATED:
         return "site";
     default:
         return NULL;
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -117,6 +117,7 @@
  * @GGW_PEER_SLOT_QUEUED: the owner has queued a SLOT_ACQUIRE
  * @GGW_PEER_ROWS: carries rows of the platform's store
  * @GGW_PEER_ROWS_GET: requests all of these rows
+ * @GGW_PEER_ROWS_DEFLATED: ROWS with a compressed payload
  */
 enum ggw_peer_frame_type {
     GGW_PEER_HELLO = 1,
@@ -133,6 +134,7 @@
     GGW_PEER_SLOT_QUEUED,
     GGW_PEER_ROWS,
     GGW_PEER_ROWS_GET,
+    GGW_PEER_ROWS_DEFLATED,
 };
 
 /**
--- a/tests/test_measure.c
+++ b/tests/test_measure.c
@@ -123,7 +123,9 @@
 {
     CU_ASSERT_EQUAL(ggw_probe_max_wait(INFINITY), 8);
     CU_ASSERT_EQUAL(ggw_probe_max_wait(40), 8);
-    for (ggw_ms answer_time = 0; answer_time < 40; answer_time += 0.5) {
+    for (int i = 0; i < 80; i++) {
+        ggw_ms answer_time = 0.5 * i;
+
         CU_ASSERT_TRUE(ggw_probe_max_wait(answer_time) <= answer_time / 2);
     }
     CU_ASSERT_EQUAL(ggw_probe_max_wait(-1), 0);
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "common/metrics.h"
 #include "config/config.h"
 #include "config/vms.h"
 #include "decide/readers.h"
@@ -24,6 +25,8 @@
  * @revision: revision of the last settings
  * @list: last published list of VMs, or NULL
  * @sent: of GBytes; payloads of the ROWS frames sent to other gateways
+ * @source: gateway that rows were last requested from, or NULL
+ * @requested: payload of that request
  */
 struct node {
     struct ggw_kernel *kernel;
@@ -35,6 +38,8 @@
     uint64_t revision;
     struct ggw_vm_list *list;
     GPtrArray *sent;
+    char *source;
+    GBytes *requested;
 };
 
 static struct platform_process store;
@@ -63,6 +68,13 @@
     if (message->ops == &ggw_peer_send_ops && m->type == GGW_PEER_ROWS) {
         g_ptr_array_add(current_node->sent, g_bytes_ref(m->payload));
     }
+    else if (message->ops == &ggw_peer_send_ops &&
+             m->type == GGW_PEER_ROWS_GET) {
+        g_free(current_node->source);
+        current_node->source = g_strdup(m->peer);
+        g_clear_pointer(&current_node->requested, g_bytes_unref);
+        current_node->requested = g_bytes_ref(m->payload);
+    }
 }
 
 static const struct ggw_service_ops config_ops = {.name = "config",
@@ -71,7 +83,7 @@
                                                  .receive = peers_receive};
 
 static struct node *
-node_start(uint16_t port)
+node_start_with_seeds(uint16_t port, char **seeds)
 {
     struct node *n = g_new0(struct node, 1);
 
@@ -86,6 +98,7 @@
     g_strlcpy(n->settings.store.host, "127.0.0.1",
               sizeof(n->settings.store.host));
     n->settings.store.port = port;
+    n->settings.seeds = seeds;
     n->site = ggw_site_service_new(&n->settings);
     ggw_kernel_add(n->kernel, &n->config);
     ggw_kernel_add(n->kernel, &n->peers);
@@ -94,6 +107,13 @@
     return n;
 }
 
+/* Starts a node that expects no other gateways. */
+static struct node *
+node_start(uint16_t port)
+{
+    return node_start_with_seeds(port, NULL);
+}
+
 static void
 node_stop(struct node *n)
 {
@@ -102,6 +122,8 @@
     ggw_kernel_destroy(n->kernel);
     ggw_vm_list_unref(n->list);
     g_ptr_array_unref(n->sent);
+    g_free(n->source);
+    g_clear_pointer(&n->requested, g_bytes_unref);
     g_free(n);
 }
 
@@ -165,6 +187,12 @@
     return server_count(n) == 2;
 }
 
+static bool
+has_three_servers(const struct node *n)
+{
+    return server_count(n) == 3;
+}
+
 static bool
 has_no_server(const struct node *n)
 {
@@ -213,12 +241,12 @@
     node_stop(n);
 }
 
+/* Delivers the rows @from to @to, the latter excluded, as one frame. */
 static void
-deliver_rows_from(struct node *n, const char *peer,
-                  const struct ggw_relay_frame *frame)
+deliver_part(struct node *n, const char *peer,
+             const struct ggw_relay_frame *frame, guint from, guint to)
 {
-    g_autoptr(GBytes) payload =
-        ggw_relay_pack(frame, 0, frame->delta.rows->len);
+    g_autoptr(GBytes) payload = ggw_relay_pack(frame, from, to);
     struct ggw_peer_received *m = g_new0(struct ggw_peer_received, 1);
 
     m->base.ops = &ggw_peer_received_ops;
@@ -228,6 +256,13 @@
     ggw_kernel_send(n->kernel, "site", &n->peers, &m->base);
 }
 
+static void
+deliver_rows_from(struct node *n, const char *peer,
+                  const struct ggw_relay_frame *frame)
+{
+    deliver_part(n, peer, frame, 0, frame->delta.rows->len);
+}
+
 static void
 deliver_rows(struct node *n, const struct ggw_relay_frame *frame)
 {
@@ -258,11 +293,10 @@
 
     frame.delta.rows = g_ptr_array_new_with_free_func(ggw_store_row_free);
     g_ptr_array_add(frame.delta.rows, entry_row("i-1", 7));
-    deliver_rows(n, &frame); /* first part of the snapshot */
-    frame.last = true;
-    g_ptr_array_set_size(frame.delta.rows, 0);
     g_ptr_array_add(frame.delta.rows, entry_row("i-2", 8));
-    deliver_rows(n, &frame);
+    deliver_part(n, "n2", &frame, 0, 1);
+    frame.last = true;
+    deliver_part(n, "n2", &frame, 1, 2);
     CU_ASSERT_TRUE(run_until(n, has_two_servers));
 
     /* Changes whose base version the node has are applied. */
@@ -331,6 +365,53 @@
     g_ptr_array_unref(out.delta.rows);
 }
 
+/*
+ * Guards against compressed rows that differ from the original ones, and
+ * against malformed ones that are accepted or exhaust the memory.
+ */
+static void
+test_deflated(void)
+{
+    struct ggw_relay_frame out = {.delta = {.table = "servers"}};
+    g_autoptr(GBytes) payload = NULL;
+    g_autoptr(GBytes) deflated = NULL;
+    g_autoptr(GBytes) inflated = NULL;
+    const guint8 *data;
+    gsize len;
+
+    out.delta.rows = g_ptr_array_new_with_free_func(ggw_store_row_free);
+    for (int i = 0; i < 100; i++) {
+        g_autofree char *id = g_strdup_printf("i-%d", i);
+
+        g_ptr_array_add(out.delta.rows, entry_row(id, 5));
+    }
+    payload = ggw_relay_pack(&out, 0, 100);
+    deflated = ggw_relay_deflate(payload);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(deflated);
+    CU_ASSERT_TRUE(g_bytes_get_size(deflated) < g_bytes_get_size(payload) / 4);
+    inflated = ggw_relay_inflate(deflated);
+    CU_ASSERT_TRUE(g_bytes_equal(inflated, payload));
+    data = g_bytes_get_data(deflated, &len);
+    for (gsize i = 0; i < len; i++) {
+        g_autofree guint8 *changed = g_memdup2(data, len);
+        g_autoptr(GBytes) cut = g_bytes_new(data, i);
+        g_autoptr(GBytes) other = NULL;
+        g_autoptr(GBytes) result = ggw_relay_inflate(cut);
+
+        CU_ASSERT_PTR_NULL(result);
+        changed[i] ^= 0x55;
+        other = g_bytes_new(changed, len);
+        g_clear_pointer(&result, g_bytes_unref);
+        result = ggw_relay_inflate(other);
+        CU_ASSERT_TRUE(result == NULL || g_bytes_equal(result, payload));
+    }
+    g_ptr_array_set_size(out.delta.rows, 0);
+    g_clear_pointer(&payload, g_bytes_unref);
+    payload = ggw_relay_pack(&out, 0, 0);
+    CU_ASSERT_PTR_NULL(ggw_relay_deflate(payload));
+    g_ptr_array_unref(out.delta.rows);
+}
+
 /* Counts the frames that the node has sent in snapshots of a table. */
 static int
 count_snapshot_frames(const struct node *n, const char *table)
@@ -354,6 +435,23 @@
     return count_snapshot_frames(n, "op") > 0;
 }
 
+/* Lets gateway "n2" request a snapshot of a table. */
+static void
+request_table(struct node *n, const char *table)
+{
+    struct ggw_peer_received *m = g_new0(struct ggw_peer_received, 1);
+    struct ggw_rows_request request = {.table = table};
+    g_autoptr(GArray) requests =
+        g_array_new(FALSE, FALSE, sizeof(struct ggw_rows_request));
+
+    g_array_append_val(requests, request);
+    m->base.ops = &ggw_peer_received_ops;
+    m->peer = g_strdup("n2");
+    m->type = GGW_PEER_ROWS_GET;
+    m->payload = ggw_relay_pack_request(requests);
+    ggw_kernel_send(n->kernel, "site", &n->peers, &m->base);
+}
+
 /*
  * Guards against sending the rows of all servers to a gateway that repeatedly
  * requests only the table with the configuration.
@@ -362,20 +460,13 @@
 test_rows_request(void)
 {
     struct node *n;
-    struct ggw_peer_received *m = g_new0(struct ggw_peer_received, 1);
-    g_autoptr(GPtrArray) tables = g_ptr_array_new();
 
     write_row("op/config", CONFIG);
     write_row("servers/i-1", ENTRY);
     n = node_start(store.port);
     CU_ASSERT_TRUE(run_until(n, has_one_server));
     CU_ASSERT_TRUE(run_until(n, has_config));
-    g_ptr_array_add(tables, (gpointer) "op");
-    m->base.ops = &ggw_peer_received_ops;
-    m->peer = g_strdup("n2");
-    m->type = GGW_PEER_ROWS_GET;
-    m->payload = ggw_relay_pack_request(tables);
-    ggw_kernel_send(n->kernel, "site", &n->peers, &m->base);
+    request_table(n, "op");
     CU_ASSERT_TRUE(run_until(n, has_sent_snapshot));
     CU_ASSERT_EQUAL(count_snapshot_frames(n, "servers"), 0);
     write_row("servers/i-1", NULL);
@@ -423,7 +514,7 @@
         m.state = i % 5 == 4 ? GGW_MEMBER_DEAD : GGW_MEMBER_ALIVE;
         g_array_append_val(members, m);
         for (int j = 0; j <= i; j++) {
-            if (ggw_relay_rank(members, names[j]) < GGW_READERS &&
+            if (ggw_readers_rank(members, names[j]) < GGW_READERS &&
                 j % 5 != 4) {
                 readers++;
             }
@@ -432,14 +523,15 @@
     }
 }
 
+/* Publishes @len members. The node "n1" has the highest rank, @len - 1. */
 static void
-publish_members(struct node *n)
+publish_some_members(struct node *n, guint len)
 {
     struct ggw_message *message = ggw_members_changed_new();
     struct ggw_members_changed *m = (struct ggw_members_changed *)message;
     static const char *const names[] = {"n1", "n2", "n3", "n4"};
 
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+    for (guint i = 0; i < len; i++) {
         struct ggw_member member = {.name = (char *)names[i],
                                     .failure_domain = (char *)"a",
                                     .host = (char *)"h",
@@ -449,10 +541,16 @@
         member.capacity.link_mbps = i == 0 ? 10 : 200;
         ggw_members_add(m, &member);
     }
-    CU_ASSERT_EQUAL(ggw_relay_rank(m->members, "n1"), 3);
+    CU_ASSERT_EQUAL(ggw_readers_rank(m->members, "n1"), len - 1);
     ggw_kernel_publish(n->kernel, &n->peers, message);
 }
 
+static void
+publish_members(struct node *n)
+{
+    publish_some_members(n, 4);
+}
+
 static bool
 sends_progress(const struct node *n)
 {
@@ -489,6 +587,269 @@
     node_stop(n);
 }
 
+/* Runs the node for @time ms. */
+static void
+run_for(struct node *n, ggw_ms time)
+{
+    gint64 end = g_get_monotonic_time() + (gint64)(1000 * time);
+
+    while (g_get_monotonic_time() < end) {
+        uv_run(ggw_kernel_loop(n->kernel), UV_RUN_NOWAIT);
+        g_usleep(1000);
+    }
+}
+
+static bool
+has_requested_rows(const struct node *n)
+{
+    return n->source != NULL;
+}
+
+/* Lowest version of the table of servers that the node has requested. */
+static uint64_t
+requested_version(const struct node *n)
+{
+    g_autoptr(GArray) requests = ggw_relay_unpack_request(n->requested);
+    uint64_t version = 0;
+
+    for (guint i = 0; i < requests->len; i++) {
+        const struct ggw_rows_request *r =
+            &g_array_index(requests, struct ggw_rows_request, i);
+
+        if (strcmp(r->table, "servers") == 0) {
+            version = r->min_version;
+        }
+    }
+    return version;
+}
+
+/* Starts a node that knows three other gateways, with nothing read yet. */
+static struct node *
+start_in_cluster(uint16_t port)
+{
+    static char *seeds[] = {(char *)"127.0.0.1:9", NULL};
+    struct node *n = node_start_with_seeds(port, seeds);
+
+    publish_members(n);
+    CU_ASSERT_TRUE(run_until(n, has_requested_rows));
+    return n;
+}
+
+/* Delivers a whole snapshot of servers "i-@first" to "i-@last". */
+static void
+deliver_snapshot(struct node *n, const char *peer, uint64_t version, int first,
+                 int last)
+{
+    struct ggw_relay_frame frame = {
+        .delta = {.table = "servers", .version = version},
+        .snapshot = true,
+        .last = true};
+
+    frame.delta.rows = g_ptr_array_new_with_free_func(ggw_store_row_free);
+    for (int i = first; i <= last; i++) {
+        g_autofree char *id = g_strdup_printf("i-%d", i);
+
+        g_ptr_array_add(frame.delta.rows, entry_row(id, version));
+    }
+    deliver_rows_from(n, peer, &frame);
+    g_ptr_array_unref(frame.delta.rows);
+}
+
+static bool
+sends_no_progress(struct node *n)
+{
+    g_ptr_array_set_size(n->sent, 0);
+    run_for(n, 400);
+    return !sends_progress(n);
+}
+
+/*
+ * Guards against store calls of every gateway that starts. In a cluster of
+ * hundreds, these were most of all calls.
+ */
+static void
+test_rows_from_gateway(void)
+{
+    uint64_t calls = *ggw_counter("ggw_store_calls_total");
+    struct node *n = start_in_cluster(store.port);
+
+    CU_ASSERT_STRING_NOT_EQUAL(n->source, "n1");
+    CU_ASSERT_EQUAL(requested_version(n), 0);
+    deliver_snapshot(n, n->source, 9, 1, 2);
+    CU_ASSERT_TRUE(run_until(n, has_two_servers));
+    CU_ASSERT_EQUAL(*ggw_counter("ggw_store_calls_total"), calls);
+    CU_ASSERT_TRUE(sends_no_progress(n));
+    node_stop(n);
+}
+
+/*
+ * Guards against a server that has left and is used again, because the rows of
+ * two copies of different age were mixed.
+ */
+static void
+test_mixed_snapshots(void)
+{
+    struct node *n = start_in_cluster(unused_port());
+    g_autofree char *source = g_strdup(n->source);
+    struct ggw_relay_frame frame = {
+        .delta = {.table = "servers", .version = 9}, .snapshot = true};
+
+    frame.delta.rows = g_ptr_array_new_with_free_func(ggw_store_row_free);
+    g_ptr_array_add(frame.delta.rows, entry_row("i-7", 7));
+    deliver_rows_from(n, source, &frame);
+    /* The rest is lost with the link; another gateway's rows are older. */
+    deliver_snapshot(n, strcmp(source, "n2") == 0 ? "n3" : "n2", 8, 6, 7);
+    deliver_snapshot(n, source, 10, 1, 2);
+    CU_ASSERT_TRUE(run_until(n, has_two_servers));
+    run_for(n, 50);
+    CU_ASSERT_EQUAL(server_count(n), 2);
+    g_ptr_array_unref(frame.delta.rows);
+    node_stop(n);
+}
+
+/*
+ * Guards against a large change, which is only announced, that every gateway
+ * reads from the store, and against rows that are older than that change.
+ */
+static void
+test_announced_change(void)
+{
+    struct node *n = start_in_cluster(unused_port());
+    struct ggw_relay_frame announced = {
+        .delta = {.table = "servers", .base_version = 15, .version = 15}};
+
+    announced.delta.rows = g_ptr_array_new();
+    deliver_snapshot(n, n->source, 9, 1, 1);
+    CU_ASSERT_TRUE(run_until(n, has_one_server));
+    g_clear_pointer(&n->source, g_free);
+    deliver_rows_from(n, "n2", &announced);
+    CU_ASSERT_TRUE(run_until(n, has_requested_rows));
+    CU_ASSERT_EQUAL(requested_version(n), 15);
+    deliver_snapshot(n, n->source, 14, 1, 5);
+    run_for(n, 50);
+    CU_ASSERT_EQUAL(server_count(n), 1);
+    deliver_snapshot(n, n->source, 15, 2, 3);
+    CU_ASSERT_TRUE(run_until(n, has_two_servers));
+    g_ptr_array_unref(announced.delta.rows);
+    node_stop(n);
+}
+
+/*
+ * Guards against gateways that ask one after another because the first one is
+ * still reading the rows.
+ */
+static void
+test_request_before_rows(void)
+{
+    struct node *n;
+
+    write_row("op/config", CONFIG);
+    n = node_start(store.port);
+    request_table(n, "op");
+    CU_ASSERT_TRUE(run_until(n, has_sent_snapshot));
+    node_stop(n);
+}
+
+static double
+measure_until(struct node *n, bool (*holds)(const struct node *))
+{
+    gint64 start = g_get_monotonic_time();
+
+    CU_ASSERT_TRUE(run_until(n, holds));
+    return (double)(g_get_monotonic_time() - start) / 1000;
+}
+
+static bool
+sends_rows(const struct node *n)
+{
+    bool sends = false;
+
+    for (guint i = 0; i < n->sent->len; i++) {
+        struct ggw_relay_frame frame;
+
+        if (ggw_relay_unpack(g_ptr_array_index(n->sent, i), &frame)) {
+            sends = sends || (!frame.snapshot && frame.delta.rows->len > 0);
+        }
+        ggw_relay_clear(&frame);
+    }
+    return sends;
+}
+
+/* Delivers a reader's report that it has all changes up to a version. */
+static void
+deliver_report(struct node *n, const char *peer, const char *table,
+               uint64_t version)
+{
+    struct ggw_relay_frame frame = {
+        .delta = {.table = table, .version = version}};
+
+    frame.delta.rows = g_ptr_array_new();
+    deliver_rows_from(n, peer, &frame);
+    g_ptr_array_unref(frame.delta.rows);
+}
+
+/* Returns the highest version of a table that the node has reported. */
+static uint64_t
+reported_version(const struct node *n, const char *table)
+{
+    uint64_t version = 0;
+
+    for (guint i = 0; i < n->sent->len; i++) {
+        struct ggw_relay_frame frame;
+
+        if (ggw_relay_unpack(g_ptr_array_index(n->sent, i), &frame) &&
+            strcmp(frame.delta.table, table) == 0) {
+            version = MAX(version, frame.delta.version);
+        }
+        ggw_relay_clear(&frame);
+    }
+    return version;
+}
+
+static bool
+has_reported_servers(const struct node *n)
+{
+    return reported_version(n, "servers") > 0;
+}
+
+/*
+ * Guards against a change that reaches nobody because each of two readers
+ * leaves it to the other, and against two readers that both send it.
+ */
+static void
+test_backup_reader(void)
+{
+    struct node *n;
+    uint64_t version;
+
+    write_row("servers/i-1", ENTRY);
+    n = node_start(store.port);
+    publish_some_members(n, 2);
+    CU_ASSERT_TRUE(run_until(n, has_one_server));
+    CU_ASSERT_TRUE(run_until(n, has_reported_servers));
+    version = reported_version(n, "servers");
+    g_ptr_array_set_size(n->sent, 0);
+
+    /* The reader before this one relays the change. */
+    deliver_report(n, "n2", "servers", version);
+    write_row("servers/i-2", ENTRY);
+    CU_ASSERT_TRUE(run_until(n, has_two_servers));
+    CU_ASSERT_FALSE(sends_rows(n));
+    deliver_report(n, "n2", "servers", version + 1);
+    run_for(n, 2 * GGW_READERS_BACKUP_DELAY);
+    CU_ASSERT_FALSE(sends_rows(n));
+
+    /* It does not relay the next one. */
+    write_row("servers/i-3", ENTRY);
+    CU_ASSERT_TRUE(run_until(n, has_three_servers));
+    CU_ASSERT_TRUE(reported_version(n, "servers") < version + 2);
+    CU_ASSERT_TRUE(measure_until(n, sends_rows) < 0.5 * MAX_CHANGE_DELAY_MS);
+    write_row("servers/i-1", NULL);
+    write_row("servers/i-2", NULL);
+    write_row("servers/i-3", NULL);
+    node_stop(n);
+}
+
 /* Tells the node that a reader's store responds, or no longer does. */
 static void
 deliver_progress(struct node *n, const char *peer, bool lost)
@@ -519,27 +880,6 @@
     return lost;
 }
 
-static double
-measure_until(struct node *n, bool (*holds)(const struct node *))
-{
-    gint64 start = g_get_monotonic_time();
-
-    CU_ASSERT_TRUE(run_until(n, holds));
-    return (double)(g_get_monotonic_time() - start) / 1000;
-}
-
-/* Runs the node for @time ms. */
-static void
-run_for(struct node *n, ggw_ms time)
-{
-    gint64 end = g_get_monotonic_time() + (gint64)(1000 * time);
-
-    while (g_get_monotonic_time() < end) {
-        uv_run(ggw_kernel_loop(n->kernel), UV_RUN_NOWAIT);
-        g_usleep(1000);
-    }
-}
-
 /*
  * Guards against a change that reaches no gateway in time because the store
  * stops responding to exactly the gateways that read it for the others.
@@ -586,10 +926,16 @@
         {"start without store", test_store_unavailable},
         {"outage", test_outage},
         {"frames", test_frames},
+        {"deflated rows", test_deflated},
         {"large rows", test_large_rows},
         {"rows request", test_rows_request},
+        {"request before rows", test_request_before_rows},
+        {"rows from another gateway", test_rows_from_gateway},
+        {"mixed snapshots", test_mixed_snapshots},
+        {"announced change", test_announced_change},
         {"readers", test_readers},
         {"takeover", test_takeover},
+        {"backup reader", test_backup_reader},
         {"store silent for readers", test_store_silent_for_readers},
         CU_TEST_INFO_NULL,
     };
