http: a response has to be complete in a limited time

What was seen: bytes of a body that never end kept a call, its connection and the slot of its server for as long as the server liked: each byte started the progress timeout anew. A probe at a timeout of 100 ms had not ended after 4 s; calls to the store were the same.

Ruled out: heads, interim responses, chunk extensions, trailers and bytes that are no HTTP end well (test_call, 13 forms).

Change: complete_timeout limits the time from the request to the end of its response; time in which the client does not read does not count.

Evidence: test_call "endless" fails for four forms (chunks, one chunk, body without a length, long body) on the code before, and passes now.

--- a/http/client.c
+++ b/http/client.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "common/metrics.h"
 #include "http/conn.h"
 
 /* Reading from the server pauses while this many body bytes are unread. */
@@ -52,6 +53,8 @@
     bool complete;      /* the last byte of the response has arrived */
     bool reading_head;
     ggw_ms started_at;
+    ggw_ms paused_at;   /* when reading was paused; 0 while reading */
+    ggw_ms complete_by; /* end of spec.complete_timeout */
     ggw_ms sent_at;
     ggw_ms head_at;
 
@@ -133,6 +136,31 @@
                    delay > 0 ? (uint64_t)ceil(delay) : 0, 0);
 }
 
+/* Starts the timer for the rest of the body. */
+static void
+arm_body_timer(struct ggw_call *call)
+{
+    arm_timer(call,
+              MIN(call->spec.progress_timeout, call->complete_by - now_ms()));
+}
+
+static void
+pause_reading(struct ggw_call *call)
+{
+    ggw_http_conn_pause(call->conn, true);
+    uv_timer_stop(&call->timer);
+    call->paused_at = now_ms();
+}
+
+static void
+resume_reading(struct ggw_call *call)
+{
+    ggw_http_conn_pause(call->conn, false);
+    call->complete_by += now_ms() - call->paused_at;
+    call->paused_at = 0;
+    arm_body_timer(call);
+}
+
 /*
  * Milliseconds until the timeout for the head or, if it comes earlier and has
  * not been called yet, until ops->slow.
@@ -176,6 +204,9 @@
     if (call->connected && call->head_at == 0 && keep_waiting_for_head(call)) {
         return;
     }
+    if (now_ms() >= call->complete_by) {
+        ggw_count("ggw_call_complete_timeouts_total");
+    }
     end_call(call, call->connected ? GGW_CALL_TIMED_OUT : GGW_CALL_NOT_SENT,
              false);
 }
@@ -191,9 +222,8 @@
     swap = *buffer;
     *buffer = call->unread_body;
     call->unread_body = swap;
-    if (call->conn != NULL && !call->conn->reading) {
-        ggw_http_conn_pause(call->conn, false);
-        arm_timer(call, call->spec.progress_timeout);
+    if (call->conn != NULL && call->paused_at > 0) {
+        resume_reading(call);
     }
     return true;
 }
@@ -367,7 +397,7 @@
     head.close_delimited = is_close_delimited(call, parser);
     head.keep_alive = call->keep_alive;
     fill_headers(call, headers);
-    arm_timer(call, call->spec.progress_timeout);
+    arm_body_timer(call);
     call->ops->head(call->data, &head);
     if (call->destroyed) {
         return -1;
@@ -383,10 +413,10 @@
 
     memcpy(space.base, at, len);
     call->unread_body->size += len;
-    arm_timer(call, call->spec.progress_timeout);
-    if (call->unread_body->size >= MAX_UNREAD_BYTES && call->conn != NULL) {
-        ggw_http_conn_pause(call->conn, true);
-        uv_timer_stop(&call->timer);
+    arm_body_timer(call);
+    if (call->unread_body->size >= MAX_UNREAD_BYTES && call->conn != NULL &&
+        call->paused_at == 0) {
+        pause_reading(call);
     }
     call->ops->body(call->data);
     return call->destroyed ? -1 : 0;
@@ -526,6 +556,7 @@
     uv_timer_init(pool->loop, &call->timer);
     call->timer.data = call;
     call->started_at = now_ms();
+    call->complete_by = call->started_at + spec->complete_timeout;
     pool->active_calls++;
     call->conn =
         ggw_http_conn_get(pool, spec->new_connection, &conn_ops, call);
--- a/http/client.h
+++ b/http/client.h
@@ -90,6 +90,9 @@
  * @head_timeout: ms from ggw_call_new() until the response head has arrived
  * @progress_timeout: ms without new body bytes after which the call fails;
  *                    does not run while reading is paused
+ * @complete_timeout: ms from ggw_call_new() until the response must be
+ *                    complete, however many bytes arrive; does not run while
+ *                    reading is paused
  *
  * @head and @body must stay valid until the call is destroyed.
  */
@@ -105,6 +108,7 @@
     ggw_ms slow_timeout;
     ggw_ms head_timeout;
     ggw_ms progress_timeout;
+    ggw_ms complete_timeout;
 };
 
 /**
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -13,6 +13,13 @@
  */
 #define CONNECT_TIMEOUT_MS 500
 
+/*
+ * Time in ms after the timeout for the head in which the rest of a body may
+ * arrive. A server stops its work at the deadline, so that only bytes on their
+ * way are left.
+ */
+#define LATE_BODY_MS 5000.0
+
 /* A server counts as slow after this many times the usual p95 latency. */
 #define SLOW_P95_FACTOR 10
 
@@ -555,6 +562,7 @@
     spec.slow_timeout = slow_after(r, r->retry.deadline - now);
     spec.head_timeout =
         r->retry.deadline - now + proxy->options.deadline_grace;
+    spec.complete_timeout = spec.head_timeout + LATE_BODY_MS;
     spec.connect_timeout = MIN(CONNECT_TIMEOUT_MS, spec.slow_timeout);
     a->call = ggw_call_new(a->pool, &spec, &call_ops, a);
 }
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -99,6 +99,7 @@
         .slow_timeout = probe->timeout,
         .head_timeout = probe->timeout,
         .progress_timeout = probe->timeout,
+        .complete_timeout = probe->timeout,
     };
 
     p->proxy = proxy;
--- /dev/null
+++ b/tests/test_call.c
@@ -0,0 +1,323 @@
+#include <CUnit/CUnit.h>
+#include <math.h>
+#include <string.h>
+
+#include "common/metrics.h"
+#include "http/client.h"
+#include "tests/suite.h"
+
+/* Timeouts of the calls in ms. */
+#define HEAD_TIMEOUT 300.0
+#define PROGRESS_TIMEOUT 100.0
+#define COMPLETE_TIMEOUT 500.0
+
+/* Interval in ms at which the server sends more bytes. */
+#define SEND_INTERVAL 20
+
+/* The test gives up after this time in ms. */
+#define WAIT_LIMIT 20000.0
+
+/**
+ * struct server - server that sends the same bytes again and again
+ * @first: bytes that it sends once
+ * @more: bytes that it sends at each interval
+ * @closed: the gateway has closed the connection
+ */
+struct server {
+    uv_loop_t loop;
+    uv_tcp_t listener;
+    uv_tcp_t peer;
+    uv_timer_t timer;
+    uint16_t port;
+    const char *first;
+    const char *more;
+    bool accepted;
+    bool closed;
+};
+
+/**
+ * struct caller - the call to that server
+ * @end: how it ended
+ * @ended_at: when it ended, monotonic ms; 0 while it runs
+ * @body_bytes: body bytes read
+ */
+struct caller {
+    struct ggw_call *call;
+    enum ggw_call_end end;
+    ggw_ms ended_at;
+    size_t body_bytes;
+    bool reads_body;
+};
+
+static void
+write_cb(uv_write_t *req, int status)
+{
+    g_free(req);
+}
+
+static void
+send_text(struct server *s, const char *text)
+{
+    uv_buf_t buf = uv_buf_init((char *)text, (unsigned)strlen(text));
+    uv_write_t *req = g_new0(uv_write_t, 1);
+
+    if (uv_write(req, (uv_stream_t *)&s->peer, &buf, 1, write_cb) != 0) {
+        g_free(req);
+    }
+}
+
+static void
+alloc_cb(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+    static char input[4096];
+
+    *buf = uv_buf_init(input, sizeof(input));
+}
+
+static void
+timer_cb(uv_timer_t *timer)
+{
+    struct server *s = timer->data;
+
+    send_text(s, s->more);
+}
+
+static void
+read_cb(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+    struct server *s = stream->data;
+
+    if (n < 0 && !s->closed) {
+        s->closed = true;
+        uv_timer_stop(&s->timer);
+    }
+    else if (n > 0) {
+        send_text(s, s->first);
+        uv_timer_start(&s->timer, timer_cb, SEND_INTERVAL, SEND_INTERVAL);
+    }
+}
+
+static void
+connection_cb(uv_stream_t *listener, int status)
+{
+    struct server *s = listener->data;
+
+    uv_tcp_init(&s->loop, &s->peer);
+    s->peer.data = s;
+    s->accepted = true;
+    CU_ASSERT_EQUAL(uv_accept(listener, (uv_stream_t *)&s->peer), 0);
+    uv_read_start((uv_stream_t *)&s->peer, alloc_cb, read_cb);
+}
+
+static void
+server_start(struct server *s, const char *first, const char *more)
+{
+    struct sockaddr_in address;
+    int len = sizeof(address);
+
+    memset(s, 0, sizeof(*s));
+    s->first = first;
+    s->more = more;
+    uv_loop_init(&s->loop);
+    uv_tcp_init(&s->loop, &s->listener);
+    uv_timer_init(&s->loop, &s->timer);
+    s->listener.data = s;
+    s->timer.data = s;
+    uv_ip4_addr("127.0.0.1", 0, &address);
+    uv_tcp_bind(&s->listener, (struct sockaddr *)&address, 0);
+    uv_listen((uv_stream_t *)&s->listener, 8, connection_cb);
+    uv_tcp_getsockname(&s->listener, (struct sockaddr *)&address, &len);
+    s->port = ntohs(address.sin_port);
+}
+
+static void
+server_stop(struct server *s)
+{
+    uv_close((uv_handle_t *)&s->listener, NULL);
+    uv_close((uv_handle_t *)&s->timer, NULL);
+    if (s->accepted) {
+        uv_close((uv_handle_t *)&s->peer, NULL);
+    }
+    uv_run(&s->loop, UV_RUN_DEFAULT);
+    CU_ASSERT_EQUAL(uv_loop_close(&s->loop), 0);
+}
+
+static bool
+on_slow(void *data)
+{
+    return false;
+}
+
+static void
+on_head(void *data, const struct ggw_call_head *head)
+{
+}
+
+static void
+on_body(void *data)
+{
+    struct caller *c = data;
+    h2o_buffer_t *buffer;
+
+    if (!c->reads_body) {
+        return;
+    }
+    h2o_buffer_init(&buffer, &h2o_socket_buffer_prototype);
+    ggw_call_read_body(c->call, &buffer);
+    c->body_bytes += buffer->size;
+    h2o_buffer_dispose(&buffer);
+}
+
+static void
+on_end(void *data, enum ggw_call_end end)
+{
+    struct caller *c = data;
+
+    c->end = end;
+    c->ended_at = ggw_clock_now(ggw_clock_system());
+}
+
+static const struct ggw_call_ops call_ops = {
+    .slow = on_slow, .head = on_head, .body = on_body, .end = on_end};
+
+static const char request[] = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+
+static void
+caller_start(struct caller *c, struct ggw_pools *pools, struct server *s,
+             bool reads_body)
+{
+    ggw_ms now = ggw_clock_now(ggw_clock_system());
+    struct ggw_call_spec spec = {
+        .head = h2o_iovec_init(request, strlen(request)),
+        .connect_timeout = HEAD_TIMEOUT,
+        .slow_timeout = HEAD_TIMEOUT,
+        .head_timeout = HEAD_TIMEOUT,
+        .progress_timeout = PROGRESS_TIMEOUT,
+        .complete_timeout = COMPLETE_TIMEOUT,
+    };
+
+    memset(c, 0, sizeof(*c));
+    c->reads_body = reads_body;
+    c->call = ggw_call_new(ggw_pools_get(pools, "127.0.0.1", s->port, now),
+                           &spec, &call_ops, c);
+}
+
+static void
+run_until_closed(struct server *s, const struct caller *c)
+{
+    ggw_ms end = ggw_clock_now(ggw_clock_system()) + WAIT_LIMIT;
+
+    while (!(c->ended_at > 0 && s->closed) &&
+           ggw_clock_now(ggw_clock_system()) < end) {
+        uv_run(&s->loop, UV_RUN_ONCE);
+    }
+}
+
+static void
+stop(struct server *s, struct ggw_pools *pools, struct caller *c)
+{
+    ggw_call_destroy(c->call);
+    ggw_pools_stop(pools);
+    server_stop(s);
+    ggw_pools_destroy(pools);
+}
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+#define CHUNKED_HEAD OK_HEAD "transfer-encoding: chunked\r\n\r\n"
+
+/**
+ * struct endless - bytes that never become a complete response
+ * @name: for messages
+ * @first: bytes sent once
+ * @more: bytes sent again and again
+ */
+struct endless {
+    const char *name;
+    const char *first;
+    const char *more;
+};
+
+static const struct endless endless[] = {
+    {"status line", "HTTP/1.1 200 ", "x"},
+    {"header name", OK_HEAD, "x"},
+    {"header value", OK_HEAD "a: ", "x"},
+    {"headers", OK_HEAD, "a: b\r\n"},
+    {"interim responses", "HTTP/1.1 100 C\r\n\r\n", "HTTP/1.1 100 C\r\n\r\n"},
+    {"interim responses without a reason", "HTTP/1.1 100 \r\n\r\n",
+     "HTTP/1.1 100 \r\n\r\n"},
+    {"chunks", CHUNKED_HEAD, "1\r\nx\r\n"},
+    {"one chunk", CHUNKED_HEAD "ffffff\r\n", "x"},
+    {"chunk extension", CHUNKED_HEAD "1;", "x"},
+    {"trailers", CHUNKED_HEAD "0\r\n", "a: b\r\n"},
+    {"body without a length", OK_HEAD "\r\n", "x"},
+    {"long body", OK_HEAD "content-length: 99999999\r\n\r\n", "x"},
+    {"no HTTP", "x", "x"},
+};
+
+/*
+ * Guards against a response whose bytes never end and that holds its
+ * connection, and a slot of its server, for as long as the server likes.
+ */
+static void
+test_endless(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(endless); i++) {
+        const struct endless *e = &endless[i];
+        ggw_ms started = ggw_clock_now(ggw_clock_system());
+        struct server s;
+        struct caller c;
+        struct ggw_pools *pools;
+
+        server_start(&s, e->first, e->more);
+        pools = ggw_pools_new(&s.loop);
+        caller_start(&c, pools, &s, true);
+        run_until_closed(&s, &c);
+        if (c.ended_at == 0 || !s.closed) {
+            printf("%s: not ended, ", e->name);
+        }
+        CU_ASSERT_TRUE(c.ended_at > 0);
+        CU_ASSERT_TRUE(s.closed);
+        CU_ASSERT_NOT_EQUAL(c.end, GGW_CALL_COMPLETE);
+        /* Well below WAIT_LIMIT, with room for a busy machine. */
+        CU_ASSERT_TRUE(c.ended_at - started < 10 * COMPLETE_TIMEOUT);
+        stop(&s, pools, &c);
+    }
+}
+
+/*
+ * Guards against a slow reader whose response is cut: the time in which the
+ * call does not read from the server does not count.
+ */
+static void
+test_slow_reader(void)
+{
+    g_autofree char *block = g_strnfill(16384, 'x');
+    struct server s;
+    struct caller c;
+    struct ggw_pools *pools;
+    ggw_ms end = ggw_clock_now(ggw_clock_system()) + 2 * COMPLETE_TIMEOUT;
+
+    server_start(&s, OK_HEAD "content-length: 99999999\r\n\r\n", block);
+    pools = ggw_pools_new(&s.loop);
+    caller_start(&c, pools, &s, false);
+    while (ggw_clock_now(ggw_clock_system()) < end) {
+        uv_run(&s.loop, UV_RUN_ONCE);
+    }
+    CU_ASSERT_EQUAL(c.ended_at, 0);
+    stop(&s, pools, &c);
+}
+
+int
+main(void)
+{
+    static CU_TestInfo tests[] = {
+        {"endless", test_endless},
+        {"slow reader", test_slow_reader},
+        CU_TEST_INFO_NULL,
+    };
+
+    int status = suite_run("call", tests);
+
+    ggw_metrics_fini();
+    return status;
+}
