--- a/Makefile
+++ b/Makefile
@@ -59,11 +59,13 @@
 MODULES := $(OUT)/modules
 TEST_MODULES := $(OUT)/test-modules
 
-.PHONY: all packages build-packages format lint test soak check demo bench clean
+.PHONY: all benches packages build-packages format lint test soak check demo bench clean
 .SECONDARY:
 
 all: $(BINARY) $(STANDINS)
 
+benches: $(BENCHES)
+
 $(MODULES): Makefile
 	@pkg-config --print-errors --exists $(PKGS)
 	@mkdir -p $(@D)
@@ -133,7 +135,7 @@
 
 check: build-packages
 	$(MAKE) lint
-	$(MAKE) -j8 VARIANT=release all
+	$(MAKE) -j8 VARIANT=release all benches
 	$(MAKE) -j8 VARIANT=asan soak
 	$(MAKE) -j8 VARIANT=asan test
 
--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -634,7 +634,12 @@
 static void
 simulate(struct sim *s, const struct run *run)
 {
-    const struct ggw_limit_rule rule = {run->d->slots, 1, 5000, run->ahead};
+    const struct ggw_limit_rule rule = {
+        .slots = run->d->slots,
+        .cold_limit = 1,
+        .cold_time = 5000,
+        .ahead = run->ahead,
+    };
 
     *s = (struct sim){.run = *run, .arrivals = run->requests};
     s->rand = g_rand_new_with_seed(SEED);
