slots, site: no probes for a request that cannot wait; earlier rows after a start

A request whose gateway waits less than twice the longest wait for reports is now placed at once, without probes.

--- a/decide/measure.c
+++ b/decide/measure.c
@@ -15,7 +15,7 @@
 
 /*
  * Part of the answer time that may pass before the placement. The rest is for
- * the acquire request and the answer on their way.
+ * the acquire request and the answer on their way, and for late timers.
  */
 #define WAIT_SHARE 0.5
 
@@ -109,5 +109,5 @@
 ggw_ms
 ggw_probe_max_wait(ggw_ms answer_time)
 {
-    return CLAMP(answer_time * WAIT_SHARE, 0, MAX_WAIT);
+    return answer_time * WAIT_SHARE >= MAX_WAIT ? MAX_WAIT : 0;
 }
--- a/decide/measure.h
+++ b/decide/measure.h
@@ -106,9 +106,10 @@
  *               INFINITY if it does not give up
  *
  * The settings of that gateway may differ from those of the owner, so the
- * owner cannot derive @answer_time from its own settings.
+ * owner cannot derive @answer_time from its own settings. A gateway that waits
+ * only for a short time does not know that the owner probes.
  *
- * Return: time in ms.
+ * Return: time in ms; 0 to place the request without probes.
  */
 ggw_ms ggw_probe_max_wait(ggw_ms answer_time);
 
--- a/decide/readers.c
+++ b/decide/readers.c
@@ -21,8 +21,8 @@
  * longest wait and the reading together are shorter than the time in which a
  * change must take effect.
  */
-#define FILL_STEP_MS 300
-#define FILL_WAIT_MAX_MS 900
+#define FILL_STEP_MS 200
+#define FILL_WAIT_MAX_MS 600
 #define FILL_WAIT_ACTIVE_MAX_MS 1500
 
 /* Any value that orders gateways differently from the owners of slots. */
--- a/decide/readers.h
+++ b/decide/readers.h
@@ -28,7 +28,7 @@
  * Time in ms in which a gateway that starts learns of the others. Before that
  * it does not know whether it has to read the store.
  */
-#define GGW_READERS_DISCOVERY 300.0
+#define GGW_READERS_DISCOVERY 200.0
 
 /**
  * struct ggw_readers - readers of one table, as seen by one gateway
--- a/slots/probing.c
+++ b/slots/probing.c
@@ -123,16 +123,18 @@
     ggw_ms now = ggw_slots_now(p);
     const char *names[PROBE_SERVERS];
     size_t n = 0;
+    ggw_ms max_wait = ggw_probe_max_wait(answer_time);
     struct probing_request *r;
 
     if (is_probing(d, request)) {
         return;
     }
-    if (d->group->rule != NULL && d->group->rule->probe_rate > 0) {
+    if (d->group->rule != NULL && d->group->rule->probe_rate > 0 &&
+        max_wait > 0) {
         n = ggw_ledger_probe_candidates(d->ledger, request, REPORT_FRESH,
                                         names, PROBE_SERVERS, now);
     }
-    r = probing_request_new(request, now + ggw_probe_max_wait(answer_time));
+    r = probing_request_new(request, now + max_wait);
     for (size_t i = 0; i < n; i++) {
         if (probe_server(p, d, names[i], now)) {
             g_ptr_array_add(r->servers, g_strdup(names[i]));
--- a/tests/test_measure.c
+++ b/tests/test_measure.c
@@ -123,6 +123,7 @@
 {
     CU_ASSERT_EQUAL(ggw_probe_max_wait(INFINITY), 8);
     CU_ASSERT_EQUAL(ggw_probe_max_wait(40), 8);
+    CU_ASSERT_EQUAL(ggw_probe_max_wait(5), 0);
     for (int i = 0; i < 80; i++) {
         ggw_ms answer_time = 0.5 * i;
 
