--- a/decide/readers.c
+++ b/decide/readers.c
@@ -22,7 +22,7 @@
  * change must take effect.
  */
 #define FILL_STEP_MS 200
-#define FILL_WAIT_MAX_MS 600
+#define FILL_WAIT_MAX_MS 900
 #define FILL_WAIT_ACTIVE_MAX_MS 1500
 
 /* Any value that orders gateways differently from the owners of slots. */
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -243,15 +243,24 @@
     bool closing;
 };
 
-/* proxy/request.c */
+/* proxy/dispatch.c */
+
+/* Handles a new request: a route, a page of the gateway or /TEAM/SERVICE. */
 void ggw_request_dispatch(struct ggw_proxy *proxy, struct ggw_exchange *x);
+
+/*
+ * Refuses a request for which no struct ggw_request exists.
+ * @retry_after: ms; 0 for no Retry-After
+ */
+void ggw_request_refuse(struct ggw_exchange *x, int status, const char *reason,
+                        ggw_ms retry_after);
+
+/* proxy/request.c */
 struct ggw_request *
 ggw_request_new(struct ggw_proxy *proxy, struct ggw_exchange *x,
                 struct ggw_tree *tree, const struct ggw_service_rule *rule,
                 const struct ggw_kind *kind, const char *path);
 void ggw_request_start(struct ggw_request *r, ggw_ms deadline);
-void ggw_request_refuse(struct ggw_exchange *x, int status, const char *reason,
-                        ggw_ms retry_after);
 void ggw_request_granted(struct ggw_request *r,
                          const struct ggw_slot_grant *grant);
 void ggw_request_refused(struct ggw_request *r,
