proxy: a request that comes before the settings is told when to return

Callers: after all gateways had lost power, a client that reached one before it had its settings got 503 without Retry-After, repeated at once and had used up its retries before the settings were there.

The reason stays no-configuration.

Evidence: test_proxy "no configuration" checks the header; it fails on the code before.

--- a/proxy/dispatch.c
+++ b/proxy/dispatch.c
@@ -11,6 +11,12 @@
 /* Retry-After for a request whose deadline has passed, in ms. */
 #define TOO_LATE_RETRY_MS 1000
 
+/*
+ * Retry-After for a request that comes before the settings, in ms. A gateway
+ * that starts has them within this time.
+ */
+#define NO_CONFIGURATION_RETRY_MS 500
+
 /* Retry-After for a request that comes while this gateway leaves, in ms. */
 #define LEAVING_RETRY_MS 50
 
@@ -100,8 +106,10 @@
     struct ggw_request *r;
 
     if (reason != NULL) {
-        ggw_request_refuse(x, strcmp(reason, "no-route") == 0 ? 404 : 503,
-                           reason, 0);
+        bool no_route = strcmp(reason, "no-route") == 0;
+
+        ggw_request_refuse(x, no_route ? 404 : 503, reason,
+                           no_route ? 0 : NO_CONFIGURATION_RETRY_MS);
         return;
     }
     deadline = wall + f.kind->timeout;
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -107,6 +107,10 @@
     GString *r;
 
     CU_ASSERT_TRUE(env_expect(env, READ, 503, "not-run", "no-configuration"));
+    r = env_ask(env, READ);
+    /* Without it clients use up their retries before the settings are read. */
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "retry-after"), "1");
+    g_string_free(r, TRUE);
     r = env_ask(env, "GET /-/ready HTTP/1.1\r\n\r\n");
     CU_ASSERT_EQUAL(env_status(r), 503);
     g_string_free(r, TRUE);
