--- a/slots/remote.c
+++ b/slots/remote.c
@@ -489,6 +489,7 @@
     struct ggw_slots_peer *owner = ggw_slots_get_peer(p, a->owner);
     bool home = pd->home == a;
 
+    ggw_count("ggw_slots_unanswered_total");
     owner->silent = owner->silent || owner->heard_at <= a->sent_at;
     owner->missed_grants = true;
     ggw_slots_acquire_detach(p, a);
