tests: expect no spilled grants in a pass in which owners answer in time

The check is as strict as it was now: no refusal and no spilled grant in 100 grants; a pass in which an owner did not answer in time is repeated.

--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -312,13 +312,18 @@
 }
 
 /*
- * Sends requests of gateway @i only, until it has @n grants. Expects no
- * refusals, and spilled grants only for requests that their owner did not
- * answer in time: on a busy machine, the owner's loop may run more than the 5
- * ms later that a gateway waits.
+ * Time in ms in which a gateway asks an owner again that did not answer in
+ * time: the next heartbeat has arrived.
  */
-static void
-expect_grants_to(struct cluster *c, int i, int n)
+#define HEARD_AGAIN 300
+
+/*
+ * Sends requests of gateway @i only, until it has @n grants. Returns false if
+ * an owner did not answer in time: on a busy machine its loop, on the same
+ * thread, may run more than the 5 ms later that a gateway waits.
+ */
+static bool
+drive_grants_to(struct cluster *c, int i, int n)
 {
     const uint64_t *unanswered = ggw_counter("ggw_slots_unanswered_total");
     uint64_t before = *unanswered;
@@ -330,8 +335,24 @@
     slots_stats.spilled_grants = 0;
     grants_wanted = slots_stats.grants + n;
     CU_ASSERT_TRUE(slots_drive_until(c, enough_grants));
+    return *unanswered == before;
+}
+
+/*
+ * Expects that gateway @i gets @n grants without refusals or spilled grants
+ * while its owners answer in time.
+ */
+static void
+expect_grants_to(struct cluster *c, int i, int n)
+{
+    ggw_ms end = slots_now() + CLUSTER_WAIT_LIMIT_MS;
+
+    while (!drive_grants_to(c, i, n) && slots_now() < end) {
+        slots_drive_for(c, HEARD_AGAIN);
+    }
+    CU_ASSERT_TRUE(slots_now() < end);
     CU_ASSERT_EQUAL(slots_stats.refusals, 0);
-    CU_ASSERT_TRUE(slots_stats.spilled_grants <= (int)(*unanswered - before));
+    CU_ASSERT_EQUAL(slots_stats.spilled_grants, 0);
 }
 
 /*
