platform: the content of a deflated frame is checked before it is read

A gateway that got a ROWS_DEFLATED frame whose content was no msgpack let msgpack-c allocate memory for as many elements as an array declared, up to 64 GB. Only a faulty gateway can send it, since zlib's checksum catches bytes that change on the way.

--- a/peers/frame.c
+++ b/peers/frame.c
@@ -142,6 +142,12 @@
     return used;
 }
 
+bool
+ggw_frame_payload_is_valid(const void *payload, size_t len)
+{
+    return len > 0 && object_len(payload, len, 0) == len;
+}
+
 bool
 ggw_frame_encode(GByteArray *out, int type, uint64_t request_id,
                  const void *payload, size_t payload_len)
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -75,6 +75,16 @@
 bool ggw_frame_encode(GByteArray *out, int type, uint64_t request_id,
                       const void *payload, size_t payload_len);
 
+/**
+ * ggw_frame_payload_is_valid() - check that bytes are one msgpack object
+ * @len: size of @payload in bytes
+ *
+ * Payloads of decoded frames are valid. Bytes from elsewhere, such as the
+ * content of a compressed payload, have to be checked before msgpack-c reads
+ * them: it allocates memory for as many elements as an array declares.
+ */
+bool ggw_frame_payload_is_valid(const void *payload, size_t len);
+
 struct ggw_frame_decoder;
 
 /**
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -6,6 +6,7 @@
 #include "config/config.h"
 #include "config/vms.h"
 #include "decide/readers.h"
+#include "peers/frame.h"
 #include "peers/peers.h"
 #include "platform/relay.h"
 #include "platform/site.h"
@@ -412,6 +413,81 @@
     g_ptr_array_unref(out.delta.rows);
 }
 
+static bool
+is_valid(GBytes *payload)
+{
+    gsize len;
+    gconstpointer data = g_bytes_get_data(payload, &len);
+
+    return ggw_frame_payload_is_valid(data, len);
+}
+
+/* Changes up to three bytes of a payload, or cuts it. */
+static GBytes *
+mutate(GBytes *payload, GRand *rand)
+{
+    gsize len;
+    gconstpointer data = g_bytes_get_data(payload, &len);
+    g_autofree guint8 *changed = g_memdup2(data, len);
+    gsize end = g_rand_boolean(rand)
+                    ? len
+                    : (gsize)g_rand_int_range(rand, 0, (gint32)len);
+
+    for (int i = g_rand_int_range(rand, 0, 4); i > 0; i--) {
+        changed[g_rand_int_range(rand, 0, (gint32)len)] =
+            (guint8)g_rand_int(rand);
+    }
+    return g_bytes_new(changed, end);
+}
+
+/* Guards against a malformed frame of rows that ends the process. */
+static void
+test_mutated_frames(void)
+{
+    struct ggw_relay_frame out = {.delta = {.table = "servers"}};
+    struct ggw_rows_request request = {.table = "op", .min_version = 7};
+    g_autoptr(GArray) requests =
+        g_array_new(FALSE, FALSE, sizeof(struct ggw_rows_request));
+    GRand *rand = g_rand_new_with_seed(20);
+    g_autoptr(GBytes) rows = NULL;
+    g_autoptr(GBytes) deflated = NULL;
+    g_autoptr(GBytes) rows_get = NULL;
+
+    out.delta.rows = g_ptr_array_new_with_free_func(ggw_store_row_free);
+    for (int i = 0; i < 20; i++) {
+        g_ptr_array_add(out.delta.rows, entry_row("i-1", 5));
+    }
+    g_array_append_val(requests, request);
+    rows = ggw_relay_pack(&out, 0, out.delta.rows->len);
+    deflated = ggw_relay_deflate(rows);
+    rows_get = ggw_relay_pack_request(requests);
+    for (int i = 0; i < 5000; i++) {
+        g_autoptr(GBytes) a = mutate(rows, rand);
+        g_autoptr(GBytes) b = mutate(deflated, rand);
+        g_autoptr(GBytes) c = mutate(rows_get, rand);
+        /* A deflated payload whose content is malformed. */
+        g_autoptr(GBytes) d = ggw_relay_deflate(a);
+        g_autoptr(GBytes) from_b = is_valid(b) ? ggw_relay_inflate(b) : NULL;
+        g_autoptr(GBytes) from_d = d != NULL ? ggw_relay_inflate(d) : NULL;
+
+        CU_ASSERT_TRUE(from_b == NULL || g_bytes_equal(from_b, rows));
+        CU_ASSERT_EQUAL(from_d != NULL, d != NULL && is_valid(a));
+        if (is_valid(a)) {
+            struct ggw_relay_frame in;
+
+            ggw_relay_unpack(a, &in);
+            ggw_relay_clear(&in);
+        }
+        if (is_valid(c)) {
+            g_autoptr(GArray) decoded = ggw_relay_unpack_request(c);
+
+            CU_ASSERT_TRUE(decoded->len <= g_bytes_get_size(c));
+        }
+    }
+    g_rand_free(rand);
+    g_ptr_array_unref(out.delta.rows);
+}
+
 /* Counts the frames that the node has sent in snapshots of a table. */
 static int
 count_snapshot_frames(const struct node *n, const char *table)
@@ -927,6 +1003,7 @@
         {"outage", test_outage},
         {"frames", test_frames},
         {"deflated rows", test_deflated},
+        {"mutated frames", test_mutated_frames},
         {"large rows", test_large_rows},
         {"rows request", test_rows_request},
         {"request before rows", test_request_before_rows},
