main: a second SIGTERM does not end a gateway that is shutting down

Callers: a gateway that had begun its planned stop ended at once when SIGTERM came again, and the requests in progress were cut without an answer.

Cause: the handler stopped itself at the first signal, which restores the default action.

Change: SIGTERM is handled until the end and only logged again; like SIGHUP it is blocked before the handlers exist and after they are closed. A second SIGINT, from a terminal, still ends the process.

--- a/main/daemon.c
+++ b/main/daemon.c
@@ -16,11 +16,18 @@
 static void
 on_terminate(uv_signal_t *handle, int signum)
 {
-    struct ggw_kernel *kernel = handle->data;
+    struct ggw_daemon *daemon = handle->data;
 
+    if (daemon->shutting_down) {
+        ggw_log_info("main", "received signal %d, already shutting down",
+                     signum);
+        return;
+    }
     ggw_log_info("main", "received signal %d, shutting down", signum);
-    uv_signal_stop(handle);
-    ggw_kernel_publish(kernel, NULL, ggw_shutdown_new());
+    daemon->shutting_down = true;
+    /* A second interrupt, from a terminal, ends the process at once. */
+    uv_signal_stop(&daemon->interrupt);
+    ggw_kernel_publish(daemon->kernel, NULL, ggw_shutdown_new());
 }
 
 static void
@@ -38,20 +45,22 @@
                  signum);
 }
 
+/* Blocks or unblocks the signals that would end a process without handlers. */
 static void
-set_hangup_mask(int how)
+set_signal_mask(int how)
 {
     sigset_t set;
 
     sigemptyset(&set);
     sigaddset(&set, SIGHUP);
+    sigaddset(&set, SIGTERM);
     sigprocmask(how, &set, NULL);
 }
 
 void
 ggw_daemon_prepare(void)
 {
-    set_hangup_mask(SIG_BLOCK);
+    set_signal_mask(SIG_BLOCK);
 }
 
 /*
@@ -59,11 +68,11 @@
  * have stopped.
  */
 static void
-watch_signal(struct ggw_kernel *kernel, uv_signal_t *handle, int signum,
+watch_signal(struct ggw_daemon *daemon, uv_signal_t *handle, int signum,
              uv_signal_cb cb)
 {
-    uv_signal_init(ggw_kernel_loop(kernel), handle);
-    handle->data = kernel;
+    uv_signal_init(ggw_kernel_loop(daemon->kernel), handle);
+    handle->data = daemon;
     uv_signal_start(handle, cb, signum);
     uv_unref((uv_handle_t *)handle);
 }
@@ -71,11 +80,12 @@
 void
 ggw_daemon_start(struct ggw_daemon *daemon, struct ggw_kernel *kernel)
 {
-    watch_signal(kernel, &daemon->term, SIGTERM, on_terminate);
-    watch_signal(kernel, &daemon->interrupt, SIGINT, on_terminate);
-    watch_signal(kernel, &daemon->hangup, SIGHUP, on_hangup);
-    daemon->hangup.data = daemon;
-    set_hangup_mask(SIG_UNBLOCK);
+    daemon->kernel = kernel;
+    daemon->shutting_down = false;
+    watch_signal(daemon, &daemon->term, SIGTERM, on_terminate);
+    watch_signal(daemon, &daemon->interrupt, SIGINT, on_terminate);
+    watch_signal(daemon, &daemon->hangup, SIGHUP, on_hangup);
+    set_signal_mask(SIG_UNBLOCK);
     signal(SIGPIPE, SIG_IGN);
     uv_timer_init(ggw_kernel_loop(kernel), &daemon->flush);
     uv_timer_start(&daemon->flush, flush_cb, FLUSH_MS, FLUSH_MS);
@@ -85,8 +95,8 @@
 void
 ggw_daemon_close(struct ggw_daemon *daemon)
 {
-    /* Without a handler, SIGHUP would kill the process during shutdown. */
-    set_hangup_mask(SIG_BLOCK);
+    /* Without handlers, they would kill the process during shutdown. */
+    set_signal_mask(SIG_BLOCK);
     uv_close((uv_handle_t *)&daemon->term, NULL);
     uv_close((uv_handle_t *)&daemon->interrupt, NULL);
     uv_close((uv_handle_t *)&daemon->hangup, NULL);
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -1,6 +1,7 @@
 #ifndef GGW_MAIN_DAEMON_H
 #define GGW_MAIN_DAEMON_H
 
+#include <stdbool.h>
 #include <uv.h>
 
 #include "kernel/kernel.h"
@@ -13,6 +14,8 @@
  * @flush: timer that writes buffered log lines
  * @reload: called on SIGHUP with @data; when NULL, SIGHUP is only logged
  * @data: argument of @reload
+ * @kernel: kernel to shut down
+ * @shutting_down: the shutdown has begun; further signals do not end it
  *
  * The caller sets @reload and @data and zeroes the other members.
  */
@@ -23,12 +26,14 @@
     uv_timer_t flush;
     void (*reload)(void *data);
     void *data;
+    struct ggw_kernel *kernel;
+    bool shutting_down;
 };
 
 /**
- * ggw_daemon_prepare() - block SIGHUP until ggw_daemon_start()
+ * ggw_daemon_prepare() - block SIGHUP and SIGTERM until ggw_daemon_start()
  *
- * Called before a command starts, because SIGHUP kills a process that has no
+ * Called before a command starts, because they kill a process that has no
  * handler yet.
  */
 void ggw_daemon_prepare(void);
@@ -42,7 +47,7 @@
 void ggw_daemon_start(struct ggw_daemon *daemon, struct ggw_kernel *kernel);
 
 /**
- * ggw_daemon_close() - close all handles and block SIGHUP
+ * ggw_daemon_close() - close all handles, block SIGHUP and SIGTERM
  *
  * The caller must run the loop once more afterwards.
  */
--- a/tests/test_proof_leave.c
+++ b/tests/test_proof_leave.c
@@ -234,6 +234,24 @@
     CU_ASSERT_TRUE(system_free(s));
 }
 
+/*
+ * Guards against a repeated SIGTERM that ends a gateway in the middle of its
+ * shutdown and cuts the requests in progress.
+ */
+static void
+test_terminated_twice(void)
+{
+    struct system *s = system_new(&system_cairo, 1);
+    const struct system_process *process = &s->gateways[0].process;
+
+    while (!process_ended(process)) {
+        system_signal_gateway(s, 0, SIGTERM);
+        g_usleep(500);
+    }
+    CU_ASSERT_EQUAL(system_wait_gateway(s, 0), 0);
+    CU_ASSERT_TRUE(system_free(s));
+}
+
 int
 main(void)
 {
@@ -242,6 +260,7 @@
         {"server leaving in the VM list", test_leaving_in_list},
         {"graceful stop", test_graceful_stop},
         {"reload while stopping", test_reload_while_stopping},
+        {"terminated twice", test_terminated_twice},
         CU_TEST_INFO_NULL,
     };
 
