--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -24,6 +24,12 @@
 /* Time from the exit of a gateway to its restart, ms. */
 #define RESTART_MS 300
 
+/*
+ * Longest time in ms from the start of a process until its main() runs, with
+ * sanitizers on a busy machine.
+ */
+#define EXEC_MAX_MS 1000
+
 /*
  * A gateway must exit this long after its grace period at the latest, ms. The
  * platform would kill it.
@@ -173,6 +179,7 @@
 
     g->pid = spawn(w, argv, log);
     g->state = SOAK_RUNNING;
+    g->started_at = soak_now();
     g->restart_at = INFINITY;
     g->killed = false;
     g->paused = false;
@@ -199,6 +206,17 @@
     kill(g->pid, number);
 }
 
+/*
+ * A SIGTERM that arrives before main() runs ends the process: no code of the
+ * gateway can prevent that, and it has accepted nothing yet.
+ */
+static bool
+ended_before_main(const struct soak_gateway *g, int status)
+{
+    return WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM &&
+           g->sigterm_at - g->started_at < EXEC_MAX_MS;
+}
+
 static void
 record_exit(struct soak_world *w, int i, int status, ggw_ms now)
 {
@@ -207,7 +225,7 @@
 
     g->state = SOAK_ENDED;
     g->restart_at = now + RESTART_MS;
-    if (g->killed) {
+    if (g->killed || (sigterm_sent && ended_before_main(g, status))) {
         return;
     }
     if (!sigterm_sent || !WIFEXITED(status) || WEXITSTATUS(status) != 0) {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -41,6 +41,7 @@
 
 /**
  * struct soak_gateway - the process of a gateway
+ * @started_at: when its process was started, monotonic ms
  * @sigterm_at: when SIGTERM was sent, ms
  * @restart_at: when it is started again, ms; INFINITY while it runs
  * @killed: the soak sent it SIGKILL
@@ -49,6 +50,7 @@
 struct soak_gateway {
     GPid pid;
     enum soak_process_state state;
+    ggw_ms started_at;
     ggw_ms sigterm_at;
     ggw_ms restart_at;
     bool killed;
