--- a/review/4/case.c
+++ b/review/4/case.c
@@ -1,8 +1,8 @@
 #include "rig.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <arpa/inet.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -57,8 +57,8 @@
     }
     rig_sleep(WORK_MS);
     head = rig_format_answer(inst, req, 200, BODY_BYTES, false);
-    sent = rig_send(fd, head, strlen(head)) &&
-           rig_send(fd, body, sizeof(body));
+    sent =
+        rig_send(fd, head, strlen(head)) && rig_send(fd, body, sizeof(body));
     rig_record("instance %s has %s the whole answer to %s", inst->id,
                sent ? "sent" : "NOT sent", req->id);
     return sent;
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -199,8 +199,8 @@
         int status;
 
         start_read(r, ++*count);
-        text = rig_format_request("GET", "/status/1", r->id, READ_DEADLINE_MS,
-                                  0);
+        text =
+            rig_format_request("GET", "/status/1", r->id, READ_DEADLINE_MS, 0);
         if (!rig_send(fd, text, strlen(text))) {
             return;
         }
@@ -240,7 +240,8 @@
     return NULL;
 }
 
-/* Kills processes over the limit and starts them again, as the platform does. */
+/* Kills processes over the limit and starts them again, as the platform does.
+ */
 static gpointer
 watch_thread(gpointer data)
 {
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -173,8 +173,7 @@
     rig_exit(RIG_CANNOT_RUN);
 }
 
-static void G_GNUC_PRINTF(1, 2)
-fail(const char *format, ...)
+static void G_GNUC_PRINTF(1, 2) fail(const char *format, ...)
 {
     va_list ap;
 
@@ -763,8 +762,7 @@
     bool known = false;
 
     for (guint i = 0; i < rig.instances->len; i++) {
-        const struct rig_instance *other =
-            g_ptr_array_index(rig.instances, i);
+        const struct rig_instance *other = g_ptr_array_index(rig.instances, i);
 
         known = known || strcmp(other->service, service) == 0;
     }
@@ -874,9 +872,10 @@
 rig_start_gateway(int index)
 {
     struct gateway *g = &rig.gateways[index];
-    g_autofree char *path = g_strdup_printf("%s/front-%d.json", rig.dir, index);
-    g_autofree char *variable = g_strdup_printf("GREENGAGEWAY_SETTINGS=%s",
-                                                path);
+    g_autofree char *path =
+        g_strdup_printf("%s/front-%d.json", rig.dir, index);
+    g_autofree char *variable =
+        g_strdup_printf("GREENGAGEWAY_SETTINGS=%s", path);
     g_autofree char *log = g_strdup_printf("front-%d.log", index);
     const char *h = g->host;
     g_autofree char *text = g_strdup_printf(
@@ -951,10 +950,9 @@
 get_page(const char *host, int port, const char *path, char **body)
 {
     int fd = rig_connect(host, port, 0);
-    g_autofree char *text =
-        g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n"
-                        "Connection: close\r\n\r\n",
-                        path, host);
+    g_autofree char *text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n"
+                                            "Connection: close\r\n\r\n",
+                                            path, host);
     struct rig_answer a;
     int status = 0;
 
@@ -992,8 +990,8 @@
 rig_directory_names(int asked, int index)
 {
     g_autofree char *body = NULL;
-    g_autofree char *address = g_strdup_printf(
-        "\"%s:%d\"", rig.gateways[index].host, RIG_FRONT_PORT);
+    g_autofree char *address =
+        g_strdup_printf("\"%s:%d\"", rig.gateways[index].host, RIG_FRONT_PORT);
 
     return get_page(rig.gateways[asked].host, RIG_DIRECTORY_PORT,
                     "/v1/resolve?Name=shop.example&Region=area&Zone=zone-a",
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -58,7 +58,8 @@
  * @service: name of its service
  * @zone: its zone
  * @port: port it listens on, at the host of the instances
- * @reported_port: port in its entry in the store; that of a relay, if it has one
+ * @reported_port: port in its entry in the store; that of a relay, if it has
+ * one
  * @slots: requests processed at once; QUEUE more wait
  * @run: runs one request
  * @data: for @run
@@ -182,8 +183,8 @@
 
 /* Head of an answer of an instance; @len below 0: no length. */
 char *rig_format_answer(const struct rig_instance *inst,
-                        const struct rig_request *req, int status,
-                        ssize_t len, bool close);
+                        const struct rig_request *req, int status, ssize_t len,
+                        bool close);
 
 /* Ends all processes and exits. */
 void rig_exit(enum rig_result result) G_GNUC_NORETURN;
