proxy: a request cut when the drain ends is refused as what is known of it

Cause: ggw_exchange_abort() answered 503 whatever had become of the request, with the outcome "unknown" in a header only. A client that closes only its sending side got the same 503 ("client-left") while its order ran on. On the same question, a response of any status that names another server in Instance-Id counted as proof that the request did not run.

Ruled out: the time at which the drain ends (it is within what the platform allows), and the 503s of finish(), which looks at the attempts that have ended and runs with none in progress.

Change: the exchange asks its request what is known of the run (decide/promise.c) and answers 503 only if no attempt was sent or each was shed, else 502. Only status 421 proves that another server has the address; the name in a probe's response still does for probes. New log event "cut" and counter ggw_requests_cut_total.

Tests: before, test_proxy_end "running at drain end" got 503 instead of 502 (both kinds of request), "waiting at drain end" the outcome "unknown" instead of "not-run", "half closed while running" 503; test_site "dialect" took 200 with another name as misdirected.

--- a/http/client.c
+++ b/http/client.c
@@ -578,6 +578,12 @@
     return (call->head_at > 0 ? call->head_at : now_ms()) - call->sent_at;
 }
 
+bool
+ggw_call_is_sent(const struct ggw_call *call)
+{
+    return call->connected;
+}
+
 void
 ggw_call_destroy(struct ggw_call *call)
 {
--- a/http/client.h
+++ b/http/client.h
@@ -143,6 +143,13 @@
  */
 ggw_ms ggw_call_latency(const struct ggw_call *call);
 
+/**
+ * ggw_call_is_sent() - check whether the request may have reached the server
+ *
+ * Return: false only if no byte of it has been written.
+ */
+bool ggw_call_is_sent(const struct ggw_call *call);
+
 /**
  * ggw_call_destroy() - free a call
  *
--- a/http/connection.c
+++ b/http/connection.c
@@ -367,7 +367,7 @@
                 (half_closed && c->half_close_disconnects) ||
                 (x->sending &&
                  now - x->sent_at > CLIENT_PROGRESS_TIMEOUT_MS)) {
-                ggw_exchange_abort(x, "client-left");
+                ggw_exchange_abort(x, GGW_EXCHANGE_CLIENT_LEFT);
             }
             else if (half_closed) {
                 probe_client(x);
@@ -440,7 +440,7 @@
             H2O_STRUCT_FROM_MEMBER(struct ggw_exchange, link, link);
 
         link = link->next;
-        ggw_exchange_abort(x, "stopping");
+        ggw_exchange_abort(x, GGW_EXCHANGE_STOPPING);
     }
     link = c->list.next;
     while (link != &c->list) {
--- a/http/exchange.c
+++ b/http/exchange.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "decide/promise.h"
 #include "http/connection.h"
 
 #define OUTCOME_HEADER "greengageway-outcome"
@@ -43,16 +44,22 @@
     return "Status";
 }
 
-/* Reports a disconnected client to the callbacks, once, and removes them. */
-static void
-notify_disconnected(struct ggw_exchange *x)
+static const char *const end_reasons[] = {
+    [GGW_EXCHANGE_CLIENT_LEFT] = "client-left",
+    [GGW_EXCHANGE_STOPPING] = "stopping",
+};
+
+/*
+ * Runs ops->disconnected, once, and removes the callbacks. Without callbacks,
+ * no request was passed on.
+ */
+static enum ggw_outcome
+notify_disconnected(struct ggw_exchange *x, enum ggw_exchange_end end)
 {
     const struct ggw_exchange_ops *ops = x->ops;
 
     x->ops = NULL;
-    if (ops != NULL) {
-        ops->disconnected(x->data);
-    }
+    return ops != NULL ? ops->disconnected(x->data, end) : GGW_OUTCOME_NOT_RUN;
 }
 
 static void
@@ -63,7 +70,7 @@
     if (h2o_linklist_is_linked(&x->link)) {
         h2o_linklist_unlink(&x->link);
     }
-    notify_disconnected(x);
+    notify_disconnected(x, GGW_EXCHANGE_CLIENT_LEFT);
     if (x->conn != NULL) {
         ggw_connection_request_done(x->conn);
     }
@@ -90,7 +97,7 @@
     struct ggw_exchange *x = (struct ggw_exchange *)generator;
 
     x->finished = true;
-    notify_disconnected(x);
+    notify_disconnected(x, GGW_EXCHANGE_CLIENT_LEFT);
 }
 
 struct ggw_exchange *
@@ -274,9 +281,10 @@
 }
 
 void
-ggw_exchange_abort(struct ggw_exchange *x, const char *reason)
+ggw_exchange_abort(struct ggw_exchange *x, enum ggw_exchange_end end)
 {
-    notify_disconnected(x);
+    enum ggw_outcome outcome = notify_disconnected(x, end);
+
     x->req->http1_is_persistent = 0;
     if (x->sending) {
         /* The write in progress now fails, and h2o closes the connection. */
@@ -290,6 +298,7 @@
         ggw_exchange_truncate(x);
     }
     else {
-        ggw_exchange_refuse(x, 503, reason, GGW_OUTCOME_UNKNOWN, 0);
+        ggw_exchange_refuse(x, ggw_refusal_status(outcome), end_reasons[end],
+                            outcome, 0);
     }
 }
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -16,15 +16,27 @@
 struct ggw_listener;
 struct ggw_connection;
 
+/**
+ * enum ggw_exchange_end - why an exchange ends before its response is complete
+ * @GGW_EXCHANGE_CLIENT_LEFT: the client has disconnected
+ * @GGW_EXCHANGE_STOPPING: the gateway stops
+ */
+enum ggw_exchange_end {
+    GGW_EXCHANGE_CLIENT_LEFT,
+    GGW_EXCHANGE_STOPPING,
+};
+
 /**
  * struct ggw_exchange_ops - callbacks of an exchange
  * @proceed: the bytes of the previous ggw_exchange_send() have been written
- * @disconnected: the client has disconnected; the exchange must not be used
- *                afterwards
+ * @disconnected: the exchange ends before its response is complete: the client
+ *                has disconnected, or the gateway stops. Returns what is known
+ *                of the request's execution. The exchange must not be used
+ *                afterwards.
  */
 struct ggw_exchange_ops {
     void (*proceed)(void *data);
-    void (*disconnected)(void *data);
+    enum ggw_outcome (*disconnected)(void *data, enum ggw_exchange_end end);
 };
 
 /**
@@ -167,11 +179,11 @@
 /**
  * ggw_exchange_abort() - end an exchange in any state and close its connection
  * @x: the exchange
- * @reason: reason of the 503 response that is sent if no response has started
+ * @end: why; also the reason in the response that is sent if none has started
  *
- * Reports a disconnected client to the callbacks.
+ * Runs ops->disconnected, whose result decides the status of that response.
  */
-void ggw_exchange_abort(struct ggw_exchange *x, const char *reason);
+void ggw_exchange_abort(struct ggw_exchange *x, enum ggw_exchange_end end);
 
 /**
  * ggw_status_text() - get the reason phrase of a status code
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -243,9 +243,8 @@
 
     a->has_head = true;
     a->status = head->status;
-    a->misdirected = dialect->misdirected != NULL &&
-                     dialect->misdirected(head->status, head->headers,
-                                          head->headers_len, a->vm);
+    a->misdirected =
+        dialect->misdirected != NULL && dialect->misdirected(head->status);
     if (!a->misdirected) {
         a->report = dialect->load(head->headers, head->headers_len);
     }
--- a/proxy/dialect.h
+++ b/proxy/dialect.h
@@ -30,9 +30,11 @@
  *                     forwarded
  * @retry_after_decimals: number of decimals in Retry-After, which is in s
  * @not_run: whether a response proves that the request did not run
- * @misdirected: whether the response comes from another server, which has
- *               taken over the address of the intended server and did not run
- *               the request; NULL: servers keep their addresses
+ * @misdirected: whether the response proves that it comes from another server,
+ *               which has taken over the address of the intended server and
+ *               did not run the request; NULL: servers keep their addresses
+ * @probe_misdirected: whether the response to a probe comes from another
+ *                     server; NULL: servers keep their addresses
  * @load: parses the load report of a response
  * @probe_load: parses the load report of the response to a probe
  *
@@ -50,8 +52,9 @@
     const char *const *stripped_prefixes;
     int retry_after_decimals;
     bool (*not_run)(int status, const h2o_header_t *headers, size_t len);
-    bool (*misdirected)(int status, const h2o_header_t *headers, size_t len,
-                        const char *server);
+    bool (*misdirected)(int status);
+    bool (*probe_misdirected)(int status, const h2o_header_t *headers,
+                              size_t len, const char *server);
     struct ggw_load_report (*load)(const h2o_header_t *headers, size_t len);
     struct ggw_load_report (*probe_load)(const h2o_header_t *headers,
                                          size_t len);
--- a/proxy/events.c
+++ b/proxy/events.c
@@ -32,6 +32,7 @@
 static struct ggw_log_event response = ROUTINE("response");
 static struct ggw_log_event refused = IMPORTANT("refused");
 static struct ggw_log_event client_left = ROUTINE("client_left");
+static struct ggw_log_event cut = IMPORTANT("cut");
 
 struct request_id_text {
     char text[64];
@@ -152,10 +153,12 @@
 }
 
 void
-ggw_proxy_log_client_left(const struct ggw_request *r)
+ggw_proxy_log_disconnected(const struct ggw_request *r,
+                           enum ggw_exchange_end end, enum ggw_outcome outcome)
 {
-    ggw_log_event(&client_left,
-                  "id=%s kind=%s service=%s attempts=%d age=%.1f",
+    ggw_log_event(end == GGW_EXCHANGE_STOPPING ? &cut : &client_left,
+                  "id=%s kind=%s service=%s outcome=%s attempts=%d age=%.1f",
                   request_id(r).text, r->kind->name, r->rule->name,
-                  r->retry.attempts, request_now(r) - r->received);
+                  ggw_outcome_name(outcome), r->retry.attempts,
+                  request_now(r) - r->received);
 }
--- a/proxy/events.h
+++ b/proxy/events.h
@@ -36,7 +36,12 @@
                            const char *reason, enum ggw_outcome outcome,
                            ggw_ms retry_after);
 
-/* The client disconnected before it had its response. */
-void ggw_proxy_log_client_left(const struct ggw_request *r);
+/*
+ * The client disconnected before it had its response, or the request was cut
+ * because the gateway stops.
+ */
+void ggw_proxy_log_disconnected(const struct ggw_request *r,
+                                enum ggw_exchange_end end,
+                                enum ggw_outcome outcome);
 
 #endif
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -44,9 +44,9 @@
     struct probe *p = data;
     const struct ggw_dialect *dialect = p->proxy->options.dialect;
 
-    p->misdirected = dialect->misdirected != NULL &&
-                     dialect->misdirected(head->status, head->headers,
-                                          head->headers_len, p->vm);
+    p->misdirected = dialect->probe_misdirected != NULL &&
+                     dialect->probe_misdirected(head->status, head->headers,
+                                                head->headers_len, p->vm);
     p->report = dialect->probe_load(head->headers, head->headers_len);
 }
 
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -3,6 +3,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "decide/promise.h"
 #include "proxy/events.h"
 #include "proxy/headers.h"
 #include "proxy/route.h"
@@ -489,36 +490,58 @@
     }
 }
 
+static enum ggw_attempt_stage
+attempt_stage(const struct ggw_attempt *a)
+{
+    if (a == NULL) {
+        return GGW_STAGE_NONE;
+    }
+    if (a->call == NULL || !ggw_call_is_sent(a->call)) {
+        return GGW_STAGE_UNSENT;
+    }
+    return a->shed ? GGW_STAGE_SHED : GGW_STAGE_SENT;
+}
+
+/* What is known of the request if it ends now. */
+static enum ggw_outcome
+known_outcome(const struct ggw_request *r)
+{
+    const enum ggw_attempt_stage stages[] = {
+        attempt_stage(r->attempts[0]),
+        attempt_stage(r->attempts[1]),
+    };
+
+    return ggw_known_outcome(r->unknown_status != 0, stages,
+                             G_N_ELEMENTS(stages));
+}
+
 /*
- * Handles a client that has disconnected. A request that must not be repeated
- * and was sent continues, so that its result becomes known; everything else is
- * cancelled.
+ * Ends a request that must not be repeated and whose client has disconnected.
+ * If it was sent, it continues so that its result becomes known.
  */
 static void
-on_client_disconnected(void *data)
+leave_order(struct ggw_request *r)
 {
-    struct ggw_request *r = data;
-
-    r->exchange = NULL;
-    ggw_proxy_log_client_left(r);
-    ggw_count("ggw_clients_left_total");
-    if (r->kind->idempotency != GGW_IDEMPOTENT) {
-        if (r->attempts[0] != NULL && !r->attempts[0]->ended) {
-            ggw_attempt_pump(r->attempts[0]);
-            return;
-        }
-        if (r->attempts[0] != NULL) {
-            ggw_attempt_cancel(r->attempts[0]); /* already complete */
-            ggw_request_free_if_unused(r);
-            return;
-        }
-        if (r->claim_tag != 0) {
-            return;
-        }
-        ggw_request_stop_waiting(r);
-        finish(r, 503, "client-left", 0);
+    if (r->attempts[0] != NULL && !r->attempts[0]->ended) {
+        ggw_attempt_pump(r->attempts[0]);
         return;
     }
+    if (r->attempts[0] != NULL) {
+        ggw_attempt_cancel(r->attempts[0]); /* already complete */
+        ggw_request_free_if_unused(r);
+        return;
+    }
+    if (r->claim_tag != 0) {
+        return;
+    }
+    ggw_request_stop_waiting(r);
+    finish(r, 503, "client-left", 0);
+}
+
+/* Ends a request that may be repeated and whose client has disconnected. */
+static void
+cancel_request(struct ggw_request *r)
+{
     if (!r->responded) {
         ggw_request_count_outcome(r, GGW_OUTCOME_UNKNOWN, "client-left");
     }
@@ -532,9 +555,29 @@
     ggw_request_free_if_unused(r);
 }
 
+/* Handles the end of the exchange before its response is complete. */
+static enum ggw_outcome
+on_disconnected(void *data, enum ggw_exchange_end end)
+{
+    struct ggw_request *r = data;
+    enum ggw_outcome outcome = known_outcome(r);
+
+    r->exchange = NULL;
+    ggw_proxy_log_disconnected(r, end, outcome);
+    ggw_count(end == GGW_EXCHANGE_STOPPING ? "ggw_requests_cut_total"
+                                           : "ggw_clients_left_total");
+    if (r->kind->idempotency != GGW_IDEMPOTENT) {
+        leave_order(r);
+    }
+    else {
+        cancel_request(r);
+    }
+    return outcome;
+}
+
 static const struct ggw_exchange_ops exchange_ops = {
     .proceed = on_proceed,
-    .disconnected = on_client_disconnected,
+    .disconnected = on_disconnected,
 };
 
 /*
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -605,14 +605,20 @@
 }
 
 static bool
-is_other_server(int status, const h2o_header_t *headers, size_t len,
-                const char *server)
+is_other_server(int status)
+{
+    return status == 421;
+}
+
+static bool
+is_other_probed_server(int status, const h2o_header_t *headers, size_t len,
+                       const char *server)
 {
     return status == 421;
 }
 
 static struct env *
-start(ggw_ms max_age, ggw_ms drain)
+start(ggw_ms max_age, ggw_ms drain, bool half_close_disconnects)
 {
     struct env *env = g_new0(struct env, 1);
     static struct ggw_dialect dialect;
@@ -627,10 +633,12 @@
         .progress_timeout = 300,
         .leave_accept = max_age + 500,
         .dialect = &dialect,
+        .half_close_disconnects = half_close_disconnects,
     };
 
     dialect = ggw_default_dialect;
     dialect.misdirected = is_other_server;
+    dialect.probe_misdirected = is_other_probed_server;
 
     pthread_mutex_init(&env->lock, NULL);
     pthread_cond_init(&env->changed, NULL);
@@ -676,13 +684,14 @@
 struct env *
 env_start_bare(ggw_ms max_age)
 {
-    return start(max_age, 5000);
+    return start(max_age, 5000, false);
 }
 
-struct env *
-env_start(ggw_ms timeout, ggw_ms max_age, ggw_ms drain)
+static struct env *
+start_ready(ggw_ms timeout, ggw_ms max_age, ggw_ms drain,
+            bool half_close_disconnects)
 {
-    struct env *env = start(max_age, drain);
+    struct env *env = start(max_age, drain, half_close_disconnects);
     struct ggw_tree *tree = env_tree(7, timeout, "fd-out");
     bool ready = false;
 
@@ -698,6 +707,18 @@
     return env;
 }
 
+struct env *
+env_start(ggw_ms timeout, ggw_ms max_age, ggw_ms drain)
+{
+    return start_ready(timeout, max_age, drain, false);
+}
+
+struct env *
+env_start_half_close(ggw_ms timeout, ggw_ms max_age, ggw_ms drain)
+{
+    return start_ready(timeout, max_age, drain, true);
+}
+
 static void
 post(struct env *env, const char *to, struct ggw_message *message)
 {
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -151,6 +151,9 @@
  */
 struct env *env_start(ggw_ms timeout, ggw_ms max_age, ggw_ms drain);
 
+/* The same; a client that closes its sending side counts as disconnected. */
+struct env *env_start_half_close(ggw_ms timeout, ggw_ms max_age, ggw_ms drain);
+
 /* Starts a gateway without settings. */
 struct env *env_start_bare(ggw_ms max_age);
 
--- /dev/null
+++ b/tests/test_proxy_end.c
@@ -0,0 +1,118 @@
+#include <CUnit/CUnit.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/proxy_env.h"
+#include "tests/suite.h"
+
+/* How requests end when the gateway stops or their client disconnects. */
+
+#define BUFFERED_REQUEST "GET /any HTTP/1.1\r\nHost: kept.example\r\n\r\n"
+#define NO_REPEAT_REQUEST                                                     \
+    "POST /o HTTP/1.1\r\nHost: once.example\r\nContent-Length: 2\r\n\r\nhi"
+
+/* Delay of a server that responds after the gateway has stopped, ms. */
+#define TOO_SLOW_MS 5000
+
+static int
+send_request(struct env *env, const char *request)
+{
+    int fd = env_connect(env);
+
+    CU_ASSERT_EQUAL(write(fd, request, strlen(request)),
+                    (ssize_t)strlen(request));
+    return fd;
+}
+
+/* Whether the response on @fd has this status and outcome. Closes @fd. */
+static bool
+is_refused(int fd, int status, const char *outcome)
+{
+    GString *r = env_read(fd, false);
+    bool ok = env_status(r) == status &&
+              strcmp(env_header_or(r, "greengageway-outcome"), outcome) == 0;
+
+    if (!ok) {
+        printf("expected %d %s, got: %s\n", status, outcome, r->str);
+    }
+    g_string_free(r, TRUE);
+    close(fd);
+    return ok;
+}
+
+/*
+ * Guards against a request that runs at a server when the drain ends and is
+ * answered with 503, so that its client sends it again and it runs twice.
+ */
+static void
+test_running_at_drain_end(void)
+{
+    static const char *const requests[] = {NO_REPEAT_REQUEST,
+                                           BUFFERED_REQUEST};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+        struct env *env = env_start(2 * TOO_SLOW_MS, 100, 100);
+        int fd;
+
+        env->servers[0].script = SCRIPT_SLOW;
+        env->servers[0].delay_ms = TOO_SLOW_MS;
+        fd = send_request(env, requests[i]);
+        CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 1));
+        env_publish(env, ggw_shutdown_new());
+        CU_ASSERT_TRUE(is_refused(fd, 502, "unknown"));
+        CU_ASSERT_TRUE(env_wait_ended(env));
+        env_stop(env);
+    }
+}
+
+/*
+ * Guards against a request that still waits for a server when the drain ends
+ * and is answered as if it might have run, so that its client gives it up.
+ */
+static void
+test_waiting_at_drain_end(void)
+{
+    struct env *env = env_start(2 * TOO_SLOW_MS, 100, 100);
+    int fd;
+
+    env->slots_mode = ENV_HOLD;
+    fd = send_request(env, NO_REPEAT_REQUEST);
+    CU_ASSERT_TRUE(env_wait(env, &env->slot_requests, 1));
+    env_publish(env, ggw_shutdown_new());
+    CU_ASSERT_TRUE(is_refused(fd, 503, "not-run"));
+    CU_ASSERT_TRUE(env_wait_ended(env));
+    env_stop(env);
+}
+
+/*
+ * Guards against a client that closes only its sending side and is told 503
+ * while the request that it sent runs on.
+ */
+static void
+test_half_closed_while_running(void)
+{
+    struct env *env = env_start_half_close(2 * TOO_SLOW_MS, 100, 100);
+    int fd;
+
+    env->servers[0].script = SCRIPT_SLOW;
+    env->servers[0].delay_ms = TOO_SLOW_MS;
+    fd = send_request(env, NO_REPEAT_REQUEST);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 1));
+    shutdown(fd, SHUT_WR);
+    CU_ASSERT_TRUE(is_refused(fd, 502, "unknown"));
+    env_stop(env);
+}
+
+int
+main(void)
+{
+    static CU_TestInfo tests[] = {
+        {"running at drain end", test_running_at_drain_end},
+        {"waiting at drain end", test_waiting_at_drain_end},
+        {"half closed while running", test_half_closed_while_running},
+        CU_TEST_INFO_NULL,
+    };
+
+    return suite_run("proxy_end", tests);
+}
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -330,6 +330,8 @@
     h2o_iovec_t refused = {H2O_STRLIT("Not-Executed")};
     h2o_iovec_t load = {H2O_STRLIT("Instance-Load")};
     h2o_iovec_t cold = {H2O_STRLIT("Cold-Remaining")};
+    h2o_iovec_t name = {H2O_STRLIT("Instance-Id")};
+    h2o_header_t id = {.name = &name, .value = {H2O_STRLIT("i-2")}};
     h2o_header_t headers[] = {
         {.name = &refused, .value = {H2O_STRLIT("1")}},
         {.name = &load, .value = {H2O_STRLIT("3,1,8,400")}},
@@ -341,8 +343,14 @@
     CU_ASSERT_TRUE(ggw_site_dialect.not_run(421, headers + 1, 2));
     CU_ASSERT_FALSE(ggw_site_dialect.not_run(503, headers + 1, 2));
     CU_ASSERT_FALSE(ggw_site_dialect.not_run(200, headers, 3));
-    CU_ASSERT_TRUE(ggw_site_dialect.misdirected(421, headers, 3, "i-1"));
-    CU_ASSERT_FALSE(ggw_site_dialect.misdirected(200, headers, 3, "i-1"));
+    CU_ASSERT_TRUE(ggw_site_dialect.misdirected(421));
+    CU_ASSERT_FALSE(ggw_site_dialect.misdirected(200));
+    CU_ASSERT_FALSE(ggw_site_dialect.misdirected(503));
+    CU_ASSERT_TRUE(ggw_site_dialect.probe_misdirected(421, headers, 3, "i-1"));
+    CU_ASSERT_TRUE(ggw_site_dialect.probe_misdirected(200, &id, 1, "i-1"));
+    CU_ASSERT_FALSE(ggw_site_dialect.probe_misdirected(200, &id, 1, "i-2"));
+    CU_ASSERT_FALSE(
+        ggw_site_dialect.probe_misdirected(200, headers, 3, "i-1"));
     r = ggw_site_dialect.load(headers, 3);
     CU_ASSERT_TRUE(r.present && r.cold_unknown);
     CU_ASSERT_EQUAL(r.busy, 3);
