proxy: a response that nobody waits for is not buffered and is cut at 1 MiB

Cause: an order that was sent continues without its client, and its response was still buffered. on_body() checks the limit of the buffer only while the exchange is there, so that a response without an end grew until the time limit, 5 s after the deadline. On the same question, a refusal or unsigned response whose body never ends was read until that time, and its request was not tried elsewhere meanwhile.

Ruled out: the buffer of the call (bounded, reading pauses), the client's own buffer (it is gone), the store's answers (16 MiB), links of peers (4 MiB).

Change: when the client has left, the head of the response decides (the claim is settled) and the body is dropped. Dropped bodies end after 1 MiB; those of refusals and unsigned responses also after 100 ms. ggw_bodies_cut_total counts them.

Tests: before, test_proxy_end "endless without client" had the connection open after 10 s and more than 16 MiB sent, with the client gone before the head or after it; "endless refusal" got no answer in 10 s for both kinds of request.

--- a/http/client.c
+++ b/http/client.c
@@ -569,6 +569,15 @@
     return call;
 }
 
+void
+ggw_call_limit_body(struct ggw_call *call, ggw_ms limit)
+{
+    call->complete_by = MIN(call->complete_by, now_ms() + limit);
+    if (call->paused_at == 0) {
+        arm_body_timer(call);
+    }
+}
+
 ggw_ms
 ggw_call_latency(const struct ggw_call *call)
 {
--- a/http/client.h
+++ b/http/client.h
@@ -135,6 +135,13 @@
  */
 bool ggw_call_read_body(struct ggw_call *call, h2o_buffer_t **buffer);
 
+/**
+ * ggw_call_limit_body() - shorten the time for the rest of the body
+ * @call: a call whose response head has arrived
+ * @limit: ms from now until the response must be complete
+ */
+void ggw_call_limit_body(struct ggw_call *call, ggw_ms limit);
+
 /**
  * ggw_call_latency() - time from sending the request to the response head
  *
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -29,6 +29,19 @@
  */
 #define SLOW_MIN_MS 200
 
+/*
+ * A body that nobody waits for is read to its end, so that the server is not
+ * interrupted and the connection can be kept. Beyond this many bytes it is cut
+ * off, because it may have no end.
+ */
+#define MAX_DISCARDED_BYTES ((size_t)1024 * 1024)
+
+/*
+ * Time in ms in which the body of a refusal may arrive after its head. The
+ * request is tried elsewhere only afterwards.
+ */
+#define REFUSAL_BODY_MS 100.0
+
 static const char *const result_names[] = {
     [GGW_ATTEMPT_OK] = "ok",
     [GGW_ATTEMPT_ERROR] = "error",
@@ -101,22 +114,54 @@
     attempt_free(a);
 }
 
-/* Drops the body bytes that have arrived. */
+static void on_end(void *data, enum ggw_call_end end);
+
+/* Whether the response is not for the client, whatever its body is. */
+static bool
+is_rejected(const struct ggw_attempt *a)
+{
+    return a->shed || a->signature_missing;
+}
+
+/*
+ * Ends an attempt whose body nobody waits for and that is too long. What the
+ * head says stands.
+ */
+static void
+cut_body(struct ggw_attempt *a)
+{
+    struct ggw_request *r = a->request;
+
+    ggw_count("ggw_bodies_cut_total");
+    if (is_rejected(a)) {
+        on_end(a, GGW_CALL_BROKEN);
+        return;
+    }
+    ggw_attempt_cancel(a);
+    ggw_request_free_if_unused(r);
+}
+
+/* Drops the body bytes that have arrived. May free the attempt. */
 static void
-discard_body(struct ggw_call *call)
+discard_body(struct ggw_attempt *a)
 {
     h2o_buffer_t *buffer;
 
     h2o_buffer_init(&buffer, &h2o_socket_buffer_prototype);
-    while (ggw_call_read_body(call, &buffer)) {
+    while (ggw_call_read_body(a->call, &buffer)) {
+        a->discarded += buffer->size;
         h2o_buffer_consume(&buffer, buffer->size);
     }
     h2o_buffer_dispose(&buffer);
+    if (a->discarded > MAX_DISCARDED_BYTES) {
+        cut_body(a);
+    }
 }
 
 /*
  * Sends the body bytes that have arrived to the client. Frees the attempt once
- * the last byte is sent; drops the bytes if the client has disconnected.
+ * the last byte is sent. Drops the bytes if the client has disconnected, which
+ * may free the attempt, too.
  */
 void
 ggw_attempt_pump(struct ggw_attempt *a)
@@ -125,7 +170,7 @@
     struct ggw_exchange *x = r->exchange;
 
     if (x == NULL || r->winner != a) {
-        discard_body(a->call);
+        discard_body(a);
         return;
     }
     if (x->sending) {
@@ -251,10 +296,14 @@
     a->shed = a->misdirected ||
               dialect->not_run(head->status, head->headers, head->headers_len);
     a->signature_missing = !is_signed(a, head);
-    if (a->shed || a->signature_missing || r->winner != NULL) {
+    if (is_rejected(a)) {
+        ggw_call_limit_body(a->call, REFUSAL_BODY_MS);
         return;
     }
-    if (r->kind->hold_bytes > 0) {
+    if (r->winner != NULL) {
+        return;
+    }
+    if (r->kind->hold_bytes > 0 && r->exchange != NULL) {
         a->buffered = ggw_buffered_response_new(head);
         return;
     }
@@ -316,6 +365,21 @@
                       last);
 }
 
+/*
+ * Handles a client that has disconnected while the attempt continues. Its
+ * response is no longer buffered: only what its head says is of use.
+ */
+void
+ggw_attempt_client_left(struct ggw_attempt *a)
+{
+    if (a->buffered != NULL && a->request->winner == NULL) {
+        select_winner(a, a->status);
+    }
+    ggw_buffered_response_free(a->buffered);
+    a->buffered = NULL;
+    ggw_attempt_pump(a);
+}
+
 static void
 on_body(void *data)
 {
@@ -344,22 +408,22 @@
     if (a->misdirected) {
         return GGW_ATTEMPT_REFUSED;
     }
+    if (a->shed) {
+        return GGW_ATTEMPT_SHED;
+    }
+    if (a->signature_missing) {
+        return GGW_ATTEMPT_BROKEN;
+    }
     switch (end) {
     case GGW_CALL_NOT_SENT:
         return GGW_ATTEMPT_REFUSED;
     case GGW_CALL_TIMED_OUT:
-        return a->shed ? GGW_ATTEMPT_SHED : GGW_ATTEMPT_SILENT;
+        return GGW_ATTEMPT_SILENT;
     case GGW_CALL_BROKEN:
-        return a->shed ? GGW_ATTEMPT_SHED : GGW_ATTEMPT_BROKEN;
+        return GGW_ATTEMPT_BROKEN;
     case GGW_CALL_COMPLETE:
         break;
     }
-    if (a->shed) {
-        return GGW_ATTEMPT_SHED;
-    }
-    if (a->signature_missing) {
-        return GGW_ATTEMPT_BROKEN;
-    }
     return a->status >= 500 ? GGW_ATTEMPT_ERROR : GGW_ATTEMPT_OK;
 }
 
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -523,7 +523,7 @@
 leave_order(struct ggw_request *r)
 {
     if (r->attempts[0] != NULL && !r->attempts[0]->ended) {
-        ggw_attempt_pump(r->attempts[0]);
+        ggw_attempt_client_left(r->attempts[0]);
         return;
     }
     if (r->attempts[0] != NULL) {
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -129,6 +129,7 @@
  * @signature_missing: a success without the server's signature
  * @ended: the call has ended and the slot is released
  * @buffered: response that is buffered until it is complete, or NULL
+ * @discarded: body bytes read that nobody waits for
  */
 struct ggw_attempt {
     struct ggw_request *request;
@@ -146,6 +147,7 @@
     bool signature_missing;
     bool ended;
     struct ggw_buffered_response *buffered;
+    size_t discarded;
 };
 
 /**
@@ -299,6 +301,7 @@
 void ggw_attempt_start(struct ggw_request *r,
                        const struct ggw_slot_grant *grant);
 void ggw_attempt_pump(struct ggw_attempt *a);
+void ggw_attempt_client_left(struct ggw_attempt *a);
 void ggw_attempt_cancel(struct ggw_attempt *a);
 
 /* proxy/proxy.c */
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -172,6 +172,9 @@
     [SCRIPT_INTERIM] =
         {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" SIZED, KEEP},
     [SCRIPT_CLOSED] = {"", KEEP},
+    [SCRIPT_ENDLESS] = {"HTTP/1.1 200 OK\r\n@h\r\n", KEEP},
+    [SCRIPT_SHED_ENDLESS] =
+        {"HTTP/1.1 503 Busy\r\nBackend-Outcome: not-run\r\n@h\r\n", KEEP},
 };
 
 /* Appends what the placeholder @what stands for. */
@@ -241,6 +244,31 @@
     respond(timer->data);
 }
 
+/* Interval in ms and size in bytes of the parts of an endless body. */
+#define ENDLESS_INTERVAL_MS 1
+#define ENDLESS_PART_BYTES 65536
+
+static void
+endless_cb(uv_timer_t *timer)
+{
+    struct connection *c = timer->data;
+    struct env *env = c->server->env;
+    g_autofree char *part = g_strnfill(ENDLESS_PART_BYTES, 'x');
+
+    write_response(c, g_string_new(part), false);
+    pthread_mutex_lock(&env->lock);
+    c->server->body_sent += ENDLESS_PART_BYTES;
+    signal_and_unlock(env);
+}
+
+static void
+respond_endless(struct connection *c)
+{
+    respond(c);
+    uv_timer_start(&c->timer, endless_cb, c->server->delay_ms,
+                   ENDLESS_INTERVAL_MS);
+}
+
 /* Length of the first complete request in the input in bytes, or 0. */
 static size_t
 request_len(const GString *input)
@@ -294,6 +322,10 @@
         if (s->script == SCRIPT_SLOW) {
             uv_timer_start(&c->timer, slow_cb, s->delay_ms, 0);
         }
+        else if (s->script == SCRIPT_ENDLESS ||
+                 s->script == SCRIPT_SHED_ENDLESS) {
+            respond_endless(c);
+        }
         else {
             respond(c);
         }
--- a/tests/test_proxy_end.c
+++ b/tests/test_proxy_end.c
@@ -104,6 +104,63 @@
     env_stop(env);
 }
 
+/*
+ * Most body bytes that a server can send before it sees that the gateway has
+ * closed: what the gateway discards and what the sockets hold.
+ */
+#define MAX_DISCARDED_BYTES (16 * 1024 * 1024)
+
+/*
+ * Guards against a response without an end that is buffered, or read, for an
+ * order whose client has left, until the gateway exceeds its memory.
+ */
+static void
+test_endless_without_client(void)
+{
+    static const unsigned body_delays_ms[] = {0, 200};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(body_delays_ms); i++) {
+        struct env *env = env_start(2 * TOO_SLOW_MS, 100, 100);
+        int fd;
+
+        env->servers[0].script = SCRIPT_ENDLESS;
+        env->servers[0].delay_ms = body_delays_ms[i];
+        fd = send_request(env, NO_REPEAT_REQUEST);
+        CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 1));
+        close(fd);
+        CU_ASSERT_TRUE(env_wait(env, &env->servers[0].closed, 1));
+        CU_ASSERT_TRUE(env->servers[0].body_sent < MAX_DISCARDED_BYTES);
+        CU_ASSERT_TRUE(env_wait_len(env, env->releases, 1));
+        env_stop(env);
+    }
+}
+
+/*
+ * Guards against a refusal of a server whose body never ends and that keeps
+ * its request from being tried elsewhere.
+ */
+static void
+test_endless_refusal(void)
+{
+    static const char *const requests[] = {NO_REPEAT_REQUEST,
+                                           BUFFERED_REQUEST};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+        struct env *env = env_start(2 * TOO_SLOW_MS, 100, 100);
+        GString *r;
+
+        env->servers[0].script = SCRIPT_SHED_ENDLESS;
+        r = env_ask(env, requests[i]);
+        CU_ASSERT_EQUAL(env_status(r), 200);
+        CU_ASSERT_STRING_EQUAL(env_header_or(r, "x-server"), "s1");
+        g_string_free(r, TRUE);
+        CU_ASSERT_EQUAL(env_result(env, 0), GGW_ATTEMPT_SHED);
+        CU_ASSERT_TRUE(env_wait(env, &env->servers[0].closed, 1));
+        CU_ASSERT_TRUE(env->servers[0].body_sent < MAX_DISCARDED_BYTES);
+        env_stop(env);
+    }
+}
+
 int
 main(void)
 {
@@ -111,6 +168,8 @@
         {"running at drain end", test_running_at_drain_end},
         {"waiting at drain end", test_waiting_at_drain_end},
         {"half closed while running", test_half_closed_while_running},
+        {"endless without client", test_endless_without_client},
+        {"endless refusal", test_endless_refusal},
         CU_TEST_INFO_NULL,
     };
 
