http: a connection that is reset behind its bytes has not ended in order

Cause: libuv reports UV_EOF for the hang-up of a socket after a read that returned less than the buffer, whether the peer closed or reset it. report_closed() took every UV_EOF for an orderly end, and that end completes a body without a length.

Ruled out: the framing towards the client (bodies with a length or in chunks break visibly at the same reset), and the relay in the case (the same is seen with one loopback socket in test_call).

Change: at UV_EOF the socket is read once more, which returns 0 only after an orderly end. A write that failed counts as a reset, since it takes the error from the socket; a connection on which one failed is no longer returned to the pool.

Tests: before, test_call "endings" ended with COMPLETE for both resets (expected BROKEN), and test_proxy_kept "failure replaced" handed the cut response on.

--- a/http/conn.c
+++ b/http/conn.c
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "common/metrics.h"
 
@@ -92,6 +93,23 @@
     }
 }
 
+/*
+ * Whether the peer has closed the stream in order. libuv also reports UV_EOF
+ * for a connection that was reset behind the bytes it has read, since it takes
+ * the hang-up for the end; a further read of the socket tells the two apart. A
+ * write that has failed may have taken the error from the socket.
+ */
+static bool
+ended_in_order(const struct ggw_http_conn *conn)
+{
+    char byte;
+    int fd;
+
+    return !conn->write_failed &&
+           uv_fileno((const uv_handle_t *)&conn->tcp, &fd) == 0 &&
+           read(fd, &byte, sizeof(byte)) == 0;
+}
+
 static void
 read_cb(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
 {
@@ -101,7 +119,7 @@
         return;
     }
     if (nread < 0) {
-        report_closed(conn, nread == UV_EOF);
+        report_closed(conn, nread == UV_EOF && ended_in_order(conn));
     }
     else if (conn->idle) {
         close_idle_conn(conn);
@@ -227,7 +245,10 @@
     struct write *w = (struct write *)req;
 
     w->conn->writes--;
-    /* A failed write also ends the stream, which read_cb() reports. */
+    if (status != 0) {
+        /* This also ends the stream, which read_cb() reports. */
+        w->conn->write_failed = true;
+    }
     g_free(w);
 }
 
@@ -241,6 +262,7 @@
     w->conn = conn;
     if (uv_write(&w->req, (uv_stream_t *)&conn->tcp, &buf, 1, write_cb) != 0) {
         g_free(w);
+        conn->write_failed = true;
         uv_timer_start(&conn->idle_timer, report_failure_cb, 0, 0);
         return;
     }
@@ -259,7 +281,8 @@
     if (conn->closing) {
         return;
     }
-    if (conn->writes > 0 || !conn->open || idle_limit <= 0) {
+    if (conn->writes > 0 || conn->write_failed || !conn->open ||
+        idle_limit <= 0) {
         ggw_http_conn_close(conn);
         return;
     }
--- a/http/conn.h
+++ b/http/conn.h
@@ -43,6 +43,7 @@
  * @reading: reading is not paused
  * @closing: ggw_http_conn_close() was called
  * @writes: number of writes in progress
+ * @write_failed: a write has ended with an error
  * @tcp: the socket
  * @idle_timer: closes an idle connection; also reports, from the event loop, a
  *              connect or write that failed at once
@@ -60,6 +61,7 @@
     bool reading;
     bool closing;
     unsigned writes;
+    bool write_failed;
     uv_tcp_t tcp;
     uv_timer_t idle_timer;
     uv_connect_t connect;
@@ -110,8 +112,8 @@
  * @conn: the connection
  * @idle_limit: ms after which the idle connection is closed
  *
- * A connection that is not open, that has a write in progress or for which
- * @idle_limit is not above 0 is closed instead.
+ * A connection that is not open, that has a write in progress or failed, or
+ * for which @idle_limit is not above 0 is closed instead.
  */
 void ggw_http_conn_release(struct ggw_http_conn *conn, ggw_ms idle_limit);
 
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -126,7 +126,8 @@
     enum {
         KEEP,
         CLOSE,
-        RESET
+        RESET, /* without the response */
+        RESET_AFTER
     } after;
 };
 
@@ -150,6 +151,7 @@
     [SCRIPT_SHORT_CHUNK] = {"HTTP/1.1 200 OK\r\n" CHUNKED "@x\r\n@b\r\n",
                             CLOSE},
     [SCRIPT_UNFRAMED] = {"HTTP/1.1 200 OK\r\n@h\r\n@b", CLOSE},
+    [SCRIPT_UNFRAMED_RESET] = {"HTTP/1.1 200 OK\r\n@h\r\n@b", RESET_AFTER},
     [SCRIPT_BOTH_FRAMED] = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" CHUNKED
                             "5\r\nhello\r\n0\r\n\r\n",
                             KEEP},
@@ -236,6 +238,9 @@
         return;
     }
     write_response(c, text, r->after == CLOSE);
+    if (r->after == RESET_AFTER) {
+        conn_reset(c);
+    }
 }
 
 static void
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -29,27 +29,28 @@
     SCRIPT_LATE,     /* 504, Backend-Outcome: not-run */
     SCRIPT_BARE_503, /* 503 without Backend-Outcome */
     SCRIPT_ERROR_500,
-    SCRIPT_RESET,        /* resets the connection without a response */
-    SCRIPT_RESET_HEAD,   /* closes within the head */
-    SCRIPT_LARGE_HEAD,   /* a large head that does not end */
-    SCRIPT_SHORT,        /* closes before Content-Length is reached */
-    SCRIPT_SHORT_CHUNK,  /* chunked; closes before the last chunk */
-    SCRIPT_UNFRAMED,     /* neither Content-Length nor chunked */
-    SCRIPT_BOTH_FRAMED,  /* both Content-Length and Transfer-Encoding */
-    SCRIPT_SILENT,       /* no response */
-    SCRIPT_SILENT_BODY,  /* half of the body, then nothing */
-    SCRIPT_SLOW,         /* 200 after delay_ms */
-    SCRIPT_CHUNKED,      /* 200, chunked, in two chunks */
-    SCRIPT_EXTRA,        /* 200 followed by an unsolicited response */
-    SCRIPT_RIGHT_ID,     /* 200 with the id of the attempt */
-    SCRIPT_WRONG_ID,     /* 200 with the id of another attempt */
-    SCRIPT_NO_BODY,      /* 204 */
-    SCRIPT_HEAD,         /* 200 with Content-Length but no body */
-    SCRIPT_INTERIM,      /* interim response 100, then 200 */
-    SCRIPT_OTHER,        /* 421, from another server at the address */
-    SCRIPT_CLOSED,       /* the connection is refused */
-    SCRIPT_ENDLESS,      /* 200; after delay_ms a body that never ends */
-    SCRIPT_SHED_ENDLESS, /* 503, Backend-Outcome: not-run, endless body */
+    SCRIPT_RESET,          /* resets the connection without a response */
+    SCRIPT_RESET_HEAD,     /* closes within the head */
+    SCRIPT_LARGE_HEAD,     /* a large head that does not end */
+    SCRIPT_SHORT,          /* closes before Content-Length is reached */
+    SCRIPT_SHORT_CHUNK,    /* chunked; closes before the last chunk */
+    SCRIPT_UNFRAMED,       /* neither Content-Length nor chunked */
+    SCRIPT_UNFRAMED_RESET, /* the same, reset right after the body */
+    SCRIPT_BOTH_FRAMED,    /* both Content-Length and Transfer-Encoding */
+    SCRIPT_SILENT,         /* no response */
+    SCRIPT_SILENT_BODY,    /* half of the body, then nothing */
+    SCRIPT_SLOW,           /* 200 after delay_ms */
+    SCRIPT_CHUNKED,        /* 200, chunked, in two chunks */
+    SCRIPT_EXTRA,          /* 200 followed by an unsolicited response */
+    SCRIPT_RIGHT_ID,       /* 200 with the id of the attempt */
+    SCRIPT_WRONG_ID,       /* 200 with the id of another attempt */
+    SCRIPT_NO_BODY,        /* 204 */
+    SCRIPT_HEAD,           /* 200 with Content-Length but no body */
+    SCRIPT_INTERIM,        /* interim response 100, then 200 */
+    SCRIPT_OTHER,          /* 421, from another server at the address */
+    SCRIPT_CLOSED,         /* the connection is refused */
+    SCRIPT_ENDLESS,        /* 200; after delay_ms a body that never ends */
+    SCRIPT_SHED_ENDLESS,   /* 503, Backend-Outcome: not-run, endless body */
 };
 
 /**
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -21,6 +21,7 @@
  * struct server - server that sends the same bytes again and again
  * @first: bytes that it sends once
  * @more: bytes that it sends at each interval
+ * @after: what it does to the connection right after @first
  * @closed: the gateway has closed the connection
  */
 struct server {
@@ -31,6 +32,11 @@
     uint16_t port;
     const char *first;
     const char *more;
+    enum {
+        CONTINUE,
+        CLOSE,
+        RESET
+    } after;
     bool accepted;
     bool closed;
 };
@@ -82,6 +88,23 @@
     send_text(s, s->more);
 }
 
+/*
+ * Closes the connection before the loop runs on, so that the bytes and the end
+ * of the stream reach the gateway together.
+ */
+static void
+end_peer(struct server *s)
+{
+    if (s->after == RESET) {
+        uv_tcp_close_reset(&s->peer, NULL);
+    }
+    else {
+        uv_close((uv_handle_t *)&s->peer, NULL);
+    }
+    s->accepted = false;
+    s->closed = true;
+}
+
 static void
 read_cb(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -93,6 +116,10 @@
     }
     else if (n > 0) {
         send_text(s, s->first);
+        if (s->after != CONTINUE) {
+            end_peer(s);
+            return;
+        }
         uv_timer_start(&s->timer, timer_cb, SEND_INTERVAL, SEND_INTERVAL);
     }
 }
@@ -307,10 +334,63 @@
     stop(&s, pools, &c);
 }
 
+/**
+ * struct ending - how a response ends with its connection
+ * @name: for messages
+ * @text: bytes of the response
+ * @reset: the connection is reset, else closed in order
+ * @end: expected end of the call
+ */
+struct ending {
+    const char *name;
+    const char *text;
+    bool reset;
+    enum ggw_call_end end;
+};
+
+static const struct ending endings[] = {
+    {"body without a length", OK_HEAD "\r\nbody", false, GGW_CALL_COMPLETE},
+    {"empty body without a length", OK_HEAD "\r\n", false, GGW_CALL_COMPLETE},
+    {"reset in a body without a length", OK_HEAD "\r\nbody", true,
+     GGW_CALL_BROKEN},
+    {"reset before a body without a length", OK_HEAD "\r\n", true,
+     GGW_CALL_BROKEN},
+    {"reset after a body with a length",
+     OK_HEAD "content-length: 4\r\n\r\nbody", true, GGW_CALL_COMPLETE},
+};
+
+/*
+ * Guards against a response that is handed on as complete although its
+ * connection was reset behind the bytes: libuv reports both ends alike.
+ */
+static void
+test_endings(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(endings); i++) {
+        const struct ending *e = &endings[i];
+        struct server s;
+        struct caller c;
+        struct ggw_pools *pools;
+
+        server_start(&s, e->text, NULL);
+        s.after = e->reset ? RESET : CLOSE;
+        pools = ggw_pools_new(&s.loop);
+        caller_start(&c, pools, &s, true);
+        run_until_closed(&s, &c);
+        if (c.ended_at == 0 || c.end != e->end) {
+            printf("%s: end %d, ", e->name, (int)c.end);
+        }
+        CU_ASSERT_TRUE(c.ended_at > 0);
+        CU_ASSERT_EQUAL(c.end, e->end);
+        stop(&s, pools, &c);
+    }
+}
+
 int
 main(void)
 {
     static CU_TestInfo tests[] = {
+        {"endings", test_endings},
         {"endless", test_endless},
         {"slow reader", test_slow_reader},
         CU_TEST_INFO_NULL,
--- a/tests/test_proxy_kept.c
+++ b/tests/test_proxy_kept.c
@@ -49,8 +49,9 @@
 test_failure_replaced(void)
 {
     static const enum script scripts[] = {
-        SCRIPT_SHORT, SCRIPT_SHORT_CHUNK, SCRIPT_ERROR_500,   SCRIPT_BARE_503,
-        SCRIPT_RESET, SCRIPT_RESET_HEAD,  SCRIPT_SILENT_BODY,
+        SCRIPT_SHORT,       SCRIPT_SHORT_CHUNK,    SCRIPT_ERROR_500,
+        SCRIPT_BARE_503,    SCRIPT_RESET,          SCRIPT_RESET_HEAD,
+        SCRIPT_SILENT_BODY, SCRIPT_UNFRAMED_RESET,
     };
     struct env *env = env_start(2000, 100, 1000);
 
