http: a connection to a client is closed without cutting its last response

Cause: after a response with "Connection: close", h2o closes the socket as soon as the response is in its buffer. A socket closed with unread input is reset by the system, which drops what the client has not acknowledged. All closes after a response are affected: shutdown, a client that asks for the close, a response without a length, an idle connection closed by the drain while a request crosses it.

Ruled out: the server (it sent the whole response) and the end of the drain (it comes seconds later).

Change: http/linger closes the sending side first, drops input and closes the socket when the client has closed, has acknowledged nothing for 1 s, or after 30 s (200 ms when the process stops). h2o closes its descriptor itself, so the connection keeps a second one. The drain waits for these sockets. The own form of lingering of the gateway's refusals goes. The test fixture closed handles by guessing their type; it now keeps a set of its connections.

Tests: before, test_proxy_end "close with unread request" was reset in all three forms.

--- a/http/connection.c
+++ b/http/connection.c
@@ -1,5 +1,6 @@
 #include "http/connection.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <poll.h>
 #include <string.h>
@@ -17,13 +18,6 @@
 /* The check of idle and slow connections runs once in this many ticks. */
 #define CONNECTION_CHECK_TICKS 5
 
-/*
- * After a refusal, the rest of the request is read and discarded for this
- * time. Closing the connection at once would reset it, and the client could
- * lose the response.
- */
-#define LINGER_MS 1000
-
 /* While draining, a connection is closed after this time without a request. */
 #define DRAIN_IDLE_MS 500
 
@@ -48,12 +42,15 @@
  * @wrapped_reader: h2o's read callback, called by read_cb()
  * @request_started_at: loop time in ms of the first byte of the request that
  *                      is being read, 0 for none
- * @last_read_at: loop time in ms of the last read, or of a refusal
+ * @last_read_at: loop time in ms of the last read
  * @idle_since: loop time in ms of the end of the last request
  * @requests: requests in progress
  * @head_checked: the head of the request that is being read passed the check
- * @refused: a refusal was sent, and further input is discarded
+ * @refused: a refusal was sent, and the connection is to be closed
  * @queued: in the owner's queue @unwrapped
+ * @reset_on_close: the close resets the connection
+ * @linger_fd: second descriptor of the socket, which stays open for a
+ * lingering close when h2o closes its own; -1 for none
  */
 struct ggw_connection {
     h2o_linklist_t link;
@@ -67,6 +64,8 @@
     bool head_checked;
     bool refused;
     bool queued;
+    bool reset_on_close;
+    int linger_fd;
 };
 
 static ggw_ms
@@ -85,9 +84,25 @@
     if (conn->queued) {
         g_queue_remove(&conn->owner->unwrapped, conn);
     }
+    if (conn->linger_fd >= 0) {
+        ggw_lingers_add(&conn->owner->lingers, conn->linger_fd);
+    }
     g_free(conn);
 }
 
+/*
+ * Prepares a lingering close. h2o closes the socket without one, so a second
+ * descriptor keeps it open.
+ */
+static void
+prepare_linger(struct ggw_connection *conn)
+{
+    if (conn->linger_fd < 0 && !conn->reset_on_close) {
+        conn->linger_fd =
+            fcntl(h2o_socket_get_fd(conn->sock), F_DUPFD_CLOEXEC, 0);
+    }
+}
+
 /* Makes h2o close the connection, as if the client had closed it. */
 static void
 close_connection(struct ggw_connection *conn)
@@ -97,9 +112,11 @@
     if (conn->sock->_cb.read == NULL || reader == NULL) {
         return; /* h2o is sending a response */
     }
+    prepare_linger(conn);
     reader(conn->sock, h2o_socket_error_closed);
 }
 
+/* Sends a refusal and closes the connection. */
 static void
 refuse(struct ggw_connection *conn, int status, const char *reason)
 {
@@ -118,14 +135,14 @@
 
     ggw_count(metric);
     conn->refused = true;
-    conn->last_read_at = now_ms(conn->owner);
     /*
      * h2o writes nothing while it reads, so these bytes cannot end up in the
-     * middle of a response.
+     * middle of a response. A full socket means that the client does not read.
      */
-    if (send(fd, text, (size_t)len, MSG_DONTWAIT | MSG_NOSIGNAL) == len) {
-        shutdown(fd, SHUT_WR);
+    if (send(fd, text, (size_t)len, MSG_DONTWAIT | MSG_NOSIGNAL) != len) {
+        ggw_count("ggw_refusals_unsent_total");
     }
+    close_connection(conn);
 }
 
 static int
@@ -182,8 +199,8 @@
         conn->head_checked = verdict == GGW_HEAD_OK;
         status = refusal_status(verdict, &reason);
         if (status != 200) {
-            refuse(conn, status, reason);
             h2o_buffer_consume(&sock->input, sock->input->size);
+            refuse(conn, status, reason);
             return;
         }
     }
@@ -248,10 +265,25 @@
 }
 
 void
-ggw_connection_request_done(struct ggw_connection *conn)
+ggw_connection_reset_on_close(struct ggw_connection *conn)
+{
+    /* Closing a socket with a linger time of 0 resets the connection. */
+    struct linger reset = {.l_onoff = 1};
+
+    conn->reset_on_close = true;
+    setsockopt(h2o_socket_get_fd(conn->sock), SOL_SOCKET, SO_LINGER, &reset,
+               sizeof(reset));
+}
+
+void
+ggw_connection_request_done(struct ggw_connection *conn, bool persistent)
 {
     struct ggw_connections *c = conn->owner;
 
+    if (!persistent) {
+        prepare_linger(conn);
+    }
+
     conn->requests--;
     conn->idle_since = now_ms(c);
     wrap_reader_later(conn);
@@ -268,9 +300,7 @@
                ggw_ms now)
 {
     if (conn->refused) {
-        if (now - conn->last_read_at > LINGER_MS) {
-            close_connection(conn);
-        }
+        close_connection(conn);
         return;
     }
     if (conn->requests > 0 || conn->wrapped_reader == NULL) {
@@ -401,6 +431,7 @@
     h2o_linklist_init_anchor(&c->list);
     g_queue_init(&c->unwrapped);
     h2o_linklist_init_anchor(&c->exchanges);
+    ggw_lingers_init(&c->lingers, loop);
     uv_timer_init(loop, &c->timer);
     uv_prepare_init(loop, &c->prepare);
     c->timer.data = c;
@@ -416,6 +447,7 @@
     conn->owner = c;
     conn->sock = sock;
     conn->idle_since = now_ms(c);
+    conn->linger_fd = -1;
     sock->on_close.cb = close_cb;
     sock->on_close.data = conn;
     h2o_linklist_insert(&c->list, &conn->link);
@@ -434,6 +466,7 @@
         return;
     }
     c->stopped = true;
+    ggw_lingers_stop(&c->lingers);
     link = c->exchanges.next;
     while (link != &c->exchanges) {
         struct ggw_exchange *x =
@@ -453,7 +486,7 @@
             close_connection(conn);
         }
         else {
-            shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+            shutdown(h2o_socket_get_fd(conn->sock), SHUT_WR);
         }
     }
     uv_close((uv_handle_t *)&c->timer, NULL);
--- a/http/connection.h
+++ b/http/connection.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 
 #include "http/exchange.h"
+#include "http/linger.h"
 #include "kernel/clock.h"
 
 /*
@@ -29,6 +30,7 @@
  * @unwrapped: connections whose read callback h2o may have set again, so that
  *             it has to be wrapped again
  * @exchanges: of struct ggw_exchange, requests in progress
+ * @lingers: closed connections whose client may not have its last response yet
  * @keepalive_disabled: connections are closed after their next response
  * @draining: as @keepalive_disabled, and idle connections are closed
  * @half_close_disconnects: a client that closes its sending side counts as
@@ -45,6 +47,7 @@
     h2o_linklist_t list;
     GQueue unwrapped;
     h2o_linklist_t exchanges;
+    struct ggw_lingers lingers;
     bool keepalive_disabled;
     bool draining;
     bool half_close_disconnects;
@@ -78,8 +81,16 @@
 
 /**
  * ggw_connection_request_done() - note that h2o disposes of a request
+ * @persistent: h2o keeps the connection open
  */
-void ggw_connection_request_done(struct ggw_connection *conn);
+void ggw_connection_request_done(struct ggw_connection *conn, bool persistent);
+
+/**
+ * ggw_connection_reset_on_close() - let the close of a connection reset it
+ *
+ * For a response whose body an orderly close would complete.
+ */
+void ggw_connection_reset_on_close(struct ggw_connection *conn);
 
 /**
  * ggw_connection_closes_after_response() - whether to disable keep-alive
--- a/http/exchange.c
+++ b/http/exchange.c
@@ -72,7 +72,7 @@
     }
     notify_disconnected(x, GGW_EXCHANGE_CLIENT_LEFT);
     if (x->conn != NULL) {
-        ggw_connection_request_done(x->conn);
+        ggw_connection_request_done(x->conn, x->req->http1_is_persistent);
     }
     h2o_buffer_dispose(&x->buffer);
 }
@@ -175,14 +175,7 @@
     x->finished = true;
     x->req->http1_is_persistent = 0;
     if (x->req->version < 0x101 && x->req->res.content_length == SIZE_MAX) {
-        /*
-         * An orderly close would mark the end of a complete body, so the
-         * connection is reset instead: closing with a linger time of 0 does
-         * that.
-         */
-        struct linger reset = {.l_onoff = 1};
-
-        setsockopt(x->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        ggw_connection_reset_on_close(x->conn);
     }
     h2o_send(x->req, NULL, 0, H2O_SEND_STATE_ERROR);
 }
--- a/http/listener.c
+++ b/http/listener.c
@@ -228,7 +228,7 @@
 unsigned
 ggw_listener_connections(const struct ggw_listener *l)
 {
-    return l->connections.len;
+    return l->connections.len + l->connections.lingers.len;
 }
 
 /*
--- a/tests/proxy_client.c
+++ b/tests/proxy_client.c
@@ -15,6 +15,12 @@
 
 int
 env_connect(struct env *env)
+{
+    return env_connect_with_window(env, 0);
+}
+
+int
+env_connect_with_window(struct env *env, int bytes)
 {
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port =
@@ -25,6 +31,9 @@
 
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &t, sizeof(t));
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &t, sizeof(t));
+    if (bytes > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
     if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
         close(fd);
         return -1;
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -52,6 +52,7 @@
     if (--c->handles > 0) {
         return;
     }
+    g_hash_table_remove(c->server->env->conns, c);
     g_string_free(c->input, TRUE);
     g_free(c);
 }
@@ -350,6 +351,7 @@
     c->server = s;
     c->input = g_string_new(NULL);
     c->handles = 2;
+    g_hash_table_add(s->env->conns, c);
     uv_tcp_init(stream->loop, &c->tcp);
     uv_timer_init(stream->loop, &c->timer);
     c->tcp.data = c;
@@ -515,23 +517,17 @@
     return true;
 }
 
+/* Closes the listeners of the servers and their connections. */
 static void
-close_conns(uv_handle_t *handle, void *arg)
+close_servers(struct env *env)
 {
-    struct env *env = arg;
-    struct connection *c = handle->data;
+    g_autoptr(GList) conns = g_hash_table_get_keys(env->conns);
 
-    if (handle->type != UV_TCP || c == NULL || uv_is_closing(handle)) {
-        return;
-    }
     for (size_t i = 0; i < ENV_SERVERS; i++) {
-        if ((void *)c == (void *)&env->servers[i]) {
-            uv_close(handle, NULL);
-            return;
-        }
+        uv_close((uv_handle_t *)&env->servers[i].tcp, NULL);
     }
-    if (handle == (uv_handle_t *)&c->tcp) {
-        conn_close(c);
+    for (GList *l = conns; l != NULL; l = l->next) {
+        conn_close(l->data);
     }
 }
 
@@ -541,7 +537,7 @@
     struct env *env = env_of(service, offsetof(struct env, driver));
 
     uv_close((uv_handle_t *)&env->async, NULL);
-    uv_walk(ggw_kernel_loop(env->kernel), close_conns, env);
+    close_servers(env);
 }
 
 static const struct ggw_service_ops driver_ops = {
@@ -680,6 +676,7 @@
     pthread_mutex_init(&env->lock, NULL);
     pthread_cond_init(&env->changed, NULL);
     g_queue_init(&env->posted);
+    env->conns = g_hash_table_new(NULL, NULL);
     env->releases = g_array_new(FALSE, FALSE, sizeof(struct ggw_slot_release));
     env->settles = g_array_new(FALSE, FALSE, sizeof(struct ggw_claim_settle));
     env->probe_results =
@@ -797,6 +794,7 @@
     for (size_t i = 0; i < ENV_SERVERS; i++) {
         g_string_free(env->servers[i].received, TRUE);
     }
+    g_hash_table_destroy(env->conns);
     g_array_free(env->releases, TRUE);
     g_array_free(env->settles, TRUE);
     g_array_free(env->probe_results, TRUE);
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -91,6 +91,7 @@
  * @posted: messages of the test that have not been delivered yet
  * @running: the kernel has started
  * @ended: 1 once the kernel has stopped
+ * @conns: set of the servers' open connections; of the kernel's thread
  * @slots_mode: "slots" grants, refuses with @refusal, or does not answer
  * @next_grant: number of slots granted; also the id of the last grant
  * @releases: array of struct ggw_slot_release
@@ -117,6 +118,7 @@
     int ended;
 
     struct env_server servers[ENV_SERVERS];
+    GHashTable *conns;
     enum {
         ENV_GRANT,
         ENV_REFUSE,
@@ -187,6 +189,9 @@
 /* Opens a connection to the gateway; -1 on error. */
 int env_connect(struct env *env);
 
+/* The same with a receive buffer of @bytes; 0 for the usual size. */
+int env_connect_with_window(struct env *env, int bytes);
+
 /* Reads one complete response, or until the connection ends if @to_end. */
 GString *env_read(int fd, bool to_end);
 
--- a/tests/test_proxy_end.c
+++ b/tests/test_proxy_end.c
@@ -161,6 +161,99 @@
     }
 }
 
+/* Size in bytes of a response, and of the receive buffer of a slow client. */
+#define LARGE_BYTES 30000
+#define SMALL_WINDOW_BYTES 8192
+
+/**
+ * struct ending - how a connection with an unread request is closed
+ * @script: script of the server
+ * @request: the first request
+ * @leaving: the gateway shuts down in the meantime
+ */
+struct ending {
+    enum script script;
+    const char *request;
+    bool leaving;
+};
+
+/* Connects with a small receive buffer. */
+static int
+connect_slowly(struct env *env)
+{
+    int fd = env_connect_with_window(env, SMALL_WINDOW_BYTES);
+
+    CU_ASSERT_TRUE(fd >= 0);
+    return fd;
+}
+
+/* Waits until the event loop of the gateway has had a turn. */
+static void
+wait_for_turn(struct env *env)
+{
+    GString *r = env_ask(env, "GET /-/health HTTP/1.1\r\nHost: h\r\n\r\n");
+
+    g_string_free(r, TRUE);
+}
+
+/*
+ * Sends a request, and a further one that the gateway leaves unread because it
+ * closes the connection after the first response. Returns the size of the body
+ * that the client gets, or -1 if its connection is reset.
+ */
+static int
+body_before_unread(const struct ending *e)
+{
+    struct env *env = env_start(2 * TOO_SLOW_MS, 1000, 3000);
+    g_autofree char *body = g_strnfill(LARGE_BYTES, 'x');
+    int fd = connect_slowly(env);
+    GString *r;
+    size_t len;
+    bool in_order;
+
+    env->servers[0].body = body;
+    env->servers[0].body_len = LARGE_BYTES;
+    env->servers[0].script = e->script;
+    env->servers[0].delay_ms = 100;
+    CU_ASSERT_TRUE(write(fd, e->request, strlen(e->request)) > 0);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 1));
+    if (e->leaving) {
+        env_publish(env, ggw_shutdown_new());
+    }
+    CU_ASSERT_TRUE(write(fd, BUFFERED_REQUEST, strlen(BUFFERED_REQUEST)) > 0);
+    CU_ASSERT_TRUE(env_wait_len(env, env->releases, 1));
+    wait_for_turn(env);
+    wait_for_turn(env);
+    r = env_read(fd, true);
+    in_order = recv(fd, &len, 1, 0) == 0;
+    env_body(r, &len);
+    g_string_free(r, TRUE);
+    close(fd);
+    env_stop(env);
+    return in_order ? (int)len : -1;
+}
+
+/*
+ * Guards against a response that is cut by a reset because the gateway closes
+ * the connection while a further request lies unread in its socket.
+ */
+static void
+test_close_with_unread_request(void)
+{
+    static const struct ending endings[] = {
+        {SCRIPT_SLOW, BUFFERED_REQUEST, true},
+        {SCRIPT_SLOW,
+         "GET /any HTTP/1.1\r\nHost: kept.example\r\nConnection: close\r\n"
+         "\r\n",
+         false},
+        {SCRIPT_UNFRAMED, BUFFERED_REQUEST, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(endings); i++) {
+        CU_ASSERT_EQUAL(body_before_unread(&endings[i]), LARGE_BYTES);
+    }
+}
+
 int
 main(void)
 {
@@ -170,6 +263,7 @@
         {"half closed while running", test_half_closed_while_running},
         {"endless without client", test_endless_without_client},
         {"endless refusal", test_endless_refusal},
+        {"close with unread request", test_close_with_unread_request},
         CU_TEST_INFO_NULL,
     };
 
