http: a response without a length that is cut does not look complete

Callers saw: 200 and a part of a body without a length, then an orderly end, when the drain ended while the response was being sent or when the client had not read for 30 s.

Cause: ggw_exchange_abort() ends a response that is being sent by shutdown(), which is the end of such a body. ggw_exchange_truncate() resets the connection for this reason.

Change: both mark the connection to be reset when it is closed.

Test: before, test_proxy_end "cut without length" read an orderly end; after, ECONNRESET.

--- a/http/exchange.c
+++ b/http/exchange.c
@@ -161,6 +161,23 @@
              last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
 
+/* Whether an orderly close of the connection completes the body. */
+static bool
+is_completed_by_close(const struct ggw_exchange *x)
+{
+    return x->started && x->req->version < 0x101 &&
+           x->req->res.content_length == SIZE_MAX;
+}
+
+/* Lets the close of the connection show that the response is incomplete. */
+static void
+mark_incomplete(struct ggw_exchange *x)
+{
+    if (is_completed_by_close(x)) {
+        ggw_connection_reset_on_close(x->conn);
+    }
+}
+
 void
 ggw_exchange_truncate(struct ggw_exchange *x)
 {
@@ -174,9 +191,7 @@
     }
     x->finished = true;
     x->req->http1_is_persistent = 0;
-    if (x->req->version < 0x101 && x->req->res.content_length == SIZE_MAX) {
-        ggw_connection_reset_on_close(x->conn);
-    }
+    mark_incomplete(x);
     h2o_send(x->req, NULL, 0, H2O_SEND_STATE_ERROR);
 }
 
@@ -282,6 +297,7 @@
     if (x->sending) {
         /* The write in progress now fails, and h2o closes the connection. */
         x->truncate_pending = !x->finished;
+        mark_incomplete(x);
         shutdown(x->fd, SHUT_RDWR);
     }
     else if (x->finished) {
--- a/tests/test_proxy_end.c
+++ b/tests/test_proxy_end.c
@@ -1,4 +1,5 @@
 #include <CUnit/CUnit.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -254,6 +255,39 @@
     }
 }
 
+/* Size in bytes of a response that the sockets cannot hold. */
+#define HUGE_BYTES (16 * 1024 * 1024)
+
+/*
+ * Guards against a response without a length that looks complete because its
+ * connection is closed in order when the drain ends, or when its client has
+ * not read for too long.
+ */
+static void
+test_cut_without_length(void)
+{
+    struct env *env = env_start(2 * TOO_SLOW_MS, 100, 300);
+    g_autofree char *body = g_strnfill(HUGE_BYTES, 'x');
+    int fd = connect_slowly(env);
+    ssize_t n;
+
+    env->servers[0].body = body;
+    env->servers[0].body_len = HUGE_BYTES;
+    env->servers[0].script = SCRIPT_UNFRAMED;
+    CU_ASSERT_TRUE(write(fd, BUFFERED_REQUEST, strlen(BUFFERED_REQUEST)) > 0);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 1));
+    env_publish(env, ggw_shutdown_new());
+    CU_ASSERT_TRUE(env_wait_ended(env));
+    do {
+        char buf[65536];
+
+        n = recv(fd, buf, sizeof(buf), 0);
+    } while (n > 0);
+    CU_ASSERT_TRUE(n < 0 && errno == ECONNRESET);
+    close(fd);
+    env_stop(env);
+}
+
 int
 main(void)
 {
@@ -264,6 +298,7 @@
         {"endless without client", test_endless_without_client},
         {"endless refusal", test_endless_refusal},
         {"close with unread request", test_close_with_unread_request},
+        {"cut without length", test_cut_without_length},
         CU_TEST_INFO_NULL,
     };
 
