platform: odd entries, keys and times of other writers name no server and stop nothing

Cause: one key that jansson refuses (NUL character, unpaired surrogate, bytes that are not UTF-8) makes the whole answer of the store unreadable, again at each try. Keys became ids without a check and are written into a header. The relay cut values at a NUL byte which the reader of the store refuses. Times had no upper bound; an infinite one cannot be carried by a frame, so that the owner never got the report. The number of rows of a frame was bounded, not their size.

Ruled out, by test: an end of the process, and harm by deep nesting, ports out of range or integers too large in a value, which are refused one entry at a time.

--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -1,4 +1,5 @@
 #include <CUnit/CUnit.h>
+#include <math.h>
 #include <signal.h>
 #include <string.h>
 
@@ -69,6 +70,15 @@
     if (message->ops == &ggw_peer_send_ops && m->type == GGW_PEER_ROWS) {
         g_ptr_array_add(current_node->sent, g_bytes_ref(m->payload));
     }
+    else if (message->ops == &ggw_peer_send_ops &&
+             m->type == GGW_PEER_ROWS_DEFLATED) {
+        GBytes *inflated = ggw_relay_inflate(m->payload);
+
+        CU_ASSERT_PTR_NOT_NULL(inflated);
+        if (inflated != NULL) {
+            g_ptr_array_add(current_node->sent, inflated);
+        }
+    }
     else if (message->ops == &ggw_peer_send_ops &&
              m->type == GGW_PEER_ROWS_GET) {
         g_free(current_node->source);
@@ -223,6 +233,49 @@
     node_stop(n);
 }
 
+/*
+ * Guards against a gateway that ends, or stops following the table, because
+ * another writer left odd entries, and against their use as servers.
+ */
+static void
+test_odd_entries(void)
+{
+    static const char *const odd[] = {
+        "servers/deep",  "servers/port",       "servers/number",
+        "servers/text",  "servers/with space", "servers/new\nline",
+        "servers/nested"};
+    g_autofree char *deep = g_strnfill(40000, '[');
+    g_autofree char *nested = g_strconcat("{\"Service\":", deep, NULL);
+    const char *const values[] = {
+        deep,
+        "{\"Service\":\"s\",\"Address\":\"10.128.0.9:99999\",\"Zone\":"
+        "\"a\",\"Slots\":2,\"State\":\"ready\",\"ColdLeftMs\":0}",
+        "{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":"
+        "\"a\",\"Slots\":1e400,\"State\":\"ready\",\"ColdLeftMs\":0}",
+        "\x01\xff",
+        ENTRY,
+        ENTRY,
+        nested};
+    struct node *n;
+
+    write_row("servers/i-1", ENTRY);
+    write_row(odd[0], values[0]);
+    n = node_start(store.port);
+    CU_ASSERT_TRUE(run_until(n, has_one_server));
+    for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+        write_row(odd[i], values[i]);
+    }
+    write_row("servers/i-2", ENTRY);
+    CU_ASSERT_TRUE(run_until(n, has_two_servers));
+    write_row("servers/i-1", NULL);
+    CU_ASSERT_TRUE(run_until(n, has_one_server));
+    write_row("servers/i-2", NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+        write_row(odd[i], NULL);
+    }
+    node_stop(n);
+}
+
 /* Guards against missing changes that the store has compacted. */
 static void
 test_history_lost(void)
@@ -333,6 +386,24 @@
     node_stop(n);
 }
 
+/*
+ * Guards against rows that are refused because their sender has not called the
+ * store itself, so that its uptime of the store is infinite.
+ */
+static void
+test_unknown_uptime(void)
+{
+    g_autoptr(GPtrArray) rows = g_ptr_array_new();
+    struct ggw_relay_frame out = {.delta = {.table = "op", .rows = rows},
+                                  .store_uptime = INFINITY};
+    struct ggw_relay_frame in;
+    g_autoptr(GBytes) payload = ggw_relay_pack(&out, 0, 0);
+
+    CU_ASSERT_TRUE(ggw_relay_unpack(payload, &in));
+    CU_ASSERT_TRUE(in.store_uptime > 1e9);
+    ggw_relay_clear(&in);
+}
+
 /* Guards against rows that encoding and decoding a frame changes. */
 static void
 test_frames(void)
@@ -826,6 +897,58 @@
     node_stop(n);
 }
 
+/* Number of large rows, and the size of each in bytes. */
+#define LARGE_ROWS 60
+#define LARGE_ROW_BYTES 48000
+
+static bool
+has_sent_all_rows(const struct node *n)
+{
+    guint rows = 0;
+
+    for (guint i = 0; i < n->sent->len; i++) {
+        GBytes *payload = g_ptr_array_index(n->sent, i);
+        struct ggw_relay_frame frame;
+
+        if (ggw_relay_unpack(payload, &frame) && frame.snapshot &&
+            g_bytes_get_size(payload) < GGW_FRAME_MAX) {
+            rows += frame.delta.rows->len;
+        }
+        ggw_relay_clear(&frame);
+    }
+    return rows == LARGE_ROWS;
+}
+
+/*
+ * Guards against large entries that make a frame with many rows exceed the
+ * limit of a frame, so that gateways that start get no rows from others.
+ */
+static void
+test_large_entries(void)
+{
+    g_autofree char *filler = g_strnfill(LARGE_ROW_BYTES, 'x');
+    struct node *n;
+
+    for (int i = 0; i < LARGE_ROWS; i++) {
+        g_autofree char *key = g_strdup_printf("servers/large-%d", i);
+
+        write_row(key, filler);
+    }
+    write_row("servers/i-1", ENTRY);
+    n = node_start(store.port);
+    CU_ASSERT_TRUE(run_until(n, has_one_server));
+    write_row("servers/i-1", NULL);
+    CU_ASSERT_TRUE(run_until(n, has_no_server));
+    request_table(n, "servers");
+    CU_ASSERT_TRUE(run_until(n, has_sent_all_rows));
+    for (int i = 0; i < LARGE_ROWS; i++) {
+        g_autofree char *key = g_strdup_printf("servers/large-%d", i);
+
+        write_row(key, NULL);
+    }
+    node_stop(n);
+}
+
 static double
 measure_until(struct node *n, bool (*holds)(const struct node *))
 {
@@ -998,15 +1121,18 @@
 {
     static CU_TestInfo tests[] = {
         {"follow feed", test_follow_feed},
+        {"odd entries", test_odd_entries},
         {"history lost", test_history_lost},
         {"start without store", test_store_unavailable},
         {"outage", test_outage},
         {"frames", test_frames},
+        {"unknown uptime", test_unknown_uptime},
         {"deflated rows", test_deflated},
         {"mutated frames", test_mutated_frames},
         {"large rows", test_large_rows},
         {"rows request", test_rows_request},
         {"request before rows", test_request_before_rows},
+        {"large entries", test_large_entries},
         {"rows from another gateway", test_rows_from_gateway},
         {"mixed snapshots", test_mixed_snapshots},
         {"announced change", test_announced_change},
