proxy: a refusal counts for its own request, and only where it is proved

Callers would have seen (reported by another operator, looked for here): "not run, try again" for a request that a server has run or is running.

Cause: (1) on a kept connection, a second copy of an earlier refusal was taken for the refusal of the next request where the server repeats no ids, and where the same request was tried again at the same server, since all attempts of a routed request have the client's id. Requests that must not be repeated were not affected: they get new connections. (2) A server's own 408, 421, 429 or 503 that does not say "not run" was handed on for a request that must not be repeated; clients of the platform take these statuses as a promise.

Ruled out, by test: copies with another id (recognized before), bytes behind a response or on an idle connection.

Change: a connection is not kept after a refusal without an id; an attempt at a server that the request has tried gets a new connection; an unproved promise is answered 502.

Tests: before, test_proxy_kept "stale refusal" got 503 "not-run" for a request that the server answered, "stale refusal of same request" used one connection for both attempts, and test_proxy_end "promise without proof" got 503. After, all pass. test_call "cut head" and the further cases of "endings" passed before: a head, chunk, trailer or body that is cut is never handed on as whole.

--- a/http/client.c
+++ b/http/client.c
@@ -52,6 +52,7 @@
     bool slow_reported; /* ops->slow was called */
     bool complete;      /* the last byte of the response has arrived */
     bool reading_head;
+    bool id_repeated; /* the response carries the id of the request */
     ggw_ms started_at;
     ggw_ms paused_at;   /* when reading was paused; 0 while reading */
     ggw_ms complete_by; /* end of spec.complete_timeout */
@@ -306,7 +307,7 @@
  * to another one; servers that echo the id make this detectable.
  */
 static bool
-id_matches(const struct ggw_call *call)
+id_matches(struct ggw_call *call)
 {
     const h2o_iovec_t *id = &call->spec.id;
     const char *text;
@@ -318,7 +319,25 @@
     if (text == NULL) {
         return !call->spec.id_required;
     }
-    return strlen(text) == id->len && memcmp(text, id->base, id->len) == 0;
+    call->id_repeated =
+        strlen(text) == id->len && memcmp(text, id->base, id->len) == 0;
+    return call->id_repeated;
+}
+
+/*
+ * Whether the connection may carry another request after this response. If the
+ * server sent a refusal without an id once more, it could not be told from the
+ * refusal of that request, which may run meanwhile.
+ */
+static bool
+may_reuse_connection(const struct ggw_call *call)
+{
+    bool anonymous_refusal = call->spec.id.base != NULL &&
+                             !call->id_repeated &&
+                             call->parser.status_code >= 400;
+
+    return call->keep_alive && !call->spec.new_connection &&
+           !anonymous_refusal;
 }
 
 /*
@@ -478,8 +497,7 @@
          * rest of it is still being sent and the connection is not reusable.
          */
         request_sent = call->conn->writes == 0;
-        keep = call->keep_alive && parsed == len && request_sent &&
-               !call->spec.new_connection;
+        keep = may_reuse_connection(call) && parsed == len && request_sent;
         end_call(call, GGW_CALL_COMPLETE, keep);
     }
     else if (HTTP_PARSER_ERRNO(&call->parser) != HPE_OK) {
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -3,6 +3,7 @@
 
 #include "common/metrics.h"
 #include "decide/limit.h"
+#include "decide/promise.h"
 #include "proxy/events.h"
 #include "proxy/headers.h"
 #include "proxy/state.h"
@@ -120,7 +121,7 @@
 static bool
 is_rejected(const struct ggw_attempt *a)
 {
-    return a->shed || a->signature_missing;
+    return a->shed || a->signature_missing || a->unproven;
 }
 
 /*
@@ -279,6 +280,20 @@
            ggw_headers_has(head->headers, head->headers_len, signature);
 }
 
+/*
+ * Whether a client would send the request again because of this status,
+ * although it may have run.
+ */
+static bool
+is_unproven_promise(const struct ggw_attempt *a)
+{
+    const struct ggw_request *r = a->request;
+
+    return r->proxy->options.dialect->status_promises &&
+           r->kind->idempotency != GGW_IDEMPOTENT &&
+           ggw_status_promises_not_run(a->status) && !a->shed;
+}
+
 static void
 on_head(void *data, const struct ggw_call_head *head)
 {
@@ -296,6 +311,7 @@
     a->shed = a->misdirected ||
               dialect->not_run(head->status, head->headers, head->headers_len);
     a->signature_missing = !is_signed(a, head);
+    a->unproven = is_unproven_promise(a);
     if (is_rejected(a)) {
         ggw_call_limit_body(a->call, REFUSAL_BODY_MS);
         return;
@@ -414,6 +430,9 @@
     if (a->signature_missing) {
         return GGW_ATTEMPT_BROKEN;
     }
+    if (a->unproven) {
+        return GGW_ATTEMPT_ERROR;
+    }
     switch (end) {
     case GGW_CALL_NOT_SENT:
         return GGW_ATTEMPT_REFUSED;
@@ -575,6 +594,19 @@
     return head;
 }
 
+/*
+ * A request that must not be repeated gets a new connection, since it could
+ * not be sent again if an idle connection turned out to be closed. So does one
+ * that the server has refused before: on the kept connection, a second copy of
+ * that refusal could not be told from a refusal of this attempt.
+ */
+static bool
+needs_new_connection(const struct ggw_request *r, const char *server)
+{
+    return r->kind->idempotency != GGW_IDEMPOTENT ||
+           g_strv_contains((const char *const *)r->tried->pdata, server);
+}
+
 /* Sends the request to the backend server that was granted. */
 void
 ggw_attempt_start(struct ggw_request *r, const struct ggw_slot_grant *grant)
@@ -583,11 +615,7 @@
     ggw_ms now = ggw_kernel_now(proxy->base.kernel);
     struct ggw_attempt *a = g_new0(struct ggw_attempt, 1);
     bool hedge = r->attempts[0] != NULL;
-    /*
-     * A request that must not be repeated gets a new connection, since it
-     * could not be sent again if an idle connection turned out to be closed.
-     */
-    bool new_connection = r->kind->idempotency != GGW_IDEMPOTENT;
+    bool new_connection = needs_new_connection(r, grant->vm);
     const struct ggw_dialect *dialect = proxy->options.dialect;
     struct ggw_call_spec spec = {
         .body = r->body,
--- a/proxy/dialect.h
+++ b/proxy/dialect.h
@@ -29,6 +29,9 @@
  * @stripped_prefixes: NULL-terminated prefixes of headers that are not
  *                     forwarded
  * @retry_after_decimals: number of decimals in Retry-After, which is in s
+ * @status_promises: clients take some statuses as proof that the request did
+ * not run (decide/promise.h); otherwise they read the header
+ *                   Greengageway-Outcome
  * @not_run: whether a response proves that the request did not run
  * @misdirected: whether the response proves that it comes from another server,
  *               which has taken over the address of the intended server and
@@ -51,6 +54,7 @@
     const char *signature;
     const char *const *stripped_prefixes;
     int retry_after_decimals;
+    bool status_promises;
     bool (*not_run)(int status, const h2o_header_t *headers, size_t len);
     bool (*misdirected)(int status);
     bool (*probe_misdirected)(int status, const h2o_header_t *headers,
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -127,6 +127,8 @@
  * @shed: the response says that the request did not run
  * @misdirected: another server responded at the address
  * @signature_missing: a success without the server's signature
+ * @unproven: the status would promise the client that the request did not run,
+ *            which the response does not prove
  * @ended: the call has ended and the slot is released
  * @buffered: response that is buffered until it is complete, or NULL
  * @discarded: body bytes read that nobody waits for
@@ -145,6 +147,7 @@
     bool shed;
     bool misdirected;
     bool signature_missing;
+    bool unproven;
     bool ended;
     struct ggw_buffered_response *buffered;
     size_t discarded;
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -18,6 +18,7 @@
  * struct connection - a connection that a scripted server accepted
  * @timer: delay of SCRIPT_SLOW
  * @input: bytes received that no response was sent for
+ * @requests: number of requests received
  * @handles: number of handles that are not closed yet
  */
 struct connection {
@@ -25,6 +26,7 @@
     uv_timer_t timer;
     struct env_server *server;
     GString *input;
+    int requests;
     int handles;
 };
 
@@ -176,6 +178,10 @@
         {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" SIZED, KEEP},
     [SCRIPT_CLOSED] = {"", KEEP},
     [SCRIPT_ENDLESS] = {"HTTP/1.1 200 OK\r\n@h\r\n", KEEP},
+    [SCRIPT_SHED_ID] =
+        {"HTTP/1.1 503 Busy\r\n@iBackend-Outcome: not-run\r\n" SIZED, KEEP},
+    [SCRIPT_STALE_SHED] = {"HTTP/1.1 200 OK\r\n" SIZED, KEEP},
+    [SCRIPT_STALE_SHED_ID] = {"HTTP/1.1 200 OK\r\n" SIZED, KEEP},
     [SCRIPT_SHED_ENDLESS] =
         {"HTTP/1.1 503 Busy\r\nBackend-Outcome: not-run\r\n@h\r\n", KEEP},
 };
@@ -250,6 +256,27 @@
     respond(timer->data);
 }
 
+/* Sends a refusal of an earlier request once more, then the response. */
+static void
+respond_after_stale_refusal(struct connection *c)
+{
+    static const char refusal[] =
+        "HTTP/1.1 503 Busy\r\nBackend-Outcome: not-run\r\n"
+        "Content-Length: 0\r\n\r\n";
+    static const char with_id[] =
+        "HTTP/1.1 503 Busy\r\nBackend-Outcome: not-run\r\n"
+        "Greengageway-Request: gw-1-0\r\nContent-Length: 0\r\n\r\n";
+
+    if (c->requests > 1) {
+        write_response(c,
+                       g_string_new(c->server->script == SCRIPT_STALE_SHED
+                                        ? refusal
+                                        : with_id),
+                       false);
+    }
+    respond(c);
+}
+
 /* Interval in ms and size in bytes of the parts of an endless body. */
 #define ENDLESS_INTERVAL_MS 1
 #define ENDLESS_PART_BYTES 65536
@@ -325,6 +352,7 @@
         g_string_append_len(s->received, c->input->str, (gssize)len);
         pthread_mutex_unlock(&s->env->lock);
         g_string_erase(c->input, 0, (gssize)len);
+        c->requests++;
         if (s->script == SCRIPT_SLOW) {
             uv_timer_start(&c->timer, slow_cb, s->delay_ms, 0);
         }
@@ -332,6 +360,10 @@
                  s->script == SCRIPT_SHED_ENDLESS) {
             respond_endless(c);
         }
+        else if (s->script == SCRIPT_STALE_SHED ||
+                 s->script == SCRIPT_STALE_SHED_ID) {
+            respond_after_stale_refusal(c);
+        }
         else {
             respond(c);
         }
@@ -385,8 +417,9 @@
 pick(struct env *env, char **avoid)
 {
     for (size_t i = 0; i < ENV_SERVERS; i++) {
-        if (avoid == NULL || !g_strv_contains((const char *const *)avoid,
-                                              env->servers[i].name)) {
+        if (avoid == NULL || env->only_first_server ||
+            !g_strv_contains((const char *const *)avoid,
+                             env->servers[i].name)) {
             return &env->servers[i];
         }
     }
@@ -651,7 +684,7 @@
 }
 
 static struct env *
-start(ggw_ms max_age, ggw_ms drain, bool half_close_disconnects)
+start(ggw_ms max_age, ggw_ms drain, bool like_site)
 {
     struct env *env = g_new0(struct env, 1);
     static struct ggw_dialect dialect;
@@ -666,11 +699,12 @@
         .progress_timeout = 300,
         .leave_accept = max_age + 500,
         .dialect = &dialect,
-        .half_close_disconnects = half_close_disconnects,
+        .half_close_disconnects = like_site,
     };
 
     dialect = ggw_default_dialect;
     dialect.misdirected = is_other_server;
+    dialect.status_promises = like_site;
     dialect.probe_misdirected = is_other_probed_server;
 
     pthread_mutex_init(&env->lock, NULL);
@@ -722,10 +756,9 @@
 }
 
 static struct env *
-start_ready(ggw_ms timeout, ggw_ms max_age, ggw_ms drain,
-            bool half_close_disconnects)
+start_ready(ggw_ms timeout, ggw_ms max_age, ggw_ms drain, bool like_site)
 {
-    struct env *env = start(max_age, drain, half_close_disconnects);
+    struct env *env = start(max_age, drain, like_site);
     struct ggw_tree *tree = env_tree(7, timeout, "fd-out");
     bool ready = false;
 
@@ -748,7 +781,7 @@
 }
 
 struct env *
-env_start_half_close(ggw_ms timeout, ggw_ms max_age, ggw_ms drain)
+env_start_like_site(ggw_ms timeout, ggw_ms max_age, ggw_ms drain)
 {
     return start_ready(timeout, max_age, drain, true);
 }
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -50,6 +50,10 @@
     SCRIPT_OTHER,          /* 421, from another server at the address */
     SCRIPT_CLOSED,         /* the connection is refused */
     SCRIPT_ENDLESS,        /* 200; after delay_ms a body that never ends */
+    SCRIPT_SHED_ID,        /* as SCRIPT_SHED, with the id of the attempt */
+    SCRIPT_STALE_SHED,     /* 200; before it, unless the request is the first
+                              of its connection, a refusal without an id */
+    SCRIPT_STALE_SHED_ID,  /* the same with the id of another attempt */
     SCRIPT_SHED_ENDLESS,   /* 503, Backend-Outcome: not-run, endless body */
 };
 
@@ -95,6 +99,7 @@
  * @slots_mode: "slots" grants, refuses with @refusal, or does not answer
  * @next_grant: number of slots granted; also the id of the last grant
  * @releases: array of struct ggw_slot_release
+ * @only_first_server: "slots" grants server s0 even if it is to be avoided
  * @slot_requests: number of SLOT_REQUEST messages
  * @cancels: number of SLOT_CANCEL messages
  * @claims_mode: "claims" answers with @claim_state, or does not answer
@@ -125,6 +130,7 @@
         ENV_HOLD
     } slots_mode;
     enum ggw_slot_refusal refusal;
+    bool only_first_server;
     uint64_t next_grant;
     GArray *releases;
     int slot_requests;
@@ -158,8 +164,11 @@
  */
 struct env *env_start(ggw_ms timeout, ggw_ms max_age, ggw_ms drain);
 
-/* The same; a client that closes its sending side counts as disconnected. */
-struct env *env_start_half_close(ggw_ms timeout, ggw_ms max_age, ggw_ms drain);
+/*
+ * The same; a client that closes its sending side counts as disconnected, and
+ * clients take statuses as promises.
+ */
+struct env *env_start_like_site(ggw_ms timeout, ggw_ms max_age, ggw_ms drain);
 
 /* Starts a gateway without settings. */
 struct env *env_start_bare(ggw_ms max_age);
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -46,12 +46,14 @@
  * @end: how it ended
  * @ended_at: when it ended, monotonic ms; 0 while it runs
  * @body_bytes: body bytes read
+ * @has_head: the head of the response was reported
  */
 struct caller {
     struct ggw_call *call;
     enum ggw_call_end end;
     ggw_ms ended_at;
     size_t body_bytes;
+    bool has_head;
     bool reads_body;
 };
 
@@ -178,6 +180,9 @@
 static void
 on_head(void *data, const struct ggw_call_head *head)
 {
+    struct caller *c = data;
+
+    c->has_head = true;
 }
 
 static void
@@ -334,6 +339,35 @@
     stop(&s, pools, &c);
 }
 
+static const char whole_head[] =
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nattempt-id: i-1\r\n"
+    "content-length: 4\r\n\r\n";
+
+/*
+ * Guards against a server that stops anywhere in the head of its response and
+ * closes, and whose response is handed on with an empty or short body.
+ */
+static void
+test_cut_head(void)
+{
+    for (size_t len = 0; len < sizeof(whole_head) - 1; len++) {
+        g_autofree char *text = g_strndup(whole_head, len);
+        struct server s;
+        struct caller c;
+        struct ggw_pools *pools;
+
+        server_start(&s, text, NULL);
+        s.after = CLOSE;
+        pools = ggw_pools_new(&s.loop);
+        caller_start(&c, pools, &s, true);
+        run_until_closed(&s, &c);
+        CU_ASSERT_TRUE(c.ended_at > 0);
+        CU_ASSERT_EQUAL(c.end, GGW_CALL_BROKEN);
+        CU_ASSERT_FALSE(c.has_head);
+        stop(&s, pools, &c);
+    }
+}
+
 /**
  * struct ending - how a response ends with its connection
  * @name: for messages
@@ -355,6 +389,14 @@
      GGW_CALL_BROKEN},
     {"reset before a body without a length", OK_HEAD "\r\n", true,
      GGW_CALL_BROKEN},
+    {"chunks without the last one", CHUNKED_HEAD "4\r\nbody\r\n", false,
+     GGW_CALL_BROKEN},
+    {"chunks without the last line", CHUNKED_HEAD "4\r\nbody\r\n0\r\n", false,
+     GGW_CALL_BROKEN},
+    {"cut trailer", CHUNKED_HEAD "4\r\nbody\r\n0\r\na: b\r\n", false,
+     GGW_CALL_BROKEN},
+    {"cut body with a length", OK_HEAD "content-length: 5\r\n\r\nbody", false,
+     GGW_CALL_BROKEN},
     {"reset after a body with a length",
      OK_HEAD "content-length: 4\r\n\r\nbody", true, GGW_CALL_COMPLETE},
 };
@@ -390,9 +432,8 @@
 main(void)
 {
     static CU_TestInfo tests[] = {
-        {"endings", test_endings},
-        {"endless", test_endless},
-        {"slow reader", test_slow_reader},
+        {"cut head", test_cut_head}, {"endings", test_endings},
+        {"endless", test_endless},   {"slow reader", test_slow_reader},
         CU_TEST_INFO_NULL,
     };
 
--- a/tests/test_proxy_end.c
+++ b/tests/test_proxy_end.c
@@ -93,7 +93,7 @@
 static void
 test_half_closed_while_running(void)
 {
-    struct env *env = env_start_half_close(2 * TOO_SLOW_MS, 100, 100);
+    struct env *env = env_start_like_site(2 * TOO_SLOW_MS, 100, 100);
     int fd;
 
     env->servers[0].script = SCRIPT_SLOW;
@@ -105,6 +105,27 @@
     env_stop(env);
 }
 
+/*
+ * Guards against a server's own 503 that does not say "not run" and that makes
+ * a client send a request again that must not be repeated.
+ */
+static void
+test_promise_without_proof(void)
+{
+    struct env *env = env_start_like_site(2 * TOO_SLOW_MS, 100, 100);
+
+    env->servers[0].script = SCRIPT_BARE_503;
+    CU_ASSERT_TRUE(
+        is_refused(send_request(env, NO_REPEAT_REQUEST), 502, "unknown"));
+    CU_ASSERT_EQUAL(env_result(env, 0), GGW_ATTEMPT_ERROR);
+    for (size_t i = 0; i < ENV_SERVERS; i++) {
+        env->servers[i].script = SCRIPT_BARE_503;
+    }
+    CU_ASSERT_TRUE(
+        is_refused(send_request(env, BUFFERED_REQUEST), 503, "unknown"));
+    env_stop(env);
+}
+
 /*
  * Most body bytes that a server can send before it sees that the gateway has
  * closed: what the gateway discards and what the sockets hold.
@@ -295,6 +316,7 @@
         {"running at drain end", test_running_at_drain_end},
         {"waiting at drain end", test_waiting_at_drain_end},
         {"half closed while running", test_half_closed_while_running},
+        {"promise without proof", test_promise_without_proof},
         {"endless without client", test_endless_without_client},
         {"endless refusal", test_endless_refusal},
         {"close with unread request", test_close_with_unread_request},
--- a/tests/test_proxy_kept.c
+++ b/tests/test_proxy_kept.c
@@ -128,6 +128,59 @@
     env_stop(env);
 }
 
+/*
+ * Guards against an earlier refusal that a server sends once more on a kept
+ * connection, and that is taken for the refusal of the request that runs.
+ */
+static void
+test_stale_refusal(void)
+{
+    static const char other[] =
+        "GET /team/svc/other/1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    struct env *env = env_start(1000, 100, 1000);
+
+    /* A server that does not repeat ids. */
+    env->servers[0].script = SCRIPT_SHED;
+    CU_ASSERT_TRUE(env_expect(env, other, 503, "not-run", "shed"));
+    env->servers[0].script = SCRIPT_STALE_SHED;
+    CU_ASSERT_TRUE(is_answered_by(env, other, "s0"));
+    env_stop(env);
+
+    /* A server that repeats ids. */
+    env = env_start(1000, 100, 1000);
+    env->servers[0].script = SCRIPT_SHED_ID;
+    CU_ASSERT_TRUE(env_expect(env, other, 503, "not-run", "shed"));
+    env->servers[0].script = SCRIPT_STALE_SHED_ID;
+    CU_ASSERT_TRUE(env_expect(env, other, 502, "unknown", "broken"));
+    env_stop(env);
+
+    /* An order; it is not sent on a kept connection. */
+    env = env_start(1000, 100, 1000);
+    env->servers[0].script = SCRIPT_SHED_ID;
+    CU_ASSERT_TRUE(env_expect(env, other, 503, "not-run", "shed"));
+    env->servers[0].script = SCRIPT_STALE_SHED;
+    CU_ASSERT_TRUE(is_answered_by(env, NO_REPEAT_REQUEST, "s0"));
+    CU_ASSERT_EQUAL(env->servers[0].connections, 2);
+    env_stop(env);
+}
+
+/*
+ * Guards against a refusal of the first attempt that a server sends once more
+ * when the same request is tried there again, with the same id.
+ */
+static void
+test_stale_refusal_of_same_request(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+
+    env->only_first_server = true;
+    env->servers[0].script = SCRIPT_SHED_ID;
+    CU_ASSERT_TRUE(env_expect(env, BUFFERED_REQUEST, 503, "not-run", "shed"));
+    CU_ASSERT_EQUAL(env->servers[0].requests, 2);
+    CU_ASSERT_EQUAL(env->servers[0].connections, 2);
+    env_stop(env);
+}
+
 /*
  * Guards against a response without Content-Length that is forwarded with one.
  * The gateway cannot know whether such a response is complete.
@@ -187,6 +240,8 @@
         {"error delivered", test_error_delivered},
         {"slow attempt continues", test_slow_attempt_continues},
         {"no repeat", test_no_repeat},
+        {"stale refusal", test_stale_refusal},
+        {"stale refusal of same request", test_stale_refusal_of_same_request},
         {"unframed", test_unframed},
         {"refused while leaving", test_refused_while_leaving},
         CU_TEST_INFO_NULL,
