--- a/tests/test_linger.c
+++ b/tests/test_linger.c
@@ -46,7 +46,8 @@
     g_autofree char *response = g_strnfill(RESPONSE_BYTES, 'x');
     struct ends e;
 
-    bind(listener, (struct sockaddr *)&address, sizeof(address));
+    CU_ASSERT_EQUAL(
+        bind(listener, (struct sockaddr *)&address, sizeof(address)), 0);
     listen(listener, 1);
     getsockname(listener, (struct sockaddr *)&address, &len);
     e.client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
