http: linger needs no header of linux-libc-dev

Cause: check-packages refused linux/sockios.h, which comes from a package that is not listed. Change: TIOCOUTQ from sys/ioctl.h, the same request for a socket. Result: check-packages passes, test_linger passes.

--- a/http/linger.c
+++ b/http/linger.c
@@ -1,7 +1,6 @@
 #include "http/linger.h"
 
 #include <glib.h>
-#include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -91,7 +90,7 @@
     int fd, unsent;
 
     if (uv_fileno((const uv_handle_t *)&s->tcp, &fd) != 0 ||
-        ioctl(fd, SIOCOUTQ, &unsent) != 0) {
+        ioctl(fd, TIOCOUTQ, &unsent) != 0) {
         return 0;
     }
     return unsent;
