--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -97,6 +97,10 @@
         }
         s->listed = true;
         s->closed = servers[i].closed || servers[i].out;
+        if (s->paused_until > 0 && servers[i].paused_until == 0) {
+            ggw_limit_set_cold(&s->limit, now);
+        }
+        s->paused_until = servers[i].paused_until;
         server_rule = make_server_rule(l, &servers[i]);
         ggw_limit_set_rule(&s->limit, &server_rule, now);
         apply_start(s, &servers[i], now);
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -31,6 +31,7 @@
  * @failed_at: time of the last failed attempt, monotonic ms
  * @failure_domain: failure domain of the server, or NULL
  * @slots: requests that the server runs concurrently; 0: use the rule's number
+ * @paused_until: end of the pause that the server wants, monotonic ms; 0: none
  * @notified_state: last state that ggw_ledger_change() returned
  */
 struct ggw_ledger_server_entry {
@@ -49,6 +50,7 @@
     ggw_ms failed_at;
     char *failure_domain;
     int slots;
+    ggw_ms paused_until;
     enum ggw_limit_state notified_state;
 };
 
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -127,13 +127,37 @@
     g_queue_push_tail(&l->decisions, d);
 }
 
+/*
+ * Time until the first server whose pause ends, in ms; 0 if none has asked for
+ * a pause.
+ */
+static ggw_ms
+time_to_end_of_pause(const struct ggw_ledger *l, ggw_ms now)
+{
+    ggw_ms first = INFINITY;
+
+    for (guint i = 0; i < l->servers->len; i++) {
+        const struct ggw_ledger_server_entry *s =
+            g_ptr_array_index(l->servers, i);
+
+        if (s->paused_until > now) {
+            first = MIN(first, s->paused_until);
+        }
+    }
+    return isfinite(first) ? first - now : 0;
+}
+
 static void
 refuse(struct ggw_ledger *l, const struct ggw_ledger_key *key, int priority,
-       enum ggw_slot_refusal reason)
+       enum ggw_slot_refusal reason, ggw_ms now)
 {
-    push_decision(
-        l, key, GGW_LEDGER_REFUSED, NULL, reason,
-        ggw_admission_retry_after(l->queue, priority, g_rand_double(l->rand)));
+    ggw_ms retry_after =
+        ggw_admission_retry_after(l->queue, priority, g_rand_double(l->rand));
+
+    if (reason == GGW_SLOT_NO_SERVER) {
+        retry_after = MAX(retry_after, time_to_end_of_pause(l, now));
+    }
+    push_decision(l, key, GGW_LEDGER_REFUSED, NULL, reason, retry_after);
 }
 
 bool
@@ -269,14 +293,15 @@
 
 static void
 refuse_waiter(struct ggw_ledger *l, struct ggw_ledger_waiter *w,
-              enum ggw_slot_refusal reason)
+              enum ggw_slot_refusal reason, ggw_ms now)
 {
-    refuse(l, &w->key, w->priority, reason);
+    refuse(l, &w->key, w->priority, reason, now);
     drop_waiter(l, w);
 }
 
 static void
-refuse_all_waiters(struct ggw_ledger *l, enum ggw_slot_refusal reason)
+refuse_all_waiters(struct ggw_ledger *l, enum ggw_slot_refusal reason,
+                   ggw_ms now)
 {
     GHashTableIter iter;
     gpointer value;
@@ -286,7 +311,7 @@
         struct ggw_ledger_waiter *w = value;
         struct ggw_waiter out;
 
-        refuse(l, &w->key, w->priority, reason);
+        refuse(l, &w->key, w->priority, reason, now);
         ggw_admission_cancel(l->queue, w->queue_id, &out);
         g_hash_table_iter_remove(&iter);
     }
@@ -300,7 +325,7 @@
     GList *next;
 
     while (ggw_admission_expire(l->queue, now, &out)) {
-        refuse_waiter(l, out.data, GGW_SLOT_TOO_LATE);
+        refuse_waiter(l, out.data, GGW_SLOT_TOO_LATE, now);
     }
     for (GList *i = l->blocked.head; i != NULL; i = next) {
         struct ggw_ledger_waiter *w = i->data;
@@ -308,7 +333,7 @@
         next = i->next;
         if (now >= w->start_by) {
             g_queue_delete_link(&l->blocked, i);
-            refuse_waiter(l, w, GGW_SLOT_TOO_LATE);
+            refuse_waiter(l, w, GGW_SLOT_TOO_LATE, now);
         }
     }
 }
@@ -355,7 +380,7 @@
         return;
     }
     if (!has_open_server(l)) {
-        refuse_all_waiters(l, GGW_SLOT_NO_SERVER);
+        refuse_all_waiters(l, GGW_SLOT_NO_SERVER, now);
         return;
     }
     grant_blocked(l, now);
@@ -418,16 +443,16 @@
     w->cross_domain_cost = request->cross_domain_cost;
     switch (ggw_admission_push(l->queue, &waiter, now, &displaced)) {
     case GGW_ADMISSION_DISPLACED:
-        refuse_waiter(l, displaced.data, GGW_SLOT_DISPLACED);
+        refuse_waiter(l, displaced.data, GGW_SLOT_DISPLACED, now);
         break;
     case GGW_ADMISSION_QUEUED:
         break;
     case GGW_ADMISSION_FULL:
-        refuse(l, &key, request->priority, GGW_SLOT_QUEUE_FULL);
+        refuse(l, &key, request->priority, GGW_SLOT_QUEUE_FULL, now);
         waiter_free(w);
         return;
     case GGW_ADMISSION_TOO_LATE:
-        refuse(l, &key, request->priority, GGW_SLOT_TOO_LATE);
+        refuse(l, &key, request->priority, GGW_SLOT_TOO_LATE, now);
         waiter_free(w);
         return;
     }
@@ -457,17 +482,17 @@
         push_decision(l, &key, GGW_LEDGER_QUEUED, NULL, GGW_SLOT_NO_SERVER, 0);
     }
     else if (!has_open_server(l)) {
-        refuse(l, &key, request->priority, GGW_SLOT_NO_SERVER);
+        refuse(l, &key, request->priority, GGW_SLOT_NO_SERVER, now);
     }
     else if (now >= latest_start(request)) {
-        refuse(l, &key, request->priority, GGW_SLOT_TOO_LATE);
+        refuse(l, &key, request->priority, GGW_SLOT_TOO_LATE, now);
     }
     else if (!others_waiting &&
              try_grant(l, &key, &params, request->deadline, now)) {
         return;
     }
     else if (!request->may_queue) {
-        refuse(l, &key, request->priority, GGW_SLOT_QUEUE_FULL);
+        refuse(l, &key, request->priority, GGW_SLOT_QUEUE_FULL, now);
     }
     else {
         enqueue(l, request, now);
--- a/decide/slots.h
+++ b/decide/slots.h
@@ -61,6 +61,8 @@
  *       failure domain returns
  * @warm: another owner has announced the server as warm
  * @reports_cold: @cold_until is valid
+ * @paused_until: end of the pause that the server wants, monotonic ms; 0:
+ * none. The server is closed until then and cold afterwards.
  */
 struct ggw_ledger_server_config {
     const char *name;
@@ -72,6 +74,7 @@
     bool out;
     bool warm;
     bool reports_cold;
+    ggw_ms paused_until;
 };
 
 /**
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -201,6 +201,7 @@
     case GGW_PEER_SLOT_SYNC:
     case GGW_PEER_SLOT_LOAD:
     case GGW_PEER_SLOT_QUEUED:
+    case GGW_PEER_SLOT_NOTICE:
         return "slots";
     case GGW_PEER_CONFIG_GET:
     case GGW_PEER_CONFIG_PUT:
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -118,6 +118,7 @@
  * @GGW_PEER_ROWS: carries rows of the platform's store
  * @GGW_PEER_ROWS_GET: requests all of these rows
  * @GGW_PEER_ROWS_DEFLATED: ROWS with a compressed payload
+ * @GGW_PEER_SLOT_NOTICE: tells an owner that a server wants no requests
  */
 enum ggw_peer_frame_type {
     GGW_PEER_HELLO = 1,
@@ -135,6 +136,7 @@
     GGW_PEER_ROWS,
     GGW_PEER_ROWS_GET,
     GGW_PEER_ROWS_DEFLATED,
+    GGW_PEER_SLOT_NOTICE,
 };
 
 /**
--- a/proxy/dialect.c
+++ b/proxy/dialect.c
@@ -16,6 +16,18 @@
            ggw_headers_not_run(headers, len);
 }
 
+/* A server that sheds a request may ask for a pause. */
+static struct ggw_backoff_notice
+parse_backoff(int status, const h2o_header_t *headers, size_t len)
+{
+    struct ggw_backoff_notice notice = {0};
+
+    if (not_run(status, headers, len)) {
+        notice.pause = ggw_headers_retry_after(headers, len);
+    }
+    return notice;
+}
+
 const struct ggw_dialect ggw_default_dialect = {
     .name = "greengageway",
     .attempt_id = "greengageway-request",
@@ -25,4 +37,5 @@
     .not_run = not_run,
     .load = ggw_headers_parse_load,
     .probe_load = ggw_headers_parse_load,
+    .backoff = parse_backoff,
 };
--- a/proxy/dialect.h
+++ b/proxy/dialect.h
@@ -40,6 +40,7 @@
  *                     server; NULL: servers keep their addresses
  * @load: parses the load report of a response
  * @probe_load: parses the load report of the response to a probe
+ * @backoff: parses whether the server wants no further requests
  *
  * Header names are in lower case.
  */
@@ -62,6 +63,9 @@
     struct ggw_load_report (*load)(const h2o_header_t *headers, size_t len);
     struct ggw_load_report (*probe_load)(const h2o_header_t *headers,
                                          size_t len);
+    struct ggw_backoff_notice (*backoff)(int status,
+                                         const h2o_header_t *headers,
+                                         size_t len);
 };
 
 /* The headers that this project defines. */
--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -1,7 +1,11 @@
 #include "proxy/headers.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
+
+#include "common/metrics.h"
 
 /*
  * Headers that are not forwarded: hop-by-hop ones (RFC 9110, section 7.6.1),
@@ -258,3 +262,34 @@
     }
     return r;
 }
+
+/* Parses one value; returns false if it is malformed. */
+static bool
+parse_seconds(const h2o_iovec_t *value, ggw_ms *pause)
+{
+    g_autofree char *text = g_strndup(value->base, value->len);
+    char *end;
+    double seconds = g_ascii_strtod(text, &end);
+
+    if (end == text || isnan(seconds) || seconds < 0) {
+        return false;
+    }
+    *pause = MAX(*pause, MIN(1e3 * seconds, GGW_BACKOFF_MAX_PAUSE));
+    return *end == '\0' && isfinite(seconds);
+}
+
+ggw_ms
+ggw_headers_retry_after(const h2o_header_t *headers, size_t len)
+{
+    static const char name[] = "retry-after";
+    ggw_ms pause = 0;
+
+    for (size_t i = 0; i < len; i++) {
+        if (headers[i].name->len == sizeof(name) - 1 &&
+            strncasecmp(headers[i].name->base, name, sizeof(name) - 1) == 0 &&
+            !parse_seconds(&headers[i].value, &pause)) {
+            ggw_count("ggw_backoff_headers_malformed_total");
+        }
+    }
+    return pause;
+}
--- a/proxy/pages.c
+++ b/proxy/pages.c
@@ -158,6 +158,43 @@
     return list;
 }
 
+/*
+ * State of a server: as in the list of VMs, or what the server itself has said
+ * of further requests.
+ */
+static const char *
+server_state(const struct ggw_vm *vm, const struct ggw_server_backoff *b)
+{
+    if (vm->leaving) {
+        return "leaving";
+    }
+    if (b == NULL) {
+        return "live";
+    }
+    return b->state == GGW_BACKOFF_LEAVING ? "draining (said by server)"
+                                           : "pausing";
+}
+
+static json_t *
+server_json(const struct ggw_proxy *proxy, const struct ggw_vm *vm)
+{
+    const struct ggw_server_backoff *b =
+        g_hash_table_lookup(proxy->backoffs, vm->name);
+    g_autofree char *address = ggw_address_format(vm->host, vm->port);
+    ggw_ms now = ggw_kernel_now(proxy->base.kernel);
+    json_t *json =
+        json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:s}", "name", vm->name, "team",
+                  vm->team, "service", vm->service, "failure_domain",
+                  vm->failure_domain, "address", address, "incarnation",
+                  (json_int_t)vm->incarnation, "state", server_state(vm, b));
+
+    if (b != NULL && b->state == GGW_BACKOFF_PAUSED) {
+        json_object_set_new(json, "pause_left_ms",
+                            json_integer((json_int_t)MAX(b->until - now, 0)));
+    }
+    return json;
+}
+
 static json_t *
 servers_json(const struct ggw_proxy *proxy)
 {
@@ -165,18 +202,10 @@
 
     for (size_t i = 0; proxy->vms != NULL && i < proxy->vms->len; i++) {
         const struct ggw_vm *vm = &proxy->vms->vms[i];
-        g_autofree char *address = ggw_address_format(vm->host, vm->port);
 
-        if (vm->role != GGW_VM_BACKEND_SERVER) {
-            continue;
+        if (vm->role == GGW_VM_BACKEND_SERVER) {
+            json_array_append_new(list, server_json(proxy, vm));
         }
-        json_array_append_new(
-            list,
-            json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:s}", "name", vm->name,
-                      "team", vm->team, "service", vm->service,
-                      "failure_domain", vm->failure_domain, "address", address,
-                      "incarnation", (json_int_t)vm->incarnation, "state",
-                      vm->leaving ? "leaving" : "live"));
     }
     return list;
 }
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -48,6 +48,9 @@
                      dialect->probe_misdirected(head->status, head->headers,
                                                 head->headers_len, p->vm);
     p->report = dialect->probe_load(head->headers, head->headers_len);
+    if (!p->misdirected) {
+        ggw_proxy_report_backoff(p->proxy, p->vm, "probe", head);
+    }
 }
 
 /* Drops the body: the load report is in the headers. */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -196,6 +196,9 @@
     else if (m->ops == &ggw_vms_changed_ops) {
         on_vms(p, (struct ggw_vms_changed *)m);
     }
+    else if (m->ops == &ggw_server_backoff_ops) {
+        ggw_proxy_on_backoff(p, (struct ggw_server_backoff *)m);
+    }
     else if (m->ops == &ggw_probe_request_ops) {
         ggw_proxy_probe(p, (struct ggw_probe_request *)m);
     }
@@ -247,6 +250,14 @@
     g_free(k);
 }
 
+static void
+message_free(void *data)
+{
+    struct ggw_message *m = data;
+
+    m->ops->destroy(m);
+}
+
 GHashTable *
 ggw_proxy_kinds_new(void)
 {
@@ -267,6 +278,7 @@
     g_hash_table_destroy(p->claim_waits);
     g_hash_table_destroy(p->probes);
     g_hash_table_destroy(p->live);
+    g_hash_table_destroy(p->backoffs);
     if (p->members != NULL) {
         p->members->base.ops->destroy(&p->members->base);
     }
@@ -321,6 +333,8 @@
     p->claim_waits = g_hash_table_new(g_int64_hash, g_int64_equal);
     p->probes = g_hash_table_new(NULL, NULL);
     p->live = g_hash_table_new(NULL, NULL);
+    p->backoffs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, message_free);
     return &p->base;
 }
 
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -181,7 +181,7 @@
  * any attempt may have run, even if all others did not. @status, @reason and
  * @retry_after (ms) apply when no attempt was made. If attempts were made and
  * none ran, the response is 503 "shed"; @retry_after is then a minimum, and a
- * routed request ignores it.
+ * routed request ignores it unless no server takes requests.
  */
 static void
 finish(struct ggw_request *r, int status, const char *reason,
@@ -199,7 +199,8 @@
         if (r->retry.attempts > 0) {
             status = 503;
             reason = "shed";
-            retry_after = r->route != NULL ? ROUTED_SHED_RETRY_MS
+            retry_after = r->route != NULL ? MAX(ROUTED_SHED_RETRY_MS,
+                                                 r->no_server_retry_after)
                                            : MAX(retry_after, SHED_RETRY_MS);
         }
         respond(r, status, reason, GGW_OUTCOME_NOT_RUN, retry_after);
@@ -301,6 +302,9 @@
     if (r->attempts[0] != NULL || r->attempts[1] != NULL) {
         return; /* no slot for a hedge; the first attempt continues */
     }
+    if (refuse->reason == GGW_SLOT_NO_SERVER) {
+        r->no_server_retry_after = refuse->retry_after;
+    }
     finish(r, 503, reasons[refuse->reason], MAX(refuse->retry_after, 1));
 }
 
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -65,6 +65,8 @@
  * @slot_waits, @claim_waits: map a message tag to the struct ggw_request that
  *                            awaits the answer
  * @probes: set of struct probe in progress
+ * @backoffs: maps a server that wants no requests to its last
+ *            struct ggw_server_backoff
  * @live: set of struct ggw_request that have not been freed
  * @next_id: last number used as id of a request or as tag of a message
  * @requests: number of requests in progress
@@ -94,6 +96,7 @@
     GHashTable *slot_waits;
     GHashTable *claim_waits;
     GHashTable *probes;
+    GHashTable *backoffs;
     GHashTable *live;
     uint64_t next_id;
     unsigned requests;
@@ -203,6 +206,8 @@
  * @attempts: attempts in progress; the second is a hedge
  * @winner: attempt whose response is forwarded to the client, or NULL
  * @unknown_status: HTTP status to return because an attempt may have run, or 0
+ * @no_server_retry_after: ms after which a server may take requests again,
+ *                         when a slot was refused because none does
  * @responded: the outcome has been counted: the client has its response or
  *             has disconnected
  * @closing: one of the two timers has been closed
@@ -244,6 +249,7 @@
     struct ggw_attempt *attempts[2];
     struct ggw_attempt *winner;
     int unknown_status;
+    ggw_ms no_server_retry_after;
     bool responded;
     bool closing;
 };
@@ -307,6 +313,21 @@
 void ggw_attempt_client_left(struct ggw_attempt *a);
 void ggw_attempt_cancel(struct ggw_attempt *a);
 
+/* proxy/backoff.c */
+
+/*
+ * Reports to "slots" that a server wants no further requests, if its response
+ * says so.
+ * @request: id of the request, for the log
+ */
+void ggw_proxy_report_backoff(struct ggw_proxy *proxy, const char *vm,
+                              const char *request,
+                              const struct ggw_call_head *head);
+
+/* Handles SERVER_BACKOFF, which the status page shows. */
+void ggw_proxy_on_backoff(struct ggw_proxy *proxy,
+                          const struct ggw_server_backoff *m);
+
 /* proxy/proxy.c */
 GHashTable *ggw_proxy_kinds_new(void);
 
--- a/slots/events.c
+++ b/slots/events.c
@@ -31,6 +31,12 @@
                                               .importance = GGW_LOG_IMPORTANT,
                                               .max_per_s = LINES_PER_S};
 
+static struct ggw_log_event backoff_event = {.part = LOG_PART,
+                                             .name = "backoff",
+                                             .level = GGW_LOG_INFO,
+                                             .importance = GGW_LOG_IMPORTANT,
+                                             .max_per_s = LINES_PER_S};
+
 void
 ggw_slots_log_ledger(struct ggw_slots *p, struct ggw_slots_domain *d,
                      ggw_ms now)
@@ -90,3 +96,18 @@
                   pd->group->service, server_name,
                   owner_name != NULL ? owner_name : "none");
 }
+
+void
+ggw_slots_log_backoff(const struct ggw_slots_server *s, const char *source,
+                      ggw_ms left)
+{
+    static const char *const states[] = {
+        [GGW_BACKOFF_NONE] = "ended",
+        [GGW_BACKOFF_PAUSED] = "paused",
+        [GGW_BACKOFF_LEAVING] = "leaving",
+    };
+
+    ggw_log_event(
+        &backoff_event, "service=%s server=%s state=%s left=%.0f source=%s",
+        s->domain->group->service, s->name, states[s->backoff], left, source);
+}
--- a/slots/events.h
+++ b/slots/events.h
@@ -26,4 +26,12 @@
 void ggw_slots_log_fallback(const struct ggw_slots_pending *pd,
                             const char *server_name, const char *owner_name);
 
+/*
+ * Logs that a server wants no requests, or takes them again.
+ * @source: id of the request whose response said so, or the gateway that told
+ * @left: ms until the end of a pause
+ */
+void ggw_slots_log_backoff(const struct ggw_slots_server *s,
+                           const char *source, ggw_ms left);
+
 #endif
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -116,7 +116,7 @@
 bool
 ggw_slots_server_is_open(const struct ggw_slots_server *s)
 {
-    return !s->closed && !s->out;
+    return !s->closed && !s->out && s->backoff == GGW_BACKOFF_NONE;
 }
 
 bool
@@ -214,7 +214,10 @@
     s->host = g_strdup(vm->host);
     s->port = vm->port;
     s->closed = vm->leaving;
+    ggw_backoffs_listed(p->backoffs, s->name, s->incarnation,
+                        ggw_slots_now(p));
     s->listed = true;
+    ggw_slots_refresh_backoff(p, s, "list");
 }
 
 static void
@@ -261,7 +264,11 @@
         struct ggw_ledger_server_config info = {
             .name = s->name,
             .incarnation = s->incarnation,
-            .closed = s->closed || g->rule == NULL,
+            .closed =
+                s->closed || g->rule == NULL || s->backoff != GGW_BACKOFF_NONE,
+            .paused_until = s->backoff == GGW_BACKOFF_PAUSED
+                                ? ggw_backoffs_until(p->backoffs, s->name)
+                                : 0,
             .out = s->out,
             .warm = s->warm && !s->suspect,
             .failure_domain = s->failure_domain,
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -37,6 +37,7 @@
  * @port: TCP port
  * @closed: the server is leaving or draining
  * @out: its failure domain is out of service
+ * @backoff: what the server wants, as far as this gateway knows
  * @warm: the owner announced it as warm with this incarnation
  * @suspect: since then, a request of this gateway failed there or a response
  *           reported the server as cold or draining
@@ -60,6 +61,7 @@
     uint16_t port;
     bool closed;
     bool out;
+    enum ggw_backoff_state backoff;
     bool warm;
     bool suspect;
     bool listed;
@@ -254,6 +256,9 @@
  * @pending: struct ggw_slots_pending in the order of their due times
  * @local_queue_len: number of pending requests queued in this gateway
  * @probes: id of a probe to the name of its server
+ * @backoffs: servers that have asked for no requests
+ * @pause_end: monotonic ms at which the first pause of a server ends; INFINITY
+ *             for none
  * @next_id: last id used for an acquire request, grant or probe
  * @tick: periodic timer
  * @wake: timer for the next due time before the tick
@@ -278,6 +283,8 @@
     GSequence *pending;
     int local_queue_len;
     GHashTable *probes;
+    struct ggw_backoffs *backoffs;
+    ggw_ms pause_end;
     uint64_t next_id;
     uv_timer_t tick;
     uv_timer_t wake;
@@ -616,6 +623,38 @@
  */
 void ggw_slots_peer_heard(struct ggw_slots *p, const char *name, ggw_ms rtt);
 
+/* slots/backoff.c */
+
+/* Handles SERVER_NOTICE of "proxy". */
+void ggw_slots_on_notice(struct ggw_slots *p,
+                         const struct ggw_server_notice *m);
+
+/* Handles SLOT_NOTICE of another gateway. */
+void ggw_slots_on_notice_frame(struct ggw_slots *p,
+                               const struct ggw_peer_received *frame);
+
+/* Tells the owner @owner of the server what the server wants. */
+void ggw_slots_send_notice(struct ggw_slots *p,
+                           const struct ggw_slots_server *s,
+                           const char *owner);
+
+/*
+ * Applies to a server of a group what is known of its wishes.
+ * @source: why they may have changed, for the log
+ */
+void ggw_slots_refresh_backoff(struct ggw_slots *p, struct ggw_slots_server *s,
+                               const char *source);
+
+/* Returns servers to service whose pause is over at monotonic ms @now. */
+void ggw_slots_end_pauses(struct ggw_slots *p, ggw_ms now);
+
+/*
+ * Returns the time in ms until the first server of a service takes requests
+ * again after a pause; 0 if none has asked for one.
+ */
+ggw_ms ggw_slots_time_to_end_of_pause(const struct ggw_slots *p,
+                                      const struct ggw_slots_group *g);
+
 /* slots/fallback.c */
 
 /*
--- a/slots/messages.c
+++ b/slots/messages.c
@@ -179,3 +179,58 @@
     }
     return &m->base;
 }
+
+static void
+server_notice_destroy(struct ggw_message *message)
+{
+    struct ggw_server_notice *m = (struct ggw_server_notice *)message;
+
+    g_free(m->vm);
+    g_free(m->request);
+    g_free(m);
+}
+
+const struct ggw_message_ops ggw_server_notice_ops = {
+    .name = "SERVER_NOTICE",
+    .destroy = server_notice_destroy,
+};
+
+struct ggw_message *
+ggw_server_notice_new(const char *vm, const struct ggw_backoff_notice *notice,
+                      const char *request)
+{
+    struct ggw_server_notice *m = g_new0(struct ggw_server_notice, 1);
+
+    m->base.ops = &ggw_server_notice_ops;
+    m->vm = g_strdup(vm);
+    m->notice = *notice;
+    m->request = g_strdup(request);
+    return &m->base;
+}
+
+static void
+server_backoff_destroy(struct ggw_message *message)
+{
+    struct ggw_server_backoff *m = (struct ggw_server_backoff *)message;
+
+    g_free(m->vm);
+    g_free(m);
+}
+
+const struct ggw_message_ops ggw_server_backoff_ops = {
+    .name = "SERVER_BACKOFF",
+    .destroy = server_backoff_destroy,
+};
+
+struct ggw_message *
+ggw_server_backoff_new(const char *vm, enum ggw_backoff_state state,
+                       ggw_ms until)
+{
+    struct ggw_server_backoff *m = g_new0(struct ggw_server_backoff, 1);
+
+    m->base.ops = &ggw_server_backoff_ops;
+    m->vm = g_strdup(vm);
+    m->state = state;
+    m->until = until;
+    return &m->base;
+}
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -92,6 +92,14 @@
     pending_free(p, pd);
 }
 
+/* No server of the service takes requests, perhaps until a pause ends. */
+static void
+refuse_without_server(struct ggw_slots *p, struct ggw_slots_pending *pd)
+{
+    refuse(p, pd, GGW_SLOT_NO_SERVER,
+           MAX(RETRY_AFTER, ggw_slots_time_to_end_of_pause(p, pd->group)));
+}
+
 static void
 grant(struct ggw_slots *p, struct ggw_slots_pending *pd, uint64_t id,
       struct ggw_slots_server *s, const char *owner)
@@ -228,7 +236,7 @@
         refuse(p, pd, GGW_SLOT_TOO_LATE, RETRY_AFTER);
     }
     else if (pd->group->rule == NULL || !has_open_server(pd->group)) {
-        refuse(p, pd, GGW_SLOT_NO_SERVER, RETRY_AFTER);
+        refuse_without_server(p, pd);
     }
     else if (home == NULL || !ggw_slots_domain_has_open_server(home)) {
         if (!try_spill(p, pd)) {
@@ -289,7 +297,7 @@
         grant(p, pd, ++p->next_id, s, NULL);
     }
     else {
-        refuse(p, pd, GGW_SLOT_NO_SERVER, RETRY_AFTER);
+        refuse_without_server(p, pd);
     }
 }
 
@@ -375,6 +383,9 @@
     if (s == NULL || !ggw_slots_server_is_open(s)) {
         /* The owner does not know yet that the server is closed or out. */
         ggw_count("ggw_slots_refused_grants_total");
+        if (s != NULL && s->backoff != GGW_BACKOFF_NONE) {
+            ggw_slots_send_notice(p, s, owner);
+        }
         ggw_slots_acquire_detach(p, a);
         reschedule(p, pd);
         if (pd->home == NULL && pd->spill == NULL) {
--- a/slots/slots.c
+++ b/slots/slots.c
@@ -127,6 +127,7 @@
         d->spills_this_tick = 0;
         d->exhausted = false;
     }
+    ggw_slots_end_pauses(p, now);
     ggw_slots_owner_tick(p, now);
     ggw_slots_run_due(p, now);
     ggw_slots_schedule_wake(p, ggw_slots_ledgers_tick(p, now));
@@ -273,6 +274,9 @@
     case GGW_PEER_SLOT_LOAD:
         on_load(p, frame);
         break;
+    case GGW_PEER_SLOT_NOTICE:
+        ggw_slots_on_notice_frame(p, frame);
+        break;
     default:
         break;
     }
@@ -327,6 +331,9 @@
     else if (message->ops == &ggw_config_in_force_ops) {
         on_config(p, ((struct ggw_config_in_force *)message)->tree);
     }
+    else if (message->ops == &ggw_server_notice_ops) {
+        ggw_slots_on_notice(p, (struct ggw_server_notice *)message);
+    }
     else if (message->ops == &ggw_probe_result_ops) {
         ggw_slots_on_probe_result(p, (struct ggw_probe_result *)message);
     }
@@ -386,6 +393,7 @@
     g_hash_table_destroy(p->trees);
     g_hash_table_destroy(p->peers);
     g_hash_table_destroy(p->probes);
+    ggw_backoffs_free(p->backoffs);
     g_clear_pointer(&p->vms, ggw_vm_list_unref);
     clear_members(p->members);
     g_rand_free(p->rand);
@@ -414,6 +422,8 @@
     p->rand = g_rand_new_with_seed(seed);
     p->known_gateways = 1;
     p->wake_at = INFINITY;
+    p->backoffs = ggw_backoffs_new();
+    p->pause_end = INFINITY;
     p->trees = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                      (GDestroyNotify)ggw_tree_unref);
     p->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/slots/slots.h
+++ b/slots/slots.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "common/outcome.h"
+#include "decide/backoff.h"
 #include "kernel/kernel.h"
 
 /*
@@ -241,6 +242,42 @@
 struct ggw_message *ggw_probe_result_new(const char *vm, bool answered,
                                          const struct ggw_load_report *report);
 
+/**
+ * struct ggw_server_notice - message from "proxy": a server wants no requests
+ * @vm: name of the backend server
+ * @notice: what its response says
+ * @request: id of the request that got the response, for the log
+ */
+struct ggw_server_notice {
+    struct ggw_message base;
+    char *vm;
+    struct ggw_backoff_notice notice;
+    char *request;
+};
+
+extern const struct ggw_message_ops ggw_server_notice_ops;
+struct ggw_message *
+ggw_server_notice_new(const char *vm, const struct ggw_backoff_notice *notice,
+                      const char *request);
+
+/**
+ * struct ggw_server_backoff - message to "proxy": what a server wants, as far
+ *                             as this gateway knows
+ * @vm: name of the backend server
+ * @until: end of the pause, monotonic ms
+ */
+struct ggw_server_backoff {
+    struct ggw_message base;
+    char *vm;
+    enum ggw_backoff_state state;
+    ggw_ms until;
+};
+
+extern const struct ggw_message_ops ggw_server_backoff_ops;
+struct ggw_message *ggw_server_backoff_new(const char *vm,
+                                           enum ggw_backoff_state state,
+                                           ggw_ms until);
+
 /**
  * ggw_slots_service_new() - create the service
  * @self: name of this gateway
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -461,6 +461,10 @@
     else if (m->ops == &ggw_slot_cancel_ops) {
         env->cancels++;
     }
+    else if (m->ops == &ggw_server_notice_ops) {
+        g_array_append_val(env->notices,
+                           ((struct ggw_server_notice *)m)->notice);
+    }
     else if (m->ops == &ggw_probe_result_ops) {
         g_array_append_val(env->probe_results, *(struct ggw_probe_result *)m);
     }
@@ -713,6 +717,8 @@
     env->conns = g_hash_table_new(NULL, NULL);
     env->releases = g_array_new(FALSE, FALSE, sizeof(struct ggw_slot_release));
     env->settles = g_array_new(FALSE, FALSE, sizeof(struct ggw_claim_settle));
+    env->notices =
+        g_array_new(FALSE, FALSE, sizeof(struct ggw_backoff_notice));
     env->probe_results =
         g_array_new(FALSE, FALSE, sizeof(struct ggw_probe_result));
     for (size_t i = 0; i < ENV_SERVERS; i++) {
@@ -830,6 +836,7 @@
     g_hash_table_destroy(env->conns);
     g_array_free(env->releases, TRUE);
     g_array_free(env->settles, TRUE);
+    g_array_free(env->notices, TRUE);
     g_array_free(env->probe_results, TRUE);
     pthread_mutex_destroy(&env->lock);
     pthread_cond_destroy(&env->changed);
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -106,6 +106,7 @@
  * @claims_asked: number of CLAIM_REQUEST messages
  * @held_tag: tag of the last CLAIM_REQUEST
  * @settles: array of struct ggw_claim_settle
+ * @notices: array of struct ggw_backoff_notice, from SERVER_NOTICE messages
  * @probe_results: array of struct ggw_probe_result
  */
 struct env {
@@ -145,6 +146,7 @@
     uint64_t held_tag;
     GArray *settles;
 
+    GArray *notices;
     GArray *probe_results;
 };
 
--- a/tests/slots_driver.c
+++ b/tests/slots_driver.c
@@ -101,6 +101,8 @@
     g_array_append_val(slots_stats.running_requests, r);
     n = slots_count_running(m->vm);
     slots_stats.grants++;
+    slots_stats.watched_grants[node->name[3] - '0'] +=
+        g_strcmp0(m->vm, slots_stats.watched) == 0;
     slots_stats.connections = m->connections;
     slots_stats.spilled_grants += strcmp(m->failure_domain, node->domain) != 0;
     slots_stats.cold_grants += cold;
@@ -150,6 +152,7 @@
     struct ggw_load_report report = {
         .present = true, .slots = 2, .draining = true};
 
+    slots_stats.watched_probes += g_strcmp0(m->vm, slots_stats.watched) == 0;
     if (slots_stats.delay_probe_results) {
         add_delayed_probe(node, m);
     }
@@ -172,6 +175,8 @@
     }
     else if (message->ops == &ggw_slot_refuse_ops) {
         slots_stats.refusals++;
+        slots_stats.retry_after =
+            ((struct ggw_slot_refuse *)message)->retry_after;
         slots_stats.open_requests[node->name[3] - '0']--;
     }
 }
@@ -279,10 +284,10 @@
             json,
             ",{\"name\":\"%s\",\"role\":\"backend_server\",\"team\":\"T\","
             "\"service\":\"S\",\"failure_domain\":\"%s\","
-            "\"address\":\"127.0.0.1:9\",\"incarnation\":\"1\","
+            "\"address\":\"127.0.0.1:9\",\"incarnation\":\"%d\","
             "\"state\":\"%s\"}",
             name, i < warm ? c->nodes[i % c->len].domain : "cairo-a",
-            leaving ? "leaving" : "live");
+            MAX(slots_stats.incarnation, 1), leaving ? "leaving" : "live");
     }
     g_string_append(json, "]}");
     list = ggw_vm_list_parse(json->str, NULL);
--- a/tests/slots_driver.h
+++ b/tests/slots_driver.h
@@ -43,6 +43,11 @@
  * @probes_report_draining: set by a test to report draining in each probe
  * @delay_probe_results: set by a test to answer probes after some ms
  * @delayed_probes: array of probes that have not been answered yet
+ * @watched: name of a server whose grants and probes are counted, or NULL
+ * @watched_grants: grants on it, by gateway
+ * @watched_probes: probes of it
+ * @retry_after: ms in the last refusal
+ * @incarnation: of the servers in published lists; 0 stands for 1
  *
  * Each new cluster resets it.
  */
@@ -64,6 +69,11 @@
     bool probes_report_draining;
     bool delay_probe_results;
     GArray *delayed_probes;
+    const char *watched;
+    int watched_grants[CLUSTER_MAX];
+    int watched_probes;
+    ggw_ms retry_after;
+    int incarnation;
 };
 
 extern struct slots_stats slots_stats;
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -30,6 +30,8 @@
     [SOAK_SLOW_SERVER] = "slow server",
     [SOAK_LOSE_RESPONSES] = "lose responses",
     [SOAK_TRUNCATE_RESPONSES] = "truncate responses",
+    [SOAK_SERVER_LEAVES] = "server leaves",
+    [SOAK_SERVER_PAUSES] = "server pauses",
 };
 
 const char *const soak_link_faults[SOAK_LINK_FAULTS] = {
@@ -52,6 +54,8 @@
     case SOAK_SLOW_SERVER:
     case SOAK_LOSE_RESPONSES:
     case SOAK_TRUNCATE_RESPONSES:
+    case SOAK_SERVER_LEAVES:
+    case SOAK_SERVER_PAUSES:
         return g_rand_int_range(rand, 0, SOAK_SERVERS);
     default:
         return g_rand_int_range(rand, 0, SOAK_GATEWAYS);
@@ -67,25 +71,37 @@
     return (x->at > y->at) - (x->at < y->at);
 }
 
+/* Steps in which a server says that it wants no requests. */
+#define SAID_STEPS 3
+
+static void
+add_step(GArray *steps, GRand *rand, int first, int end, ggw_ms span)
+{
+    struct soak_step step = {
+        .duration = g_rand_double_range(rand, 200, MAX_FAULT_MS),
+        .fault = (enum soak_fault)g_rand_int_range(rand, first, end),
+    };
+
+    step.at = g_rand_double_range(rand, FAULT_FREE_MS, span - step.duration);
+    step.target = pick_target(step.fault, rand);
+    step.variant = g_rand_int_range(rand, 0, SOAK_LINK_FAULTS);
+    g_array_append_val(steps, step);
+}
+
 GArray *
 soak_plan(guint32 seed, ggw_ms span)
 {
     GRand *rand = g_rand_new_with_seed(seed);
     GArray *steps = g_array_new(FALSE, FALSE, sizeof(struct soak_step));
-    int fault_count = seed % 3 == 0 ? SOAK_FIRST_UNPLANNED : SOAK_FAULTS;
+    int end = seed % 3 == 0 ? SOAK_FIRST_UNPLANNED : SOAK_FIRST_SAID;
     int len = g_rand_int_range(rand, MIN_STEPS, MAX_STEPS + 1);
 
     for (int i = 0; i < len; i++) {
-        struct soak_step step = {
-            .duration = g_rand_double_range(rand, 200, MAX_FAULT_MS),
-            .fault = (enum soak_fault)g_rand_int_range(rand, 0, fault_count),
-        };
-
-        step.at =
-            g_rand_double_range(rand, FAULT_FREE_MS, span - step.duration);
-        step.target = pick_target(step.fault, rand);
-        step.variant = g_rand_int_range(rand, 0, SOAK_LINK_FAULTS);
-        g_array_append_val(steps, step);
+        add_step(steps, rand, 0, end, span);
+    }
+    /* Drawn last, so that the other steps of a seed stay what they were. */
+    for (int i = 0; i < SAID_STEPS; i++) {
+        add_step(steps, rand, SOAK_FIRST_SAID, SOAK_FAULTS, span);
     }
     g_array_sort(steps, by_time);
     g_rand_free(rand);
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -31,10 +31,14 @@
     SOAK_SLOW_SERVER,
     SOAK_LOSE_RESPONSES,
     SOAK_TRUNCATE_RESPONSES,
+    /* what servers say; not drawn with the others */
+    SOAK_SERVER_LEAVES,
+    SOAK_SERVER_PAUSES,
     SOAK_FAULTS,
 };
 
 #define SOAK_FIRST_UNPLANNED SOAK_KILL_GATEWAY
+#define SOAK_FIRST_SAID SOAK_SERVER_LEAVES
 
 /**
  * struct soak_step - one fault or maintenance operation of a plan
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -40,6 +40,17 @@
     ggw_ms seen_at;
 };
 
+/*
+ * What a server has said to a gateway: when the gateway passed on that it
+ * leaves, and the pause that it asked for; INFINITY if it has not.
+ */
+struct said {
+    ggw_ms leaving_at;
+    ggw_ms pause_from;
+    ggw_ms pause_until;
+    int arrivals; /* in the pause */
+};
+
 struct soak_record {
     GHashTable *attempts; /* id -> struct soak_attempt */
     GPtrArray *order;     /* the same attempts in the order of sending */
@@ -50,9 +61,10 @@
     struct known_version known[SOAK_GATEWAYS];
     GArray *versions;
     struct arrivals arrivals[SOAK_SERVICES];
-    GHashTable *cold; /* server -> GArray of ggw_ms */
-    int lost;         /* disconnected although the gateway was stable */
-    int rejected;     /* responses with 3xx or 4xx */
+    GHashTable *cold;                /* server -> GArray of ggw_ms */
+    GHashTable *said[SOAK_GATEWAYS]; /* server -> struct said */
+    int lost;     /* disconnected although the gateway was stable */
+    int rejected; /* responses with 3xx or 4xx */
 };
 
 static void
@@ -87,6 +99,8 @@
         r->arrivals[i].repeats = g_array_new(FALSE, FALSE, sizeof(ggw_ms));
     }
     for (int i = 0; i < SOAK_GATEWAYS; i++) {
+        r->said[i] =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         r->fault_until[i] = -INFINITY;
     }
     r->store_fault_until = -INFINITY;
@@ -102,6 +116,9 @@
     g_ptr_array_unref(r->violations);
     g_array_unref(r->versions);
     g_hash_table_unref(r->cold);
+    for (int i = 0; i < SOAK_GATEWAYS; i++) {
+        g_hash_table_unref(r->said[i]);
+    }
     for (int i = 0; i < SOAK_SERVICES; i++) {
         g_array_unref(r->arrivals[i].first);
         g_array_unref(r->arrivals[i].repeats);
@@ -143,6 +160,7 @@
     }
     else if (scope >= 0) {
         extend_until(&r->fault_until[scope], until);
+        g_hash_table_remove_all(r->said[scope]);
     }
     extend_until(&r->any_fault_until, until);
 }
@@ -158,6 +176,71 @@
 soak_record_gateway_restarted(struct soak_record *r, int gateway)
 {
     r->known[gateway] = (struct known_version){0};
+    g_hash_table_remove_all(r->said[gateway]);
+}
+
+static struct said *
+ensure_said(struct soak_record *r, const char *server, int gateway)
+{
+    struct said *s = g_hash_table_lookup(r->said[gateway], server);
+
+    if (s == NULL) {
+        s = g_new(struct said, 1);
+        *s = (struct said){INFINITY, INFINITY, INFINITY, 0};
+        g_hash_table_insert(r->said[gateway], g_strdup(server), s);
+    }
+    return s;
+}
+
+void
+soak_record_paused(struct soak_record *r, const char *server, int gateway,
+                   ggw_ms pause, ggw_ms now)
+{
+    struct said *s = ensure_said(r, server, gateway);
+
+    if (isinf(s->pause_until) || now > s->pause_until) {
+        s->pause_from = now + SOAK_PAUSE_LAG_MS;
+        s->pause_until = now + pause;
+        s->arrivals = 0;
+    }
+    s->pause_until = MAX(s->pause_until, now + pause);
+}
+
+void
+soak_record_server_restarted(struct soak_record *r, const char *server)
+{
+    for (int i = 0; i < SOAK_GATEWAYS; i++) {
+        g_hash_table_remove(r->said[i], server);
+    }
+}
+
+/* Checks that a gateway respects what a server has said to it. */
+static void
+check_said(struct soak_record *r, const struct soak_attempt *a,
+           const char *server, ggw_ms now)
+{
+    struct said *s = g_hash_table_lookup(r->said[a->gateway], server);
+
+    if (s == NULL) {
+        return;
+    }
+    if (a->sent > s->leaving_at + SOAK_DRAIN_MS) {
+        soak_record_add_violation(
+            r, now, "DRAIN",
+            "attempt %s sent at %.0f reached %s, which gateway %d knew to "
+            "leave since %.0f",
+            a->id, a->sent, server, a->gateway, s->leaving_at);
+    }
+    if (now < s->pause_from || now > s->pause_until ||
+        now < r->any_fault_until + SOAK_STABLE_MS) {
+        return;
+    }
+    if (++s->arrivals == SOAK_PAUSE_ARRIVALS + 1) {
+        soak_record_add_violation(
+            r, now, "BUDGET",
+            "%d requests of gateway %d reached %s in a pause from %.0f",
+            s->arrivals, a->gateway, server, s->pause_from);
+    }
 }
 
 struct soak_attempt *
@@ -331,6 +414,7 @@
     a->arrivals++;
     g_array_append_val(a->arrivals > 1 ? times->repeats : times->first, now);
     check_route(r, a, arrival, now);
+    check_said(r, a, arrival->server, now);
     if (arrival->deadline < 0 ||
         arrival->deadline > a->deadline + DEADLINE_SLACK_MS) {
         soak_record_add_violation(
@@ -381,6 +465,11 @@
     a->ended = true;
     a->status = status;
     a->served = status / 100 == 2;
+    if (a->served && a->leaving != NULL) {
+        struct said *s = ensure_said(r, a->leaving, a->gateway);
+
+        s->leaving_at = MIN(s->leaving_at, now);
+    }
     if (a->served && (!genuine || !a->response_sent)) {
         soak_record_add_violation(
             r, now, "MIXED",
--- a/tests/soak/record.h
+++ b/tests/soak/record.h
@@ -65,6 +65,7 @@
  * @ended: the client has a response, lost the connection or timed out
  * @served: the client got a 2xx response
  * @status: of the response; 0 if there was none
+ * @leaving: id of the server whose response says that it leaves, or NULL
  */
 struct soak_attempt {
     char *id;
@@ -78,6 +79,7 @@
     bool ended;
     bool served;
     int status;
+    const char *leaving;
 };
 
 struct soak_record;
@@ -114,6 +116,20 @@
 bool soak_record_is_stable(const struct soak_record *r, int gateway,
                            ggw_ms now);
 
+/*
+ * Time after a server has asked a gateway for a pause, ms, in which requests
+ * still arrive, and how many may arrive afterwards until the pause ends.
+ */
+#define SOAK_PAUSE_LAG_MS 500.0
+#define SOAK_PAUSE_ARRIVALS 2
+
+/* Server @server has refused a request of a gateway and asked for a pause. */
+void soak_record_paused(struct soak_record *r, const char *server, int gateway,
+                        ggw_ms pause, ggw_ms now);
+
+/* A server was restarted, so that what it has said no longer holds. */
+void soak_record_server_restarted(struct soak_record *r, const char *server);
+
 /* A gateway was restarted; it may use an older configuration at first. */
 void soak_record_gateway_restarted(struct soak_record *r, int gateway);
 
--- a/tests/soak/servers.c
+++ b/tests/soak/servers.c
@@ -72,9 +72,9 @@
     ggw_ms now = soak_now();
     g_autofree char *head = g_strdup_printf(
         "HTTP/1.1 %d X\r\nInstance-Id: %s\r\nInstance-Load: %d,%u,%d,%.0f\r\n"
-        "%s%sContent-Length: %zu\r\n\r\n",
+        "%s%s%sContent-Length: %zu\r\n\r\n",
         status, s->id, s->busy, s->queue.length, MAX_RUNNING,
-        100 * s->slowdown, headers,
+        100 * s->slowdown, headers, s->leaving ? "Server-Leaving: 1\r\n" : "",
         s->cold_until > now ? "Cold-Remaining: 1000\r\n" : "", len);
 
     soak_wire_send(w, head, strlen(head));
@@ -86,6 +86,20 @@
     send_head(s, w, status, "Not-Executed: 1\r\n", 0);
 }
 
+/* Refuses an attempt and asks its gateway for a pause. */
+static void
+refuse_for_pause(struct soak_server *s, struct soak_wire *w,
+                 const struct soak_attempt *a)
+{
+    g_autofree char *headers = g_strdup_printf(
+        "Attempt-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %.3f\r\n", a->id,
+        s->pause / 1e3);
+
+    soak_record_paused(s->pool->record, s->id, a->gateway, s->pause,
+                       soak_now());
+    send_head(s, w, 503, headers, 0);
+}
+
 static void start_queued(struct soak_server *s);
 
 static void
@@ -135,6 +149,7 @@
         return;
     }
     a->response_sent = true;
+    a->leaving = s->leaving ? s->id : NULL;
     soak_wire_send(work->wire, body, len);
 }
 
@@ -231,7 +246,10 @@
         refuse(s, w, 400);
         return;
     }
-    if (s->busy < MAX_RUNNING) {
+    if (s->pause > 0) {
+        refuse_for_pause(s, w, a);
+    }
+    else if (s->busy < MAX_RUNNING) {
         work_run(work_new(s, w, a, arrival.deadline));
     }
     else if (s->queue.length < MAX_QUEUED) {
@@ -312,6 +330,9 @@
     s->born = (guint64)ggw_clock_wall(ggw_clock_system());
     s->cold_until = cold > 0 ? soak_now() + cold : 0;
     s->drain_acked_at = INFINITY;
+    s->leaving = false;
+    s->pause = 0;
+    soak_record_server_restarted(s->pool->record, s->id);
 }
 
 struct soak_server *
--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -35,6 +35,9 @@
  * @cold_until: end of the cold start, ms; 0 if there is none
  * @slowdown: factor on the processing time
  * @lose_ratio: ratio of responses replaced by a connection reset
+ * @leaving: its responses say that it leaves
+ * @pause: it refuses requests and asks for a pause of this many ms; 0: it does
+ *         not
  * @truncate_ratio: ratio of responses cut off in the middle of the body
  *
  * The members after the blank line may be set by the user.
@@ -57,6 +60,8 @@
     ggw_ms cold_until;
     double slowdown;
     double lose_ratio;
+    bool leaving;
+    ggw_ms pause;
     double truncate_ratio;
 };
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -36,6 +36,9 @@
 /* Cold start that a restarted server reports, ms. */
 #define COLD_START_MS 3000.0
 
+/* Pause that a server asks for, ms. */
+#define PAUSE_MS 3000.0
+
 struct soak;
 
 /* A step in progress, whose effect is reverted at @until. */
@@ -366,6 +369,18 @@
     case SOAK_TRUNCATE_RESPONSES:
         server->truncate_ratio = on ? 0.2 : 0;
         break;
+    case SOAK_SERVER_LEAVES:
+        if (on) {
+            server->leaving = true;
+        }
+        else {
+            soak_server_crash(server);
+            restart_server(s, server);
+        }
+        break;
+    case SOAK_SERVER_PAUSES:
+        server->pause = on ? PAUSE_MS : 0;
+        break;
     case SOAK_FAULTS:
         break;
     }
--- a/tests/test_proxy_kept.c
+++ b/tests/test_proxy_kept.c
@@ -181,6 +181,52 @@
     env_stop(env);
 }
 
+static ggw_ms
+reported_pause(struct env *env, guint i)
+{
+    return env_wait_len(env, env->notices, (int)i + 1)
+               ? g_array_index(env->notices, struct ggw_backoff_notice, i)
+                     .pause
+               : -1;
+}
+
+/*
+ * Guards against a server's request for a pause that is not reported: in a
+ * refusal, also of a request whose client has left, and in a probe's response.
+ */
+static void
+test_pause_reported(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    int fd;
+
+    /* The fixture writes this into the head as it is. */
+    env->servers[0].load = "busy=1\r\nRetry-After: 2.5";
+    env->servers[0].script = SCRIPT_SHED;
+    CU_ASSERT_TRUE(is_answered_by(env, BUFFERED_REQUEST, "s1"));
+    CU_ASSERT_EQUAL(reported_pause(env, 0), 2500);
+    env_send(
+        env, "proxy",
+        ggw_probe_request_new("s0", "127.0.0.1", env->servers[0].port, 1000));
+    CU_ASSERT_EQUAL(reported_pause(env, 1), 2500);
+
+    env->servers[0].script = SCRIPT_SLOW;
+    env->servers[0].delay_ms = 200;
+    fd = env_connect(env);
+    CU_ASSERT_EQUAL(write(fd, NO_REPEAT_REQUEST, strlen(NO_REPEAT_REQUEST)),
+                    (ssize_t)strlen(NO_REPEAT_REQUEST));
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].requests, 3));
+    env->servers[0].script = SCRIPT_SHED; /* what the slow response says */
+    close(fd);
+    CU_ASSERT_EQUAL(reported_pause(env, 2), 2500);
+
+    /* A response that is no refusal asks for no pause. */
+    env->servers[0].script = SCRIPT_OK;
+    CU_ASSERT_TRUE(is_answered_by(env, BUFFERED_REQUEST, "s0"));
+    CU_ASSERT_EQUAL(env->notices->len, 3);
+    env_stop(env);
+}
+
 /*
  * Guards against a response without Content-Length that is forwarded with one.
  * The gateway cannot know whether such a response is complete.
@@ -242,6 +288,7 @@
         {"no repeat", test_no_repeat},
         {"stale refusal", test_stale_refusal},
         {"stale refusal of same request", test_stale_refusal_of_same_request},
+        {"pause reported", test_pause_reported},
         {"unframed", test_unframed},
         {"refused while leaving", test_refused_while_leaving},
         CU_TEST_INFO_NULL,
--- a/tests/test_proxy_pages.c
+++ b/tests/test_proxy_pages.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "config/vms.h"
 #include "tests/proxy_env.h"
 #include "tests/suite.h"
 
@@ -143,6 +144,58 @@
     env_stop(env);
 }
 
+static const char vms_json[] =
+    "{\"version\":1,\"vms\":[{\"name\":\"s0\",\"role\":\"backend_server\","
+    "\"team\":\"team\",\"service\":\"svc\",\"failure_domain\":\"fd-a\","
+    "\"address\":\"127.0.0.1:9\",\"incarnation\":\"1\",\"state\":\"live\"}]}";
+
+/* Returns the state of the only server in the status page, and its pause. */
+static char *
+server_state(struct env *env, json_int_t *pause_left)
+{
+    json_t *json = get_page(env, "/-/status", 200);
+    json_t *server =
+        json_array_get(json_object_get(json, "backend_servers"), 0);
+    char *state =
+        g_strdup(json_string_value(json_object_get(server, "state")));
+
+    *pause_left = json_integer_value(json_object_get(server, "pause_left_ms"));
+    json_decref(json);
+    return state;
+}
+
+/* Guards against a status page that does not say what a server wants. */
+static void
+test_backoff_state(void)
+{
+    static const struct {
+        enum ggw_backoff_state state;
+        const char *text;
+    } cases[] = {
+        {GGW_BACKOFF_NONE, "live"},
+        {GGW_BACKOFF_PAUSED, "pausing"},
+        {GGW_BACKOFF_LEAVING, "draining (said by server)"},
+        {GGW_BACKOFF_NONE, "live"},
+    };
+    struct env *env = env_start(1000, 100, 1000);
+    struct ggw_vm_list *list = ggw_vm_list_parse(vms_json, NULL);
+    ggw_ms until = ggw_clock_now(ggw_clock_system()) + 60000;
+
+    env_publish(env, ggw_vms_changed_new(list));
+    ggw_vm_list_unref(list);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autofree char *state = NULL;
+        json_int_t left;
+
+        env_send(env, "proxy",
+                 ggw_server_backoff_new("s0", cases[i].state, until));
+        state = server_state(env, &left);
+        CU_ASSERT_STRING_EQUAL(state, cases[i].text);
+        CU_ASSERT_EQUAL(left > 0, cases[i].state == GGW_BACKOFF_PAUSED);
+    }
+    env_stop(env);
+}
+
 /*
  * Guards against a shutdown that refuses, cuts off or loses a request: one in
  * progress, one on an idle connection, one on a connection opened later.
@@ -211,6 +264,7 @@
     CU_TestInfo tests[] = {
         {"entry", test_entry},
         {"status", test_status},
+        {"backoff state", test_backoff_state},
         {"shutdown", test_shutdown},
         {"shutdown timeout", test_shutdown_timeout},
         CU_TEST_INFO_NULL,
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -362,6 +362,60 @@
     CU_ASSERT_EQUAL(r.cold_left, 1200);
 }
 
+/* Whether a response with these two headers says that its server leaves. */
+static bool
+says_leaving(const char *first, const char *second)
+{
+    h2o_iovec_t name = {H2O_STRLIT("Server-Leaving")};
+    h2o_header_t headers[] = {
+        {.name = &name, .value = {(char *)first, strlen(first)}},
+        {.name = &name, .value = {(char *)second, strlen(second)}},
+    };
+
+    return ggw_site_dialect.backoff(200, headers, 2).leaving;
+}
+
+static ggw_ms
+pause_in(int status, const char *first, const char *second)
+{
+    h2o_iovec_t name = {H2O_STRLIT("Retry-After")};
+    h2o_header_t headers[] = {
+        {.name = &name, .value = {(char *)first, strlen(first)}},
+        {.name = &name, .value = {(char *)second, strlen(second)}},
+    };
+    size_t len = second[0] != '\0' ? 2 : 1;
+
+    return ggw_site_dialect.backoff(status, headers, len).pause;
+}
+
+/*
+ * Guards against a leave or a pause that is not read, and against values that
+ * are odd: a number that can be read counts, none exceeds the maximum.
+ */
+static void
+test_backoff(void)
+{
+    CU_ASSERT_TRUE(says_leaving("1", "1"));
+    CU_ASSERT_TRUE(says_leaving("0", "1"));
+    CU_ASSERT_TRUE(says_leaving("1", "0"));
+    CU_ASSERT_TRUE(says_leaving("true", "0"));
+    CU_ASSERT_FALSE(says_leaving("0", "0"));
+    CU_ASSERT_EQUAL(pause_in(503, "3", ""), 3000);
+    CU_ASSERT_EQUAL(pause_in(503, "0.25", ""), 250);
+    CU_ASSERT_EQUAL(pause_in(503, "1", "4"), 4000);
+    CU_ASSERT_EQUAL(pause_in(503, "4", "1"), 4000);
+    CU_ASSERT_EQUAL(pause_in(503, "2 s", ""), 2000);
+    CU_ASSERT_EQUAL(pause_in(503, "1e300", ""), GGW_BACKOFF_MAX_PAUSE);
+    CU_ASSERT_EQUAL(pause_in(503, "1e999", ""), GGW_BACKOFF_MAX_PAUSE);
+    CU_ASSERT_EQUAL(pause_in(503, "-3", ""), 0);
+    CU_ASSERT_EQUAL(pause_in(503, "nan", ""), 0);
+    CU_ASSERT_EQUAL(pause_in(503, "soon", ""), 0);
+    CU_ASSERT_EQUAL(pause_in(503, "Sat, 05 Dec 2026 04:36:13 GMT", ""), 0);
+    CU_ASSERT_EQUAL(pause_in(503, "soon", "2"), 2000);
+    CU_ASSERT_EQUAL(pause_in(429, "3", ""), 0);
+    CU_ASSERT_EQUAL(pause_in(200, "3", ""), 0);
+}
+
 int
 main(void)
 {
@@ -377,6 +431,7 @@
         {"expired entries", test_expired},
         {"store responses", test_store_responses},
         {"dialect", test_dialect},
+        {"backoff", test_backoff},
         CU_TEST_INFO_NULL,
     };
 
--- /dev/null
+++ b/tests/test_slots_backoff.c
@@ -0,0 +1,286 @@
+#include <CUnit/CUnit.h>
+#include <string.h>
+
+#include "common/metrics.h"
+#include "tests/slots_driver.h"
+#include "tests/suite.h"
+
+/* Servers that say in their responses that they want no requests. */
+
+#define SERVER "s-0"
+
+/* Enough servers that no request waits, so that every gateway uses each. */
+#define SERVERS 8
+
+/* Pauses in ms: one that ends in the test, and one that does not. */
+#define SHORT_PAUSE 600.0
+#define LONG_PAUSE 30000.0
+
+/*
+ * Time in ms in which an owner hears of a notice and grants that it gave
+ * before are used.
+ */
+#define SPREAD_MS 400
+
+/* Time in ms in which a server that takes requests certainly gets some. */
+#define OBSERVE_MS 400
+
+static const char tree_probe_json[] =
+    "{\"services\":{\"S\":{\"slots\":2,\"connections\":200,\"queue\":64,"
+    "\"policy\":\"fastest\",\"probes_per_s\":100,\"health_path\":\"/h\","
+    "\"kinds\":{}}}}";
+
+static struct cluster *
+start(int gateways, int servers)
+{
+    struct cluster *c = slots_cluster(gateways, servers, false);
+
+    slots_stats.watched = SERVER;
+    return c;
+}
+
+static void
+tell(struct cluster *c, int gateway, const char *server, bool leaving,
+     ggw_ms pause)
+{
+    struct ggw_backoff_notice notice = {leaving, pause};
+    struct node *n = &c->nodes[gateway];
+
+    ggw_kernel_send(n->kernel, "slots", &n->client->base,
+                    ggw_server_notice_new(server, &notice, "test"));
+}
+
+static void
+clear_grants(void)
+{
+    memset(slots_stats.watched_grants, 0, sizeof(slots_stats.watched_grants));
+}
+
+static int
+all_grants(void)
+{
+    int n = 0;
+
+    for (int i = 0; i < CLUSTER_MAX; i++) {
+        n += slots_stats.watched_grants[i];
+    }
+    return n;
+}
+
+static bool
+was_used_by_all(struct cluster *c)
+{
+    for (int i = 0; i < c->len; i++) {
+        if (c->nodes[i].kernel != NULL && !c->nodes[i].paused &&
+            slots_stats.watched_grants[i] < 3) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+was_used(struct cluster *c)
+{
+    return all_grants() > 0;
+}
+
+static void
+publish_all(struct cluster *c, uint64_t version, int servers)
+{
+    for (int i = 0; i < c->len; i++) {
+        if (c->nodes[i].kernel != NULL) {
+            slots_publish_servers(c, &c->nodes[i], version, servers, false,
+                                  false);
+        }
+    }
+}
+
+/*
+ * Guards against requests to a server that has said that it leaves: from the
+ * gateway that was told at once, from the others soon, and also after the
+ * list of servers, without and with the server, was read again.
+ */
+static void
+test_leave(void)
+{
+    for (int told = 0; told < 3; told++) {
+        struct cluster *c = start(3, SERVERS);
+
+        CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+        tell(c, told, SERVER, true, 0);
+        cluster_run_once(c);
+        clear_grants();
+        slots_drive_for(c, SPREAD_MS);
+        CU_ASSERT_EQUAL(slots_stats.watched_grants[told], 0);
+        clear_grants();
+        slots_drive_for(c, OBSERVE_MS);
+        CU_ASSERT_EQUAL(all_grants(), 0);
+        publish_all(c, 2, 0);
+        publish_all(c, 3, SERVERS);
+        slots_drive_for(c, OBSERVE_MS);
+        CU_ASSERT_EQUAL(slots_stats.watched_grants[told], 0);
+        slots_stats.incarnation = 2;
+        publish_all(c, 4, SERVERS);
+        CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+        slots_cluster_free(c);
+    }
+}
+
+static int killed;
+
+static bool
+killed_is_dead(struct cluster *c)
+{
+    for (int i = 0; i < c->len; i++) {
+        if (c->nodes[i].kernel != NULL &&
+            !node_sees(&c->nodes[i], c->nodes[killed].name, GGW_MEMBER_DEAD)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * Guards against a new owner that grants a server that leaves: it has not been
+ * told, but the gateway that was does not use the grants.
+ */
+static void
+test_new_owner(void)
+{
+    for (killed = 0; killed < 2; killed++) {
+        struct cluster *c = start(3, SERVERS);
+
+        CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+        tell(c, 2, SERVER, true, 0);
+        cluster_run_once(c);
+        clear_grants();
+        cluster_remove(c, &c->nodes[killed]);
+        CU_ASSERT_TRUE(slots_drive_until(c, killed_is_dead));
+        slots_drive_for(c, OBSERVE_MS);
+        CU_ASSERT_EQUAL(slots_stats.watched_grants[2], 0);
+        clear_grants();
+        slots_drive_for(c, OBSERVE_MS);
+        CU_ASSERT_EQUAL(all_grants(), 0);
+        slots_cluster_free(c);
+    }
+}
+
+/*
+ * Guards against a gateway that was told and that uses the server without a
+ * grant while the owner does not answer.
+ */
+static void
+test_silent_owner(void)
+{
+    for (int paused = 0; paused < 2; paused++) {
+        struct cluster *c = start(3, SERVERS);
+
+        CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+        c->nodes[paused].paused = true;
+        tell(c, 2, SERVER, true, 0);
+        cluster_run_once(c);
+        clear_grants();
+        slots_drive_for(c, 2 * OBSERVE_MS);
+        CU_ASSERT_EQUAL(slots_stats.watched_grants[2], 0);
+        c->nodes[paused].paused = false;
+        slots_drive_for(c, OBSERVE_MS);
+        CU_ASSERT_EQUAL(slots_stats.watched_grants[2], 0);
+        slots_cluster_free(c);
+    }
+}
+
+/*
+ * Guards against requests to a server within the pause that it has asked for,
+ * and against a pause that does not end.
+ */
+static void
+test_pause(void)
+{
+    struct cluster *c = start(3, SERVERS);
+    ggw_ms told_at;
+
+    CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+    told_at = slots_now();
+    tell(c, 1, SERVER, false, SHORT_PAUSE);
+    tell(c, 1, SERVER, false, SHORT_PAUSE / 6); /* does not cut it short */
+    cluster_run_once(c);
+    clear_grants();
+    slots_drive_for(c, SHORT_PAUSE / 2);
+    if (slots_now() - told_at < SHORT_PAUSE) {
+        CU_ASSERT_EQUAL(slots_stats.watched_grants[1], 0);
+    }
+    CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+    CU_ASSERT_TRUE(slots_now() - told_at >= SHORT_PAUSE);
+    slots_cluster_free(c);
+}
+
+/* Guards against probes of a server that wants no requests. */
+static void
+test_no_probes(void)
+{
+    struct cluster *c = start(1, 2);
+
+    slots_publish_tree(&c->nodes[0], 2, tree_probe_json);
+    CU_ASSERT_TRUE(slots_drive_until(c, was_used));
+    tell(c, 0, SERVER, false, LONG_PAUSE);
+    cluster_run_once(c);
+    clear_grants();
+    slots_stats.watched_probes = 0;
+    slots_drive_for(c, OBSERVE_MS);
+    CU_ASSERT_EQUAL(all_grants(), 0);
+    CU_ASSERT_EQUAL(slots_stats.watched_probes, 0);
+    slots_cluster_free(c);
+}
+
+static int refusals_wanted;
+
+static bool
+enough_refusals(struct cluster *c)
+{
+    return slots_stats.refusals >= refusals_wanted;
+}
+
+/*
+ * Guards against requests that wait for servers which all want a pause, and
+ * against a Retry-After that does not say when the first pause ends.
+ */
+static void
+test_all_paused(void)
+{
+    struct cluster *c = start(2, 2);
+
+    CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+    tell(c, 0, "s-0", false, LONG_PAUSE);
+    tell(c, 0, "s-1", false, LONG_PAUSE / 2);
+    slots_drive_for(c, SPREAD_MS);
+    for (int i = 0; i < 2; i++) {
+        slots_stats.sending_stopped = true;
+        slots_stats.refusals = 0;
+        slots_stats.retry_after = 0;
+        refusals_wanted = 1;
+        slots_send_request(&c->nodes[i]);
+        CU_ASSERT_TRUE(cluster_wait(c, enough_refusals));
+        CU_ASSERT_TRUE(slots_stats.retry_after > LONG_PAUSE / 4);
+        CU_ASSERT_TRUE(slots_stats.retry_after <= LONG_PAUSE / 2);
+    }
+    slots_cluster_free(c);
+}
+
+int
+main(void)
+{
+    static CU_TestInfo tests[] = {
+        {"leave", test_leave},
+        {"new owner", test_new_owner},
+        {"silent owner", test_silent_owner},
+        {"pause", test_pause},
+        {"no probes", test_no_probes},
+        {"all paused", test_all_paused},
+        CU_TEST_INFO_NULL,
+    };
+    int status = suite_run("slots_backoff", tests);
+
+    ggw_metrics_fini();
+    return status;
+}
--- a/tests/test_soak_record.c
+++ b/tests/test_soak_record.c
@@ -245,6 +245,65 @@
     expect_violation("FAILBACK");
 }
 
+/*
+ * A request to a server whose leave the gateway has passed on is a violation,
+ * unless the gateway was restarted since.
+ */
+static void
+test_request_after_leave(void)
+{
+    for (int restarted = 0; restarted < 2; restarted++) {
+        struct soak_attempt *a;
+
+        begin_record();
+        a = send("a", SOAK_STATUS, STABLE_AT);
+        arrive("a", SOAK_STATUS, SOAK_STATUS, STABLE_AT + 1);
+        soak_record_ran(record, a, STABLE_AT + 1);
+        a->response_sent = true;
+        a->leaving = "i-01";
+        soak_record_answered(record, a, 200, true, STABLE_AT + 50);
+        send("b", SOAK_STATUS, STABLE_AT + 50 + SOAK_DRAIN_MS);
+        arrive("b", SOAK_STATUS, SOAK_STATUS, STABLE_AT + 60 + SOAK_DRAIN_MS);
+        if (restarted) {
+            soak_record_gateway_restarted(record, 0);
+        }
+        send("c", SOAK_STATUS, STABLE_AT + 51 + SOAK_DRAIN_MS);
+        arrive("c", SOAK_STATUS, SOAK_STATUS, STABLE_AT + 60 + SOAK_DRAIN_MS);
+        expect_violation(restarted ? NULL : "DRAIN");
+    }
+}
+
+/*
+ * More than two requests in a pause are a violation; those shortly after the
+ * refusal and after the end of the pause do not count.
+ */
+static void
+test_requests_in_pause(void)
+{
+    for (int arrivals = 2; arrivals < 5; arrivals++) {
+        begin_record();
+        soak_record_paused(record, "i-01", 0, 3000, STABLE_AT);
+        soak_record_paused(record, "i-01", 0, 1000, STABLE_AT + 100);
+        for (int i = 0; i < 9; i++) {
+            /* Before and after the time that counts. */
+            g_autofree char *id = g_strdup_printf("early-%d", i);
+            g_autofree char *late = g_strdup_printf("late-%d", i);
+
+            send(id, SOAK_STATUS, STABLE_AT + 400);
+            arrive(id, SOAK_STATUS, SOAK_STATUS, STABLE_AT + 499);
+            send(late, SOAK_STATUS, STABLE_AT + 3000);
+            arrive(late, SOAK_STATUS, SOAK_STATUS, STABLE_AT + 3001);
+        }
+        for (int i = 0; i < arrivals; i++) {
+            g_autofree char *id = g_strdup_printf("in-%d", i);
+
+            send(id, SOAK_STATUS, STABLE_AT + 2000);
+            arrive(id, SOAK_STATUS, SOAK_STATUS, STABLE_AT + 2100);
+        }
+        expect_violation(arrivals > SOAK_PAUSE_ARRIVALS ? "BUDGET" : NULL);
+    }
+}
+
 /* A gateway forwards no deadline, or a later one than the client's. */
 static void
 test_deadline(void)
@@ -336,6 +395,9 @@
         {"back to older version", test_back_to_older_version},
         {"request after drain", test_request_after_drain},
         {"cold server overloaded", test_cold_server_overloaded},
+        {"request after a server said that it leaves",
+         test_request_after_leave},
+        {"requests in a pause", test_requests_in_pause},
         {"deadline missing or extended", test_deadline},
         {"retry budget exceeded", test_retry_budget},
         {"disconnected at shutdown", test_disconnected_at_shutdown},
