--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -5,7 +5,8 @@
 /* Time without faults at the start of the traffic, ms. */
 #define FAULT_FREE_MS 1000.0
 
-/* Longest duration of a step, ms. */
+/* Shortest and longest duration of a fault, ms. */
+#define MIN_FAULT_MS 200.0
 #define MAX_FAULT_MS 4000.0
 
 /* Steps of a plan. */
@@ -71,14 +72,20 @@
     return (x->at > y->at) - (x->at < y->at);
 }
 
-/* Steps in which a server says that it wants no requests. */
+/*
+ * Steps in which a server says that it wants no requests, and their duration,
+ * ms. It is well above the time in which requests may still arrive.
+ */
 #define SAID_STEPS 3
+#define MIN_SAID_MS 7000.0
+#define MAX_SAID_MS 10000.0
 
 static void
-add_step(GArray *steps, GRand *rand, int first, int end, ggw_ms span)
+add_step(GArray *steps, GRand *rand, int first, int end, ggw_ms shortest,
+         ggw_ms longest, ggw_ms span)
 {
     struct soak_step step = {
-        .duration = g_rand_double_range(rand, 200, MAX_FAULT_MS),
+        .duration = g_rand_double_range(rand, shortest, longest),
         .fault = (enum soak_fault)g_rand_int_range(rand, first, end),
     };
 
@@ -97,11 +104,12 @@
     int len = g_rand_int_range(rand, MIN_STEPS, MAX_STEPS + 1);
 
     for (int i = 0; i < len; i++) {
-        add_step(steps, rand, 0, end, span);
+        add_step(steps, rand, 0, end, MIN_FAULT_MS, MAX_FAULT_MS, span);
     }
     /* Drawn last, so that the other steps of a seed stay what they were. */
     for (int i = 0; i < SAID_STEPS; i++) {
-        add_step(steps, rand, SOAK_FIRST_SAID, SOAK_FAULTS, span);
+        add_step(steps, rand, SOAK_FIRST_SAID, SOAK_FAULTS, MIN_SAID_MS,
+                 MAX_SAID_MS, span);
     }
     g_array_sort(steps, by_time);
     g_rand_free(rand);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -37,7 +37,7 @@
 #define COLD_START_MS 3000.0
 
 /* Pause that a server asks for, ms. */
-#define PAUSE_MS 3000.0
+#define PAUSE_MS 6000.0
 
 struct soak;
 
