--- a/http/connection.c
+++ b/http/connection.c
@@ -49,8 +49,8 @@
  * @refused: a refusal was sent, and the connection is to be closed
  * @queued: in the owner's queue @unwrapped
  * @reset_on_close: the close resets the connection
- * @linger_fd: second descriptor of the socket, which stays open for a
- * lingering close when h2o closes its own; -1 for none
+ * @linger_fd: second descriptor of the socket for a lingering close, since h2o
+ *             closes its own at once; -1 for none
  */
 struct ggw_connection {
     h2o_linklist_t link;
