ctl: verb "route" says where a request goes

Change: the page /-/route finds the route or kind by the code that requests use, and says which servers its services have; config/route_history keeps, from each revision to the next, the one that last changed each route.

--- a/ctl/verbs_status.c
+++ b/ctl/verbs_status.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "ctl/ctl.h"
+#include "ctl/server_list.h"
 #include "ctl/status.h"
 #include "ctl/verbs.h"
 
@@ -44,14 +45,6 @@
     }
 }
 
-static const char *
-string_member(const json_t *server, const char *name)
-{
-    const char *text = json_string_value(json_object_get(server, name));
-
-    return text != NULL ? text : "";
-}
-
 static const json_t *
 page_servers(const GArray *gateways, guint i)
 {
@@ -64,7 +57,7 @@
 static bool
 has_backed_off(const json_t *server)
 {
-    const char *state = string_member(server, "state");
+    const char *state = ggw_ctl_string_member(server, "state");
 
     return strcmp(state, "live") != 0 && strcmp(state, "leaving") != 0;
 }
@@ -87,28 +80,14 @@
         {
             if (has_backed_off(server)) {
                 g_hash_table_replace(
-                    servers, (char *)string_member(server, "name"), server);
+                    servers, (char *)ggw_ctl_string_member(server, "name"),
+                    server);
             }
         }
     }
     return servers;
 }
 
-static void
-print_server(const json_t *server)
-{
-    const json_t *left = json_object_get(server, "pause_left_ms");
-
-    printf("%-20s %-16s %-16s %-16s %s", string_member(server, "name"),
-           string_member(server, "team"), string_member(server, "service"),
-           string_member(server, "failure_domain"),
-           string_member(server, "state"));
-    if (left != NULL) {
-        printf(", %" JSON_INTEGER_FORMAT " ms left", json_integer_value(left));
-    }
-    puts("");
-}
-
 /*
  * Prints the backend servers that the first gateway with a page reports. What
  * a server has said to another gateway goes before.
@@ -123,15 +102,16 @@
     for (guint j = 0; j < gateways->len && servers == NULL; j++) {
         servers = page_servers(gateways, j);
     }
-    printf("\n%-20s %-16s %-16s %-16s %s\n", "BACKEND-SERVER", "TEAM",
-           "SERVICE", "FAILURE-DOMAIN", "STATE");
+    puts("");
+    ggw_ctl_print_server_titles();
     json_array_foreach(servers, i, server)
     {
-        if (team == NULL || strcmp(string_member(server, "team"), team) == 0) {
-            const json_t *told =
-                g_hash_table_lookup(backed_off, string_member(server, "name"));
+        if (team == NULL ||
+            strcmp(ggw_ctl_string_member(server, "team"), team) == 0) {
+            const json_t *told = g_hash_table_lookup(
+                backed_off, ggw_ctl_string_member(server, "name"));
 
-            print_server(told != NULL ? told : server);
+            ggw_ctl_print_server(told != NULL ? told : server);
         }
     }
 }
--- a/proxy/dispatch.c
+++ b/proxy/dispatch.c
@@ -3,7 +3,6 @@
 
 #include "common/metrics.h"
 #include "proxy/headers.h"
-#include "proxy/route.h"
 #include "proxy/state.h"
 
 /* How new requests are refused at once, or start. */
@@ -17,22 +16,10 @@
  */
 #define NO_CONFIGURATION_RETRY_MS 500
 
-/**
- * struct matched_kind - settings that apply to a request
- */
-struct matched_kind {
-    struct ggw_tree *tree;
-    const struct ggw_service_rule *rule;
-    const struct ggw_kind *kind;
-};
-
-/*
- * Finds the settings for a request to /TEAM/SERVICE. Returns the reason to
- * refuse the request, or NULL.
- */
-static const char *
-find_kind(struct ggw_proxy *proxy, const struct ggw_request_path *parsed,
-          const char *method, struct matched_kind *f)
+const char *
+ggw_request_find_kind(const struct ggw_proxy *proxy,
+                      const struct ggw_request_path *parsed,
+                      const char *method, struct ggw_matched_kind *f)
 {
     if (g_hash_table_size(proxy->teams) == 0) {
         return "no-configuration";
@@ -96,8 +83,8 @@
         g_strndup(req->input.method.base, req->input.method.len);
     ggw_ms now = ggw_kernel_now(proxy->base.kernel);
     ggw_ms wall = ggw_clock_wall(ggw_kernel_clock(proxy->base.kernel));
-    struct matched_kind f = {0};
-    const char *reason = find_kind(proxy, parsed, method, &f);
+    struct ggw_matched_kind f = {0};
+    const char *reason = ggw_request_find_kind(proxy, parsed, method, &f);
     g_autofree char *order = NULL;
     double deadline, prior_retries = 0;
     struct ggw_request *r;
@@ -144,13 +131,19 @@
 void
 ggw_request_dispatch(struct ggw_proxy *proxy, struct ggw_exchange *x)
 {
-    const h2o_iovec_t *path = &x->req->input.path;
+    const h2o_req_t *req = x->req;
+    const h2o_iovec_t *path = &req->input.path;
+    const char *query = memchr(path->base, '?', path->len);
+    size_t len = query != NULL ? (size_t)(query - path->base) : path->len;
+    g_autofree char *plain = g_strndup(path->base, len);
+    g_autofree char *host =
+        g_strndup(req->input.authority.base, req->input.authority.len);
     const struct ggw_route_rule *rule;
     struct ggw_tree *tree;
     struct ggw_request_path parsed;
 
     x->retry_after_decimals = proxy->options.dialect->retry_after_decimals;
-    rule = ggw_request_find_route(proxy, x->req, &tree);
+    rule = ggw_request_find_route(proxy, host, plain, &tree);
     if (rule != NULL && proxy->leaving &&
         ggw_kernel_now(proxy->base.kernel) >= proxy->accept_until) {
         ggw_request_refuse(x, 503, "leaving", GGW_LEAVING_RETRY_MS);
--- a/proxy/pages.c
+++ b/proxy/pages.c
@@ -24,9 +24,8 @@
            age >= proxy->options.ready_after;
 }
 
-/* Sends a JSON body with status 200; takes over the reference to @json. */
-static void
-respond_json(struct ggw_exchange *x, json_t *json)
+void
+ggw_proxy_respond_json(struct ggw_exchange *x, json_t *json)
 {
     char *text = json_dumps(json, JSON_COMPACT);
 
@@ -133,9 +132,10 @@
     value = h2o_strdup(&req->pool, age, SIZE_MAX);
     h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CACHE_CONTROL,
                    NULL, value.base, value.len);
-    respond_json(x, json_pack("{s:o,s:I,s:o}", "addresses", addresses,
-                              "keep_ms", (json_int_t)proxy->options.max_age,
-                              "gateways", gateways));
+    ggw_proxy_respond_json(x, json_pack("{s:o,s:I,s:o}", "addresses",
+                                        addresses, "keep_ms",
+                                        (json_int_t)proxy->options.max_age,
+                                        "gateways", gateways));
 }
 
 static json_t *
@@ -175,8 +175,8 @@
                                            : "pausing";
 }
 
-static json_t *
-server_json(const struct ggw_proxy *proxy, const struct ggw_vm *vm)
+json_t *
+ggw_proxy_server_json(const struct ggw_proxy *proxy, const struct ggw_vm *vm)
 {
     const struct ggw_server_backoff *b =
         g_hash_table_lookup(proxy->backoffs, vm->name);
@@ -204,7 +204,7 @@
         const struct ggw_vm *vm = &proxy->vms->vms[i];
 
         if (vm->role == GGW_VM_BACKEND_SERVER) {
-            json_array_append_new(list, server_json(proxy, vm));
+            json_array_append_new(list, ggw_proxy_server_json(proxy, vm));
         }
     }
     return list;
@@ -223,15 +223,15 @@
             revisions, team,
             json_integer((json_int_t)((struct ggw_tree *)tree)->revision));
     }
-    respond_json(x, json_pack("{s:s,s:I,s:s,s:b,s:b,s:i,s:o,s:o,s:o}", "name",
-                              proxy->options.name, "incarnation",
-                              (json_int_t)proxy->options.incarnation,
-                              "failure_domain", proxy->options.failure_domain,
-                              "leaving", (int)proxy->leaving, "ready",
-                              (int)ggw_proxy_ready(proxy), "requests",
-                              (int)proxy->requests, "revisions", revisions,
-                              "members", members_json(proxy),
-                              "backend_servers", servers_json(proxy)));
+    ggw_proxy_respond_json(
+        x, json_pack("{s:s,s:I,s:s,s:b,s:b,s:i,s:o,s:o,s:o}", "name",
+                     proxy->options.name, "incarnation",
+                     (json_int_t)proxy->options.incarnation, "failure_domain",
+                     proxy->options.failure_domain, "leaving",
+                     (int)proxy->leaving, "ready", (int)ggw_proxy_ready(proxy),
+                     "requests", (int)proxy->requests, "revisions", revisions,
+                     "members", members_json(proxy), "backend_servers",
+                     servers_json(proxy)));
 }
 
 static void
@@ -272,7 +272,7 @@
 static const struct page pages[] = {
     {"/-/entry", page_entry},   {"/-/health", page_health},
     {"/-/ready", page_ready},   {"/-/metrics", page_metrics},
-    {"/-/status", page_status},
+    {"/-/status", page_status}, {"/-/route", ggw_proxy_page_route},
 };
 
 /* Responds to a request for one of the gateway's own pages. */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -73,6 +73,19 @@
     return true;
 }
 
+static void
+record_routes(struct ggw_proxy *p, struct ggw_tree *tree)
+{
+    struct ggw_route_history *h =
+        g_hash_table_lookup(p->histories, tree->team);
+
+    if (h == NULL) {
+        h = ggw_route_history_new();
+        g_hash_table_insert(p->histories, g_strdup(tree->team), h);
+    }
+    ggw_route_history_record(h, tree);
+}
+
 static void
 on_config(struct ggw_proxy *p, struct ggw_config_in_force *m)
 {
@@ -83,6 +96,7 @@
     }
     g_hash_table_replace(p->teams, g_strdup(m->tree->team),
                          ggw_tree_ref(m->tree));
+    record_routes(p, m->tree);
 }
 
 static void
@@ -284,6 +298,7 @@
     ggw_listener_destroy(p->listener);
     ggw_pools_destroy(p->pools);
     g_hash_table_destroy(p->teams);
+    g_hash_table_destroy(p->histories);
     g_hash_table_destroy(p->services);
     g_hash_table_destroy(p->routes);
     g_hash_table_destroy(p->slot_waits);
@@ -340,6 +355,9 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_free);
     p->teams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                      (GDestroyNotify)ggw_tree_unref);
+    p->histories =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                              (GDestroyNotify)ggw_route_history_free);
     p->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         service_state_free);
     p->slot_waits = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/proxy/routed.c
+++ b/proxy/routed.c
@@ -23,25 +23,18 @@
 
 /*
  * Finds the route of a request in the settings of all teams. Sets @tree to the
- * settings that have it. Returns NULL if no route matches.
+ * settings that have it. @path has no query. Returns NULL if no route matches.
  */
 const struct ggw_route_rule *
-ggw_request_find_route(struct ggw_proxy *proxy, const h2o_req_t *req,
-                       struct ggw_tree **tree)
+ggw_request_find_route(const struct ggw_proxy *proxy, const char *host,
+                       const char *path, struct ggw_tree **tree)
 {
-    const h2o_iovec_t *path = &req->input.path;
-    const char *query = memchr(path->base, '?', path->len);
-    size_t len = query != NULL ? (size_t)(query - path->base) : path->len;
-    g_autofree char *plain = g_strndup(path->base, len);
-    g_autofree char *host =
-        g_strndup(req->input.authority.base, req->input.authority.len);
     GHashTableIter iter;
     gpointer value;
 
     g_hash_table_iter_init(&iter, proxy->teams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct ggw_route_rule *route =
-            ggw_tree_route(value, host, plain);
+        const struct ggw_route_rule *route = ggw_tree_route(value, host, path);
 
         if (route != NULL) {
             *tree = value;
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -2,11 +2,13 @@
 #define GGW_PROXY_STATE_H
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdbool.h>
 
 #include "claims/claims.h"
 #include "common/histogram.h"
 #include "config/config.h"
+#include "config/route_history.h"
 #include "config/vms.h"
 #include "decide/retry.h"
 #include "http/client.h"
@@ -14,6 +16,7 @@
 #include "http/listener.h"
 #include "peers/peers.h"
 #include "proxy/proxy.h"
+#include "proxy/route.h"
 #include "slots/slots.h"
 
 /* State that the files of the service "proxy" share. */
@@ -63,6 +66,7 @@
 /**
  * struct ggw_proxy - the service "proxy"
  * @teams: maps a team to its struct ggw_tree in force
+ * @histories: maps a team to its struct ggw_route_history
  * @services: maps "TEAM/SERVICE" to struct ggw_proxy_service_state
  * @routes: maps the name of a route to struct ggw_proxy_route_state
  * @slot_waits, @claim_waits: map a message tag to the struct ggw_request that
@@ -100,6 +104,7 @@
     struct ggw_pools *pools;
 
     GHashTable *teams;
+    GHashTable *histories;
     GHashTable *services;
     GHashTable *routes;
     GHashTable *slot_waits;
@@ -272,6 +277,24 @@
 
 /* proxy/dispatch.c */
 
+/**
+ * struct ggw_matched_kind - settings that apply to a request to /TEAM/SERVICE
+ */
+struct ggw_matched_kind {
+    struct ggw_tree *tree;
+    const struct ggw_service_rule *rule;
+    const struct ggw_kind *kind;
+};
+
+/*
+ * Finds the settings for a request to /TEAM/SERVICE. Returns the reason to
+ * refuse the request, or NULL.
+ */
+const char *ggw_request_find_kind(const struct ggw_proxy *proxy,
+                                  const struct ggw_request_path *parsed,
+                                  const char *method,
+                                  struct ggw_matched_kind *found);
+
 /* Handles a new request: a route, a page of the gateway or /TEAM/SERVICE. */
 void ggw_request_dispatch(struct ggw_proxy *proxy, struct ggw_exchange *x);
 
@@ -312,9 +335,9 @@
 void ggw_request_start_routed(struct ggw_proxy *proxy, struct ggw_exchange *x,
                               struct ggw_tree *tree,
                               const struct ggw_route_rule *route);
-const struct ggw_route_rule *ggw_request_find_route(struct ggw_proxy *proxy,
-                                                    const h2o_req_t *req,
-                                                    struct ggw_tree **tree);
+const struct ggw_route_rule *
+ggw_request_find_route(const struct ggw_proxy *proxy, const char *host,
+                       const char *path, struct ggw_tree **tree);
 double ggw_request_cross_domain_cost(const struct ggw_request *r);
 void ggw_request_record_size(struct ggw_request *r, size_t bytes);
 
@@ -358,4 +381,14 @@
 void ggw_proxy_page(struct ggw_proxy *proxy, struct ggw_exchange *x);
 bool ggw_proxy_ready(const struct ggw_proxy *proxy);
 
+/* Sends a JSON body with status 200; takes over the reference to @json. */
+void ggw_proxy_respond_json(struct ggw_exchange *x, json_t *json);
+
+/* What the gateway knows of a backend server, as JSON. */
+json_t *ggw_proxy_server_json(const struct ggw_proxy *proxy,
+                              const struct ggw_vm *vm);
+
+/* proxy/route_page.c */
+void ggw_proxy_page_route(struct ggw_proxy *proxy, struct ggw_exchange *x);
+
 #endif
--- a/tests/system.c
+++ b/tests/system.c
@@ -312,8 +312,8 @@
 
     add_args(argv, args);
     add_flag(argv, "--team", s->options.team);
-    if (strcmp(args[0], "status") != 0) {
-        /* Only "status" asks gateways alone. */
+    if (strcmp(args[0], "status") != 0 && strcmp(args[0], "route") != 0) {
+        /* Only "status" and "route" ask gateways alone. */
         add_flag(argv, "--platform", s->platform_address);
         add_flag(argv, "--who", "tester");
     }
--- a/tests/test_proxy_pages.c
+++ b/tests/test_proxy_pages.c
@@ -258,6 +258,76 @@
     env_stop(env);
 }
 
+#define ROUTE_PAGE "/-/route?method=GET&"
+
+/* Whether the page for a request names @name as its @member. */
+static bool
+route_is(struct env *env, const char *query, const char *member,
+         const char *name)
+{
+    g_autofree char *path = g_strconcat(ROUTE_PAGE, query, NULL);
+    json_t *json = get_page(env, path, 200);
+    bool same =
+        g_strcmp0(json_string_value(json_object_get(json, member)), name) == 0;
+
+    json_decref(json);
+    return same;
+}
+
+static bool
+route_refused(struct env *env, const char *page, int status,
+              const char *reason)
+{
+    g_autofree char *request =
+        g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", page);
+
+    return env_expect(env, request, status, "not-run", reason);
+}
+
+/*
+ * Guards against a page that finds another route than a request does, and
+ * against input that it cannot bear: no path, malformed escapes, a method in
+ * lower case.
+ */
+static void
+test_route(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+
+    CU_ASSERT(route_is(env, "host=kept.example&path=/x", "route", "kept"));
+    CU_ASSERT(
+        route_is(env, "host=KEPT.example:80&path=/x?/y", "route", "kept"));
+    CU_ASSERT(
+        route_is(env, "host=once.example&path=/", "idempotency", "once"));
+    CU_ASSERT(route_is(env, "path=/team/svc/read/1%3Fq=2", "kind", "read"));
+    CU_ASSERT(route_is(env, "host=other.example&path=/team/svc/other", "kind",
+                       "other"));
+    CU_ASSERT(
+        route_refused(env, ROUTE_PAGE "path=/team/svc/none", 404, "no-route"));
+    CU_ASSERT(route_refused(env, ROUTE_PAGE "path=/team", 404, "no-route"));
+    CU_ASSERT(route_refused(env, ROUTE_PAGE "path=", 404, "no-route"));
+    CU_ASSERT(route_refused(env, ROUTE_PAGE "path=/%2525zz", 404, "no-route"));
+    CU_ASSERT(route_refused(env, "/-/route?method=get&path=/team/svc/read",
+                            404, "no-route"));
+    CU_ASSERT(route_refused(env, ROUTE_PAGE "path=/%zz", 400, "bad-request"));
+    CU_ASSERT(route_refused(env, ROUTE_PAGE "host=kept.example", 400,
+                            "bad-request"));
+    CU_ASSERT(route_refused(env, "/-/route?path=/", 400, "bad-request"));
+    CU_ASSERT(route_refused(env, "/-/route", 400, "bad-request"));
+    env_stop(env);
+}
+
+/* Guards against "no route matches" before any settings are known. */
+static void
+test_route_unconfigured(void)
+{
+    struct env *env = env_start_bare(100);
+
+    CU_ASSERT(route_refused(env, ROUTE_PAGE "path=/team/svc/read", 503,
+                            "no-configuration"));
+    env_stop(env);
+}
+
 int
 main(void)
 {
@@ -265,6 +335,8 @@
         {"entry", test_entry},
         {"status", test_status},
         {"backoff state", test_backoff_state},
+        {"route", test_route},
+        {"route without configuration", test_route_unconfigured},
         {"shutdown", test_shutdown},
         {"shutdown timeout", test_shutdown_timeout},
         CU_TEST_INFO_NULL,
