site: a domain goes out also while the newest configuration is refused

Cause: the newest configuration and the set of domains that are out were translated together. While the configuration did not pass, a failure domain that an operator took out of service stayed in, without a bound in time. A route whose weights are all 0 passed the checks, and its first service got all of its requests.

Change: ggw_site_resolve() keeps the newest configuration that passes all checks and translates it with the domains of now; a refused one is counted and logged once, by the name of its route. Weights that are all 0 are refused.

--- a/config/settings_tables.c
+++ b/config/settings_tables.c
@@ -28,6 +28,17 @@
     return true;
 }
 
+static bool
+has_weight(const struct ggw_route_rule *route)
+{
+    for (size_t i = 0; i < route->split_len; i++) {
+        if (route->split[i].weight > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 check_route(const void *entry, const char *path, GError **error)
 {
@@ -41,6 +52,10 @@
         setting = g_strconcat(path, ".", missing, NULL);
         return ggw_setting_refuse(error, setting, "must be set");
     }
+    if (!has_weight(route)) {
+        setting = g_strconcat(path, ".services", NULL);
+        return ggw_setting_refuse(error, setting, "no weight is above 0");
+    }
     if (route->kind.idempotency == GGW_AT_MOST_ONCE) {
         setting = g_strconcat(path, ".idempotency", NULL);
         return ggw_setting_refuse(error, setting,
--- a/tests/test_mutated_texts.c
+++ b/tests/test_mutated_texts.c
@@ -235,16 +235,14 @@
 {
     struct ggw_node_settings *s =
         ggw_node_settings_parse(SETTINGS, "file", NULL);
-    struct ggw_site_config site = {
-        .config = g_bytes_new(text, strlen(text)),
-        .domains_out = g_hash_table_new(g_str_hash, g_str_equal),
-    };
+    g_autoptr(GBytes) config = g_bytes_new(text, strlen(text));
+    g_autoptr(GHashTable) domains_out =
+        g_hash_table_new(g_str_hash, g_str_equal);
     g_autofree char *version = NULL;
-    g_autofree char *json = ggw_site_translate(&site, s, &version, NULL);
+    g_autofree char *json =
+        ggw_site_translate(config, domains_out, s, &version, NULL);
     bool ok = json != NULL && read_tree(json);
 
-    g_hash_table_unref(site.domains_out);
-    g_bytes_unref(site.config);
     ggw_node_settings_free(s);
     return ok;
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -103,23 +103,20 @@
 translate_config(const char *config, const char *domain_out, GError **error)
 {
     struct ggw_node_settings *s = parse_settings();
-    struct ggw_site_config site = {
-        .config = bytes(config),
-        .domains_out = g_hash_table_new(g_str_hash, g_str_equal),
-    };
+    g_autoptr(GBytes) text = bytes(config);
+    g_autoptr(GHashTable) domains_out =
+        g_hash_table_new(g_str_hash, g_str_equal);
     g_autofree char *version = NULL;
     g_autofree char *json = NULL;
     struct ggw_tree *tree = NULL;
 
     if (domain_out != NULL) {
-        g_hash_table_add(site.domains_out, (gpointer)domain_out);
+        g_hash_table_add(domains_out, (gpointer)domain_out);
     }
-    json = ggw_site_translate(&site, s, &version, error);
+    json = ggw_site_translate(text, domains_out, s, &version, error);
     if (json != NULL) {
         tree = ggw_tree_parse(GGW_SITE_TEAM, 1, json, error);
     }
-    g_hash_table_unref(site.domains_out);
-    g_bytes_unref(site.config);
     ggw_node_settings_free(s);
     return tree;
 }
@@ -187,6 +184,71 @@
     }
 }
 
+/* Settings that follow from a new configuration; NULL if there are none. */
+static struct ggw_tree *
+resolve(struct ggw_site_config *site, const char *config, GError **error)
+{
+    struct ggw_node_settings *s = parse_settings();
+    g_autofree char *version = NULL;
+    g_autofree char *json = NULL;
+
+    g_clear_pointer(&site->config, g_bytes_unref);
+    site->config = bytes(config);
+    json = ggw_site_resolve(site, s, &version, error);
+    ggw_node_settings_free(s);
+    return json != NULL ? ggw_tree_parse(GGW_SITE_TEAM, 1, json, NULL) : NULL;
+}
+
+/* A rule that is malformed, and one that the settings do not allow. */
+#define RULE_WITHOUT_PREFIX                                                   \
+    "{\"Name\":\"lost\",\"Action\":{\"Service\":\"s\"}}"
+#define RULE_WITHOUT_WEIGHT                                                   \
+    "{\"Name\":\"lost\",\"Match\":{\"Prefix\":\"/q/\"},\"Action\":{"          \
+    "\"TrafficSplit\":[{\"Service\":\"s\",\"Weight\":0}]}}"
+
+/*
+ * Guards against a failure domain that stays in service because the newest
+ * configuration is refused, and against a refusal that is reported again and
+ * again or does not name the route.
+ */
+static void
+test_domain_out_while_refused(void)
+{
+    static const char *const refused[] = {
+        CONFIG(RULE("idempotent") "," RULE_WITHOUT_PREFIX),
+        CONFIG(RULE("idempotent") "," RULE_WITHOUT_WEIGHT),
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(refused); i++) {
+        struct ggw_site_config site = {
+            .domains_out = g_hash_table_new(g_str_hash, g_str_equal),
+        };
+        g_autoptr(GError) error = NULL;
+        g_autoptr(GError) again = NULL;
+        struct ggw_tree *tree;
+
+        CU_ASSERT_PTR_NULL(resolve(&site, refused[i], &error));
+        g_assert_nonnull(error);
+        CU_ASSERT_PTR_NOT_NULL(strstr(error->message, "lost"));
+        tree = resolve(&site, CONFIG(RULE("idempotent")), &again);
+        CU_ASSERT_PTR_NOT_NULL(tree);
+        ggw_tree_unref(tree);
+        g_hash_table_add(site.domains_out, (gpointer) "zone-b");
+        tree = resolve(&site, refused[i], &again);
+        CU_ASSERT_PTR_NULL(again);
+        g_assert_nonnull(tree);
+        CU_ASSERT_TRUE(ggw_tree_domain_out(tree, "zone-b"));
+        CU_ASSERT_PTR_NOT_NULL(ggw_tree_route(tree, "h.example", "/p/x"));
+        ggw_tree_unref(tree);
+        g_hash_table_remove(site.domains_out, "zone-b");
+        tree = resolve(&site, refused[i], &again);
+        g_assert_nonnull(tree);
+        CU_ASSERT_FALSE(ggw_tree_domain_out(tree, "zone-b"));
+        ggw_tree_unref(tree);
+        ggw_site_config_clear(&site);
+    }
+}
+
 #define ENTRY(state, cold)                                                    \
     "{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","      \
     "\"Version\":\"v1\",\"Slots\":4,\"State\":\"" state                       \
@@ -449,6 +511,7 @@
         {"config", test_config},
         {"unknown route type", test_unknown_type},
         {"config refused", test_config_refused},
+        {"domain out while refused", test_domain_out_while_refused},
         {"entry", test_entry},
         {"malformed entries", test_malformed_entries},
         {"expired entries", test_expired},
--- a/tests/test_tree.c
+++ b/tests/test_tree.c
@@ -142,6 +142,9 @@
     {KIND("\"order_from\":\"header:a b\""),
      "services.s.kinds.k.order_from: \"header:a b\" is not \"header:NAME\" "
      "or \"path:N\" with N in 0..31"},
+    {"{\"services\":{\"s\":{}},\"routes\":{\"r\":{\"host\":\"h\","
+     "\"services\":{\"s\":0}}}}",
+     "routes.r.services: no weight is above 0"},
     {KIND("\"timeout_ms\":0"),
      "services.s.kinds.k.timeout_ms: 0 is not in 1..600000"},
 };
