--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -424,6 +424,37 @@
     CU_ASSERT_EQUAL(r.cold_left, 1200);
 }
 
+/*
+ * Guards against a malformed load report that is read as 0, so that a full
+ * server looks idle; further fields are for later versions.
+ */
+static void
+test_malformed_load(void)
+{
+    static const struct {
+        const char *text;
+        bool present;
+    } reports[] = {
+        {"3,1,8", true},       {"3,1,8,250", true},    {" 3 , 1 , 8 ", true},
+        {"3,1,8,100,7", true}, {"3,1,8,100,x", true},  {"", false},
+        {"3", false},          {"3,1", false},         {"x,1,8", false},
+        {"3,,8", false},       {"3,1,8 slots", false}, {"-3,1,8", false},
+        {"3,1,8,", false},     {"nan,1,8", false},     {"inf,1,8", false},
+        {"3;1;8", false},
+    };
+    h2o_iovec_t name = {H2O_STRLIT("Instance-Load")};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(reports); i++) {
+        h2o_header_t header = {
+            .name = &name,
+            .value = {(char *)reports[i].text, strlen(reports[i].text)}};
+        struct ggw_load_report r = ggw_site_dialect.load(&header, 1);
+
+        CU_ASSERT_EQUAL(r.present, reports[i].present);
+        CU_ASSERT_EQUAL(r.busy, reports[i].present ? 3 : 0);
+    }
+}
+
 /* Whether a response with these two headers says that its server leaves. */
 static bool
 says_leaving(const char *first, const char *second)
@@ -517,6 +548,7 @@
         {"expired entries", test_expired},
         {"store responses", test_store_responses},
         {"dialect", test_dialect},
+        {"malformed load", test_malformed_load},
         {"backoff", test_backoff},
         {"malformed backoff", test_malformed_backoff},
         CU_TEST_INFO_NULL,
