--- a/config/config.c
+++ b/config/config.c
@@ -54,6 +54,8 @@
  * @json: JSON text of the settings in force; NULL if there are none
  * @tree: snapshot of the settings in force; NULL if there are none
  * @refused_revision: last revision that failed the checks; 0 if none did
+ * @malformed_mod_revision: mod_revision of the last row that could not be
+ *                          parsed; 0 if there was none
  * @pull_at: monotonic time in ms from which a peer that has a higher revision
  *           is queried for it; 0 if no peer has reported a higher one
  */
@@ -62,6 +64,7 @@
     char *json;
     struct ggw_tree *tree;
     uint64_t refused_revision;
+    int64_t malformed_mod_revision;
     ggw_ms pull_at;
 };
 
@@ -271,6 +274,21 @@
     uv_timer_start(timer, poll_cb, (uint64_t)(p->poll * jitter), 0);
 }
 
+/* Reports a malformed row once, and not again at each full read. */
+static void
+reject_row(struct priv *p, const char *team, const struct ggw_row *row,
+           const GError *error)
+{
+    struct team *t = find_or_add_team(p, team);
+
+    if (t == NULL || t->malformed_mod_revision == row->mod_revision) {
+        return;
+    }
+    t->malformed_mod_revision = row->mod_revision;
+    ggw_count("ggw_config_refused_total");
+    ggw_log_error(PART, "team %s: %s", team, error->message);
+}
+
 static void
 apply_row(struct priv *p, const struct ggw_row *row)
 {
@@ -285,8 +303,7 @@
         free(json);
     }
     else {
-        ggw_count("ggw_config_refused_total");
-        ggw_log_error(PART, "team %s: %s", team, error->message);
+        reject_row(p, team, row, error);
     }
     ggw_config_row_clear(&parsed);
 }
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -1,6 +1,7 @@
 #include <CUnit/Basic.h>
 #include <string.h>
 
+#include "common/metrics.h"
 #include "config/config.h"
 #include "config/exchange.h"
 #include "config/row.h"
@@ -37,6 +38,7 @@
  * struct fixture - input of a service "config" and record of its actions
  * @responses: responses to its reads, in order
  * @responses_len: number of elements in @responses
+ * @mod_revisions: mod_revisions of the rows in @responses; NULL: all differ
  * @frames: frames that it receives from a peer
  * @frames_len: number of elements in @frames
  * @reads: number of reads so far
@@ -51,6 +53,7 @@
 struct fixture {
     const struct response *responses;
     size_t responses_len;
+    const int64_t *mod_revisions;
     struct frame frames[MAX_RECORDED];
     size_t frames_len;
     size_t reads;
@@ -92,7 +95,9 @@
             "{\"revision\":%d,\"change\":\"c\",\"who\":\"w\",\"when\":\"t\","
             "\"tree\":%s}",
             (int)a->revision, a->tree);
-        row.mod_revision = (int64_t)(100 + fx->reads);
+        row.mod_revision = fx->mod_revisions != NULL
+                               ? fx->mod_revisions[fx->reads - 1]
+                               : (int64_t)(100 + fx->reads);
         g_array_append_val(result->rows, row);
     }
     ggw_kernel_reply(&f->base, &txn->base, &result->base);
@@ -479,6 +484,30 @@
     }
 }
 
+/* Guards against a malformed row that is reported at each read. */
+static void
+test_malformed_row_reported_once(void)
+{
+    static const struct response responses[] = {
+        {GGW_PLATFORM_OK, false, 1, TREE}, {GGW_PLATFORM_OK, false, 2, "{"},
+        {GGW_PLATFORM_OK, false, 2, "{"},  {GGW_PLATFORM_OK, false, 2, "{"},
+        {GGW_PLATFORM_OK, false, 2, "{"},  {GGW_PLATFORM_OK, false, 3, TREE},
+    };
+    static const int64_t mod_revisions[] = {7, 8, 8, 8, 9, 10};
+    struct fixture fx = {
+        .responses = responses,
+        .responses_len = G_N_ELEMENTS(responses),
+        .mod_revisions = mod_revisions,
+    };
+    uint64_t before = *ggw_counter("ggw_config_refused_total");
+
+    run_service(&fx);
+    CU_ASSERT_EQUAL(*ggw_counter("ggw_config_refused_total") - before, 2);
+    CU_ASSERT_EQUAL_FATAL(fx.in_force_len, 2);
+    CU_ASSERT_EQUAL(fx.in_force[1], 3);
+    fixture_clear(&fx);
+}
+
 int
 main(void)
 {
@@ -497,6 +526,8 @@
     CU_add_test(suite, "corrupted update", test_corrupted_update);
     CU_add_test(suite, "unanswered reads", test_unanswered_reads);
     CU_add_test(suite, "malformed rows", test_malformed_rows);
+    CU_add_test(suite, "malformed row reported once",
+                test_malformed_row_reported_once);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
