--- a/ctl/change.c
+++ b/ctl/change.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "ctl/audit.h"
 #include "ctl/ctl.h"
 #include "ctl/path.h"
 #include "ctl/status.h"
@@ -80,10 +81,7 @@
     else {
         ggw_txn_compare(txn, c->config_key, 0);
     }
-    /*
-     * An audit row is never overwritten. If the settings row was deleted,
-     * revisions start again at 1, and their audit rows may still exist.
-     */
+    /* An audit row is never overwritten. */
     ggw_txn_compare(txn, c->audit_key, 0);
     ggw_txn_put(txn, c->config_key, row);
     ggw_txn_put(txn, c->audit_key, audit);
@@ -191,11 +189,41 @@
                         (guint64)c->to.revision, c->to.change);
 }
 
+/*
+ * Whether a write has met audit rows of settings that were deleted: there was
+ * no settings row, and there is none now.
+ */
+static bool
+settings_were_deleted(const struct change *c,
+                      const struct ggw_txn_result *result)
+{
+    return result->status == GGW_PLATFORM_CONFLICT &&
+           c->from.mod_revision == 0 &&
+           ggw_ctl_find_row(result, c->config_key) == NULL;
+}
+
+/*
+ * Numbers the change after the last revision that has an audit row. Gateways
+ * refuse an older revision than the one in force.
+ */
+static bool
+renumber(struct change *c)
+{
+    if (!ggw_ctl_last_revision(c->args, &c->from.row.revision)) {
+        return false;
+    }
+    c->to.revision = c->from.row.revision + 1;
+    g_free(c->audit_key);
+    c->audit_key = ggw_ctl_audit_key(c->args, c->to.revision);
+    return true;
+}
+
 static int
-write_change(const struct change *c)
+write_change(struct change *c, bool renumbered)
 {
     struct ggw_txn_result *result = ggw_ctl_run_txn(c->args, build_txn(c));
     enum ggw_platform_status status = result->status;
+    bool deleted = settings_were_deleted(c, result);
     g_autofree char *id = NULL;
     g_autofree char *who = NULL;
 
@@ -205,7 +233,10 @@
     case GGW_PLATFORM_OK:
         return report_success(c);
     case GGW_PLATFORM_CONFLICT:
-        return fail_lost_race(c, who);
+        if (!deleted || renumbered) {
+            return fail_lost_race(c, who);
+        }
+        return renumber(c) ? write_change(c, true) : GGW_CTL_UNREACHABLE;
     case GGW_PLATFORM_NOT_SENT:
         return ggw_ctl_fail(c->args, GGW_CTL_UNREACHABLE,
                             "platform %s:%u gives no answer; the change is "
@@ -246,7 +277,7 @@
         prepare_change(c, tree);
         tree = NULL;
         if (c->paths->len > 0) {
-            status = write_change(c);
+            status = write_change(c, false);
         }
         else {
             printf("%s: revision %" G_GUINT64_FORMAT ", nothing to change\n",
--- a/ctl/table.h
+++ b/ctl/table.h
@@ -28,6 +28,9 @@
 /* Returns the key of the row that holds the settings of the team. */
 char *ggw_ctl_config_key(const struct ggw_ctl_args *args);
 
+/* Highest revision whose audit key has the width of the others. */
+#define GGW_CTL_MAX_REVISION 9999999999
+
 /* Returns the key of the audit row of a revision of the team's settings. */
 char *ggw_ctl_audit_key(const struct ggw_ctl_args *args, uint64_t revision);
 
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "ctl/blocking.h"
 #include "ctl/ctl.h"
 #include "ctl/path.h"
 #include "tests/platform_process.h"
@@ -13,6 +14,9 @@
 /* Delay of a write in ms; the other operator reads the settings meanwhile. */
 #define WRITE_DELAY_MS "3000"
 
+/* Timeout of requests that must be answered, in ms. */
+#define LONG_TIMEOUT_MS 10000
+
 static struct platform_process process;
 
 /* A verb that runs in a child process; @out reads its output. */
@@ -467,6 +471,90 @@
     CU_ASSERT_STRING_EQUAL(out, page);
 }
 
+/* Runs a transaction that must succeed. */
+static void
+write_rows(struct ggw_txn *txn)
+{
+    struct ggw_blocking_request r = {"127.0.0.1", process.port, &txn->base,
+                                     NULL};
+
+    g_assert_true(ggw_blocking_run(&r, 1, NULL));
+    CU_ASSERT_EQUAL(((struct ggw_txn_result *)r.result)->status,
+                    GGW_PLATFORM_OK);
+    ggw_blocking_clear(&r, 1);
+}
+
+/* Removes the row with the settings of a team from the store. */
+static void
+delete_settings(const char *team)
+{
+    g_autofree char *key = g_strconcat("config/", team, NULL);
+    struct ggw_txn *txn = ggw_txn_new(LONG_TIMEOUT_MS);
+
+    ggw_txn_put(txn, key, NULL);
+    write_rows(txn);
+}
+
+/* Writes the audit rows of the revisions 1 to @last. */
+static void
+put_audit_rows(const char *team, int last)
+{
+    for (int i = 1; i <= last; i++) {
+        g_autofree char *key = g_strdup_printf("audit/%s/%010d", team, i);
+        struct ggw_txn *txn = ggw_txn_new(LONG_TIMEOUT_MS);
+
+        ggw_txn_put(txn, key, "{}");
+        write_rows(txn);
+    }
+}
+
+/* Guards against a wrong revision after the last of any number of rows. */
+static void
+test_last_revision(void)
+{
+    static const int rows[] = {1, 2, 3, 64, 101, 255};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        g_autofree char *team = g_strdup_printf("rows-%d", rows[i]);
+        g_autofree char *line =
+            g_strdup_printf("set services.a.slots 2 --team %s "
+                            "--platform 127.0.0.1:PORT",
+                            team);
+        g_autofree char *revision =
+            g_strdup_printf("revision %d\n", rows[i] + 1);
+
+        put_audit_rows(team, rows[i]);
+        expect(line, 0, revision);
+    }
+}
+
+/*
+ * Guards against changes that are refused for good once the settings row was
+ * deleted, and against a revision that gateways refuse as older.
+ */
+static void
+test_deleted(void)
+{
+    for (int i = 1; i <= 5; i++) {
+        g_autofree char *line =
+            g_strdup_printf("set services.a.slots %d --team deleted "
+                            "--platform 127.0.0.1:PORT",
+                            i + 1);
+        g_autofree char *revision = g_strdup_printf("revision %d\n", i);
+
+        expect(line, 0, revision);
+    }
+    for (int i = 6; i <= 7; i++) {
+        g_autofree char *revision = g_strdup_printf("revision %d\n", i);
+
+        delete_settings("deleted");
+        expect("set services.a.slots 9 --team deleted "
+               "--platform 127.0.0.1:PORT",
+               0, revision);
+    }
+    CU_ASSERT_EQUAL(count_audit_rows("deleted"), 7);
+}
+
 int
 main(void)
 {
@@ -491,6 +579,8 @@
     CU_add_test(suite, "gateways", test_gateways);
     CU_add_test(suite, "compare", test_compare);
     CU_add_test(suite, "reference", test_reference);
+    CU_add_test(suite, "deleted", test_deleted);
+    CU_add_test(suite, "last revision", test_last_revision);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
     CU_cleanup_registry();
