tests, standins: faults that were noticed while the code was reworded

It checks now that the gateway that was paused never counts another one as dead. Closed links, which the counter counted, are normal then: the others close theirs to a gateway that they count as dead.

The changes of the stand-ins were not run by a test of their own.

--- a/standins/load.c
+++ b/standins/load.c
@@ -294,12 +294,12 @@
     struct request *d = g_new0(struct request, 1);
     const char *backend_path = r->path;
 
-    for (int i = 0; i < ROUTE_PREFIX_SLASHES; i++) {
+    for (int i = 0; backend_path != NULL && i < ROUTE_PREFIX_SLASHES; i++) {
         backend_path = strchr(backend_path + (i > 0 ? 1 : 0), '/');
     }
     d->kind = r->kind;
     d->id = g_strdup(r->id);
-    d->path = g_strdup(backend_path);
+    d->path = g_strdup(backend_path != NULL ? backend_path : "/");
     d->size = r->size;
     d->direct = true;
     d->gateway_latency = now_ms() - r->scheduled;
--- a/standins/relay.c
+++ b/standins/relay.c
@@ -413,6 +413,15 @@
                          p->accepted + r->delay, connect_cb);
 }
 
+static void
+free_route_cb(uv_handle_t *listener)
+{
+    struct route *r = listener->data;
+
+    g_free(r->name);
+    g_free(r);
+}
+
 /*
  * Adds a route from "NAME,LISTEN,TARGET,DELAY_MS". Returns NULL, or a message
  * that describes the error.
@@ -438,6 +447,9 @@
     if (!standin_listen(&relay.loop, &r->listener, f[1], &r->port,
                         accept_cb)) {
         problem = "cannot listen";
+        /* The handle belongs to the loop until it is closed. */
+        uv_close((uv_handle_t *)&r->listener, free_route_cb);
+        r = NULL;
         goto done;
     }
     g_ptr_array_add(relay.routes, r);
@@ -445,10 +457,7 @@
     r = NULL;
 done:
     g_strfreev(f);
-    if (r != NULL) {
-        g_free(r->name);
-        g_free(r);
-    }
+    g_free(r);
     return problem;
 }
 
@@ -487,12 +496,15 @@
     }
 }
 
-/* Makes the open connections silent; new ones work. */
+/*
+ * Makes the open connections silent, or ends that; new ones work. What a
+ * silent connection has discarded stays lost.
+ */
 static void
-route_silence(struct route *r)
+route_silence(struct route *r, bool silent)
 {
     for (GList *i = r->pairs.head; i != NULL; i = i->next) {
-        ((struct pair *)i->data)->silent = true;
+        ((struct pair *)i->data)->silent = silent;
     }
 }
 
@@ -518,7 +530,7 @@
         }
     }
     else if (strcmp(key, "silent") == 0) {
-        route_silence(r);
+        route_silence(r, json_is_true(value));
     }
     else if (strcmp(key, "hold") == 0) {
         r->hold = json_is_true(value);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -24,9 +24,6 @@
 #define RECOVERY_MS 15000.0
 #define CHECK_MS 4000.0
 
-/* Time limit for the start of the gateways, ms. */
-#define START_TIMEOUT_MS 20000.0
-
 /* Interval of the timer that runs the plan, ms. */
 #define TICK_MS 20
 
@@ -480,16 +477,12 @@
 
 /*
  * Starts the traffic after twice the start-up time of a gateway, so that each
- * group of clients can be served.
+ * group of clients can be served. Gateways that do not start are found at the
+ * end: too few requests are served after the faults.
  */
 static void
 wait_for_start(struct soak *s, ggw_ms now)
 {
-    if (now > s->created_at + STARTUP_MS + START_TIMEOUT_MS) {
-        soak_record_add_violation(s->record, now, "START",
-                                  "gateways did not start in time");
-        uv_stop(&s->loop);
-    }
     if (now > s->created_at + 2 * STARTUP_MS) {
         s->traffic_started = now;
         soak_clients_set_rate(s->clients, RATE_PER_S);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -281,7 +281,10 @@
 static void
 wait_for_delayed_writes(int64_t remaining)
 {
+    gint64 deadline = g_get_monotonic_time() + LONG_TIMEOUT_MS * 1000;
+
     while (platform_process_stat(&process, "fault_count") != remaining) {
+        g_assert_true(g_get_monotonic_time() < deadline);
     }
 }
 
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -117,6 +117,18 @@
            node_sees(&c->nodes[2], "gw-0", GGW_MEMBER_DEAD);
 }
 
+/* Whether the first gateway has counted another one as dead meanwhile. */
+static bool first_saw_death;
+
+static bool
+joined_after_pause(struct cluster *c)
+{
+    first_saw_death = first_saw_death ||
+                      node_sees(&c->nodes[0], "gw-1", GGW_MEMBER_DEAD) ||
+                      node_sees(&c->nodes[0], "gw-2", GGW_MEMBER_DEAD);
+    return cluster_joined(c);
+}
+
 /*
  * Guards against a paused gateway that can never rejoin because the others
  * declared its incarnation dead, and against one that declares all others dead
@@ -126,17 +138,16 @@
 test_pause_and_resume(void)
 {
     struct cluster *c = three_gateways(NULL);
-    int lost;
 
     CU_ASSERT_TRUE(cluster_wait(c, cluster_joined));
-    lost = c->nodes[0].client->lost_peers;
     c->nodes[0].paused = true;
     CU_ASSERT_TRUE(cluster_wait(c, first_is_suspected));
     CU_ASSERT_TRUE(cluster_wait(c, first_is_dead));
     CU_ASSERT_TRUE(node_sees(&c->nodes[0], "gw-1", GGW_MEMBER_ALIVE));
     c->nodes[0].paused = false;
-    CU_ASSERT_TRUE(cluster_wait(c, cluster_joined));
-    CU_ASSERT_TRUE(c->nodes[0].client->lost_peers >= lost);
+    first_saw_death = false;
+    CU_ASSERT_TRUE(cluster_wait(c, joined_after_pause));
+    CU_ASSERT_FALSE(first_saw_death);
     free_cluster(c);
 }
 
