standins: the client's list of gateways is a module

The addresses of an entry page, their order and the seeds are now standins/client/gateway_list, without a network; load.c keeps when to ask.

--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,8 @@
 TEST_SRC := $(wildcard tests/test_*.c)
 TEST_LIB_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/*.c))
 SOAK_SRC := $(wildcard tests/soak/*.c)
-HEADERS := $(wildcard $(addsuffix /*.h,$(DIRS) main standins standins/store tests tests/soak \
-	bench))
+HEADERS := $(wildcard $(addsuffix /*.h,$(DIRS) main standins standins/client \
+	standins/store tests tests/soak bench))
 ALL_SRC := $(LIB_SRC) $(MAIN_SRC) $(STANDIN_SRC) $(STANDIN_LIB_SRC) $(BENCH_SRC) \
 	$(TEST_SRC) $(TEST_LIB_SRC) $(SOAK_SRC)
 
--- a/standins/load.c
+++ b/standins/load.c
@@ -9,6 +9,7 @@
 #include <math.h>
 
 #include "common/fine_timer.h"
+#include "standins/client/gateway_list.h"
 #include "standins/control.h"
 #include "standins/http_call.h"
 #include "standins/load_stats.h"
@@ -68,10 +69,8 @@
     struct ggw_fine_timers *timers;
     struct http_calls calls;
     GRand *rand;
-    GPtrArray *kinds;     /* struct kind */
-    GPtrArray *addresses; /* char *, those of the own failure domain first */
-    guint own_domain_len; /* number of addresses in the own failure domain */
-    guint next_address;
+    GPtrArray *kinds; /* struct kind */
+    struct gateway_list *gateways;
     GHashTable *map;    /* address from the entry page to one to use instead */
     GHashTable *orders; /* order id to struct load_order_result */
     struct load_stats *direct; /* of direct requests */
@@ -116,24 +115,6 @@
     ggw_fine_timer_start(load.timers, timer, due, cb);
 }
 
-/*
- * Returns the next address in round-robin order: of the own failure domain if
- * it has any, else of all addresses, else of those in --gateway.
- */
-static const char *
-next_address(void)
-{
-    guint n =
-        load.own_domain_len > 0 ? load.own_domain_len : load.addresses->len;
-    const char *address;
-
-    if (n == 0) {
-        return opt.gateways[load.next_address++ % g_strv_length(opt.gateways)];
-    }
-    address = g_ptr_array_index(load.addresses, load.next_address++ % n);
-    return address;
-}
-
 /* Returns the address that --map gives for an address, or the address. */
 static const char *
 map_address(const char *address)
@@ -143,64 +124,25 @@
     return route != NULL ? route : address;
 }
 
-/* Removes an address until the entry page next lists it. */
+/* Stops using an address until the entry page next lists it. */
 static void
 remove_address(const char *address)
 {
-    for (guint i = 0; i < load.addresses->len; i++) {
-        if (strcmp(g_ptr_array_index(load.addresses, i), address) == 0) {
-            g_ptr_array_remove_index(load.addresses, i);
-            load.own_domain_len -= i < load.own_domain_len ? 1 : 0;
-            break;
-        }
-    }
+    gateway_list_remove(load.gateways, address);
     timer_start(&load.entry_timer, now_ms(), entry_request);
 }
 
-/* Adds a gateway of the entry page: an address, or an object with one. */
-static void
-add_address(const json_t *item)
-{
-    const char *address = json_string_value(item), *domain = NULL;
-
-    if (json_is_object(item)) {
-        address = json_string_value(json_object_get(item, "address"));
-        domain = json_string_value(json_object_get(item, "failure_domain"));
-    }
-    if (address == NULL) {
-        return;
-    }
-    if (domain != NULL && strcmp(domain, opt.domain) == 0) {
-        g_ptr_array_insert(load.addresses, (gint)load.own_domain_len++,
-                           g_strdup(address));
-        return;
-    }
-    g_ptr_array_add(load.addresses, g_strdup(address));
-}
-
 /* Replaces the addresses by those of an entry page, unless it has none. */
 static bool
 entry_parse(const GByteArray *body)
 {
-    json_t *response = json_loadb((char *)body->data, body->len, 0, NULL);
-    json_t *list = json_object_get(response, "gateways");
-    size_t i;
-    json_t *item;
-    bool ok = json_array_size(list) > 0;
-
-    if (ok) {
-        g_ptr_array_set_size(load.addresses, 0);
-        load.own_domain_len = 0;
-        json_array_foreach(list, i, item)
-        {
-            add_address(item);
-        }
-        if (opt.keep_ms <= 0) {
-            load.keep_ms =
-                json_number_value(json_object_get(response, "keep_ms"));
-        }
+    ggw_ms keep = 0;
+    bool ok = gateway_list_parse(load.gateways, (const char *)body->data,
+                                 body->len, &keep);
+
+    if (ok && opt.keep_ms <= 0) {
+        load.keep_ms = keep;
     }
-    json_decref(response);
     return ok;
 }
 
@@ -227,10 +169,10 @@
 entry_request(struct ggw_fine_timer *timer)
 {
     char *path;
-    const char *address = load.entry_failures % 2 == 0
-                              ? next_address()
-                              : opt.gateways[load.entry_failures / 2 %
-                                             g_strv_length(opt.gateways)];
+    const char *address =
+        load.entry_failures % 2 == 0
+            ? gateway_list_next(load.gateways)
+            : gateway_list_seed(load.gateways, load.entry_failures / 2);
 
     if (load.entry_busy || load.arrivals_ended) {
         return;
@@ -440,7 +382,7 @@
     }
     else {
         g_free(r->address);
-        r->address = g_strdup(next_address());
+        r->address = g_strdup(gateway_list_next(load.gateways));
         address = map_address(r->address);
     }
     headers = g_strdup_printf(
@@ -770,7 +712,6 @@
     http_calls_init(&load.calls, &load.loop, load.timers);
     load.rand = g_rand_new_with_seed((guint32)opt.seed);
     load.kinds = g_ptr_array_new();
-    load.addresses = g_ptr_array_new_with_free_func(g_free);
     load.map = g_hash_table_new(g_str_hash, g_str_equal);
     load.orders =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -792,7 +733,7 @@
     uv_signal_start(&term, signal_cb, SIGTERM);
     uv_signal_start(&intr, signal_cb, SIGINT);
     entry_request(&load.entry_timer);
-    while (load.addresses->len == 0 && !load.arrivals_ended) {
+    while (gateway_list_len(load.gateways) == 0 && !load.arrivals_ended) {
         uv_run(&load.loop, UV_RUN_ONCE);
     }
     puts("ready");
@@ -813,6 +754,7 @@
         return 2;
     }
     g_rand_set_seed(load.rand, (guint32)opt.seed);
+    load.gateways = gateway_list_new(opt.gateways, opt.domain);
     if (!control_start(&load.control, &load.loop, opt.control)) {
         return 1;
     }
