ledger: a server is cold after its pause until it has answered well

After a pause, the load report of a late response or a probe made a server of a service with a cold rate warm at once, and so did the record of a gateway that had not been told; a new owner learned that a pausing server was warm. While all servers paused, the Retry-After was at least 5 to 10 s, however short the pause.

The limit now remembers that no attempt has succeeded since the pause, the owner exports no pausing server as warm, and the Retry-After is the time to the first end.

--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -98,7 +98,7 @@
         s->listed = true;
         s->closed = servers[i].closed || servers[i].out;
         if (s->paused_until > 0 && servers[i].paused_until == 0) {
-            ggw_limit_set_cold(&s->limit, now);
+            ggw_limit_end_pause(&s->limit, now);
         }
         s->paused_until = servers[i].paused_until;
         server_rule = make_server_rule(l, &servers[i]);
@@ -171,7 +171,7 @@
         import_grant(l, &key, s, now + record->expires_in, now);
         return;
     }
-    if (!s->observed && record->warm && !s->out &&
+    if (!s->observed && record->warm && !s->out && !s->limit.unproven &&
         s->limit.state == GGW_LIMIT_COLD &&
         (record->incarnation == 0 || s->limit.incarnation == 0 ||
          record->incarnation == s->limit.incarnation)) {
@@ -198,7 +198,8 @@
         struct ggw_ledger_handover_record record = {
             .server = s->name,
             .incarnation = s->limit.incarnation,
-            .warm = s->limit.state == GGW_LIMIT_WARM && !s->out,
+            .warm = s->limit.state == GGW_LIMIT_WARM && !s->out &&
+                    s->paused_until == 0,
         };
 
         g_array_append_val(out, record);
--- a/decide/limit.c
+++ b/decide/limit.c
@@ -75,6 +75,7 @@
     l->silent = 0;
     l->silent_at = -INFINITY;
     l->drain_reported = false;
+    l->unproven = false;
     l->trial_wait = 0;
     l->cold_until = 0;
     enter_cold(l, now);
@@ -256,6 +257,7 @@
     case GGW_ATTEMPT_OK:
         /* The server may have restarted while it was ejected. */
         l->failures = 0;
+        l->unproven = false;
         enter_cold(l, now);
         break;
     case GGW_ATTEMPT_UNUSED:
@@ -294,6 +296,7 @@
     if (s->result == GGW_ATTEMPT_OK) {
         l->failures = 0;
         l->silent = 0;
+        l->unproven = false;
         check_latency(l, s, now);
         raise_limit(l, now);
     }
@@ -337,7 +340,7 @@
     l->cold_reported = report->cold;
     if (!report->cold) {
         /* Servers with a cold rate report the end of their cold start. */
-        if (l->cold_until > 0 || l->rule.cold_rate > 0) {
+        if (!l->unproven && (l->cold_until > 0 || l->rule.cold_rate > 0)) {
             ggw_limit_set_cold_until(l, now, now);
         }
         return;
@@ -381,6 +384,13 @@
     restart(l, now);
 }
 
+void
+ggw_limit_end_pause(struct ggw_limit *l, ggw_ms now)
+{
+    restart(l, now);
+    l->unproven = true;
+}
+
 bool
 ggw_limit_ejection_cap_reached(int servers, int ejected)
 {
--- a/decide/limit.h
+++ b/decide/limit.h
@@ -93,6 +93,7 @@
  * @cold_reported: the last load report said that the server is cold
  * @drain_reported: the last load report said that the server is draining
  * @drain_set: the server is leaving, or an operator drains it
+ * @unproven: no successful attempt has started since the server's pause
  * @cold_until: reported end of the cold start, monotonic ms; 0: not known
  * @started_at: start of the last request, monotonic ms
  *
@@ -116,6 +117,7 @@
     bool cold_reported;
     bool drain_reported;
     bool drain_set;
+    bool unproven;
     ggw_ms cold_until;
     ggw_ms started_at;
 };
@@ -216,6 +218,14 @@
  */
 void ggw_limit_set_cold(struct ggw_limit *l, ggw_ms now);
 
+/**
+ * ggw_limit_end_pause() - make the server cold after a pause that it asked for
+ *
+ * Until an attempt that started since has succeeded, load reports do not end
+ * the cold state: they do not show that the server takes requests again.
+ */
+void ggw_limit_end_pause(struct ggw_limit *l, ggw_ms now);
+
 /**
  * ggw_limit_next_trial() - time at which a trial of the server becomes due
  *
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -151,12 +151,13 @@
 refuse(struct ggw_ledger *l, const struct ggw_ledger_key *key, int priority,
        enum ggw_slot_refusal reason, ggw_ms now)
 {
+    ggw_ms pause =
+        reason == GGW_SLOT_NO_SERVER ? time_to_end_of_pause(l, now) : 0;
     ggw_ms retry_after =
-        ggw_admission_retry_after(l->queue, priority, g_rand_double(l->rand));
+        pause > 0 ? MAX(pause, GGW_RETRY_AFTER_MIN)
+                  : ggw_admission_retry_after(l->queue, priority,
+                                              g_rand_double(l->rand));
 
-    if (reason == GGW_SLOT_NO_SERVER) {
-        retry_after = MAX(retry_after, time_to_end_of_pause(l, now));
-    }
     push_decision(l, key, GGW_LEDGER_REFUSED, NULL, reason, retry_after);
 }
 
