http: timeouts for idle and stuck clients are options; tests of what was not driven

Three rows of the table of places that promise "not run" or close a connection had no test: the grant that meets the deadline in one turn of the loop, the client that takes no bytes, the idle client. The two limits were constants of 30 s and 60 s.

The limits are options of the listener, with the product's values as named defaults. The fixture can let the event loop stand still, so that a grant is delivered before the deadline's timer. env_result() fails instead of returning "unused" when no slot is released.

--- a/http/connection.c
+++ b/http/connection.c
@@ -21,13 +21,6 @@
 /* While draining, a connection is closed after this time without a request. */
 #define DRAIN_IDLE_MS 500
 
-/*
- * A client that has not taken the bytes of one ggw_exchange_send() after this
- * time counts as disconnected, because its request holds a slot without making
- * progress.
- */
-#define CLIENT_PROGRESS_TIMEOUT_MS 30000
-
 /*
  * A request whose body is still arriving is refused this many head timeouts
  * after its first byte, even if no gap between two reads is too long.
@@ -395,8 +388,7 @@
 
             if ((events & (POLLHUP | POLLERR | POLLNVAL)) != 0 ||
                 (half_closed && c->half_close_disconnects) ||
-                (x->sending &&
-                 now - x->sent_at > CLIENT_PROGRESS_TIMEOUT_MS)) {
+                (x->sending && now - x->sent_at > c->progress_timeout)) {
                 ggw_exchange_abort(x, GGW_EXCHANGE_CLIENT_LEFT);
             }
             else if (half_closed) {
@@ -424,10 +416,11 @@
 
 void
 ggw_connections_init(struct ggw_connections *c, uv_loop_t *loop,
-                     ggw_ms head_timeout)
+                     ggw_ms head_timeout, ggw_ms progress_timeout)
 {
     c->loop = loop;
     c->head_timeout = head_timeout;
+    c->progress_timeout = progress_timeout;
     h2o_linklist_init_anchor(&c->list);
     g_queue_init(&c->unwrapped);
     h2o_linklist_init_anchor(&c->exchanges);
--- a/http/connection.h
+++ b/http/connection.h
@@ -24,6 +24,10 @@
  * @prepare: wraps the read callbacks of @unwrapped
  * @head_timeout: longest time in ms for a request head, and between two reads
  *                of a request body
+ * @progress_timeout: a client that has not taken the bytes of one
+ *                    ggw_exchange_send() after this time in ms counts as
+ *                    disconnected, because its request holds a slot without
+ *                    making progress
  * @ticks: number of timer ticks so far
  * @len: number of connections in @list
  * @list: of struct ggw_connection
@@ -42,6 +46,7 @@
     uv_timer_t timer;
     uv_prepare_t prepare;
     ggw_ms head_timeout;
+    ggw_ms progress_timeout;
     unsigned ticks;
     unsigned len;
     h2o_linklist_t list;
@@ -59,9 +64,10 @@
  * @c: zeroed
  * @loop: event loop
  * @head_timeout: in ms, see struct ggw_connections
+ * @progress_timeout: in ms, see struct ggw_connections
  */
 void ggw_connections_init(struct ggw_connections *c, uv_loop_t *loop,
-                          ggw_ms head_timeout);
+                          ggw_ms head_timeout, ggw_ms progress_timeout);
 
 /**
  * ggw_connections_add() - add a connection that was passed to h2o_accept()
--- a/http/listener.c
+++ b/http/listener.c
@@ -13,9 +13,6 @@
 /* Longest queue of connections that wait to be accepted. */
 #define BACKLOG 1024
 
-/* A connection is closed after this time without a request. */
-#define KEEPALIVE_MS 60000
-
 struct ggw_listener {
     struct ggw_listener_options options;
     uv_loop_t *loop;
@@ -105,11 +102,17 @@
     struct handler *handler;
 
     l->options = *options;
+    if (l->options.idle_timeout <= 0) {
+        l->options.idle_timeout = GGW_LISTENER_IDLE_MS;
+    }
+    if (l->options.progress_timeout <= 0) {
+        l->options.progress_timeout = GGW_LISTENER_PROGRESS_MS;
+    }
     l->loop = loop;
     h2o_config_init(&l->conf);
     l->conf.server_name = h2o_iovec_init(H2O_STRLIT("greengageway"));
     l->conf.max_request_entity_size = GGW_BODY_MAX;
-    l->conf.http1.req_timeout = KEEPALIVE_MS;
+    l->conf.http1.req_timeout = (uint64_t)l->options.idle_timeout;
     /* ggw_head_check() cannot check the raw head of an HTTP/2 request. */
     l->conf.http1.upgrade_to_http2 = 0;
     host = h2o_config_register_host(
@@ -126,7 +129,8 @@
     g_hash_table_destroy(existing);
     l->accept.ctx = &l->context;
     l->accept.hosts = l->conf.hosts;
-    ggw_connections_init(&l->connections, loop, options->head_timeout);
+    ggw_connections_init(&l->connections, loop, l->options.head_timeout,
+                         l->options.progress_timeout);
     l->connections.half_close_disconnects = options->half_close_disconnects;
     return l;
 }
--- a/http/listener.h
+++ b/http/listener.h
@@ -15,12 +15,21 @@
 
 struct ggw_listener;
 
+/* Defaults of the timeouts in struct ggw_listener_options, ms. */
+#define GGW_LISTENER_IDLE_MS 60000
+#define GGW_LISTENER_PROGRESS_MS 30000
+
 /**
  * struct ggw_listener_options - options of a listener
  * @host: IP address to listen on
  * @port: port to listen on; 0 lets the system choose one
  * @head_timeout: longest time in ms for a request head, and between two reads
  *                of a request body
+ * @idle_timeout: time in ms after which a connection without a complete
+ *                request is closed; 0 for GGW_LISTENER_IDLE_MS
+ * @progress_timeout: time in ms after which a client that takes no bytes of
+ *                    its response counts as disconnected; 0 for
+ *                    GGW_LISTENER_PROGRESS_MS
  * @half_close_disconnects: a client that closes its sending side counts as
  *                          disconnected
  * @request: called for each complete request; has to respond, now or later
@@ -30,6 +39,8 @@
     const char *host;
     uint16_t port;
     ggw_ms head_timeout;
+    ggw_ms idle_timeout;
+    ggw_ms progress_timeout;
     bool half_close_disconnects;
     void (*request)(void *data, struct ggw_exchange *x);
     void *data;
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -51,6 +51,8 @@
         .host = p->options.listen_host,
         .port = p->options.listen_port,
         .head_timeout = p->options.head_timeout,
+        .idle_timeout = p->options.client_idle_timeout,
+        .progress_timeout = p->options.client_progress_timeout,
         .half_close_disconnects = p->options.half_close_disconnects,
         .request = on_request,
         .data = p,
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -29,6 +29,8 @@
  *         request is sent whose response cannot be expected before.
  * @head_timeout: longest time for a request head, and between two reads of a
  *                request body; 0 for 10 s
+ * @client_idle_timeout: as idle_timeout of struct ggw_listener_options
+ * @client_progress_timeout: as progress_timeout of that struct
  * @ready_after: shortest time from start until the gateway reports that it is
  *               ready; it also needs the settings of a team for that
  * @progress_timeout: longest gap between two reads of a response body; 0 for
@@ -57,6 +59,8 @@
     ggw_ms max_age;
     ggw_ms drain;
     ggw_ms head_timeout;
+    ggw_ms client_idle_timeout;
+    ggw_ms client_progress_timeout;
     ggw_ms ready_after;
     ggw_ms progress_timeout;
     ggw_ms leave_listen;
--- a/tests/proxy_client.c
+++ b/tests/proxy_client.c
@@ -1,3 +1,4 @@
+#include <CUnit/CUnit.h>
 #include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
@@ -171,11 +172,12 @@
 {
     enum ggw_attempt_result result = GGW_ATTEMPT_UNUSED;
 
-    if (env_wait_len(env, env->releases, (int)i + 1)) {
-        pthread_mutex_lock(&env->lock);
-        result =
-            g_array_index(env->releases, struct ggw_slot_release, i).result;
-        pthread_mutex_unlock(&env->lock);
+    if (!env_wait_len(env, env->releases, (int)i + 1)) {
+        CU_FAIL("no slot was released in time");
+        return result;
     }
+    pthread_mutex_lock(&env->lock);
+    result = g_array_index(env->releases, struct ggw_slot_release, i).result;
+    pthread_mutex_unlock(&env->lock);
     return result;
 }
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -43,6 +43,16 @@
     return NULL;
 }
 
+static struct ggw_message *
+new_grant(struct env *env, const struct env_server *s)
+{
+    /* Nothing listens on port 1 of the loopback address. */
+    uint16_t port = s->script == SCRIPT_CLOSED ? 1 : s->port;
+
+    return ggw_slot_grant_new(++env->next_grant, s->name, "fd-a", "127.0.0.1",
+                              port, 8);
+}
+
 static void
 slots_receive(struct ggw_service *service, struct ggw_message *m)
 {
@@ -54,6 +64,7 @@
             pick(env, ((struct ggw_slot_request *)m)->avoid);
 
         env->slot_requests++;
+        env->slot_tag = m->tag;
         if (env->slots_mode == ENV_HOLD) {
             /* No answer is sent. */
         }
@@ -64,12 +75,7 @@
                                                  1500));
         }
         else {
-            /* Nothing listens on port 1 of the loopback address. */
-            ggw_kernel_reply(service, m,
-                             ggw_slot_grant_new(
-                                 ++env->next_grant, s->name, "fd-a",
-                                 "127.0.0.1",
-                                 s->script == SCRIPT_CLOSED ? 1 : s->port, 8));
+            ggw_kernel_reply(service, m, new_grant(env, s));
         }
     }
     else if (m->ops == &ggw_slot_release_ops) {
@@ -134,6 +140,8 @@
     bool stop;
 
     pthread_mutex_lock(&env->lock);
+    g_usleep(1000UL * env->stall_ms);
+    env->stall_ms = 0;
     while ((p = g_queue_pop_head(&env->posted)) != NULL) {
         if (p->to == NULL) {
             ggw_kernel_publish(env->kernel, &env->driver, p->message);
@@ -277,6 +285,9 @@
     return tree;
 }
 
+/* The limits of the product. */
+static const struct env_client_limits usual_limits = {0};
+
 static bool
 is_other_server(int status)
 {
@@ -291,7 +302,8 @@
 }
 
 static struct env *
-start(ggw_ms max_age, ggw_ms drain, bool like_site)
+start(ggw_ms max_age, ggw_ms drain, bool like_site,
+      const struct env_client_limits *limits)
 {
     struct env *env = g_new0(struct env, 1);
     static struct ggw_dialect dialect;
@@ -303,6 +315,8 @@
         .max_age = max_age,
         .drain = drain,
         .head_timeout = 300,
+        .client_idle_timeout = limits->idle,
+        .client_progress_timeout = limits->progress,
         .progress_timeout = 300,
         .leave_accept = max_age + 500,
         .dialect = &dialect,
@@ -361,13 +375,14 @@
 struct env *
 env_start_bare(ggw_ms max_age)
 {
-    return start(max_age, 5000, false);
+    return start(max_age, 5000, false, &usual_limits);
 }
 
 static struct env *
-start_ready(ggw_ms timeout, ggw_ms max_age, ggw_ms drain, bool like_site)
+start_ready(ggw_ms timeout, ggw_ms max_age, ggw_ms drain, bool like_site,
+            const struct env_client_limits *limits)
 {
-    struct env *env = start(max_age, drain, like_site);
+    struct env *env = start(max_age, drain, like_site, limits);
     struct ggw_tree *tree = env_tree(7, timeout, "fd-out");
     bool ready = false;
 
@@ -386,13 +401,19 @@
 struct env *
 env_start(ggw_ms timeout, ggw_ms max_age, ggw_ms drain)
 {
-    return start_ready(timeout, max_age, drain, false);
+    return start_ready(timeout, max_age, drain, false, &usual_limits);
 }
 
 struct env *
 env_start_like_site(ggw_ms timeout, ggw_ms max_age, ggw_ms drain)
 {
-    return start_ready(timeout, max_age, drain, true);
+    return start_ready(timeout, max_age, drain, true, &usual_limits);
+}
+
+struct env *
+env_start_impatient(ggw_ms timeout, const struct env_client_limits *limits)
+{
+    return start_ready(timeout, 100, 1000, false, limits);
 }
 
 static void
@@ -420,6 +441,19 @@
     post(env, name, message);
 }
 
+void
+env_grant(struct env *env, size_t server, unsigned stall_ms)
+{
+    struct ggw_message *m;
+
+    pthread_mutex_lock(&env->lock);
+    m = new_grant(env, &env->servers[server]);
+    m->tag = env->slot_tag;
+    env->stall_ms = stall_ms;
+    pthread_mutex_unlock(&env->lock);
+    post(env, "proxy", m);
+}
+
 void
 env_stop(struct env *env)
 {
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -110,6 +110,9 @@
  * @ended: 1 once the kernel has stopped
  * @conns: set of the servers' open connections; of the kernel's thread
  * @slots_mode: "slots" grants, refuses with @refusal, or does not answer
+ * @slot_tag: tag of the last SLOT_REQUEST
+ * @stall_ms: time for which the event loop stands still before it delivers the
+ *            next message of the test
  * @next_grant: number of slots granted; also the id of the last grant
  * @releases: array of struct ggw_slot_release
  * @only_first_server: "slots" grants server s0 even if it is to be avoided
@@ -144,6 +147,8 @@
         ENV_HOLD
     } slots_mode;
     enum ggw_slot_refusal refusal;
+    uint64_t slot_tag;
+    unsigned stall_ms;
     bool only_first_server;
     uint64_t next_grant;
     GArray *releases;
@@ -185,6 +190,20 @@
  */
 struct env *env_start_like_site(ggw_ms timeout, ggw_ms max_age, ggw_ms drain);
 
+/**
+ * struct env_client_limits - how long the gateway waits for a client
+ * @idle: ms without a complete request; 0 for the limit of the product
+ * @progress: ms without taking bytes of the response; 0 likewise
+ */
+struct env_client_limits {
+    ggw_ms idle;
+    ggw_ms progress;
+};
+
+/* As env_start(), with other limits for clients. */
+struct env *env_start_impatient(ggw_ms timeout,
+                                const struct env_client_limits *limits);
+
 /* Starts a gateway without settings. */
 struct env *env_start_bare(ggw_ms max_age);
 
@@ -200,6 +219,13 @@
 /* Sends a message to the service @name. */
 void env_send(struct env *env, const char *name, struct ggw_message *message);
 
+/*
+ * Grants server @server to the last slot request, in mode ENV_HOLD. The event
+ * loop stands still for @stall_ms before, so that the grant is delivered
+ * before the timers that become due meanwhile.
+ */
+void env_grant(struct env *env, size_t server, unsigned stall_ms);
+
 /* Settings as in env_start(), with failure domain @domain_out taken out. */
 struct ggw_tree *env_tree(uint64_t revision, ggw_ms timeout,
                           const char *domain_out);
--- a/tests/test_proxy_end.c
+++ b/tests/test_proxy_end.c
@@ -1,5 +1,6 @@
 #include <CUnit/CUnit.h>
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -280,9 +281,21 @@
 /* Size in bytes of a response that the sockets cannot hold. */
 #define HUGE_BYTES (16 * 1024 * 1024)
 
+/* Whether a response states a length that its body does not reach. */
+static bool
+is_short(const GString *r)
+{
+    const char *length = env_header(r, "content-length");
+    size_t stated = length != NULL ? strtoul(length, NULL, 10) : 0;
+    size_t len;
+
+    env_body(r, &len);
+    return len < stated;
+}
+
 /*
  * Whether what comes until the connection ends shows that it is incomplete: it
- * is reset, or in chunks without the last one.
+ * is reset, shorter than its length, or in chunks without the last one.
  */
 static bool
 is_visibly_cut(int fd)
@@ -297,8 +310,10 @@
     if (n < 0) {
         return errno == ECONNRESET;
     }
-    return strcmp(env_header_or(r, "transfer-encoding"), "chunked") == 0 &&
-           !g_str_has_suffix(r->str, "\r\n0\r\n\r\n");
+    if (strcmp(env_header_or(r, "transfer-encoding"), "chunked") != 0) {
+        return is_short(r);
+    }
+    return !g_str_has_suffix(r->str, "\r\n0\r\n\r\n");
 }
 
 /*
@@ -334,6 +349,89 @@
     }
 }
 
+/* Limit for a client that takes no bytes, ms. */
+#define PROGRESS_MS 300
+
+/*
+ * Guards against a client that takes no bytes of its response and holds a slot
+ * for ever, and against a part of a response that then looks complete.
+ */
+static void
+test_client_takes_nothing(void)
+{
+    static const struct env_client_limits limits = {.progress = PROGRESS_MS};
+    static const struct {
+        enum script script;
+        const char *request;
+    } cases[] = {
+        {SCRIPT_OK, "GET /team/svc/other HTTP/1.1\r\nHost: h\r\n\r\n"},
+        {SCRIPT_OK, BUFFERED_REQUEST},
+        {SCRIPT_OK, NO_REPEAT_REQUEST},
+        {SCRIPT_UNFRAMED, BUFFERED_REQUEST},
+        {SCRIPT_UNFRAMED, "GET /any HTTP/1.0\r\nHost: kept.example\r\n\r\n"},
+    };
+    g_autofree char *body = g_strnfill(HUGE_BYTES, 'x');
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct env *env = env_start_impatient(2 * TOO_SLOW_MS, &limits);
+        int fd = connect_slowly(env);
+        gint64 start = g_get_monotonic_time();
+
+        env->servers[0].body = body;
+        env->servers[0].body_len = HUGE_BYTES;
+        env->servers[0].script = cases[i].script;
+        CU_ASSERT_TRUE(write(fd, cases[i].request, strlen(cases[i].request)) >
+                       0);
+        CU_ASSERT_TRUE(env_wait_len(env, env->releases, 1));
+        CU_ASSERT_TRUE(g_get_monotonic_time() - start >= 1000 * PROGRESS_MS);
+        CU_ASSERT_TRUE(env_wait(env, &env->servers[0].closed, 1));
+        CU_ASSERT_TRUE(is_visibly_cut(fd));
+        close(fd);
+        env_stop(env);
+    }
+}
+
+/* Limit for a connection without a request, ms. */
+#define IDLE_MS 400
+
+/*
+ * Shortest time until the close, in us: the limit counts from the start of a
+ * turn of the event loop, which may lie before the client's own time.
+ */
+#define MIN_IDLE_US (1000 * IDLE_MS / 2)
+
+/*
+ * Guards against an idle connection that is kept for ever, and against one
+ * that is closed with a response still to come.
+ */
+static void
+test_client_is_idle(void)
+{
+    static const struct env_client_limits limits = {.idle = IDLE_MS};
+    struct env *env = env_start_impatient(2 * TOO_SLOW_MS, &limits);
+    gint64 start = g_get_monotonic_time();
+    int silent = env_connect(env);
+    int served = env_connect(env);
+    char byte;
+    GString *r;
+
+    env->servers[0].script = SCRIPT_SLOW;
+    env->servers[0].delay_ms = 2 * IDLE_MS;
+    CU_ASSERT_TRUE(write(served, BUFFERED_REQUEST, strlen(BUFFERED_REQUEST)) >
+                   0);
+    CU_ASSERT_EQUAL(recv(silent, &byte, 1, 0), 0);
+    CU_ASSERT_TRUE(g_get_monotonic_time() - start >= MIN_IDLE_US);
+    r = env_read(served, false);
+    start = g_get_monotonic_time();
+    CU_ASSERT_EQUAL(env_status(r), 200);
+    CU_ASSERT_EQUAL(recv(served, &byte, 1, 0), 0);
+    CU_ASSERT_TRUE(g_get_monotonic_time() - start >= MIN_IDLE_US);
+    g_string_free(r, TRUE);
+    close(silent);
+    close(served);
+    env_stop(env);
+}
+
 int
 main(void)
 {
@@ -346,6 +444,8 @@
         {"endless refusal", test_endless_refusal},
         {"close with unread request", test_close_with_unread_request},
         {"cut without length", test_cut_without_length},
+        {"client takes nothing", test_client_takes_nothing},
+        {"client is idle", test_client_is_idle},
         CU_TEST_INFO_NULL,
     };
 
--- a/tests/test_proxy_refusals.c
+++ b/tests/test_proxy_refusals.c
@@ -1,11 +1,15 @@
 #include <CUnit/CUnit.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "config/tree.h"
 #include "tests/proxy_env.h"
 #include "tests/suite.h"
 
-/* Refusals of requests that match a route, before a slot is requested. */
+/*
+ * Refusals of requests that match a route, before a slot is requested or
+ * because it comes too late.
+ */
 
 #define REQUEST "GET /any HTTP/1.1\r\nHost: kept.example\r\n"
 
@@ -70,6 +74,95 @@
     env_stop(env);
 }
 
+/**
+ * struct late_grant - a slot that is granted when it is of no use any more
+ * @timeout: of the request, ms
+ * @stall_ms: time for which the event loop stands still before the grant
+ * @first_sheds: it is granted for a further attempt, after a shed one
+ * @leaving: the gateway shuts down; it cuts requests after 2.1 s
+ * @reason: of the refusal
+ */
+struct late_grant {
+    ggw_ms timeout;
+    unsigned stall_ms;
+    bool first_sheds;
+    bool leaving;
+    const char *reason;
+};
+
+/* Waits until the gateway has begun to shut down. */
+static void
+wait_for_leaving(struct env *env)
+{
+    bool leaving = false;
+
+    for (int i = 0; i < 1000 && !leaving; i++) {
+        GString *r = env_ask(env, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+
+        leaving = env_status(r) == 503;
+        g_string_free(r, TRUE);
+    }
+    CU_ASSERT_TRUE(leaving);
+}
+
+static void
+check_late_grant(struct env *env, const struct late_grant *c)
+{
+    int sent = c->first_sheds ? 1 : 0;
+    int fd = env_connect(env);
+    GString *r;
+
+    CU_ASSERT_TRUE(write(fd, REQUEST "\r\n", strlen(REQUEST) + 2) > 0);
+    CU_ASSERT_TRUE(env_wait(env, &env->slot_requests, 1));
+    if (c->first_sheds) {
+        env_grant(env, 0, 0);
+        CU_ASSERT_TRUE(env_wait(env, &env->slot_requests, 2));
+    }
+    env_grant(env, 1, c->stall_ms);
+    r = env_read(fd, false);
+    CU_ASSERT_EQUAL(env_status(r), 503);
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "greengageway-outcome"),
+                           "not-run");
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "greengageway-reason"), c->reason);
+    CU_ASSERT_TRUE(env_wait_len(env, env->releases, sent + 1));
+    CU_ASSERT_EQUAL(env_result(env, (guint)sent), GGW_ATTEMPT_UNUSED);
+    CU_ASSERT_EQUAL(env->slot_requests, sent + 1);
+    CU_ASSERT_EQUAL(env->servers[0].requests, sent);
+    CU_ASSERT_EQUAL(env->servers[1].requests, 0);
+    g_string_free(r, TRUE);
+    close(fd);
+}
+
+/*
+ * Guards against a slot that is granted in the turn of the event loop in which
+ * its request can no longer use it, and with which the request is sent, or
+ * that is not given back, or a refusal that leaves open whether it ran.
+ */
+static void
+test_late_grant(void)
+{
+    static const struct late_grant cases[] = {
+        {300, 400, false, false, "too-late"},
+        {300, 400, true, false, "shed"},
+        /* Half of the time until the deadline reaches beyond the end. */
+        {3000, 1400, false, true, "leaving"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const struct late_grant *c = &cases[i];
+        struct env *env = env_start_like_site(c->timeout, 100, 1000);
+
+        env->slots_mode = ENV_HOLD;
+        env->servers[0].script = c->first_sheds ? SCRIPT_SHED : SCRIPT_OK;
+        if (c->leaving) {
+            env_publish(env, ggw_shutdown_new());
+            wait_for_leaving(env);
+        }
+        check_late_grant(env, c);
+        env_stop(env);
+    }
+}
+
 int
 main(void)
 {
@@ -77,6 +170,7 @@
         {"route without service", test_route_without_service},
         {"deadline passed", test_deadline_passed},
         {"no slot in time", test_no_slot_in_time},
+        {"late grant", test_late_grant},
         CU_TEST_INFO_NULL,
     };
 
