slots: a server that takes no requests is not announced as warm

A gateway that gets no answer of its owner places requests on the announced servers, so it used the server that leaves.

Change: the announcement leaves out servers without slots to grant.

--- a/slots/announce.c
+++ b/slots/announce.c
@@ -5,7 +5,11 @@
 
 /* Announcements of the free slots and warm servers of owned domains. */
 
-/* Sets which servers are warm. Returns their names, not copied. */
+/*
+ * Sets which servers are warm. Returns their names, not copied. One that takes
+ * no requests is not among them, whatever its state: a gateway that gets no
+ * answer uses the servers that were announced.
+ */
 static GPtrArray *
 update_warm(struct ggw_slots_domain *d)
 {
@@ -23,7 +27,7 @@
                                      &state)) {
             continue;
         }
-        s->warm = state == GGW_LIMIT_WARM && !s->out;
+        s->warm = state == GGW_LIMIT_WARM && limit > 0 && !s->out;
         s->suspect = false;
         if (s->warm) {
             g_ptr_array_add(warm, s->name);
--- a/tests/test_slots_backoff.c
+++ b/tests/test_slots_backoff.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/metrics.h"
+#include "decide/owner.h"
 #include "tests/slots_driver.h"
 #include "tests/suite.h"
 
@@ -190,6 +191,47 @@
     }
 }
 
+/* Returns the index of the gateway that owns the servers. */
+static int
+owner_index(const struct cluster *c)
+{
+    struct ggw_member members[CLUSTER_MAX] = {0};
+
+    for (int i = 0; i < c->len; i++) {
+        members[i].name = (char *)c->nodes[i].name;
+        members[i].failure_domain = (char *)c->nodes[i].domain;
+        members[i].state = GGW_MEMBER_ALIVE;
+    }
+    return (int)ggw_owner_pick("T", "S", c->nodes[0].domain, members,
+                               (size_t)c->len);
+}
+
+/*
+ * Guards against a gateway that was not told and that uses the server without
+ * a grant when the owner, which was, no longer answers.
+ */
+static void
+test_fallback(void)
+{
+    for (int leaving = 0; leaving < 2; leaving++) {
+        struct cluster *c = start(3, SERVERS);
+        int owner = owner_index(c);
+        uint64_t *fallbacks = ggw_counter("ggw_slots_fallback_grants_total");
+        uint64_t before;
+
+        CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+        tell(c, (owner + 1) % 3, SERVER, leaving, leaving ? 0 : LONG_PAUSE);
+        slots_drive_for(c, SPREAD_MS);
+        c->nodes[owner].paused = true;
+        before = *fallbacks;
+        clear_grants();
+        slots_drive_for(c, OBSERVE_MS);
+        CU_ASSERT_TRUE(*fallbacks - before > SERVERS);
+        CU_ASSERT_EQUAL(all_grants(), 0);
+        slots_cluster_free(c);
+    }
+}
+
 /*
  * Guards against requests to a server within the pause that it has asked for,
  * and against a pause that does not end.
@@ -274,6 +316,7 @@
         {"leave", test_leave},
         {"new owner", test_new_owner},
         {"silent owner", test_silent_owner},
+        {"fallback", test_fallback},
         {"pause", test_pause},
         {"no probes", test_no_probes},
         {"all paused", test_all_paused},
