tests: the lost race of operators is ordered by events

Cause (KNOWN-RED, test_session_operator "lost race"): the stand-in delayed the first two requests for the settings by 1.5 s, meant to be the first operator's read and write. When the first operator took long between them, the second's read took the second delay, and when the second took more than 1.5 s to its read, the first's write was through; in both cases nobody lost.

Change: a new fault "held-write" of the stand-in keeps a write until the fault is replaced. The second operator runs while the first's write is held, and the store counts that both writes arrived.

--- a/standins/platform.c
+++ b/standins/platform.c
@@ -31,10 +31,11 @@
     FAULT_SLOW,
     FAULT_SILENT,
     FAULT_LOST_RESPONSE,
+    FAULT_HELD_WRITE, /* until the next POST /-/fault */
 };
 
-static const char *const fault_names[] = {"none", "down", "slow", "silent",
-                                          "lost-answer"};
+static const char *const fault_names[] = {
+    "none", "down", "slow", "silent", "lost-answer", "held-write"};
 
 struct fault {
     enum fault_mode mode;
@@ -62,6 +63,7 @@
     uint64_t last_etag;
     uint64_t lag_ms; /* of VM_LIST */
     struct fault fault;
+    GQueue held_writes; /* struct held_write */
     int64_t ranges, feed_calls, txns, gets, puts;
 } srv;
 
@@ -484,8 +486,11 @@
 {
     struct fault *f = &srv.fault;
 
+    bool writes_only =
+        f->mode == FAULT_LOST_RESPONSE || f->mode == FAULT_HELD_WRITE;
+
     if (f->mode == FAULT_NONE || f->count == 0 ||
-        (f->mode == FAULT_LOST_RESPONSE && !is_write(req)) ||
+        (writes_only && !is_write(req)) ||
         (f->prefix != NULL && !request_has_prefix(req, f->prefix))) {
         return false;
     }
@@ -528,6 +533,47 @@
     uv_timer_start(d->timer, delay_expired_cb, (uint64_t)ms, 0);
 }
 
+/* A write held by FAULT_HELD_WRITE; freed with the request. */
+struct held_write {
+    h2o_req_t *req; /* NULL once served */
+    GList link;     /* node of srv.held_writes */
+};
+
+static void
+held_write_dispose(void *item)
+{
+    struct held_write *w = item;
+
+    if (w->req != NULL) {
+        g_queue_unlink(&srv.held_writes, &w->link);
+    }
+}
+
+static void
+hold_write(h2o_req_t *req)
+{
+    struct held_write *w =
+        h2o_mem_alloc_shared(&req->pool, sizeof(*w), held_write_dispose);
+
+    w->req = req;
+    w->link = (GList){.data = w};
+    g_queue_push_tail_link(&srv.held_writes, &w->link);
+}
+
+static void
+serve_held_writes(void)
+{
+    GList *node;
+
+    while ((node = g_queue_pop_head_link(&srv.held_writes)) != NULL) {
+        struct held_write *w = node->data;
+        h2o_req_t *req = w->req;
+
+        w->req = NULL;
+        serve(req, false);
+    }
+}
+
 static void
 set_fault(h2o_req_t *req)
 {
@@ -559,6 +605,7 @@
     srv.fault.count = count != NULL ? json_integer_value(count) : -1;
     srv.fault.prefix = g_strdup(prefix);
     json_decref(body);
+    serve_held_writes();
     send_json(req, 200, json_object());
 }
 
@@ -602,6 +649,9 @@
     case FAULT_LOST_RESPONSE:
         serve(req, true);
         break;
+    case FAULT_HELD_WRITE:
+        hold_write(req);
+        break;
     case FAULT_NONE:
     case FAULT_SILENT:
         break;
--- a/tests/test_session_operator.c
+++ b/tests/test_session_operator.c
@@ -33,47 +33,37 @@
     CU_ASSERT(system_free(s));
 }
 
-/* Number of reads of the store to wait for. */
-struct read_target {
-    struct system *s;
-    int64_t wanted;
-};
-
-static int64_t
-count_reads(struct system *s)
-{
-    return platform_process_stat(&s->platform, "ranges") +
-           platform_process_stat(&s->platform, "txns");
-}
-
 static bool
-read_target_reached(void *data)
+write_is_held(void *data)
 {
-    const struct read_target *r = data;
+    const struct system *s = data;
 
-    return count_reads(r->s) >= r->wanted;
+    return platform_process_stat(&s->platform, "fault_count") == 0;
 }
 
 /*
  * Guards against a change that overwrites another operator's: the first
- * operator has read revision 1 and its write is delayed, and the second
- * operator changes the same setting before that write takes effect.
+ * operator has read revision 1 and its write is held, and the second operator
+ * changes the same setting before that write takes effect.
  */
 static void
 test_lost_race(void)
 {
     struct system *s = system_new(&system_cairo, 0);
     struct session *t = session_new("lost_race", s);
-    const char *first[] = {"set", slots_path, "3", NULL};
+    const char *first[] = {"set",   slots_path, "3", "--request-timeout",
+                           "60000", NULL};
     struct system_process verb;
-    struct read_target read_target = {s, count_reads(s) + 1};
+    int64_t writes = platform_process_stat(&s->platform, "txns");
 
     session_note(t, "the second command starts after the first has read");
-    system_platform_fault(s, "{\"mode\":\"slow\",\"ms\":1500,\"count\":2,"
+    system_platform_fault(s, "{\"mode\":\"held-write\",\"count\":1,"
                              "\"prefix\":\"config/nile-strand\"}");
     system_verb_start(s, &verb, first);
-    CU_ASSERT(client_await(read_target_reached, &read_target, 10000));
+    CU_ASSERT(client_await(write_is_held, s, 10000));
     session_verb(t, (const char *[]){"set", slots_path, "4", NULL});
+    system_platform_fault(s, "{\"mode\":\"none\"}");
+    CU_ASSERT_EQUAL(platform_process_stat(&s->platform, "txns"), writes + 2);
     session_verb_finish(t, &verb, first);
     CU_ASSERT(session_end(t));
     CU_ASSERT(system_free(s));
