config: finding a route does not slow down with the routes of a host

Cause: a request's route was found by comparing its path with the prefix of each route of its host.

Change: config/route_index looks prefixes up in a table of the host, once for each length that prefixes of the host have.

--- a/config/tree.c
+++ b/config/tree.c
@@ -6,6 +6,7 @@
 
 #include "common/error.h"
 #include "common/json_text.h"
+#include "config/route_index.h"
 #include "config/schema.h"
 
 /*
@@ -102,6 +103,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     if (ggw_schema_parse(root, tree, error)) {
         sort_rules(tree);
+        tree->route_index =
+            ggw_route_index_new(tree->routes, tree->routes_len);
     }
     else {
         g_clear_pointer(&tree, ggw_tree_unref);
@@ -129,6 +132,7 @@
     for (size_t i = 0; i < tree->routes_len; i++) {
         ggw_route_rule_clear(&tree->routes[i]);
     }
+    ggw_route_index_free(tree->route_index);
     g_free(tree->routes);
     g_free(tree->services);
     g_hash_table_destroy(tree->domains_out);
@@ -164,41 +168,10 @@
     return NULL;
 }
 
-/*
- * Returns the index of the first route that does not sort before the host. It
- * is the first route of the host, if the host has any.
- */
-static size_t
-first_route_of_host(const struct ggw_tree *tree, const char *host)
-{
-    size_t low = 0, high = tree->routes_len;
-
-    while (low < high) {
-        size_t mid = low + (high - low) / 2;
-
-        if (strcmp(tree->routes[mid].host, host) < 0) {
-            low = mid + 1;
-        }
-        else {
-            high = mid;
-        }
-    }
-    return low;
-}
-
 const struct ggw_route_rule *
 ggw_tree_route(const struct ggw_tree *tree, const char *host, const char *path)
 {
-    g_autofree char *name = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
-
-    for (size_t i = first_route_of_host(tree, name);
-         i < tree->routes_len && strcmp(tree->routes[i].host, name) == 0;
-         i++) {
-        if (g_str_has_prefix(path, tree->routes[i].kind.path_prefix)) {
-            return &tree->routes[i];
-        }
-    }
-    return NULL;
+    return ggw_route_index_find(tree->route_index, host, path);
 }
 
 bool
--- a/config/tree.h
+++ b/config/tree.h
@@ -191,6 +191,7 @@
  * @routes: routes, sorted by host and then by descending length of the path
  *          prefix
  * @routes_len: number of elements in @routes
+ * @route_index: index of @routes
  */
 struct ggw_tree {
     int refs;
@@ -202,6 +203,7 @@
     size_t services_len;
     struct ggw_route_rule *routes;
     size_t routes_len;
+    struct ggw_route_index *route_index;
 };
 
 /**
