--- a/Makefile
+++ b/Makefile
@@ -15,13 +15,14 @@
 STANDIN_SRC := $(wildcard standins/*.c)
 STANDIN_LIB_SRC := $(wildcard standins/*/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
+BENCH_LIB_SRC := $(wildcard bench/*/*.c)
 TEST_SRC := $(wildcard tests/test_*.c)
 TEST_LIB_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/*.c))
 SOAK_SRC := $(wildcard tests/soak/*.c)
 HEADERS := $(wildcard $(addsuffix /*.h,$(DIRS) main standins standins/client \
-	standins/store tests tests/soak bench))
+	standins/store tests tests/soak bench bench/policy))
 ALL_SRC := $(LIB_SRC) $(MAIN_SRC) $(STANDIN_SRC) $(STANDIN_LIB_SRC) $(BENCH_SRC) \
-	$(TEST_SRC) $(TEST_LIB_SRC) $(SOAK_SRC)
+	$(BENCH_LIB_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(SOAK_SRC)
 
 # The modules of the product and of the tests are queried separately:
 # pkg-config prints no flags at all when one of the modules is missing. The
@@ -93,7 +94,7 @@
 $(OUT)/standins/%: $(OUT)/standins/%.o $(STANDIN_LIB_OBJ) $(LIB)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
 
-$(OUT)/bench/%: $(OUT)/bench/%.o $(LIB)
+$(OUT)/bench/%: $(OUT)/bench/%.o $(BENCH_LIB_SRC:%.c=$(OUT)/%.o) $(LIB)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
 
 $(OUT)/tests/%: $(OUT)/tests/%.o $(TEST_LIB_OBJ) $(LIB)
