http: the system does not end a connection before the gateway resets it

Cause: keepalive and the TCP user timeout ended a connection into a zone that was cut off 3.00 s after the cut began, with the request not delivered. A reset of a connection that has ended drops nothing. Change: connections to servers have no time limit of the system.

--- a/http/conn.c
+++ b/http/conn.c
@@ -1,9 +1,7 @@
 #include "http/conn.h"
 
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "common/log.h"
@@ -12,20 +10,6 @@
 /* Size of the buffer for one read. */
 #define READ_BUFFER_BYTES 16384
 
-/*
- * TCP drops a connection whose data stays unacknowledged for this time
- * (TCP_USER_TIMEOUT).
- */
-#define TCP_USER_TIMEOUT_MS 3000
-
-/*
- * TCP keepalive: seconds without traffic before the first probe, seconds
- * between probes, and the number of unanswered probes that end the connection.
- */
-#define KEEPALIVE_IDLE_S 1
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 2
-
 /* Limit for log lines about surplus bytes, lines per second. */
 #define SURPLUS_LINES_PER_S 20
 
@@ -191,28 +175,6 @@
     }
 }
 
-static void
-set_socket_options(uv_tcp_t *tcp)
-{
-    int fd;
-    int on = 1;
-    int idle = KEEPALIVE_IDLE_S;
-    int interval = KEEPALIVE_INTERVAL_S;
-    int probes = KEEPALIVE_PROBES;
-    int user_timeout = TCP_USER_TIMEOUT_MS;
-
-    if (uv_fileno((uv_handle_t *)tcp, &fd) != 0) {
-        return;
-    }
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-               sizeof(user_timeout));
-}
-
 static void
 connect_cb(uv_connect_t *req, int status)
 {
@@ -230,7 +192,11 @@
         opened = ggw_counter("ggw_connections_opened_total");
     }
     (*opened)++;
-    set_socket_options(&conn->tcp);
+    /*
+     * No keepalive and no TCP_USER_TIMEOUT: if the system ended the
+     * connection, what it has not delivered could still reach the server.
+     */
+    uv_tcp_nodelay(&conn->tcp, 1);
     conn->open = true;
     ggw_http_conn_pause(conn, false);
     conn->ops->opened(conn->user);
--- a/http/conn.h
+++ b/http/conn.h
@@ -14,6 +14,9 @@
  * or, while idle, to its pool. An idle connection is closed when bytes or the
  * end of the stream arrive, because there is no request that they could
  * answer.
+ *
+ * The system has no time limit of its own for an established connection. The
+ * limits of its user and of its pool end it.
  */
 
 /**
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -22,6 +22,7 @@
  * @first: bytes that it sends once
  * @more: bytes that it sends at each interval
  * @after: what it does to the connection right after @first
+ * @deaf: it reads nothing
  * @closed: the gateway has closed the connection
  * @was_reset: by a reset
  */
@@ -38,6 +39,7 @@
         CLOSE,
         RESET
     } after;
+    bool deaf;
     bool accepted;
     bool closed;
     bool was_reset;
@@ -143,7 +145,9 @@
     s->peer.data = s;
     s->accepted = true;
     CU_ASSERT_EQUAL(uv_accept(listener, (uv_stream_t *)&s->peer), 0);
-    uv_read_start((uv_stream_t *)&s->peer, alloc_cb, read_cb);
+    if (!s->deaf) {
+        uv_read_start((uv_stream_t *)&s->peer, alloc_cb, read_cb);
+    }
 }
 
 static void
@@ -222,11 +226,20 @@
 
 static const char request[] = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
 
+static void
+caller_start_with(struct caller *c, struct ggw_pools *pools, struct server *s,
+                  const struct ggw_call_spec *spec)
+{
+    ggw_ms now = ggw_clock_now(ggw_clock_system());
+
+    c->call = ggw_call_new(ggw_pools_get(pools, "127.0.0.1", s->port, now),
+                           spec, &call_ops, c);
+}
+
 static void
 caller_start(struct caller *c, struct ggw_pools *pools, struct server *s,
              bool reads_body)
 {
-    ggw_ms now = ggw_clock_now(ggw_clock_system());
     struct ggw_call_spec spec = {
         .head = h2o_iovec_init(request, strlen(request)),
         .signature_name = "signature",
@@ -239,8 +252,7 @@
 
     memset(c, 0, sizeof(*c));
     c->reads_body = reads_body;
-    c->call = ggw_call_new(ggw_pools_get(pools, "127.0.0.1", s->port, now),
-                           &spec, &call_ops, c);
+    caller_start_with(c, pools, s, &spec);
 }
 
 static void
@@ -376,6 +388,48 @@
     stop(&s, pools, &c);
 }
 
+/* Bytes of a body that the buffers of two sockets cannot hold. */
+#define LONG_BODY_BYTES ((size_t)32 * 1024 * 1024)
+
+/* Time in ms after which the system would have ended the connection. */
+#define LONG_HEAD_TIMEOUT 5000.0
+
+/*
+ * Guards against a connection that the system ends before the call does, with
+ * a part of the request not delivered: only a call that ends its connection
+ * itself resets it, so that the part is not delivered later.
+ */
+static void
+test_system_timeout(void)
+{
+    g_autofree char *body = g_strnfill(LONG_BODY_BYTES, 'x');
+    ggw_ms started = ggw_clock_now(ggw_clock_system());
+    struct ggw_call_spec spec = {
+        .head = h2o_iovec_init(request, strlen(request)),
+        .body = h2o_iovec_init(body, LONG_BODY_BYTES),
+        .connect_timeout = HEAD_TIMEOUT,
+        .slow_timeout = LONG_HEAD_TIMEOUT,
+        .head_timeout = LONG_HEAD_TIMEOUT,
+        .progress_timeout = LONG_HEAD_TIMEOUT,
+        .complete_timeout = LONG_HEAD_TIMEOUT,
+    };
+    struct server s;
+    struct caller c = {0};
+    struct ggw_pools *pools;
+
+    server_start(&s, "", NULL);
+    s.deaf = true;
+    pools = ggw_pools_new(&s.loop);
+    caller_start_with(&c, pools, &s, &spec);
+    while (c.ended_at == 0 &&
+           ggw_clock_now(ggw_clock_system()) < started + WAIT_LIMIT) {
+        uv_run(&s.loop, UV_RUN_ONCE);
+    }
+    CU_ASSERT_EQUAL(c.end, GGW_CALL_TIMED_OUT);
+    CU_ASSERT_TRUE(c.ended_at - started >= LONG_HEAD_TIMEOUT);
+    stop(&s, pools, &c);
+}
+
 static const char whole_head[] =
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nattempt-id: i-1\r\n"
     "content-length: 4\r\n\r\n";
@@ -484,6 +538,7 @@
         {"endings", test_endings},
         {"endless", test_endless},
         {"slow reader", test_slow_reader},
+        {"system timeout", test_system_timeout},
         {"interim flood", test_interim_flood},
         CU_TEST_INFO_NULL,
     };
