proxy: a connection that opens late in a planned stop gets no request

A request was admitted when its slot was granted, but was sent when its connection opened, up to 500 ms later. By then its response could no longer be expected before the end of the stop, so it was cut, with an outcome that nobody knows.

ggw_drain_send_by() gives the time before which a request has to be sent; ggw_drain_admits() is derived from it. While the gateway leaves, it bounds the time to open the connection of an attempt that is alone. The slot is released as unused then, since the server is not gone.

--- a/decide/drain.c
+++ b/decide/drain.c
@@ -48,21 +48,26 @@
     return plan;
 }
 
-/* Time at which a response can be expected if the deadline is far. */
-static ggw_ms
-expected_at(const struct ggw_drain_request *r, ggw_ms now)
+ggw_ms
+ggw_drain_send_by(ggw_ms end, const struct ggw_drain_request *r)
 {
     ggw_ms p95 = r->latency->p95;
 
+    if (r->deadline < end) {
+        return INFINITY;
+    }
     if (p95 > 0) {
-        return now + (r->repeatable ? p95 : ONCE_FACTOR * p95);
+        return end - (r->repeatable ? p95 : ONCE_FACTOR * p95);
+    }
+    if (!r->repeatable) {
+        return -INFINITY;
     }
-    return r->repeatable ? now + UNKNOWN_SHARE * (r->deadline - now)
-                         : r->deadline;
+    /* Sent now, it is expected at now + UNKNOWN_SHARE * (deadline - now). */
+    return (end - UNKNOWN_SHARE * r->deadline) / (1 - UNKNOWN_SHARE);
 }
 
 bool
 ggw_drain_admits(ggw_ms end, const struct ggw_drain_request *r, ggw_ms now)
 {
-    return MIN(expected_at(r, now), r->deadline) < end;
+    return now < ggw_drain_send_by(end, r);
 }
--- a/decide/drain.h
+++ b/decide/drain.h
@@ -50,14 +50,25 @@
     const struct ggw_latency *latency;
 };
 
+/**
+ * ggw_drain_send_by() - time before which a request has to be sent
+ * @end: time at which requests in progress are cut, monotonic ms
+ *
+ * While the latency of its kind is not known, its deadline counts: all of the
+ * time until then for a request that is not repeatable, half of it for another
+ * one.
+ *
+ * Return: monotonic ms from which on its response cannot be expected before
+ * @end; INFINITY if it always can, -INFINITY if it never can.
+ */
+ggw_ms ggw_drain_send_by(ggw_ms end, const struct ggw_drain_request *r);
+
 /**
  * ggw_drain_admits() - decide whether to send a request to a backend server
  * @end: time at which requests in progress are cut, monotonic ms
  * @now: monotonic ms
  *
- * Return: whether its response can be expected before @end. While the latency
- * of its kind is not known, its deadline counts: all of the time until then
- * for a request that is not repeatable, half of it for another one.
+ * Return: whether @now is before ggw_drain_send_by().
  */
 bool ggw_drain_admits(ggw_ms end, const struct ggw_drain_request *r,
                       ggw_ms now);
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -519,6 +519,25 @@
     return true;
 }
 
+/*
+ * What the result says of the server. A server is neither slow nor gone
+ * because this gateway gave it little time.
+ */
+static enum ggw_attempt_result
+result_for_slot(const struct ggw_attempt *a, enum ggw_attempt_result result)
+{
+    if (result == GGW_ATTEMPT_SILENT) {
+        return ggw_attempt_timeout_result(
+            ggw_call_latency(a->call),
+            a->request->kind_state->latency_estimate.p50);
+    }
+    if (result == GGW_ATTEMPT_REFUSED && a->connect_shortened &&
+        !ggw_call_is_sent(a->call)) {
+        return GGW_ATTEMPT_UNUSED;
+    }
+    return result;
+}
+
 static void
 on_end(void *data, enum ggw_call_end end)
 {
@@ -531,11 +550,7 @@
     if (ggw_call_facts(a->call).fault == GGW_FAULT_SURPLUS) {
         r->response_mixed = true;
     }
-    release_slot(a, result == GGW_ATTEMPT_SILENT
-                        ? ggw_attempt_timeout_result(
-                              ggw_call_latency(a->call),
-                              r->kind_state->latency_estimate.p50)
-                        : result);
+    release_slot(a, result_for_slot(a, result));
     if (deliver_buffered(a, result)) {
         return;
     }
@@ -660,6 +675,24 @@
            g_strv_contains((const char *const *)r->tried->pdata, server);
 }
 
+/*
+ * Time for opening the connection, ms. On one that opens later than
+ * ggw_request_send_by(), the request would be cut when the gateway stops.
+ */
+static ggw_ms
+connect_timeout(struct ggw_attempt *a, ggw_ms slow_timeout, ggw_ms now)
+{
+    const struct ggw_request *r = a->request;
+    ggw_ms usual = MIN(CONNECT_TIMEOUT_MS, slow_timeout);
+    ggw_ms left = ggw_request_send_by(r) - now;
+
+    if (r->attempts[0] != a || left >= usual) {
+        return usual;
+    }
+    a->connect_shortened = true;
+    return left;
+}
+
 /* Sends the request to the backend server that was granted. */
 void
 ggw_attempt_start(struct ggw_request *r, const struct ggw_slot_grant *grant)
@@ -709,6 +742,6 @@
     spec.head_timeout =
         r->retry.deadline - now + proxy->options.deadline_grace;
     spec.complete_timeout = spec.head_timeout + LATE_BODY_MS;
-    spec.connect_timeout = MIN(CONNECT_TIMEOUT_MS, spec.slow_timeout);
+    spec.connect_timeout = connect_timeout(a, spec.slow_timeout, now);
     a->call = ggw_call_new(a->pool, &spec, &call_ops, a);
 }
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -210,12 +210,13 @@
 }
 
 /*
- * Whether the response to an attempt that starts now can be expected before
- * the gateway stops. To be asked if no other attempt is in progress: else the
- * request is exposed to the end anyway, and a second attempt may help it.
+ * Time, in monotonic ms, from which on the response to an attempt cannot be
+ * expected before the gateway stops. To be asked if no other attempt is in
+ * progress: else the request is exposed to the end anyway, and a second
+ * attempt may help it.
  */
-static bool
-can_finish(const struct ggw_request *r)
+ggw_ms
+ggw_request_send_by(const struct ggw_request *r)
 {
     const struct ggw_proxy *proxy = r->proxy;
     const struct ggw_drain_request d = {
@@ -224,9 +225,13 @@
         .latency = &r->kind_state->latency_estimate,
     };
 
-    return !proxy->leaving ||
-           ggw_drain_admits(proxy->drain_end, &d,
-                            ggw_kernel_now(proxy->base.kernel));
+    return proxy->leaving ? ggw_drain_send_by(proxy->drain_end, &d) : INFINITY;
+}
+
+static bool
+can_finish(const struct ggw_request *r)
+{
+    return ggw_kernel_now(r->proxy->base.kernel) < ggw_request_send_by(r);
 }
 
 /* Ends a request that cannot finish before the gateway stops. */
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -145,6 +145,8 @@
  * @signature_missing: a success without the server's signature
  * @unproven: the status would promise the client that the request did not run,
  *            which the response does not prove
+ * @connect_shortened: its connection had to open earlier than usual, since the
+ *                     gateway leaves
  * @ended: the call has ended and the slot is released
  * @buffered: response that is buffered until it is complete, or NULL
  * @discarded: body bytes read that nobody waits for
@@ -164,6 +166,7 @@
     bool misdirected;
     bool signature_missing;
     bool unproven;
+    bool connect_shortened;
     bool ended;
     struct ggw_buffered_response *buffered;
     size_t discarded;
@@ -297,6 +300,7 @@
 void ggw_request_attempt_failed(struct ggw_request *r,
                                 enum ggw_attempt_result result,
                                 enum ggw_outcome outcome);
+ggw_ms ggw_request_send_by(const struct ggw_request *r);
 void ggw_request_stop_waiting(struct ggw_request *r);
 bool ggw_request_attempt_slow(struct ggw_request *r);
 bool ggw_request_retry_error(struct ggw_request *r);
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -155,6 +155,9 @@
         g_free(p->to);
         g_free(p);
     }
+    if (env->stall_after_ms > 0) {
+        ggw_kernel_send(env->kernel, "driver", NULL, ggw_shutdown_new());
+    }
     stop = env->stop;
     pthread_mutex_unlock(&env->lock);
     if (stop) {
@@ -196,6 +199,14 @@
 static void
 driver_receive(struct ggw_service *service, struct ggw_message *m)
 {
+    struct env *env = env_of(service, offsetof(struct env, driver));
+    unsigned stall_ms;
+
+    pthread_mutex_lock(&env->lock);
+    stall_ms = env->stall_after_ms;
+    env->stall_after_ms = 0;
+    pthread_mutex_unlock(&env->lock);
+    g_usleep(1000UL * stall_ms);
 }
 
 /*
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -113,6 +113,7 @@
  * @slot_tag: tag of the last SLOT_REQUEST
  * @stall_ms: time for which the event loop stands still before it delivers the
  *            next message of the test
+ * @stall_after_ms: the same, right after it has delivered that message
  * @next_grant: number of slots granted; also the id of the last grant
  * @releases: array of struct ggw_slot_release
  * @only_first_server: "slots" grants server s0 even if it is to be avoided
@@ -149,6 +150,7 @@
     enum ggw_slot_refusal refusal;
     uint64_t slot_tag;
     unsigned stall_ms;
+    unsigned stall_after_ms;
     bool only_first_server;
     uint64_t next_grant;
     GArray *releases;
--- a/tests/test_proxy_leave.c
+++ b/tests/test_proxy_leave.c
@@ -399,6 +399,57 @@
     env_stop(env);
 }
 
+/*
+ * A request with this timeout, of unknown latency, may be sent until about
+ * 1.2 s after SHUTDOWN; in progress, it is cut 3.1 s after SHUTDOWN.
+ */
+#define LATE_TIMEOUT_MS 5000
+#define LATE_DRAIN_MS 2000
+
+/*
+ * A connection opens this long after it was requested, ms. It is below the
+ * usual limit for opening one.
+ */
+#define OPENING_MS 400
+
+/*
+ * Guards against a connection that opens when the response can no longer be
+ * expected before the end of the stop, and on which the request is sent, so
+ * that it is cut; and against a server that counts as gone because of it.
+ */
+static void
+test_late_connection(void)
+{
+    struct env *env = env_start(LATE_TIMEOUT_MS, MAX_AGE_MS, LATE_DRAIN_MS);
+    ggw_ms end = now_ms() + LISTEN_MS + LATE_DRAIN_MS;
+    ggw_ms send_by, wait;
+    GString *r;
+    int fd;
+
+    env->slots_mode = ENV_HOLD;
+    env->servers[0].script = SCRIPT_SLOW;
+    env->servers[0].delay_ms = LATE_TIMEOUT_MS;
+    begin_shutdown(env);
+    fd = send_request(env, REPEATABLE);
+    CU_ASSERT_TRUE(env_wait(env, &env->slot_requests, 1));
+    /* After it, half of the time until the deadline reaches past the end. */
+    send_by = 2 * end - (now_ms() + LATE_TIMEOUT_MS);
+    wait = send_by - OPENING_MS / 2.0 - now_ms();
+    CU_ASSERT_TRUE_FATAL(wait > 0);
+    g_usleep((gulong)(1000 * wait));
+    env->stall_after_ms = OPENING_MS;
+    env_grant(env, 0, 0);
+    r = env_read(fd, false);
+    CU_ASSERT_TRUE(is_refused(r));
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "greengageway-reason"), "shed");
+    CU_ASSERT_TRUE(env_wait_len(env, env->releases, 1));
+    CU_ASSERT_EQUAL(env_result(env, 0), GGW_ATTEMPT_UNUSED);
+    CU_ASSERT_EQUAL(received(env), 0);
+    g_string_free(r, TRUE);
+    close(fd);
+    env_stop(env);
+}
+
 int
 main(void)
 {
@@ -411,6 +462,7 @@
         {"late hedge", test_late_hedge},
         {"slow bodies", test_slow_bodies},
         {"pipelined", test_pipelined},
+        {"late connection", test_late_connection},
         CU_TEST_INFO_NULL,
     };
 
