http: a 101 that no request asked for breaks the response

A response with status 101 was taken for an interim one, and what came behind it for the response to the request, although it is another protocol by what the server says.

The call ends as broken with the fault "malformed". Also tested now: a connection is closed without a reset behind a response that ends it (docs/design.md, table of connections to servers).

--- a/http/call_facts.h
+++ b/http/call_facts.h
@@ -12,7 +12,8 @@
  * @GGW_FAULT_NONE: it is not, as far as is known
  * @GGW_FAULT_RESET: the connection was reset
  * @GGW_FAULT_CUT: the connection was closed before the response was complete
- * @GGW_FAULT_MALFORMED: the bytes are no HTTP response
+ * @GGW_FAULT_MALFORMED: the bytes are no HTTP response, or switch to another
+ *                       protocol
  * @GGW_FAULT_TOO_LARGE: the head is too large
  * @GGW_FAULT_OTHER_ID: it has another request's id, or none
  * @GGW_FAULT_SURPLUS: another response stands within it, or may do so
--- a/http/client.c
+++ b/http/client.c
@@ -29,6 +29,9 @@
  */
 #define IDLE_MARGIN_MS 1000
 
+/* Status of a response behind which another protocol begins. */
+#define SWITCHING_PROTOCOLS 101
+
 struct ggw_call {
     struct ggw_pool *pool;
     struct ggw_call_spec spec;
@@ -386,6 +389,10 @@
         .headers = headers,
     };
 
+    if (parser->status_code == SWITCHING_PROTOCOLS) {
+        call->facts.fault = GGW_FAULT_MALFORMED; /* no request asks for it */
+        return -1;
+    }
     if (is_interim_response(parser)) {
         return 0;
     }
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -437,6 +437,12 @@
     {"reset after a body with a length",
      OK_HEAD "content-length: 4\r\n\r\nbody", true, GGW_FAULT_NONE},
     {"no HTTP", "HTTP/1.1 two\r\n\r\n", false, GGW_FAULT_MALFORMED},
+    {"switch of protocols before a response",
+     "HTTP/1.1 101 S\r\n\r\n" OK_HEAD "content-length: 4\r\n\r\nbody", false,
+     GGW_FAULT_MALFORMED},
+    {"switch of protocols before other bytes",
+     "HTTP/1.1 101 S\r\nupgrade: x\r\nconnection: upgrade\r\n\r\nbytes", false,
+     GGW_FAULT_MALFORMED},
     {"copy with the same signature",
      OK_HEAD "a: b\r\nsignature: s1\r\n\r\nbody" OK_HEAD
              "c: d\r\nsignature: s1\r\n\r\nbody",
@@ -476,12 +482,44 @@
     }
 }
 
+static const char *const last_responses[] = {
+    OK_HEAD "connection: close\r\ncontent-length: 4\r\n\r\nbody",
+    OK_HEAD "connection: close\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    OK_HEAD "keep-alive: timeout=0\r\ncontent-length: 4\r\n\r\nbody",
+    "HTTP/1.0 200 OK\r\ncontent-length: 4\r\n\r\nbody",
+};
+
+/*
+ * Guards against a connection that is kept although its server closes it, and
+ * against one that is reset behind a complete response.
+ */
+static void
+test_closed_after_response(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(last_responses); i++) {
+        struct server s;
+        struct caller c;
+        struct ggw_pools *pools;
+
+        server_start(&s, last_responses[i], "");
+        pools = ggw_pools_new(&s.loop);
+        caller_start(&c, pools, &s, true);
+        run_until_closed(&s, &c);
+        CU_ASSERT_TRUE(c.ended_at > 0);
+        CU_ASSERT_EQUAL(c.end, GGW_CALL_COMPLETE);
+        CU_ASSERT_TRUE(s.closed);
+        CU_ASSERT_FALSE(s.was_reset);
+        stop(&s, pools, &c);
+    }
+}
+
 int
 main(void)
 {
     static CU_TestInfo tests[] = {
         {"cut head", test_cut_head},
         {"endings", test_endings},
+        {"closed after response", test_closed_after_response},
         {"endless", test_endless},
         {"slow reader", test_slow_reader},
         {"interim flood", test_interim_flood},
