common: one log line when a source's JSON is refused for its size

A text with too many values was only counted. An operator saw that the store or an entry could not be read, but neither which nor why.

--- a/common/json_text.c
+++ b/common/json_text.c
@@ -5,11 +5,37 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/log.h"
 #include "common/metrics.h"
 
 /* Length of an escape "\uXXXX" in bytes. */
 #define ESCAPE_LEN 6
 
+/* Lines per second that are logged about refused texts. */
+#define REFUSAL_LINES_PER_S 5
+
+/* Number of sources above which all of them are forgotten. */
+#define MAX_REFUSED_SOURCES 64
+
+static struct ggw_log_event refused = {
+    .part = "json",
+    .name = "json_refused",
+    .level = GGW_LOG_WARN,
+    .importance = GGW_LOG_IMPORTANT,
+    .max_per_s = REFUSAL_LINES_PER_S,
+};
+
+static struct ggw_log_event accepted = {
+    .part = "json",
+    .name = "json_accepted",
+    .level = GGW_LOG_INFO,
+    .importance = GGW_LOG_IMPORTANT,
+    .max_per_s = REFUSAL_LINES_PER_S,
+};
+
+/* Set of the sources whose last text was refused; NULL before the first. */
+static GHashTable *refused_sources;
+
 /* The value of the escape "\uXXXX" at @at, or -1 if there is none. */
 static long
 escaped_value(const char *at)
@@ -69,16 +95,13 @@
     return c == '[' || c == '{' || c == ',' || c == ':';
 }
 
-/* Whether a text has more than GGW_JSON_MAX_PARTS parts outside of strings. */
-static bool
-is_too_large(const char *text, size_t len)
+/* Counts the parts of a text outside of strings. */
+static size_t
+count_parts(const char *text, size_t len)
 {
     size_t parts = 0;
     bool in_string = false;
 
-    if (len <= GGW_JSON_MAX_PARTS) {
-        return false;
-    }
     for (size_t i = 0; i < len; i++) {
         if (in_string && text[i] == '\\') {
             i++;
@@ -90,16 +113,57 @@
             parts += is_part(text[i]);
         }
     }
+    return parts;
+}
+
+static void
+on_refused(const char *source, size_t len, size_t parts)
+{
+    ggw_count("ggw_json_too_large_total");
+    if (refused_sources == NULL) {
+        refused_sources =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    }
+    if (g_hash_table_contains(refused_sources, source)) {
+        return;
+    }
+    if (g_hash_table_size(refused_sources) >= MAX_REFUSED_SOURCES) {
+        g_hash_table_remove_all(refused_sources);
+    }
+    g_hash_table_add(refused_sources, g_strdup(source));
+    ggw_log_event(&refused, "source=\"%s\" bytes=%zu parts=%zu max_parts=%d",
+                  source, len, parts, GGW_JSON_MAX_PARTS);
+}
+
+static void
+on_accepted(const char *source)
+{
+    if (refused_sources != NULL &&
+        g_hash_table_remove(refused_sources, source)) {
+        ggw_log_event(&accepted, "source=\"%s\"", source);
+    }
+}
+
+/* Whether a text has more than GGW_JSON_MAX_PARTS parts. */
+static bool
+is_too_large(const char *source, const char *text, size_t len)
+{
+    size_t parts =
+        len > GGW_JSON_MAX_PARTS ? count_parts(text, len) : 0; /* fewer */
+
     if (parts > GGW_JSON_MAX_PARTS) {
-        ggw_count("ggw_json_too_large_total");
+        on_refused(source, len, parts);
+        return true;
     }
-    return parts > GGW_JSON_MAX_PARTS;
+    on_accepted(source);
+    return false;
 }
 
 json_t *
-ggw_json_parse(const char *text, size_t len, size_t flags, json_error_t *error)
+ggw_json_parse(const char *source, const char *text, size_t len, size_t flags,
+               json_error_t *error)
 {
-    if (!is_too_large(text, len)) {
+    if (!is_too_large(source, text, len)) {
         return json_loadb(text, len, flags, error);
     }
     if (error != NULL) {
@@ -110,12 +174,12 @@
 }
 
 json_t *
-ggw_json_load(const char *text, size_t len)
+ggw_json_load(const char *source, const char *text, size_t len)
 {
     g_autofree char *repaired = NULL;
     json_t *root;
 
-    if (is_too_large(text, len)) {
+    if (is_too_large(source, text, len)) {
         return NULL;
     }
     root = json_loadb(text, len, JSON_ALLOW_NUL, NULL);
--- a/config/row.c
+++ b/config/row.c
@@ -10,8 +10,8 @@
 ggw_config_row_parse(const char *text, struct ggw_config_row *row,
                      GError **error)
 {
-    json_t *root =
-        ggw_json_parse(text, strlen(text), JSON_REJECT_DUPLICATES, NULL);
+    json_t *root = ggw_json_parse("row of settings", text, strlen(text),
+                                  JSON_REJECT_DUPLICATES, NULL);
     const json_t *revision = json_object_get(root, "revision");
     json_t *tree = json_object_get(root, "tree");
 
--- a/config/tree.c
+++ b/config/tree.c
@@ -74,7 +74,8 @@
                     strlen(text), GGW_TREE_JSON_MAX);
         return NULL;
     }
-    root = ggw_json_parse(text, strlen(text), JSON_REJECT_DUPLICATES, &e);
+    root = ggw_json_parse("settings", text, strlen(text),
+                          JSON_REJECT_DUPLICATES, &e);
     if (root == NULL) {
         g_set_error(error, GGW_ERROR, GGW_ERROR_INVALID,
                     "settings: not JSON: line %d: %s", e.line, e.text);
--- a/config/vms.c
+++ b/config/vms.c
@@ -183,8 +183,8 @@
 ggw_vm_list_parse(const char *json, GError **error)
 {
     json_error_t e;
-    json_t *root =
-        ggw_json_parse(json, strlen(json), JSON_REJECT_DUPLICATES, &e);
+    json_t *root = ggw_json_parse("list of VMs", json, strlen(json),
+                                  JSON_REJECT_DUPLICATES, &e);
     struct ggw_vm_list *list;
 
     if (root == NULL) {
--- a/decide/claim.c
+++ b/decide/claim.c
@@ -14,7 +14,8 @@
 bool
 ggw_claim_row_parse(const char *text, struct ggw_claim_row *out)
 {
-    json_t *json = ggw_json_parse(text, strlen(text), 0, NULL);
+    json_t *json =
+        ggw_json_parse("row of a claim", text, strlen(text), 0, NULL);
     const char *gateway, *nonce, *state;
     json_int_t incarnation;
     int found = -1;
--- a/tests/test_mutated_texts.c
+++ b/tests/test_mutated_texts.c
@@ -166,7 +166,7 @@
     struct ggw_store_response response = {
         .rows = g_ptr_array_new_with_free_func(ggw_store_row_free),
     };
-    bool ok = ggw_store_decode(text, strlen(text), &response);
+    bool ok = ggw_store_decode("test", text, strlen(text), &response);
 
     g_ptr_array_unref(response.rows);
     return ok;
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -122,7 +122,8 @@
                             keys[i]);
         const struct ggw_store_row *last;
 
-        CU_ASSERT_TRUE(ggw_store_decode(text, strlen(text), &response));
+        CU_ASSERT_TRUE(
+            ggw_store_decode("test", text, strlen(text), &response));
         CU_ASSERT_EQUAL_FATAL(rows->len, rows_read[i]);
         last = g_ptr_array_index(rows, rows->len - 1);
         CU_ASSERT_STRING_EQUAL(last->key, "good");
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -294,7 +294,7 @@
 {
     struct ggw_store_response response = {.rows = rows};
 
-    return ggw_store_decode(text, strlen(text), &response);
+    return ggw_store_decode("test", text, strlen(text), &response);
 }
 
 /* Guards against accepting a response that is not one of the store. */
