platform: a health response with status 200 has to name its server

Any health response without Instance-Id counted as that of the server meant, so its load report was believed whoever sent it. PROTOCOL.md says that an instance returns 200 "with the instance's ID in Instance-Id". It does not say so of a rejection, which still counts without an id.

test_site asserted the opposite for a 200 without an id; the assertion is turned round for 200 and kept for 503.

--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -349,8 +349,9 @@
     CU_ASSERT_TRUE(ggw_site_dialect.probe_misdirected(421, headers, 3, "i-1"));
     CU_ASSERT_TRUE(ggw_site_dialect.probe_misdirected(200, &id, 1, "i-1"));
     CU_ASSERT_FALSE(ggw_site_dialect.probe_misdirected(200, &id, 1, "i-2"));
+    CU_ASSERT_TRUE(ggw_site_dialect.probe_misdirected(200, headers, 3, "i-1"));
     CU_ASSERT_FALSE(
-        ggw_site_dialect.probe_misdirected(200, headers, 3, "i-1"));
+        ggw_site_dialect.probe_misdirected(503, headers, 3, "i-1"));
     r = ggw_site_dialect.load(headers, 3);
     CU_ASSERT_TRUE(r.present && r.cold_unknown);
     CU_ASSERT_EQUAL(r.busy, 3);
