http: a limit for all clients together, with an order of who gives way

Cause: on a gateway with 256 descriptors and 400 connections served 0 of 60 requests of another client (idle connections, or parts of heads); of 400 requests to slow servers 1 was served, 241 refused, 158 got nothing. Change: the listener keeps descriptors for servers, peers and the store. At the limit one connection gives way for each new one, else new ones wait in the queue of the listening socket. Requests beyond the limit are refused as not run with Retry-After; pages are not. Metrics, a log line once a state.

--- a/http/connection.c
+++ b/http/connection.c
@@ -2,10 +2,12 @@
 
 #include <fcntl.h>
 #include <glib.h>
+#include <math.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "common/log.h"
 #include "common/metrics.h"
 #include "http/request_check.h"
 
@@ -34,6 +36,26 @@
  */
 #define MAX_BODY_HEAD_TIMEOUTS 6
 
+/* Time after which a client is to retry when a limit was reached, s. */
+#define RETRY_AFTER_S "1"
+
+/*
+ * No connection gives way while this part of the limit is taken by clients
+ * that have not taken their last response yet.
+ */
+#define OVER_LIMIT_PART 8
+
+/* A limit counts as reached until this part of it is free again. */
+#define FREE_PART 8
+
+static struct ggw_log_event limit_event = {
+    .part = "http",
+    .name = "client_limit",
+    .level = GGW_LOG_WARN,
+    .importance = GGW_LOG_ROUTINE,
+    .max_per_s = 10,
+};
+
 /**
  * struct ggw_connection - a connection from a client
  * @link: in the list of the owner
@@ -44,6 +66,7 @@
  *                      is being read, 0 for none
  * @last_read_at: loop time in ms of the last read
  * @idle_since: loop time in ms of the end of the last request
+ * @bytes: bytes of the request that is being read or in progress
  * @requests: requests in progress
  * @head_checked: the head of the request that is being read passed the check
  * @refused: a refusal was sent, and the connection is to be closed
@@ -60,6 +83,7 @@
     ggw_ms request_started_at;
     ggw_ms last_read_at;
     ggw_ms idle_since;
+    size_t bytes;
     int requests;
     bool head_checked;
     bool refused;
@@ -74,12 +98,20 @@
     return (ggw_ms)uv_now(c->loop);
 }
 
+static void
+forget_bytes(struct ggw_connection *conn)
+{
+    conn->owner->bytes -= conn->bytes;
+    conn->bytes = 0;
+}
+
 static void
 close_cb(void *data)
 {
     struct ggw_connection *conn = data;
 
     conn->owner->len--;
+    forget_bytes(conn);
     h2o_linklist_unlink(&conn->link);
     if (conn->queued) {
         g_queue_remove(&conn->owner->unwrapped, conn);
@@ -116,19 +148,26 @@
     reader(conn->sock, h2o_socket_error_closed);
 }
 
-/* Sends a refusal and closes the connection. */
+/*
+ * Sends a refusal and closes the connection.
+ * @retry_after: value of Retry-After in s, or NULL
+ */
 static void
-refuse(struct ggw_connection *conn, int status, const char *reason)
+refuse_with(struct ggw_connection *conn, int status, const char *reason,
+            const char *retry_after)
 {
     char text[512];
     int len = g_snprintf(
         text, sizeof(text),
         "HTTP/1.1 %d %s\r\nConnection: close\r\nServer: greengageway\r\n"
         "Content-Type: text/plain\r\nContent-Length: %zu\r\n"
-        "Greengageway-Outcome: not-run\r\nGreengageway-Reason: %s\r\n\r\n"
-        "%s: not-run\n",
+        "Greengageway-Outcome: not-run\r\nGreengageway-Reason: %s\r\n"
+        "%s%s%s\r\n%s: not-run\n",
         status, ggw_status_text(status),
-        strlen(reason) + strlen(": not-run\n"), reason, reason);
+        strlen(reason) + strlen(": not-run\n"), reason,
+        retry_after != NULL ? "Retry-After: " : "",
+        retry_after != NULL ? retry_after : "",
+        retry_after != NULL ? "\r\n" : "", reason);
     g_autofree char *metric =
         g_strdup_printf("ggw_bad_requests_total{reason=\"%s\"}", reason);
     int fd = h2o_socket_get_fd(conn->sock);
@@ -145,6 +184,218 @@
     close_connection(conn);
 }
 
+static void
+refuse(struct ggw_connection *conn, int status, const char *reason)
+{
+    refuse_with(conn, status, reason, NULL);
+}
+
+static const char *const limit_names[] = {
+    [GGW_LIMIT_CONNECTIONS] = "connections",
+    [GGW_LIMIT_REQUESTS] = "requests",
+    [GGW_LIMIT_BYTES] = "bytes",
+};
+
+static size_t
+count_of(const struct ggw_connections *c, enum ggw_client_limit which)
+{
+    switch (which) {
+    case GGW_LIMIT_CONNECTIONS:
+        return c->len + c->lingers.len;
+    case GGW_LIMIT_REQUESTS:
+        return c->busy;
+    case GGW_LIMIT_BYTES:
+    case GGW_CLIENT_LIMITS:
+        break;
+    }
+    return c->bytes;
+}
+
+static size_t
+limit_of(const struct ggw_connections *c, enum ggw_client_limit which)
+{
+    switch (which) {
+    case GGW_LIMIT_CONNECTIONS:
+        return c->limits.connections;
+    case GGW_LIMIT_REQUESTS:
+        return c->limits.requests;
+    case GGW_LIMIT_BYTES:
+    case GGW_CLIENT_LIMITS:
+        break;
+    }
+    return c->limits.bytes;
+}
+
+static void
+set_at_limit(struct ggw_connections *c, enum ggw_client_limit which,
+             bool reached)
+{
+    if (c->at_limit[which] == reached) {
+        return;
+    }
+    c->at_limit[which] = reached;
+    ggw_log_event(&limit_event, "limit=%s state=%s count=%zu max=%zu",
+                  limit_names[which], reached ? "reached" : "ended",
+                  count_of(c, which), limit_of(c, which));
+}
+
+static void
+check_limits(struct ggw_connections *c)
+{
+    for (int i = 0; i < GGW_CLIENT_LIMITS; i++) {
+        size_t limit = limit_of(c, i);
+
+        if (count_of(c, i) < limit - limit / FREE_PART) {
+            set_at_limit(c, i, false);
+        }
+    }
+}
+
+/* Whether bytes wait in the socket. */
+static bool
+has_unread_input(const struct ggw_connection *conn)
+{
+    struct pollfd p = {.fd = h2o_socket_get_fd(conn->sock), .events = POLLIN};
+
+    return poll(&p, 1, 0) != 0;
+}
+
+/* State of a connection, as far as it has been read. */
+static struct ggw_client
+read_state(const struct ggw_connection *conn)
+{
+    if (conn->requests > 0 || conn->refused || conn->wrapped_reader == NULL ||
+        conn->sock->_cb.read == NULL) {
+        return (struct ggw_client){GGW_CLIENT_BUSY, 0};
+    }
+    if (conn->request_started_at > 0) {
+        return (struct ggw_client){conn->head_checked ? GGW_CLIENT_BODY
+                                                      : GGW_CLIENT_HEAD,
+                                   conn->request_started_at};
+    }
+    return (struct ggw_client){GGW_CLIENT_IDLE, conn->idle_since};
+}
+
+/*
+ * Finds the connection that gives way first at the time @now; NULL if none
+ * may. Those with unread input do not, since they are about to be read.
+ * @first: set to its state
+ * @from: connections in an earlier state are left out
+ */
+static struct ggw_connection *
+find_first(struct ggw_connections *c, enum ggw_client_state from, ggw_ms now,
+           struct ggw_client *first)
+{
+    struct ggw_connection *found = NULL;
+
+    for (h2o_linklist_t *link = c->list.next; link != &c->list;
+         link = link->next) {
+        struct ggw_connection *conn =
+            H2O_STRUCT_FROM_MEMBER(struct ggw_connection, link, link);
+        struct ggw_client state = read_state(conn);
+
+        if (state.state >= from && ggw_client_gives_way(&state, now) &&
+            (found == NULL || ggw_client_gives_way_before(&state, first)) &&
+            !has_unread_input(conn)) {
+            found = conn;
+            *first = state;
+        }
+    }
+    return found;
+}
+
+static void
+count_displaced(enum ggw_client_state state)
+{
+    static const char *const counters[] = {
+        [GGW_CLIENT_IDLE] = "ggw_clients_displaced_total{state=\"idle\"}",
+        [GGW_CLIENT_HEAD] = "ggw_clients_displaced_total{state=\"head\"}",
+        [GGW_CLIENT_BODY] = "ggw_clients_displaced_total{state=\"body\"}",
+        [GGW_CLIENT_BUSY] = "ggw_clients_displaced_total{state=\"busy\"}",
+    };
+
+    ggw_count(counters[state]);
+}
+
+/* Closes the connection that gives way first. */
+static bool
+displace_one(struct ggw_connections *c)
+{
+    struct ggw_client state;
+    struct ggw_connection *conn =
+        find_first(c, GGW_CLIENT_IDLE, now_ms(c), &state);
+
+    if (conn == NULL) {
+        return false;
+    }
+    count_displaced(state.state);
+    if (state.state == GGW_CLIENT_IDLE) {
+        conn->wrapped_reader(conn->sock, h2o_socket_error_closed);
+    }
+    else {
+        refuse_with(conn, 503, "too-many-connections", RETRY_AFTER_S);
+    }
+    return true;
+}
+
+bool
+ggw_connections_make_room(struct ggw_connections *c)
+{
+    size_t limit = c->limits.connections;
+
+    if (count_of(c, GGW_LIMIT_CONNECTIONS) < limit) {
+        return true;
+    }
+    set_at_limit(c, GGW_LIMIT_CONNECTIONS, true);
+    while (count_of(c, GGW_LIMIT_CONNECTIONS) >= limit) {
+        if (!ggw_lingers_close_one(&c->lingers)) {
+            return c->lingers.len <= limit / OVER_LIMIT_PART &&
+                   displace_one(c);
+        }
+    }
+    return true;
+}
+
+bool
+ggw_connections_are_full(struct ggw_connections *c)
+{
+    if (c->busy <= c->limits.requests) {
+        return false;
+    }
+    set_at_limit(c, GGW_LIMIT_REQUESTS, true);
+    return true;
+}
+
+/*
+ * Counts the bytes of a request. At the limit, requests whose body arrives
+ * most slowly give way. Returns false when @conn is closed for it.
+ */
+static bool
+add_bytes(struct ggw_connection *conn, size_t bytes)
+{
+    struct ggw_connections *c = conn->owner;
+
+    conn->bytes += bytes;
+    c->bytes += bytes;
+    while (c->bytes > c->limits.bytes) {
+        struct ggw_client state;
+        struct ggw_connection *first =
+            find_first(c, GGW_CLIENT_BODY, INFINITY, &state);
+
+        set_at_limit(c, GGW_LIMIT_BYTES, true);
+        if (first == NULL || first == conn) {
+            h2o_buffer_consume(&conn->sock->input, conn->sock->input->size);
+            first = conn;
+        }
+        count_displaced(GGW_CLIENT_BODY);
+        refuse_with(first, 503, "too-many-bytes", RETRY_AFTER_S);
+        if (first == conn) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static int
 refusal_status(enum ggw_head_verdict verdict, const char **reason)
 {
@@ -204,6 +455,9 @@
             return;
         }
     }
+    if (!add_bytes(conn, sock->bytes_read)) {
+        return;
+    }
     wrap_reader_later(conn);
     conn->wrapped_reader(sock, NULL);
 }
@@ -250,7 +504,9 @@
     h2o_buffer_t *input = conn->sock->input;
     bool head_checked = conn->head_checked;
 
-    conn->requests++;
+    if (conn->requests++ == 0) {
+        c->busy++;
+    }
     conn->request_started_at = 0;
     conn->head_checked = false;
     x->conn = conn;
@@ -284,7 +540,10 @@
         prepare_linger(conn);
     }
 
-    conn->requests--;
+    if (--conn->requests == 0) {
+        c->busy--;
+        forget_bytes(conn);
+    }
     conn->idle_since = now_ms(c);
     wrap_reader_later(conn);
 }
@@ -318,10 +577,7 @@
         }
     }
     else if (c->draining && now - conn->idle_since > DRAIN_IDLE_MS) {
-        struct pollfd p = {.fd = h2o_socket_get_fd(conn->sock),
-                           .events = POLLIN};
-
-        if (conn->sock->input->size == 0 && poll(&p, 1, 0) == 0) {
+        if (conn->sock->input->size == 0 && !has_unread_input(conn)) {
             close_connection(conn);
         }
     }
@@ -417,6 +673,7 @@
     if (++c->ticks % CONNECTION_CHECK_TICKS == 0) {
         check_connections(c);
     }
+    check_limits(c);
     if (c->len == 0 && !c->stopped) {
         uv_timer_stop(&c->timer);
     }
--- a/http/connection.h
+++ b/http/connection.h
@@ -5,6 +5,7 @@
 #include <h2o.h>
 #include <stdbool.h>
 
+#include "decide/clients.h"
 #include "http/exchange.h"
 #include "http/linger.h"
 #include "kernel/clock.h"
@@ -17,6 +18,16 @@
  * connections that are idle.
  */
 
+/**
+ * enum ggw_client_limit - a limit of struct ggw_client_limits
+ */
+enum ggw_client_limit {
+    GGW_LIMIT_CONNECTIONS,
+    GGW_LIMIT_REQUESTS,
+    GGW_LIMIT_BYTES,
+    GGW_CLIENT_LIMITS,
+};
+
 /**
  * struct ggw_connections - all connections of a listener
  * @loop: event loop of the listener
@@ -24,6 +35,11 @@
  * @prepare: wraps the read callbacks of @unwrapped
  * @head_timeout: longest time in ms for a request head, and between two reads
  *                of a request body
+ * @limits: limits for all connections together
+ * @busy: number of connections with a request in progress
+ * @bytes: bytes of requests that have not been answered yet
+ * @at_limit: by enum ggw_client_limit, whether it was reached and the log says
+ *            so
  * @ticks: number of timer ticks so far
  * @len: number of connections in @list
  * @list: of struct ggw_connection
@@ -42,6 +58,10 @@
     uv_timer_t timer;
     uv_prepare_t prepare;
     ggw_ms head_timeout;
+    struct ggw_client_limits limits;
+    unsigned busy;
+    size_t bytes;
+    bool at_limit[GGW_CLIENT_LIMITS];
     unsigned ticks;
     unsigned len;
     h2o_linklist_t list;
@@ -68,6 +88,21 @@
  */
 void ggw_connections_add(struct ggw_connections *c, h2o_socket_t *sock);
 
+/**
+ * ggw_connections_make_room() - make room for one more connection
+ *
+ * At the limit, closes a connection that has no request in progress.
+ *
+ * Return: false when there is no room now.
+ */
+bool ggw_connections_make_room(struct ggw_connections *c);
+
+/**
+ * ggw_connections_are_full() - whether more requests are in progress than the
+ *                              limit allows
+ */
+bool ggw_connections_are_full(struct ggw_connections *c);
+
 /**
  * ggw_connection_check_request() - check a request that h2o has parsed
  * @c: the connections
--- a/http/linger.c
+++ b/http/linger.c
@@ -153,6 +153,22 @@
     uv_timer_start(&s->timer, timer_cb, TICK_MS, TICK_MS);
 }
 
+bool
+ggw_lingers_close_one(struct ggw_lingers *l)
+{
+    for (h2o_linklist_t *link = l->list.next; link != &l->list;
+         link = link->next) {
+        struct lingering *s =
+            H2O_STRUCT_FROM_MEMBER(struct lingering, link, link);
+
+        if (unsent_bytes(s) == 0) {
+            close_lingering(s);
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 ggw_lingers_stop(struct ggw_lingers *l)
 {
--- a/http/linger.h
+++ b/http/linger.h
@@ -39,6 +39,13 @@
  */
 void ggw_lingers_add(struct ggw_lingers *l, int fd);
 
+/**
+ * ggw_lingers_close_one() - close a socket whose client has all bytes
+ *
+ * Return: false when there is none.
+ */
+bool ggw_lingers_close_one(struct ggw_lingers *l);
+
 /**
  * ggw_lingers_stop() - close all sockets within 200 ms
  *
--- a/http/listener.c
+++ b/http/listener.c
@@ -4,15 +4,21 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include "common/error.h"
+#include "common/metrics.h"
+#include "decide/clients.h"
 #include "http/connection.h"
 #include "http/request_check.h"
 
 /* Longest queue of connections that wait to be accepted. */
 #define BACKLOG 1024
 
+/* Interval of the checks for room for a connection that waits, ms. */
+#define ROOM_CHECK_MS 5
+
 /* A connection is closed after this time without a request. */
 #define KEEPALIVE_MS 60000
 
@@ -22,6 +28,8 @@
     uv_tcp_t tcp;
     bool listening; /* the handle tcp is open */
     bool stopped;
+    bool waits;            /* a connection waits to be accepted */
+    uv_timer_t room_timer; /* checks for room while @waits */
     uint16_t port;
 
     h2o_globalconf_t conf;
@@ -95,6 +103,16 @@
     g_hash_table_add(existing, handle);
 }
 
+static struct ggw_client_limits
+find_limits(bool pages_only)
+{
+    struct rlimit descriptors = {.rlim_cur = 0};
+
+    getrlimit(RLIMIT_NOFILE, &descriptors);
+    return pages_only ? ggw_page_client_limits(descriptors.rlim_cur)
+                      : ggw_client_limits(descriptors.rlim_cur);
+}
+
 struct ggw_listener *
 ggw_listener_new(uv_loop_t *loop, const struct ggw_listener_options *options)
 {
@@ -127,6 +145,7 @@
     l->accept.ctx = &l->context;
     l->accept.hosts = l->conf.hosts;
     ggw_connections_init(&l->connections, loop, options->head_timeout);
+    l->connections.limits = find_limits(options->pages_only);
     l->connections.half_close_disconnects = options->half_close_disconnects;
     return l;
 }
@@ -148,22 +167,51 @@
     ggw_connections_add(&l->connections, sock);
 }
 
+static void
+accept_connection(struct ggw_listener *l)
+{
+    uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
+
+    uv_tcp_init(l->loop, tcp);
+    if (uv_accept((uv_stream_t *)&l->tcp, (uv_stream_t *)tcp) != 0) {
+        uv_close((uv_handle_t *)tcp, free_handle);
+        return;
+    }
+    serve_connection(l, tcp);
+}
+
+static void
+room_cb(uv_timer_t *timer)
+{
+    struct ggw_listener *l = timer->data;
+
+    if (!ggw_connections_make_room(&l->connections)) {
+        return;
+    }
+    l->waits = false;
+    uv_timer_stop(timer);
+    accept_connection(l);
+}
+
+/*
+ * Without room, the connection waits. libuv accepts no other one meanwhile, so
+ * these wait in the queue of the listening socket.
+ */
 static void
 connection_cb(uv_stream_t *stream, int status)
 {
     struct ggw_listener *l = stream->data;
-    uv_tcp_t *tcp;
 
     if (status != 0) {
         return;
     }
-    tcp = g_new0(uv_tcp_t, 1);
-    uv_tcp_init(l->loop, tcp);
-    if (uv_accept(stream, (uv_stream_t *)tcp) != 0) {
-        uv_close((uv_handle_t *)tcp, free_handle);
+    if (ggw_connections_make_room(&l->connections)) {
+        accept_connection(l);
         return;
     }
-    serve_connection(l, tcp);
+    l->waits = true;
+    ggw_count("ggw_accepts_delayed_total");
+    uv_timer_start(&l->room_timer, room_cb, ROOM_CHECK_MS, ROOM_CHECK_MS);
 }
 
 static int
@@ -202,6 +250,8 @@
 
     uv_tcp_init(l->loop, &l->tcp);
     l->tcp.data = l;
+    uv_timer_init(l->loop, &l->room_timer);
+    l->room_timer.data = l;
     l->listening = true;
     rc = bind_and_listen(l);
     if (rc != 0) {
@@ -244,6 +294,10 @@
     if (uv_fileno((uv_handle_t *)&l->tcp, &listen_fd) != 0) {
         return;
     }
+    if (l->waits) {
+        l->waits = false;
+        accept_connection(l);
+    }
     while ((fd = accept4(listen_fd, NULL, NULL,
                          SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
         uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
@@ -264,6 +318,7 @@
     if (l->listening) {
         l->listening = false;
         uv_close((uv_handle_t *)&l->tcp, NULL);
+        uv_close((uv_handle_t *)&l->room_timer, NULL);
     }
 }
 
@@ -289,6 +344,12 @@
     l->connections.draining = true;
 }
 
+bool
+ggw_listener_is_full(struct ggw_listener *l)
+{
+    return ggw_connections_are_full(&l->connections);
+}
+
 void
 ggw_listener_stop(struct ggw_listener *l)
 {
--- a/http/listener.h
+++ b/http/listener.h
@@ -23,6 +23,8 @@
  *                of a request body
  * @half_close_disconnects: a client that closes its sending side counts as
  *                          disconnected
+ * @pages_only: no request is passed on to a backend server, so that few
+ *              connections suffice
  * @request: called for each complete request; has to respond, now or later
  * @data: first argument of @request
  */
@@ -31,6 +33,7 @@
     uint16_t port;
     ggw_ms head_timeout;
     bool half_close_disconnects;
+    bool pages_only;
     void (*request)(void *data, struct ggw_exchange *x);
     void *data;
 };
@@ -86,6 +89,14 @@
  */
 unsigned ggw_listener_connections(const struct ggw_listener *l);
 
+/**
+ * ggw_listener_is_full() - whether the limit of requests in progress is
+ *                          exceeded
+ *
+ * To be asked while a request is dispatched. It counts as in progress.
+ */
+bool ggw_listener_is_full(struct ggw_listener *l);
+
 /**
  * ggw_listener_stop() - close the listening socket and all connections
  *
--- a/proxy/dispatch.c
+++ b/proxy/dispatch.c
@@ -17,6 +17,9 @@
  */
 #define NO_CONFIGURATION_RETRY_MS 500
 
+/* Retry-After while too many requests are in progress, in ms. */
+#define TOO_MANY_RETRY_MS 1000
+
 /**
  * struct matched_kind - settings that apply to a request
  */
@@ -156,12 +159,16 @@
         ggw_request_refuse(x, 503, "leaving", GGW_LEAVING_RETRY_MS);
         return;
     }
-    if (rule != NULL) {
-        ggw_request_start_routed(proxy, x, tree, rule);
+    if (rule == NULL && path->len >= 3 && memcmp(path->base, "/-/", 3) == 0) {
+        ggw_proxy_page(proxy, x);
         return;
     }
-    if (path->len >= 3 && memcmp(path->base, "/-/", 3) == 0) {
-        ggw_proxy_page(proxy, x);
+    if (ggw_listener_is_full(proxy->listener)) {
+        ggw_request_refuse(x, 503, "too-many-requests", TOO_MANY_RETRY_MS);
+        return;
+    }
+    if (rule != NULL) {
+        ggw_request_start_routed(proxy, x, tree, rule);
         return;
     }
     if (ggw_request_path_parse(&parsed, path->base, path->len)) {
