soak: several gateways paused together, for up to 12 s

The soak stopped one gateway at a time, for 0.2 to 4 s. Change: plans with faults pause one to all gateways at the same time, for 1, 5 or 12 s; drawn last, so that the other steps of a seed stay what they were.

--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -129,6 +129,34 @@
     }
 }
 
+/*
+ * Durations for which several gateways are paused together, ms: below and
+ * above the time after which a gateway counts as dead, and as long as the span
+ * allows.
+ */
+static const ggw_ms pauses[] = {1000.0, 5000.0, 12000.0};
+
+/* Pauses one to all gateways at the same time. */
+static void
+add_pauses(GArray *steps, GRand *rand, ggw_ms span)
+{
+    int first = g_rand_int_range(rand, 0, SOAK_GATEWAYS);
+    int len = g_rand_int_range(rand, 1, SOAK_GATEWAYS + 1);
+    int i = g_rand_int_range(rand, 0, G_N_ELEMENTS(pauses));
+    ggw_ms at = g_rand_double_range(rand, FAULT_FREE_MS, span - pauses[i]);
+
+    for (int n = 0; n < len; n++) {
+        struct soak_step step = {
+            .at = at,
+            .duration = pauses[i],
+            .fault = SOAK_PAUSE_GATEWAY,
+            .target = (first + n) % SOAK_GATEWAYS,
+        };
+
+        g_array_append_val(steps, step);
+    }
+}
+
 GArray *
 soak_plan(guint32 seed, ggw_ms span)
 {
@@ -146,6 +174,9 @@
                  MAX_SAID_MS, span);
     }
     add_sent_steps(steps, rand, end != SOAK_FIRST_UNPLANNED, span);
+    if (end != SOAK_FIRST_UNPLANNED) {
+        add_pauses(steps, rand, span);
+    }
     g_array_sort(steps, by_time);
     g_rand_free(rand);
     return steps;
