http: an idle connection to a server gives its descriptor to a new one

Cause: connect() without a free descriptor counts as the server's refusal, and ejects it, while idle connections to other servers hold descriptors. Change: the idle connection of the pool that was not used for longest is closed and the connect repeated; a metric counts connects that still fail.

--- a/http/conn.c
+++ b/http/conn.c
@@ -246,6 +246,24 @@
     report_closed(timer->data, false);
 }
 
+/* Connects; without a free descriptor, closes an idle connection for it. */
+static int
+connect_conn(struct ggw_http_conn *conn,
+             const struct sockaddr_storage *address)
+{
+    int rc;
+
+    do {
+        rc = uv_tcp_connect(&conn->connect, &conn->tcp,
+                            (const struct sockaddr *)address, connect_cb);
+    } while ((rc == UV_EMFILE || rc == UV_ENFILE) &&
+             ggw_pools_close_idle(conn->pool->pools));
+    if (rc == UV_EMFILE || rc == UV_ENFILE) {
+        ggw_count("ggw_connects_without_descriptor_total");
+    }
+    return rc;
+}
+
 static struct ggw_http_conn *
 open_conn(struct ggw_pool *pool)
 {
@@ -259,8 +277,7 @@
     conn->idle_timer.data = conn;
     conn->open_handles = 2;
     if (!ggw_http_conn_address(pool->host, pool->port, &address) ||
-        uv_tcp_connect(&conn->connect, &conn->tcp, (struct sockaddr *)&address,
-                       connect_cb) != 0) {
+        connect_conn(conn, &address) != 0) {
         uv_timer_start(&conn->idle_timer, report_failure_cb, 0, 0);
     }
     return conn;
--- a/http/pool.c
+++ b/http/pool.c
@@ -61,6 +61,7 @@
     if (pool == NULL && !pools->stopped &&
         ggw_http_conn_address(host, port, &address)) {
         pool = g_new0(struct ggw_pool, 1);
+        pool->pools = pools;
         pool->loop = pools->loop;
         pool->host = g_strdup(host);
         pool->port = port;
@@ -100,6 +101,29 @@
     g_hash_table_foreach_remove(pools->by_address, is_unused, &now);
 }
 
+bool
+ggw_pools_close_idle(struct ggw_pools *pools)
+{
+    struct ggw_pool *oldest = NULL;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, pools->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct ggw_pool *pool = value;
+
+        if (pool->idle.length > 0 &&
+            (oldest == NULL || pool->last_used < oldest->last_used)) {
+            oldest = pool;
+        }
+    }
+    if (oldest == NULL) {
+        return false;
+    }
+    ggw_http_conn_close(g_queue_pop_tail(&oldest->idle));
+    return true;
+}
+
 void
 ggw_pools_stop(struct ggw_pools *pools)
 {
--- a/http/pool.h
+++ b/http/pool.h
@@ -18,6 +18,7 @@
 
 /**
  * struct ggw_pool - connections to one backend server
+ * @pools: the set that it belongs to
  * @loop: event loop
  * @idle: idle connections, struct ggw_http_conn, the most recently used first
  * @host: IP address of the server
@@ -27,6 +28,7 @@
  * @distrusted_until: loop time in ms; see ggw_pool_distrust()
  */
 struct ggw_pool {
+    struct ggw_pools *pools;
     uv_loop_t *loop;
     GQueue idle;
     char *host;
@@ -79,6 +81,15 @@
  */
 void ggw_pools_trim(struct ggw_pools *pools, ggw_ms now);
 
+/**
+ * ggw_pools_close_idle() - close one idle connection, to free its descriptor
+ *
+ * Of the pool that was not used for the longest time.
+ *
+ * Return: false when no connection is idle.
+ */
+bool ggw_pools_close_idle(struct ggw_pools *pools);
+
 /**
  * ggw_pools_stop() - close all idle connections and create no more pools
  */
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -1,6 +1,9 @@
 #include <CUnit/CUnit.h>
+#include <fcntl.h>
 #include <math.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include "common/metrics.h"
 #include "http/client.h"
@@ -476,10 +479,81 @@
     }
 }
 
+/* Opens a listening socket that accepts nothing; returns its descriptor. */
+static int
+listen_only(uint16_t *port)
+{
+    struct sockaddr_in address;
+    socklen_t len = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    uv_ip4_addr("127.0.0.1", 0, &address);
+    CU_ASSERT_EQUAL(bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+    listen(fd, 8);
+    getsockname(fd, (struct sockaddr *)&address, &len);
+    *port = ntohs(address.sin_port);
+    return fd;
+}
+
+/* Lowers the limit of descriptors to those that are open. */
+static struct rlimit
+use_all_descriptors(void)
+{
+    struct rlimit usual, none;
+    int fd = open("/dev/null", O_RDONLY | O_CLOEXEC);
+
+    getrlimit(RLIMIT_NOFILE, &usual);
+    none = (struct rlimit){(rlim_t)fd, usual.rlim_max};
+    close(fd);
+    setrlimit(RLIMIT_NOFILE, &none);
+    return usual;
+}
+
+static void
+run_until_ended(struct server *s, const struct caller *c)
+{
+    ggw_ms end = ggw_clock_now(ggw_clock_system()) + WAIT_LIMIT;
+
+    while (c->ended_at == 0 && ggw_clock_now(ggw_clock_system()) < end) {
+        uv_run(&s->loop, UV_RUN_ONCE);
+    }
+}
+
+/*
+ * Guards against a server that counts as out of reach because idle connections
+ * to other servers hold all descriptors.
+ */
+static void
+test_no_descriptor(void)
+{
+    struct server s, other = {.port = 0};
+    struct caller first, second;
+    struct ggw_pools *pools;
+    struct rlimit usual;
+    int fd;
+
+    server_start(&s, OK_HEAD "content-length: 4\r\n\r\nbody", "");
+    pools = ggw_pools_new(&s.loop);
+    caller_start(&first, pools, &s, true);
+    run_until_ended(&s, &first);
+    CU_ASSERT_EQUAL(first.end, GGW_CALL_COMPLETE);
+    ggw_call_destroy(first.call);
+    fd = listen_only(&other.port);
+    usual = use_all_descriptors();
+    caller_start(&second, pools, &other, true);
+    run_until_ended(&s, &second);
+    setrlimit(RLIMIT_NOFILE, &usual);
+    /* The request was sent, and the server said nothing. */
+    CU_ASSERT_EQUAL(second.end, GGW_CALL_TIMED_OUT);
+    stop(&s, pools, &second);
+    close(fd);
+}
+
 int
 main(void)
 {
     static CU_TestInfo tests[] = {
+        {"no descriptor", test_no_descriptor},
         {"cut head", test_cut_head},
         {"endings", test_endings},
         {"endless", test_endless},
