--- a/http/listener.h
+++ b/http/listener.h
@@ -32,6 +32,8 @@
  *                    GGW_LISTENER_PROGRESS_MS
  * @half_close_disconnects: a client that closes its sending side counts as
  *                          disconnected
+ * @pages_only: no request is passed on to a backend server, so that few
+ *              connections suffice
  * @request: called for each complete request; has to respond, now or later
  * @data: first argument of @request
  */
@@ -42,6 +44,7 @@
     ggw_ms idle_timeout;
     ggw_ms progress_timeout;
     bool half_close_disconnects;
+    bool pages_only;
     void (*request)(void *data, struct ggw_exchange *x);
     void *data;
 };
@@ -97,6 +100,14 @@
  */
 unsigned ggw_listener_connections(const struct ggw_listener *l);
 
+/**
+ * ggw_listener_is_full() - whether the limit of requests in progress is
+ *                          exceeded
+ *
+ * To be asked while a request is dispatched. It counts as in progress.
+ */
+bool ggw_listener_is_full(struct ggw_listener *l);
+
 /**
  * ggw_listener_stop() - close the listening socket and all connections
  *
