ledger: clients that are told of a pause do not return together

Cause: while all servers of a service want a pause, all refused requests got the same time to come back, the end of the first pause, at which its server takes one request at a time.

Change: up to 0.5 s more, at random, by request.

--- a/decide/slots.c
+++ b/decide/slots.c
@@ -153,10 +153,11 @@
 {
     ggw_ms pause =
         reason == GGW_SLOT_NO_SERVER ? time_to_end_of_pause(l, now) : 0;
+    double spread = g_rand_double(l->rand);
     ggw_ms retry_after =
-        pause > 0 ? MAX(pause, GGW_RETRY_AFTER_MIN)
-                  : ggw_admission_retry_after(l->queue, priority,
-                                              g_rand_double(l->rand));
+        pause > 0
+            ? MAX(pause + spread * GGW_RETURN_SPREAD, GGW_RETRY_AFTER_MIN)
+            : ggw_admission_retry_after(l->queue, priority, spread);
 
     push_decision(l, key, GGW_LEDGER_REFUSED, NULL, reason, retry_after);
 }
--- a/decide/slots.h
+++ b/decide/slots.h
@@ -32,6 +32,13 @@
  */
 #define GGW_LEDGER_EXPIRY_MARGIN 500.0
 
+/*
+ * Requests that are refused because all servers want a pause are told to come
+ * back at some time within this many ms after the end of the first pause: the
+ * server is cold then.
+ */
+#define GGW_RETURN_SPREAD 500.0
+
 /**
  * struct ggw_ledger_grant_limits - times that restrict all ledgers of a
  *                                  gateway
