clients: more descriptors are kept for other gateways and for pages

Cause: 512 descriptors were kept for pages, the store and other gateways, and 64 connections to a listener of pages.

Change: at most 2,048 and 256, where the process may open 8,192 or more.

--- a/decide/clients.c
+++ b/decide/clients.c
@@ -3,14 +3,14 @@
 #include <glib.h>
 
 /* Descriptors for files, the store and other gateways. */
-#define RESERVED_MAX 512
+#define RESERVED_MAX 2048
 #define RESERVED_PART 4
 
 /* Of the connections from clients, one in this many has no request. */
 #define WITHOUT_REQUEST_PART 8
 
 /* Connections to one listener of pages. */
-#define PAGE_CONNECTIONS_MAX 64
+#define PAGE_CONNECTIONS_MAX 256
 #define PAGE_PART 8 /* of the reserved descriptors */
 
 /* Limits for a number of connections. */
--- a/decide/clients.h
+++ b/decide/clients.h
@@ -45,7 +45,7 @@
  * ggw_client_limits() - divide the descriptors of a process
  * @descriptors: number of descriptors that the process may open
  *
- * A quarter of @descriptors, at most 512, is kept for files, the store, other
+ * A quarter of @descriptors, at most 2048, is kept for files, the store, other
  * gateways and the listeners of pages. Half of the rest is for clients, the
  * other half for backend servers.
  *
