--- a/tests/test_readers_change.c
+++ b/tests/test_readers_change.c
@@ -50,9 +50,9 @@
 #define END_AT 13000.0
 
 /* Moments of the change of the entry, ms after LOSS_AT. */
-#define FIRST_MOMENT (-600.0)
-#define LAST_MOMENT 3000.0
-#define MOMENT_STEP 100.0
+#define FIRST_MOMENT (-600)
+#define LAST_MOMENT 3000
+#define MOMENT_STEP 100
 
 /* Times after LOSS_AT, ms. */
 #define NEXT_LOSS 500.0
@@ -73,9 +73,9 @@
  * writes it again this long after it at the earliest and at the latest.
  */
 #define EXPIRES_BEFORE 100.0
-#define FIRST_REWRITE 0.0
-#define LAST_REWRITE 1700.0
-#define REWRITE_STEP 100.0
+#define FIRST_REWRITE 0
+#define LAST_REWRITE 1700
+#define REWRITE_STEP 100
 
 /* The store tells no changes for this time before it drops its history, ms. */
 #define MUTE_MS 1000.0
@@ -1079,7 +1079,7 @@
 run_plays(enum store_fault store)
 {
     for (enum loss loss = 0; loss < LOSSES; loss++) {
-        for (ggw_ms moment = FIRST_MOMENT; moment <= LAST_MOMENT;
+        for (int moment = FIRST_MOMENT; moment <= LAST_MOMENT;
              moment += MOMENT_STEP) {
             check_play(loss, store, CHANGE_REMOVED, moment);
             check_play(loss, store, CHANGE_DRAINED, moment);
@@ -1133,7 +1133,7 @@
         if (!outage_is_seen(loss)) {
             continue;
         }
-        for (ggw_ms moment = FIRST_REWRITE; moment <= LAST_REWRITE;
+        for (int moment = FIRST_REWRITE; moment <= LAST_REWRITE;
              moment += REWRITE_STEP) {
             check_play(loss, STORE_AWAY, CHANGE_EXPIRED, moment);
         }
