decide: how long a server is distrusted is a pure function

The decision stood in http/pool.c, beside the connections, and had no test of its times. decide/distrust.c has it now, with the same minute; a further suspect response never shortens it.

--- a/http/pool.c
+++ b/http/pool.c
@@ -3,14 +3,12 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "decide/distrust.h"
 #include "http/conn.h"
 
 /* Milliseconds without use after which a pool is freed. */
 #define UNUSED_POOL_MS 60000
 
-/* How long a server is distrusted after it has mixed up responses, ms. */
-#define DISTRUST_MS 60000
-
 struct ggw_pools {
     uv_loop_t *loop;
     GHashTable *by_address; /* "IP:PORT" to struct ggw_pool */
@@ -76,13 +74,15 @@
 void
 ggw_pool_distrust(struct ggw_pool *pool)
 {
-    pool->distrusted_until = (ggw_ms)uv_now(pool->loop) + DISTRUST_MS;
+    pool->distrusted_until =
+        ggw_distrust_until(pool->distrusted_until, (ggw_ms)uv_now(pool->loop));
 }
 
 bool
 ggw_pool_is_distrusted(const struct ggw_pool *pool)
 {
-    return (ggw_ms)uv_now(pool->loop) < pool->distrusted_until;
+    return ggw_is_distrusted(pool->distrusted_until,
+                             (ggw_ms)uv_now(pool->loop));
 }
 
 static gboolean
--- a/http/pool.h
+++ b/http/pool.h
@@ -24,7 +24,7 @@
  * @port: port of the server
  * @active_calls: number of calls that hold a connection
  * @last_used: monotonic ms of the last ggw_pools_get()
- * @distrusted_until: loop time in ms; see ggw_pool_distrust()
+ * @distrusted_until: loop time in ms; see ggw_distrust_until()
  */
 struct ggw_pool {
     uv_loop_t *loop;
@@ -66,7 +66,7 @@
  * ggw_pool_is_distrusted() - whether to send each request on a connection of
  * its own
  *
- * Return: true for a minute after ggw_pool_distrust().
+ * Return: true for a while after ggw_pool_distrust(); decide/distrust.h.
  */
 bool ggw_pool_is_distrusted(const struct ggw_pool *pool);
 
