--- a/tests/test_proxy_end.c
+++ b/tests/test_proxy_end.c
@@ -432,6 +432,32 @@
     env_stop(env);
 }
 
+/* Drain that an idle connection must not use up, ms. */
+#define LONG_DRAIN_MS 30000
+
+/*
+ * Guards against an idle connection that keeps the gateway from ending, and
+ * against one that is reset.
+ */
+static void
+test_idle_at_shutdown(void)
+{
+    struct env *env = env_start(2 * TOO_SLOW_MS, 100, LONG_DRAIN_MS);
+    int fd = env_connect(env);
+    GString *r;
+    char byte;
+
+    CU_ASSERT_TRUE(write(fd, BUFFERED_REQUEST, strlen(BUFFERED_REQUEST)) > 0);
+    r = env_read(fd, false);
+    CU_ASSERT_EQUAL(env_status(r), 200);
+    env_publish(env, ggw_shutdown_new());
+    CU_ASSERT_EQUAL(recv(fd, &byte, 1, 0), 0);
+    CU_ASSERT_TRUE(env_wait_ended(env));
+    g_string_free(r, TRUE);
+    close(fd);
+    env_stop(env);
+}
+
 int
 main(void)
 {
@@ -446,6 +472,7 @@
         {"cut without length", test_cut_without_length},
         {"client takes nothing", test_client_takes_nothing},
         {"client is idle", test_client_is_idle},
+        {"idle at shutdown", test_idle_at_shutdown},
         CU_TEST_INFO_NULL,
     };
 
