--- a/Makefile
+++ b/Makefile
@@ -19,10 +19,11 @@
 TEST_SRC := $(wildcard tests/test_*.c)
 TEST_LIB_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/*.c))
 SOAK_SRC := $(wildcard tests/soak/*.c)
+READERS_SRC := $(wildcard tests/readers/*.c)
 HEADERS := $(wildcard $(addsuffix /*.h,$(DIRS) main standins standins/client \
-	standins/store tests tests/soak bench bench/policy))
+	standins/store tests tests/readers tests/soak bench bench/policy))
 ALL_SRC := $(LIB_SRC) $(MAIN_SRC) $(STANDIN_SRC) $(STANDIN_LIB_SRC) $(BENCH_SRC) \
-	$(BENCH_LIB_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(SOAK_SRC)
+	$(BENCH_LIB_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(READERS_SRC) $(SOAK_SRC)
 
 # The modules of the product and of the tests are queried separately:
 # pkg-config prints no flags at all when one of the modules is missing. The
@@ -103,8 +104,9 @@
 $(OUT)/tests/test_soak_record: $(OUT)/tests/soak/record.o
 
 # This test has a model of the store of its own.
+$(OUT)/tests/test_readers_change: $(READERS_SRC:%.c=$(OUT)/%.o)
 $(OUT)/tests/test_readers_change: LDLIBS += \
-	-Wl,--wrap=ggw_store_feed,--wrap=ggw_store_range
+	$(LIB) -Wl,--wrap=ggw_store_feed,--wrap=ggw_store_range
 
 $(SOAK): $(SOAK_SRC:%.c=$(OUT)/%.o) $(LIB)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
