proxy: a refusal at the limit of requests closes its connection

Cause: refused connections stayed open for 200 ms before they could give way, so that new ones waited: with 400 clients that read nothing, 1 request of another client was answered in 3 s. Change: that 503 carries Connection: close. test_proof_clients "slow readers".

--- a/proxy/dispatch.c
+++ b/proxy/dispatch.c
@@ -164,6 +164,8 @@
         return;
     }
     if (ggw_listener_is_full(proxy->listener)) {
+        /* Its connection makes room for others at once. */
+        x->req->http1_is_persistent = 0;
         ggw_request_refuse(x, 503, "too-many-requests", TOO_MANY_RETRY_MS);
         return;
     }
--- a/tests/test_proof_clients.c
+++ b/tests/test_proof_clients.c
@@ -57,6 +57,12 @@
 /* Limit for all bodies of requests, in buffers that grow by doubling. */
 #define BODIES_BYTES (2.0 * 32 * MIB)
 
+/*
+ * Limit for one response that is passed on to a client that does not read it,
+ * as in test_proof_endless.
+ */
+#define RESPONSE_BYTES (2.0 * 2 * (64 + 64 + 16) * KIB)
+
 #define WARM_AT_ONCE "\"slots\":200,\"cold_limit\":200,\"cold_ms\":0"
 
 static const char settings[] =
@@ -397,6 +403,41 @@
     finish("slow servers", cpu_ms() - cpu, BASE_BYTES);
 }
 
+/*
+ * Guards against clients that do not read their responses and fill the memory,
+ * or keep other clients from an answer. Their requests are in progress, so
+ * that other clients are refused until some are cut.
+ */
+static void
+test_slow_readers(void)
+{
+    static const char text[] = "GET /team/sound/body/8000000 HTTP/1.1\r\n"
+                               "Host: a\r\n\r\n";
+    int refused = 0, other = 0;
+    double started_at, cpu;
+
+    start_system();
+    cpu = cpu_ms();
+    open_clients(CLIENTS, text, strlen(text));
+    started_at = now_ms();
+    while (now_ms() - started_at < RUN_MS) {
+        struct reply *r =
+            client_request(gateway, "GET", "/team/sound/a", NULL, NULL);
+
+        refused += is_refusal(r);
+        other += !is_refusal(r) && r->status != 200;
+        reply_free(r);
+        poll(NULL, 0, SOUND_INTERVAL_MS);
+    }
+    printf("    %d refused, %d others\n", refused, other);
+    CU_ASSERT_EQUAL(other, 0);
+    CU_ASSERT_TRUE(refused > 2);
+    close_clients();
+    run_sound();
+    finish("slow readers", cpu_ms() - cpu,
+           BASE_BYTES + DESCRIPTORS / 2 * RESPONSE_BYTES);
+}
+
 int
 main(void)
 {
@@ -404,6 +445,7 @@
         {"idle", test_idle},
         {"bodies", test_bodies},
         {"slow servers", test_slow_servers},
+        {"slow readers", test_slow_readers},
         CU_TEST_INFO_NULL,
     };
 
