--- a/tests/test_proof_clients.c
+++ b/tests/test_proof_clients.c
@@ -435,7 +435,7 @@
     close_clients();
     run_sound();
     finish("slow readers", cpu_ms() - cpu,
-           BASE_BYTES + DESCRIPTORS / 2 * RESPONSE_BYTES);
+           BASE_BYTES + DESCRIPTORS / 2.0 * RESPONSE_BYTES);
 }
 
 int
