decide: the own slots of a server that is adopted; the cap on ejected servers

"adopt own slots": 2 slots before, 5 now. - The cap on servers that 5xx responses eject counted those that are closed, as servers and as ejected: with two of four closed, both others could be ejected, or, if the two that leave were ejected, none. Only servers that take requests count now. "ejection cap": failed in both ways before.

Result: test_slots_ledger, test_slots and test_limit pass (asan).

--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -175,9 +175,10 @@
         s->limit.state == GGW_LIMIT_COLD &&
         (record->incarnation == 0 || s->limit.incarnation == 0 ||
          record->incarnation == s->limit.incarnation)) {
+        struct ggw_limit_rule rule = s->limit.rule;
         uint64_t incarnation = s->limit.incarnation;
 
-        ggw_limit_init(&s->limit, &l->rule, false, now);
+        ggw_limit_init(&s->limit, &rule, false, now);
         ggw_limit_set_incarnation(&s->limit, incarnation, now);
         ggw_limit_set_draining(&s->limit, s->closed);
     }
--- a/decide/limit.h
+++ b/decide/limit.h
@@ -227,7 +227,7 @@
 /**
  * ggw_limit_ejection_cap_reached() - check whether 5xx responses may eject no
  *                                    further server
- * @servers: number of servers of the service
+ * @servers: number of servers of the service that take requests
  * @ejected: number of them that are ejected
  *
  * Requests that fail on every server must not eject all servers of the
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -271,14 +271,17 @@
     ggw_admission_set_slots(l->queue, slots);
 }
 
+static bool
+takes_requests(const struct ggw_ledger_server_entry *s)
+{
+    return !s->closed && !s->limit.drain_reported;
+}
+
 static bool
 has_open_server(const struct ggw_ledger *l)
 {
     for (guint i = 0; i < l->servers->len; i++) {
-        const struct ggw_ledger_server_entry *s =
-            g_ptr_array_index(l->servers, i);
-
-        if (!s->closed && !s->limit.drain_reported) {
+        if (takes_requests(g_ptr_array_index(l->servers, i))) {
             return true;
         }
     }
@@ -529,18 +532,23 @@
     }
 }
 
-static int
-count_ejected(const struct ggw_ledger *l)
+/* Returns whether 5xx responses may eject no further server. */
+static bool
+ejection_cap_reached(const struct ggw_ledger *l)
 {
-    int n = 0;
+    int servers = 0;
+    int ejected = 0;
 
     for (guint i = 0; i < l->servers->len; i++) {
         const struct ggw_ledger_server_entry *s =
             g_ptr_array_index(l->servers, i);
 
-        n += s->limit.state == GGW_LIMIT_EJECTED;
+        if (takes_requests(s)) {
+            servers++;
+            ejected += s->limit.state == GGW_LIMIT_EJECTED;
+        }
     }
-    return n;
+    return ggw_limit_ejection_cap_reached(servers, ejected);
 }
 
 /* Weight of one attempt in the moving average of failures. */
@@ -584,8 +592,7 @@
         .started = started,
         .latency = latency,
         .median = l->latency.p50,
-        .no_eject_on_error = ggw_limit_ejection_cap_reached(
-            (int)l->servers->len, count_ejected(l)),
+        .no_eject_on_error = ejection_cap_reached(l),
     };
 
     ggw_limit_result(&s->limit, &sample, now);
--- a/tests/test_slots_ledger.c
+++ b/tests/test_slots_ledger.c
@@ -492,6 +492,76 @@
     ggw_ledger_free(l);
 }
 
+/*
+ * Guards against a new owner that uses the slots of the service instead of the
+ * server's own after it has learned that the server is warm.
+ */
+static void
+test_import_own_slots(void)
+{
+    g_autoptr(GRand) r = g_rand_new_with_seed(SEED);
+    struct ggw_ledger *l = ggw_ledger_new(&gate, r, 0);
+    struct ggw_ledger_server_config s = {
+        .name = "s0", .incarnation = 1, .slots = 5};
+    struct ggw_ledger_handover_record warm = {
+        .server = "s0", .incarnation = 1, .warm = true};
+
+    gate.stopped_until = -INFINITY;
+    ggw_ledger_configure(l, &rule, 8, &s, 1, 0);
+    ggw_ledger_import(l, &warm, 1);
+    CU_ASSERT_EQUAL(ggw_ledger_available_slots(l, 1), 5);
+    ggw_ledger_free(l);
+}
+
+/* Fails requests that one server got, with 5xx, until it is no longer warm. */
+static void
+fail_server(struct ggw_ledger *l, const char *server, uint64_t first_id,
+            ggw_ms now)
+{
+    for (uint64_t id = first_id; id < first_id + 3; id++) {
+        ggw_ledger_release(l, holder_names[0], id, server, GGW_ATTEMPT_ERROR,
+                           5, NULL, now);
+    }
+}
+
+static enum ggw_limit_state
+server_state(const struct ggw_ledger *l, const char *server)
+{
+    enum ggw_limit_state state = GGW_LIMIT_COLD;
+    int n;
+    int limit;
+
+    CU_ASSERT_TRUE(ggw_ledger_server_limit(l, server, &n, &limit, &state));
+    return state;
+}
+
+/*
+ * Guards against 5xx responses that eject more than half of the servers which
+ * take requests, and against failures everywhere that eject none of them: the
+ * servers that leave count neither as servers nor as ejected.
+ */
+static void
+test_ejection_cap(void)
+{
+    g_autoptr(GRand) r = g_rand_new_with_seed(SEED);
+
+    for (int leavers_failed = 0; leavers_failed < 2; leavers_failed++) {
+        struct ggw_ledger *l = new_ledger(r, true);
+
+        if (leavers_failed) {
+            fail_server(l, "s2", 1, 10);
+            fail_server(l, "s3", 11, 10);
+            CU_ASSERT_EQUAL(server_state(l, "s3"), GGW_LIMIT_EJECTED);
+        }
+        configure_servers(l, true, 0xc, false, 20); /* s2 and s3 leave */
+        fail_server(l, "s0", 21, 30);
+        CU_ASSERT_EQUAL(server_state(l, "s0"), GGW_LIMIT_EJECTED);
+        fail_server(l, "s1", 31, 30);
+        CU_ASSERT_EQUAL(server_state(l, "s1"), GGW_LIMIT_COLD);
+        ggw_ledger_free(l);
+    }
+}
+
 int
 main(void)
 {
@@ -508,6 +578,8 @@
     CU_add_test(suite, "probe candidates", test_probe_candidates);
     CU_add_test(suite, "ask after failure", test_ask_after_failure);
     CU_add_test(suite, "adopt while waiting", test_import_while_waiting);
+    CU_add_test(suite, "adopt own slots", test_import_own_slots);
+    CU_add_test(suite, "ejection cap", test_ejection_cap);
     CU_add_test(suite, "random operations", test_random_operations);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
