decide: blocked requests take places of the queue

Change: the queue's maximum is lowered by the number of blocked requests.

Result: "blocked in queue", 11 such requests and a queue of 8: 11 waited before, 8 wait and 3 are refused now. test_slots_ledger, test_slots, test_admission and test_slots_backoff pass (asan).

--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -86,7 +86,7 @@
                      size_t len, ggw_ms now)
 {
     l->rule = *rule;
-    ggw_admission_set_max(l->queue, (size_t)MAX(queue, 0));
+    l->queue_max = (size_t)MAX(queue, 0);
     for (size_t i = 0; i < len; i++) {
         struct ggw_ledger_server_entry *s =
             ggw_ledger_find_server(l, servers[i].name);
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -122,6 +122,7 @@
  * @blocked: waiting requests that left @queue because they avoid every server
  *           that was free
  * @queue: the other waiting requests
+ * @queue_max: most requests in @queue and @blocked together
  * @latency: latency of successful attempts
  * @policy: policy that picks servers
  * @decisions: struct ggw_ledger_decision that the caller has not taken yet
@@ -143,6 +144,7 @@
     GHashTable *waiting;
     GQueue blocked;
     struct ggw_admission *queue;
+    size_t queue_max;
     struct ggw_latency latency;
     struct ggw_policy policy;
     GQueue decisions;
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -417,6 +417,15 @@
     return request->deadline - MIN_LATENCY_FRACTION * request->median_latency;
 }
 
+/* The blocked requests take places of the queue. */
+static void
+update_queue_max(struct ggw_ledger *l)
+{
+    size_t blocked = g_queue_get_length(&l->blocked);
+
+    ggw_admission_set_max(l->queue, l->queue_max - MIN(blocked, l->queue_max));
+}
+
 static void
 enqueue(struct ggw_ledger *l, const struct ggw_ledger_request *request,
         ggw_ms now)
@@ -444,6 +453,7 @@
     w->avoid = g_strdupv((char **)request->avoid);
     w->failure_domain = g_strdup(request->failure_domain);
     w->cross_domain_cost = request->cross_domain_cost;
+    update_queue_max(l);
     switch (ggw_admission_push(l->queue, &waiter, now, &displaced)) {
     case GGW_ADMISSION_DISPLACED:
         refuse_waiter(l, displaced.data, GGW_SLOT_DISPLACED, now);
--- a/tests/test_slots_ledger.c
+++ b/tests/test_slots_ledger.c
@@ -8,6 +8,7 @@
 #define SEED 511
 #define SERVERS 4
 #define HOLDERS 3
+#define QUEUE 8
 #define RECENT_IDS 12 /* random operations refer to the last 12 requests */
 
 static const char *const server_names[SERVERS] = {"s0", "s1", "s2", "s3"};
@@ -29,7 +30,7 @@
         s[i].out = out;
         s[i].warm = warm;
     }
-    ggw_ledger_configure(l, &rule, 8, s, SERVERS, now);
+    ggw_ledger_configure(l, &rule, QUEUE, s, SERVERS, now);
 }
 
 static struct ggw_ledger *
@@ -562,6 +563,53 @@
     }
 }
 
+/* Fills all slots and ends the grants of one server. */
+static void
+leave_slots_of(struct ggw_ledger *l, const char *server)
+{
+    struct ggw_ledger_decision d;
+
+    for (uint64_t id = 101; id <= 100 + SERVERS * 2; id++) {
+        request_slot(l, 1, id, 1000, 0);
+    }
+    while (ggw_ledger_decision(l, &d)) {
+        CU_ASSERT_EQUAL(d.answer, GGW_LEDGER_GRANTED);
+        if (g_strcmp0(d.server, server) == 0) {
+            ggw_ledger_release(l, d.holder, d.id, "", GGW_ATTEMPT_OK, 1, NULL,
+                               1);
+        }
+        g_free(d.holder);
+        g_free(d.server);
+    }
+}
+
+/*
+ * Guards against more waiting requests than the queue of the service may have:
+ * those that avoid every server with a free slot count, too.
+ */
+static void
+test_blocked_in_queue(void)
+{
+    g_autoptr(GRand) r = g_rand_new_with_seed(SEED);
+    struct ggw_ledger *l = new_ledger(r, true);
+    char *avoid[] = {"s0", NULL};
+
+    leave_slots_of(l, "s0");
+    for (uint64_t id = 1; id <= QUEUE + 3; id++) {
+        struct ggw_ledger_request request = {.holder = holder_names[0],
+                                             .id = id,
+                                             .priority = 1,
+                                             .deadline = 1000,
+                                             .avoid = avoid,
+                                             .may_queue = true};
+
+        ggw_ledger_request(l, &request, 2);
+    }
+    CU_ASSERT_EQUAL(ggw_ledger_waiting_count(l), QUEUE);
+    CU_ASSERT_EQUAL(count_decisions(l, GGW_LEDGER_REFUSED), 3);
+    ggw_ledger_free(l);
+}
+
 int
 main(void)
 {
@@ -580,6 +628,7 @@
     CU_add_test(suite, "adopt while waiting", test_import_while_waiting);
     CU_add_test(suite, "adopt own slots", test_import_own_slots);
     CU_add_test(suite, "ejection cap", test_ejection_cap);
+    CU_add_test(suite, "blocked in queue", test_blocked_in_queue);
     CU_add_test(suite, "random operations", test_random_operations);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
