--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -86,7 +86,7 @@
                      size_t len, ggw_ms now)
 {
     l->rule = *rule;
-    ggw_admission_set_max(l->queue, (size_t)MAX(queue, 0));
+    l->queue_max = (size_t)MAX(queue, 0);
     for (size_t i = 0; i < len; i++) {
         struct ggw_ledger_server_entry *s =
             ggw_ledger_find_server(l, servers[i].name);
@@ -175,9 +175,10 @@
         s->limit.state == GGW_LIMIT_COLD &&
         (record->incarnation == 0 || s->limit.incarnation == 0 ||
          record->incarnation == s->limit.incarnation)) {
+        struct ggw_limit_rule rule = s->limit.rule;
         uint64_t incarnation = s->limit.incarnation;
 
-        ggw_limit_init(&s->limit, &l->rule, false, now);
+        ggw_limit_init(&s->limit, &rule, false, now);
         ggw_limit_set_incarnation(&s->limit, incarnation, now);
         ggw_limit_set_draining(&s->limit, s->closed);
     }
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -273,14 +273,17 @@
     ggw_admission_set_slots(l->queue, slots);
 }
 
+static bool
+takes_requests(const struct ggw_ledger_server_entry *s)
+{
+    return !s->closed && !s->limit.drain_reported;
+}
+
 static bool
 has_open_server(const struct ggw_ledger *l)
 {
     for (guint i = 0; i < l->servers->len; i++) {
-        const struct ggw_ledger_server_entry *s =
-            g_ptr_array_index(l->servers, i);
-
-        if (!s->closed && !s->limit.drain_reported) {
+        if (takes_requests(g_ptr_array_index(l->servers, i))) {
             return true;
         }
     }
@@ -416,6 +419,15 @@
     return request->deadline - MIN_LATENCY_FRACTION * request->median_latency;
 }
 
+/* The blocked requests take places of the queue. */
+static void
+update_queue_max(struct ggw_ledger *l)
+{
+    size_t blocked = g_queue_get_length(&l->blocked);
+
+    ggw_admission_set_max(l->queue, l->queue_max - MIN(blocked, l->queue_max));
+}
+
 static void
 enqueue(struct ggw_ledger *l, const struct ggw_ledger_request *request,
         ggw_ms now)
@@ -443,6 +455,7 @@
     w->avoid = g_strdupv((char **)request->avoid);
     w->failure_domain = g_strdup(request->failure_domain);
     w->cross_domain_cost = request->cross_domain_cost;
+    update_queue_max(l);
     switch (ggw_admission_push(l->queue, &waiter, now, &displaced)) {
     case GGW_ADMISSION_DISPLACED:
         refuse_waiter(l, displaced.data, GGW_SLOT_DISPLACED, now);
@@ -531,18 +544,23 @@
     }
 }
 
-static int
-count_ejected(const struct ggw_ledger *l)
+/* Returns whether 5xx responses may eject no further server. */
+static bool
+ejection_cap_reached(const struct ggw_ledger *l)
 {
-    int n = 0;
+    int servers = 0;
+    int ejected = 0;
 
     for (guint i = 0; i < l->servers->len; i++) {
         const struct ggw_ledger_server_entry *s =
             g_ptr_array_index(l->servers, i);
 
-        n += s->limit.state == GGW_LIMIT_EJECTED;
+        if (takes_requests(s)) {
+            servers++;
+            ejected += s->limit.state == GGW_LIMIT_EJECTED;
+        }
     }
-    return n;
+    return ggw_limit_ejection_cap_reached(servers, ejected);
 }
 
 /* Weight of one attempt in the moving average of failures. */
@@ -586,8 +604,7 @@
         .started = started,
         .latency = latency,
         .median = l->latency.p50,
-        .no_eject_on_error = ggw_limit_ejection_cap_reached(
-            (int)l->servers->len, count_ejected(l)),
+        .no_eject_on_error = ejection_cap_reached(l),
     };
 
     ggw_limit_result(&s->limit, &sample, now);
--- a/tests/test_slots_ledger.c
+++ b/tests/test_slots_ledger.c
@@ -8,6 +8,7 @@
 #define SEED 511
 #define SERVERS 4
 #define HOLDERS 3
+#define QUEUE 8
 #define RECENT_IDS 12 /* random operations refer to the last 12 requests */
 
 static const char *const server_names[SERVERS] = {"s0", "s1", "s2", "s3"};
@@ -29,7 +30,7 @@
         s[i].out = out;
         s[i].warm = warm;
     }
-    ggw_ledger_configure(l, &rule, 8, s, SERVERS, now);
+    ggw_ledger_configure(l, &rule, QUEUE, s, SERVERS, now);
 }
 
 static struct ggw_ledger *
@@ -492,6 +493,123 @@
     ggw_ledger_free(l);
 }
 
+/*
+ * Guards against a new owner that uses the slots of the service instead of the
+ * server's own after it has learned that the server is warm.
+ */
+static void
+test_import_own_slots(void)
+{
+    g_autoptr(GRand) r = g_rand_new_with_seed(SEED);
+    struct ggw_ledger *l = ggw_ledger_new(&gate, r, 0);
+    struct ggw_ledger_server_config s = {
+        .name = "s0", .incarnation = 1, .slots = 5};
+    struct ggw_ledger_handover_record warm = {
+        .server = "s0", .incarnation = 1, .warm = true};
+
+    gate.stopped_until = -INFINITY;
+    ggw_ledger_configure(l, &rule, 8, &s, 1, 0);
+    ggw_ledger_import(l, &warm, 1);
+    CU_ASSERT_EQUAL(ggw_ledger_available_slots(l, 1), 5);
+    ggw_ledger_free(l);
+}
+
+/* Fails requests that one server got, with 5xx, until it is no longer warm. */
+static void
+fail_server(struct ggw_ledger *l, const char *server, uint64_t first_id,
+            ggw_ms now)
+{
+    for (uint64_t id = first_id; id < first_id + 3; id++) {
+        ggw_ledger_release(l, holder_names[0], id, server, GGW_ATTEMPT_ERROR,
+                           5, NULL, now);
+    }
+}
+
+static enum ggw_limit_state
+server_state(const struct ggw_ledger *l, const char *server)
+{
+    enum ggw_limit_state state = GGW_LIMIT_COLD;
+    int n;
+    int limit;
+
+    CU_ASSERT_TRUE(ggw_ledger_server_limit(l, server, &n, &limit, &state));
+    return state;
+}
+
+/*
+ * Guards against 5xx responses that eject more than half of the servers which
+ * take requests, and against failures everywhere that eject none of them: the
+ * servers that leave count neither as servers nor as ejected.
+ */
+static void
+test_ejection_cap(void)
+{
+    g_autoptr(GRand) r = g_rand_new_with_seed(SEED);
+
+    for (int leavers_failed = 0; leavers_failed < 2; leavers_failed++) {
+        struct ggw_ledger *l = new_ledger(r, true);
+
+        if (leavers_failed) {
+            fail_server(l, "s2", 1, 10);
+            fail_server(l, "s3", 11, 10);
+            CU_ASSERT_EQUAL(server_state(l, "s3"), GGW_LIMIT_EJECTED);
+        }
+        configure_servers(l, true, 0xc, false, 20); /* s2 and s3 leave */
+        fail_server(l, "s0", 21, 30);
+        CU_ASSERT_EQUAL(server_state(l, "s0"), GGW_LIMIT_EJECTED);
+        fail_server(l, "s1", 31, 30);
+        CU_ASSERT_EQUAL(server_state(l, "s1"), GGW_LIMIT_COLD);
+        ggw_ledger_free(l);
+    }
+}
+
+/* Fills all slots and ends the grants of one server. */
+static void
+leave_slots_of(struct ggw_ledger *l, const char *server)
+{
+    struct ggw_ledger_decision d;
+
+    for (uint64_t id = 101; id <= 100 + SERVERS * 2; id++) {
+        request_slot(l, 1, id, 1000, 0);
+    }
+    while (ggw_ledger_decision(l, &d)) {
+        CU_ASSERT_EQUAL(d.answer, GGW_LEDGER_GRANTED);
+        if (g_strcmp0(d.server, server) == 0) {
+            ggw_ledger_release(l, d.holder, d.id, "", GGW_ATTEMPT_OK, 1, NULL,
+                               1);
+        }
+        g_free(d.holder);
+        g_free(d.server);
+    }
+}
+
+/*
+ * Guards against more waiting requests than the queue of the service may have:
+ * those that avoid every server with a free slot count, too.
+ */
+static void
+test_blocked_in_queue(void)
+{
+    g_autoptr(GRand) r = g_rand_new_with_seed(SEED);
+    struct ggw_ledger *l = new_ledger(r, true);
+    char *avoid[] = {"s0", NULL};
+
+    leave_slots_of(l, "s0");
+    for (uint64_t id = 1; id <= QUEUE + 3; id++) {
+        struct ggw_ledger_request request = {.holder = holder_names[0],
+                                             .id = id,
+                                             .priority = 1,
+                                             .deadline = 1000,
+                                             .avoid = avoid,
+                                             .may_queue = true};
+
+        ggw_ledger_request(l, &request, 2);
+    }
+    CU_ASSERT_EQUAL(ggw_ledger_waiting_count(l), QUEUE);
+    CU_ASSERT_EQUAL(count_decisions(l, GGW_LEDGER_REFUSED), 3);
+    ggw_ledger_free(l);
+}
+
 int
 main(void)
 {
@@ -508,6 +626,9 @@
     CU_add_test(suite, "probe candidates", test_probe_candidates);
     CU_add_test(suite, "ask after failure", test_ask_after_failure);
     CU_add_test(suite, "adopt while waiting", test_import_while_waiting);
+    CU_add_test(suite, "adopt own slots", test_import_own_slots);
+    CU_add_test(suite, "ejection cap", test_ejection_cap);
+    CU_add_test(suite, "blocked in queue", test_blocked_in_queue);
     CU_add_test(suite, "random operations", test_random_operations);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
