slots: without an owner, one request at a time until a server has answered after its pause

A service whose policy needs no owner has no limit per server, so all its requests could go to a server at once when its pause ended. Each gateway now sends one at a time there until one that started since has succeeded.

--- a/slots/backoff.c
+++ b/slots/backoff.c
@@ -154,6 +154,7 @@
             if (s->backoff == GGW_BACKOFF_PAUSED &&
                 ggw_backoffs_state(p->backoffs, s->name, now) !=
                     GGW_BACKOFF_PAUSED) {
+                s->unproven = true;
                 update_server(p, s, "end");
             }
         }
--- a/slots/fallback.c
+++ b/slots/fallback.c
@@ -73,6 +73,16 @@
     return i != GGW_POLICY_NONE ? g_ptr_array_index(g->servers, i) : NULL;
 }
 
+/* Requests that a gateway sends to a server whose slots nobody counts. */
+static int
+limit_without_owner(const struct ggw_slots_server *s)
+{
+    if (!ggw_slots_server_is_open(s)) {
+        return 0;
+    }
+    return s->unproven ? 1 : G_MAXINT;
+}
+
 struct ggw_slots_server *
 ggw_slots_pick_by_policy(struct ggw_slots *p, struct ggw_slots_group *g,
                          const struct ggw_slot_request *r)
@@ -83,8 +93,7 @@
     for (guint j = 0; j < g->servers->len; j++) {
         const struct ggw_slots_server *s = g_ptr_array_index(g->servers, j);
 
-        fill_candidate(s, r, ggw_slots_server_is_open(s) ? G_MAXINT : 0,
-                       &c[j]);
+        fill_candidate(s, r, limit_without_owner(s), &c[j]);
     }
     i = ggw_policy_pick(&g->policy, c, g->servers->len, ggw_slots_now(p));
     g_free(c);
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -211,6 +211,7 @@
     if (vm->incarnation > s->incarnation) {
         s->warm = false;
         s->reported = false;
+        s->unproven = false;
         s->incarnation = vm->incarnation;
     }
     if (vm->reports_cold && !s->reports_cold) {
--- a/slots/held.c
+++ b/slots/held.c
@@ -34,6 +34,7 @@
     h->from = pd->request->base.from;
     h->tag = pd->request->base.tag;
     h->expires = pd->request->deadline + GGW_LEDGER_EXPIRY_MARGIN;
+    h->since_pause = s->unproven;
     g_hash_table_insert(p->held_grants, &h->id, h);
     s->own_in_flight++;
     return id;
@@ -77,9 +78,13 @@
 
 static void
 update_server(struct ggw_slots *p, struct ggw_slots_server *s,
+              const struct ggw_slots_held_grant *h,
               const struct ggw_slot_release *r)
 {
     s->own_in_flight = MAX(s->own_in_flight - 1, 0);
+    if (r->result == GGW_ATTEMPT_OK && h->since_pause) {
+        s->unproven = false;
+    }
     if (r->result == GGW_ATTEMPT_UNUSED) {
         return;
     }
@@ -137,7 +142,7 @@
     s = ggw_slots_find_server(h->group, h->server);
     d = ggw_slots_find_domain(h->group, h->domain);
     if (s != NULL) {
-        update_server(p, s, r);
+        update_server(p, s, h, r);
     }
     if (d != NULL) {
         send_release(p, h, d, r);
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -41,6 +41,8 @@
  * @closed: the server is leaving or draining
  * @out: its failure domain is out of service
  * @backoff: what the server wants, as far as this gateway knows
+ * @unproven: no request of this gateway that started since the server's pause
+ *            has succeeded
  * @warm: the owner announced it as warm with this incarnation
  * @suspect: since then, a request of this gateway failed there or a response
  *           reported the server as cold or draining
@@ -65,6 +67,7 @@
     bool closed;
     bool out;
     enum ggw_backoff_state backoff;
+    bool unproven;
     bool warm;
     bool suspect;
     bool listed;
@@ -211,6 +214,7 @@
  * @domain: name of the domain that the server is counted in
  * @owner: name of the gateway that counts the grant; NULL if none does
  * @expires: monotonic ms at which an owner stops counting the grant
+ * @since_pause: given after the end of the server's pause
  * @from: service that sent the slot request
  * @tag: tag of the slot request
  */
@@ -221,6 +225,7 @@
     char *domain;
     char *owner;
     ggw_ms expires;
+    bool since_pause;
     ggw_service_id from;
     uint64_t tag;
 };
--- a/tests/slots_driver.c
+++ b/tests/slots_driver.c
@@ -209,6 +209,8 @@
         if (r->node->paused || slots_now() < r->ends) {
             continue;
         }
+        slots_stats.watched_ended +=
+            g_strcmp0(r->server, slots_stats.watched) == 0;
         if (r->node->kernel != NULL) {
             slots_stats.open_requests[r->node->name[3] - '0']--;
             ggw_kernel_send(r->node->kernel, "slots", &r->node->client->base,
--- a/tests/test_slots_backoff.c
+++ b/tests/test_slots_backoff.c
@@ -233,6 +233,63 @@
     slots_cluster_free(c);
 }
 
+/* Most requests that ran at a time on SERVER until the first one ended. */
+static int peak;
+
+static bool
+first_has_ended(struct cluster *c)
+{
+    if (slots_stats.watched_ended > 0) {
+        return true;
+    }
+    peak = MAX(peak, slots_count_running(SERVER));
+    return false;
+}
+
+static void
+expect_one_at_first(struct cluster *c)
+{
+    peak = 0;
+    slots_stats.watched_ended = 0;
+    CU_ASSERT_TRUE(slots_drive_until(c, first_has_ended));
+    CU_ASSERT_EQUAL(peak, 1);
+}
+
+static const char tree_random_json[] =
+    "{\"services\":{\"S\":{\"slots\":2,\"connections\":200,\"cold_limit\":1,"
+    "\"queue\":64,\"policy\":\"random\",\"kinds\":{}}}}";
+
+static bool
+is_idle(struct cluster *c)
+{
+    for (int i = 0; i < c->len; i++) {
+        if (slots_stats.open_requests[i] != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * Guards against a server that gets many requests at a time right after its
+ * pause, where no owner counts them.
+ */
+static void
+test_return_by_policy(void)
+{
+    struct cluster *c = start(1, 2);
+
+    slots_publish_tree(&c->nodes[0], 2, tree_random_json);
+    CU_ASSERT_TRUE(slots_drive_until(c, was_used));
+    tell(c, 0, "s-0", false, SHORT_PAUSE);
+    tell(c, 0, "s-1", false, SHORT_PAUSE);
+    slots_stats.sending_stopped = true;
+    CU_ASSERT_TRUE(slots_drive_until(c, is_idle));
+    slots_stats.sending_stopped = false;
+    expect_one_at_first(c);
+    slots_cluster_free(c);
+}
+
 static int refusals_wanted;
 
 static bool
@@ -275,6 +332,7 @@
         {"new owner", test_new_owner},
         {"silent owner", test_silent_owner},
         {"pause", test_pause},
+        {"return by policy", test_return_by_policy},
         {"no probes", test_no_probes},
         {"all paused", test_all_paused},
         CU_TEST_INFO_NULL,
