tests: what servers see in flight when their pause ends, on real processes

The backend stand-in counts the most requests that are open from the end of its requests for a pause until it has answered one (max_return).

--- a/standins/backend.c
+++ b/standins/backend.c
@@ -256,6 +256,7 @@
     struct server *s = c->server;
 
     call_finish(c);
+    s->answered = true;
     respond_result(c);
     start_waiting_calls(s);
 }
@@ -362,6 +363,9 @@
         cancel_disconnected(s);
     }
     *max = MAX(*max, (int)s->calls.length);
+    if (!s->answered && s->pause_s <= 0) {
+        s->max_return = MAX(s->max_return, (int)s->calls.length);
+    }
     if (cold && s->cold_reported > 0 &&
         now_ms() > s->cold_reported + COLD_REPORT_GRACE_MS) {
         s->max_cold_told = MAX(s->max_cold_told, (int)s->calls.length);
--- a/standins/server_state.h
+++ b/standins/server_state.h
@@ -53,6 +53,8 @@
  * @short_body: responses of /body/ break off after half of the body
  * @pause_s: requests are shed, and gateways are asked to pause for so many s;
  *           0: off
+ * @answered: a request has run since @pause_s was set last
+ * @max_return: largest number of open requests from then until @answered
  * @lose_answers: requests run, but the connection closes without a response
  * @misleading: load reports show no load
  * @endless: response without an end that all requests and probes get, or NULL
@@ -98,6 +100,8 @@
     /* counts */
     uint64_t started, ran, shed, late, cancelled, probes, refused_connections;
     int max_cold, max_warm;
+    int max_return;
+    bool answered;
     int max_cold_told;
     ggw_ms cold_reported;
     ggw_ms last_arrival;
@@ -247,7 +251,7 @@
 {
     return json_pack(
         "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:b, s:f,"
-        " s:I, s:i, s:o}",
+        " s:I, s:i, s:i, s:o}",
         "started", (json_int_t)s->started, "ran", (json_int_t)s->ran, "shed",
         (json_int_t)s->shed, "late", (json_int_t)s->late, "cancelled",
         (json_int_t)s->cancelled, "probes", (json_int_t)s->probes,
@@ -255,8 +259,8 @@
         s->busy, "max_cold", s->max_cold, "max_warm", s->max_warm,
         "connections", s->connections, "cold", is_cold(s) ? 1 : 0,
         "last_new_ms", s->last_arrival, "incarnation",
-        (json_int_t)s->incarnation, "max_cold_told", s->max_cold_told, "runs",
-        server_runs_json(s));
+        (json_int_t)s->incarnation, "max_cold_told", s->max_cold_told,
+        "max_return", s->max_return, "runs", server_runs_json(s));
 }
 
 static inline void
@@ -319,6 +323,8 @@
     }
     else if (strcmp(key, "retry_after") == 0) {
         s->pause_s = number;
+        s->answered = false;
+        s->max_return = 0;
     }
     else if (strcmp(key, "short_body") == 0) {
         s->short_body = enabled;
--- a/tests/test_proof_cold.c
+++ b/tests/test_proof_cold.c
@@ -11,6 +11,19 @@
  * suspect it and the 2 s after which they declare it dead. */
 #define PAUSE_MS 3000
 
+/* Time in ms in which a server returns from a pause of 1.5 s. */
+#define RETURN_MS 4000
+
+static const char *const return_load[] = {
+    "--kind",
+    "status,1,GET,/nile-strand/strand-status/status/{id}?id={id}",
+    "--rate",
+    "150",
+    "--timeout-ms",
+    "2000",
+    NULL,
+};
+
 static const char *const lookup_load[] = {
     "--kind",
     "status,1,GET,/nile-strand/strand-status/status/{id}?id={id}",
@@ -130,6 +143,79 @@
     CU_ASSERT(system_free(s));
 }
 
+/* Number of servers, from the first on, that ask for a pause. */
+static int pausing;
+
+static bool
+have_all_shed(void *data)
+{
+    for (int i = 0; i < pausing; i++) {
+        g_autofree char *name = g_strdup_printf("strand-status-%d", i);
+
+        if (system_server_count(data, name, "shed") == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+set_pauses(struct system *s, double seconds)
+{
+    for (int i = 0; i < pausing; i++) {
+        g_autofree char *json =
+            g_strdup_printf("{\"server\":\"strand-status-%d\","
+                            "\"reset\":true,\"retry_after\":%.1f}",
+                            i, seconds);
+
+        system_set_backend(s, "strand-status", json);
+    }
+}
+
+/* Waits until all pausing servers have asked for it, and then no longer do. */
+static void
+pause_servers(struct system *s)
+{
+    set_pauses(s, 1.5);
+    CU_ASSERT(client_await(have_all_shed, s, PROGRESS_LIMIT_MS));
+    resume_time = system_wall_ms() + 300;
+    CU_ASSERT(client_await(resume_time_reached, NULL, 2000));
+    set_pauses(s, 0);
+}
+
+/*
+ * Guards against more requests of all gateways together at a server whose
+ * pause has ended than its cold limit, before it has answered one: where one
+ * server returns, and where all servers of the service return at once.
+ */
+static void
+test_return_after_pause(void)
+{
+    static const char *const flags[] = {"--service", "const", "--service-ms",
+                                        "50", NULL};
+    static const int counts[] = {1, 6};
+    struct system_options options = system_cairo;
+    struct system *s;
+
+    options.backend_flags = flags;
+    s = system_new(&options, SYSTEM_GATEWAYS);
+    load = system_load_start(s, return_load);
+    CU_ASSERT(await_more_served(200));
+    for (guint i = 0; i < G_N_ELEMENTS(counts); i++) {
+        pausing = counts[i];
+        pause_servers(s);
+        resume_time = system_wall_ms() + RETURN_MS;
+        CU_ASSERT(client_await(resume_time_reached, NULL, RETURN_MS + 1000));
+        printf("    return_max %.0f requests\n",
+               system_count_max(s, "max_return", "strand-status", NULL));
+        CU_ASSERT_EQUAL(
+            system_count_max(s, "max_return", "strand-status", NULL), 1);
+    }
+    CU_ASSERT_EQUAL(system_load_finish(load), 0);
+    system_load_free(load);
+    CU_ASSERT(system_free(s));
+}
+
 int
 main(void)
 {
@@ -137,6 +223,7 @@
         {"cold from the start", test_cold_from_start},
         {"cold without warning", test_cold_without_warning},
         {"owner paused and resumed", test_owner_paused},
+        {"return after a pause", test_return_after_pause},
         CU_TEST_INFO_NULL,
     };
 
