slots: a pause that is prolonged is logged and shown

Only a change of state was logged and told to the status page, so a longer pause was shown with the end of the first one.

--- a/slots/backoff.c
+++ b/slots/backoff.c
@@ -22,10 +22,14 @@
     enum ggw_backoff_state state =
         ggw_backoffs_state(p->backoffs, s->name, now);
 
-    if (state == s->backoff) {
+    if (state != GGW_BACKOFF_PAUSED) {
+        until = 0;
+    }
+    if (state == s->backoff && until == s->paused_until) {
         return;
     }
     s->backoff = state;
+    s->paused_until = until;
     ggw_slots_log_backoff(s, source, MAX(until - now, 0));
     ggw_kernel_send(p->base.kernel, "proxy", &p->base,
                     ggw_server_backoff_new(s->name, state, until));
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -41,6 +41,7 @@
  * @closed: the server is leaving or draining
  * @out: its failure domain is out of service
  * @backoff: what the server wants, as far as this gateway knows
+ * @paused_until: end of the pause that it wants, monotonic ms; 0 for none
  * @unproven: no request of this gateway that started since the server's pause
  *            has succeeded
  * @warm: the owner announced it as warm with this incarnation
@@ -67,6 +68,7 @@
     bool closed;
     bool out;
     enum ggw_backoff_state backoff;
+    ggw_ms paused_until;
     bool unproven;
     bool warm;
     bool suspect;
--- a/tests/slots_driver.c
+++ b/tests/slots_driver.c
@@ -164,9 +164,20 @@
                      ggw_probe_result_new(m->vm, true, &report));
 }
 
+static void
+on_backoff(const struct ggw_server_backoff *m)
+{
+    if (g_strcmp0(m->vm, slots_stats.watched) == 0) {
+        slots_stats.watched_until = m->until;
+    }
+}
+
 static void
 on_message(struct node *node, struct ggw_message *message)
 {
+    if (message->ops == &ggw_server_backoff_ops) {
+        on_backoff((struct ggw_server_backoff *)message);
+    }
     if (message->ops == &ggw_probe_request_ops) {
         on_probe(node, (struct ggw_probe_request *)message);
     }
--- a/tests/slots_driver.h
+++ b/tests/slots_driver.h
@@ -45,6 +45,7 @@
  * @delayed_probes: array of probes that have not been answered yet
  * @watched: name of a server whose grants and probes are counted, or NULL
  * @watched_grants: grants on it, by gateway
+ * @watched_until: end of its pause that a gateway told last, monotonic ms
  * @watched_ended: requests that ended on it
  * @watched_probes: probes of it
  * @retry_after: ms in the last refusal
@@ -72,6 +73,7 @@
     GArray *delayed_probes;
     const char *watched;
     int watched_grants[CLUSTER_MAX];
+    ggw_ms watched_until;
     int watched_ended;
     int watched_probes;
     ggw_ms retry_after;
--- a/tests/test_slots_backoff.c
+++ b/tests/test_slots_backoff.c
@@ -233,6 +233,29 @@
     slots_cluster_free(c);
 }
 
+static ggw_ms least_until;
+
+static bool
+is_shown_until(struct cluster *c)
+{
+    return slots_stats.watched_until >= least_until;
+}
+
+/* Guards against a status page and log that show the end of a pause which the
+ * server has prolonged since. */
+static void
+test_longer_pause_shown(void)
+{
+    struct cluster *c = start(1, 2);
+
+    for (int i = 1; i <= 2; i++) {
+        least_until = slots_now() + i * LONG_PAUSE;
+        tell(c, 0, SERVER, false, i * LONG_PAUSE);
+        CU_ASSERT_TRUE(cluster_wait(c, is_shown_until));
+    }
+    slots_cluster_free(c);
+}
+
 /* Most requests that ran at a time on SERVER until the first one ended. */
 static int peak;
 
@@ -332,6 +355,7 @@
         {"new owner", test_new_owner},
         {"silent owner", test_silent_owner},
         {"pause", test_pause},
+        {"longer pause shown", test_longer_pause_shown},
         {"return by policy", test_return_by_policy},
         {"no probes", test_no_probes},
         {"all paused", test_all_paused},
