proxy: a repeat that gets no slot does not use up the retry budget

The budget was charged when a repeat was decided and kept the charge when no server took it, so that refusals by servers that all want a pause emptied it for others. The token is now given back when the slot is refused, cancelled or comes too late.

test_proxy_kept "budget without server" failed before, passes now; test_retry and nine other test programs of the proxy pass (asan, one run each).

--- a/decide/retry.c
+++ b/decide/retry.c
@@ -116,6 +116,12 @@
     return true;
 }
 
+void
+ggw_retry_budget_refund(struct ggw_retry_budget *b)
+{
+    b->call_tokens = MIN(b->call_tokens + 1, call_burst(b));
+}
+
 const char *
 ggw_retry_verdict_name(enum ggw_retry_verdict verdict)
 {
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -73,6 +73,12 @@
 void ggw_retry_budget_count_call(struct ggw_retry_budget *b, int prior_retries,
                                  ggw_ms now);
 
+/**
+ * ggw_retry_budget_refund() - give back the token of a repeat that was not
+ * sent
+ */
+void ggw_retry_budget_refund(struct ggw_retry_budget *b);
+
 /**
  * struct ggw_retry_request - properties of a request that the rules depend on
  * @idempotency: set by the kind of the request
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -161,6 +161,16 @@
                     ggw_claim_settle_new(r->claim, outcome, status));
 }
 
+/* Gives back what was charged for a repeat that is not sent. */
+static void
+refund_repeat(struct ggw_request *r)
+{
+    if (r->charged != NULL) {
+        ggw_retry_budget_refund(r->charged);
+        r->charged = NULL;
+    }
+}
+
 /* Cancels the hedge timer and a pending slot request. */
 void
 ggw_request_stop_waiting(struct ggw_request *r)
@@ -175,6 +185,7 @@
     ggw_kernel_send(proxy->base.kernel, "slots", &proxy->base,
                     ggw_slot_cancel_new(r->slot_tag));
     r->slot_tag = 0;
+    refund_repeat(r);
 }
 
 /*
@@ -290,6 +301,7 @@
                          &r->kind_state->latency_estimate, now) != GGW_RETRY) {
         return;
     }
+    r->charged = &r->service_state->hedges;
     ggw_count("ggw_hedges_total");
     ggw_proxy_log_hedge(r, now - r->received);
     request_slot(r);
@@ -304,6 +316,7 @@
     ggw_kernel_send(
         proxy->base.kernel, "slots", &proxy->base,
         ggw_slot_release_new(grant->grant, GGW_ATTEMPT_UNUSED, 0, NULL));
+    refund_repeat(r);
     if (r->attempts[0] != NULL) {
         return;
     }
@@ -335,6 +348,7 @@
     if (r->retry.attempts == 0 && r->target_at > now) {
         r->retry.target_in = r->target_at - now;
     }
+    r->charged = NULL;
     ggw_attempt_start(r, grant);
     if (r->attempts[0] == NULL || r->attempts[1] != NULL) {
         return;
@@ -362,6 +376,7 @@
     g_hash_table_remove(r->proxy->slot_waits, &r->slot_tag);
     r->slot_tag = 0;
     ggw_proxy_log_no_slot(r, refuse);
+    refund_repeat(r);
     if (r->attempts[0] != NULL || r->attempts[1] != NULL) {
         return; /* no slot for a hedge; the first attempt continues */
     }
@@ -381,14 +396,18 @@
                       enum ggw_outcome outcome)
 {
     ggw_ms now = ggw_kernel_now(r->proxy->base.kernel);
+    struct ggw_retry_budget *budget = &r->service_state->retries;
     enum ggw_retry_verdict verdict =
-        ggw_retry_decide(&r->service_state->retries, &r->retry, result,
-                         outcome, &r->kind_state->latency_estimate, now);
+        ggw_retry_decide(budget, &r->retry, result, outcome,
+                         &r->kind_state->latency_estimate, now);
 
     if (verdict == GGW_RETRY_BUDGET && r->route != NULL) {
-        verdict =
-            ggw_retry_decide(&r->service_state->hedges, &r->retry, result,
-                             outcome, &r->kind_state->latency_estimate, now);
+        budget = &r->service_state->hedges;
+        verdict = ggw_retry_decide(budget, &r->retry, result, outcome,
+                                   &r->kind_state->latency_estimate, now);
+    }
+    if (verdict == GGW_RETRY) {
+        r->charged = budget;
     }
     return verdict;
 }
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -216,6 +216,8 @@
  * @claim: identifies the claim, if @claimed
  * @claimed: a claim was won and has not been settled
  * @retry_granted: the budget has already been charged for the next retry
+ * @charged: budget that was charged for a repeat which is not sent yet, or
+ * NULL
  * @response_mixed: a response may have been mixed with an earlier one of its
  *                  connection
  * @attempts: attempts in progress; the second is a hedge
@@ -261,6 +263,7 @@
     uint64_t claim;
     bool claimed;
     bool retry_granted;
+    struct ggw_retry_budget *charged;
     bool response_mixed;
     struct ggw_attempt *attempts[2];
     struct ggw_attempt *winner;
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -33,6 +33,9 @@
 static const struct env_server *
 pick(struct env *env, char **avoid)
 {
+    if (env->refuse_repeats && avoid != NULL) {
+        return NULL;
+    }
     for (size_t i = 0; i < ENV_SERVERS; i++) {
         if (avoid == NULL || env->only_first_server ||
             !g_strv_contains((const char *const *)avoid,
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -112,6 +112,7 @@
  * @slots_mode: "slots" grants, refuses with @refusal, or does not answer
  * @next_grant: number of slots granted; also the id of the last grant
  * @releases: array of struct ggw_slot_release
+ * @refuse_repeats: "slots" refuses requests that have tried a server
  * @only_first_server: "slots" grants server s0 even if it is to be avoided
  * @slot_requests: number of SLOT_REQUEST messages
  * @cancels: number of SLOT_CANCEL messages
@@ -144,6 +145,7 @@
         ENV_HOLD
     } slots_mode;
     enum ggw_slot_refusal refusal;
+    bool refuse_repeats;
     bool only_first_server;
     uint64_t next_grant;
     GArray *releases;
--- a/tests/test_proxy_kept.c
+++ b/tests/test_proxy_kept.c
@@ -229,6 +229,29 @@
     env_stop(env);
 }
 
+/*
+ * Guards against a retry budget that is used up by repeats which no server
+ * takes: another request then fails although servers would take its repeats.
+ */
+static void
+test_budget_without_server(void)
+{
+    static const char read[] =
+        "GET /team/svc/read/1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    struct env *env = env_start(1000, 100, 1000);
+
+    env->servers[0].script = SCRIPT_SHED;
+    env->refuse_repeats = true;
+    for (int i = 0; i < 5; i++) {
+        CU_ASSERT_TRUE(env_expect(env, read, 503, "not-run", "shed"));
+    }
+    env->refuse_repeats = false;
+    env->servers[1].script = SCRIPT_SHED;
+    CU_ASSERT_TRUE(is_answered_by(env, read, "s2"));
+    CU_ASSERT_EQUAL(env->servers[1].requests, 1);
+    env_stop(env);
+}
+
 /*
  * Guards against a malformed request for a pause that is logged for each
  * response, or for none.
@@ -338,6 +361,7 @@
         {"stale refusal", test_stale_refusal},
         {"stale refusal of same request", test_stale_refusal_of_same_request},
         {"pause reported", test_pause_reported},
+        {"budget without server", test_budget_without_server},
         {"malformed pause logged once", test_malformed_pause_logged_once},
         {"unframed", test_unframed},
         {"HEAD", test_head},
