--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -116,6 +116,7 @@
  * @stall_after_ms: the same, right after it has delivered that message
  * @next_grant: number of slots granted; also the id of the last grant
  * @releases: array of struct ggw_slot_release
+ * @refuse_repeats: "slots" refuses requests that have tried a server
  * @only_first_server: "slots" grants server s0 even if it is to be avoided
  * @slot_requests: number of SLOT_REQUEST messages
  * @cancels: number of SLOT_CANCEL messages
@@ -151,6 +152,7 @@
     uint64_t slot_tag;
     unsigned stall_ms;
     unsigned stall_after_ms;
+    bool refuse_repeats;
     bool only_first_server;
     uint64_t next_grant;
     GArray *releases;
