--- a/proxy/state.h
+++ b/proxy/state.h
@@ -225,7 +225,7 @@
  * @claimed: a claim was won and has not been settled
  * @retry_granted: the budget has already been charged for the next retry
  * @charged: budget that was charged for a repeat which is not sent yet, or
- * NULL
+ *           NULL
  * @response_mixed: a response may have been mixed with an earlier one of its
  *                  connection
  * @attempts: attempts in progress; the second is a hedge
