soak: a pause of a gateway does not count as a part of its stop

SIGTERM came while the gateway was paused, 5.5 s before it ran again; the check counted these. The bound for a gateway that is not paused between SIGTERM and its end is unchanged. One that gets SIGTERM in a pause has the whole grace from the end of the pause; one that is paused later has its old bound, or the margin of 1 s after the pause.

--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -195,6 +195,18 @@
     soak_record_gateway_restarted(w->record, i);
 }
 
+/*
+ * A paused gateway cannot stop. One that got SIGTERM in the pause has the
+ * whole grace from its end, another one the margin only.
+ */
+static void
+extend_stop(struct soak_gateway *g)
+{
+    ggw_ms grace = g->sigterm_at >= g->paused_at ? SOAK_GRACE_MS : 0;
+
+    g->stop_by = MAX(g->stop_by, soak_now() + grace + STOP_MARGIN_MS);
+}
+
 void
 soak_world_signal(struct soak_world *w, int i, int number)
 {
@@ -209,6 +221,13 @@
     if (number == SIGTERM) {
         g->state = SOAK_STOPPING;
         g->sigterm_at = soak_now();
+        g->stop_by = g->sigterm_at + SOAK_GRACE_MS + STOP_MARGIN_MS;
+    }
+    if (number == SIGSTOP && !g->paused) {
+        g->paused_at = soak_now();
+    }
+    if (number == SIGCONT && g->paused && g->state == SOAK_STOPPING) {
+        extend_stop(g);
     }
     if (number == SIGHUP) {
         g->sighup_at = soak_now();
@@ -295,7 +314,7 @@
             check_memory(w, i, now);
         }
         if (g->state == SOAK_STOPPING && !g->killed && !g->paused &&
-            now > g->sigterm_at + SOAK_GRACE_MS + STOP_MARGIN_MS) {
+            now > g->stop_by) {
             soak_record_add_violation(
                 w->record, now, "LOST",
                 "gateway %d is still running %.0f ms after SIGTERM", i,
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -43,6 +43,8 @@
  * struct soak_gateway - the process of a gateway
  * @started_at: when its process was started, monotonic ms
  * @sigterm_at: when SIGTERM was sent, ms
+ * @stop_by: when it must have ended after SIGTERM, ms
+ * @paused_at: when it was last paused, ms
  * @sighup_at: when SIGHUP was last sent, ms; INFINITY if it was not
  * @restart_at: when it is started again, ms; INFINITY while it runs
  * @killed: the soak sent it SIGKILL
@@ -54,6 +56,8 @@
     enum soak_process_state state;
     ggw_ms started_at;
     ggw_ms sigterm_at;
+    ggw_ms stop_by;
+    ggw_ms paused_at;
     ggw_ms sighup_at;
     ggw_ms restart_at;
     bool killed;
