--- a/common/json_text.c
+++ b/common/json_text.c
@@ -148,15 +148,15 @@
 static bool
 is_too_large(const char *source, const char *text, size_t len)
 {
-    size_t parts =
-        len > GGW_JSON_MAX_PARTS ? count_parts(text, len) : 0; /* fewer */
+    /* A part takes at least one byte. */
+    size_t parts = len > GGW_JSON_MAX_PARTS ? count_parts(text, len) : 0;
 
-    if (parts > GGW_JSON_MAX_PARTS) {
-        on_refused(source, len, parts);
-        return true;
+    if (parts <= GGW_JSON_MAX_PARTS) {
+        on_accepted(source);
+        return false;
     }
-    on_accepted(source);
-    return false;
+    on_refused(source, len, parts);
+    return true;
 }
 
 json_t *
