ledger, test: a cold server that leaves or pauses gets no slot

Change: test_ledger_pause, "cold": a cold server is told before or after its cold slot was used; none until 10 s, twice its cold time, have passed.

--- a/tests/test_ledger_pause.c
+++ b/tests/test_ledger_pause.c
@@ -21,6 +21,9 @@
 #define STARTED (GGW_LEDGER_HOLD_DOWN + 1)
 #define PAUSE_END 4000.0
 
+/* Time in ms in which a cold server becomes warm. */
+#define COLD_TIME 5000
+
 /* Deadline of requests that can wait for longer than any test runs, ms. */
 #define FAR 100000.0
 
@@ -30,6 +33,7 @@
 
 /**
  * struct owner - a ledger with what its gateway knows of pauses
+ * @cold: the first server is cold at the start
  * @next_id: last identifier of a request
  * @granted: identifier of the request granted last, by server
  * @holder: its holder
@@ -44,6 +48,7 @@
     struct ggw_ledger *ledger;
     struct ggw_backoffs *backoffs;
     struct ggw_limit_rule rule;
+    bool cold;
     uint64_t next_id;
     uint64_t granted[SERVERS];
     const char *holder[SERVERS];
@@ -65,7 +70,7 @@
 
         s[i].name = names[i];
         s[i].incarnation = 1;
-        s[i].warm = true;
+        s[i].warm = i > 0 || !o->cold;
         s[i].closed = state != GGW_BACKOFF_NONE;
         s[i].paused_until = state == GGW_BACKOFF_PAUSED
                                 ? ggw_backoffs_until(o->backoffs, names[i])
@@ -75,10 +80,11 @@
 }
 
 static struct owner *
-start(double cold_rate)
+start_with(double cold_rate, bool cold)
 {
     struct owner *o = g_new0(struct owner, 1);
 
+    o->cold = cold;
     grant_limits.stopped_until = -INFINITY;
     grant_limits.majority_valid_until = INFINITY;
     o->rand = g_rand_new_with_seed(SEED);
@@ -86,12 +92,18 @@
     o->ledger = ggw_ledger_new(&grant_limits, o->rand, 0);
     o->rule = (struct ggw_limit_rule){.slots = SLOTS,
                                       .cold_limit = 1,
-                                      .cold_time = 5000,
+                                      .cold_time = COLD_TIME,
                                       .cold_rate = cold_rate};
     configure(o, 0);
     return o;
 }
 
+static struct owner *
+start(double cold_rate)
+{
+    return start_with(cold_rate, false);
+}
+
 static void
 stop(struct owner *o)
 {
@@ -457,6 +469,45 @@
     stop(o);
 }
 
+static void
+tell_of(struct owner *o, bool leaving, ggw_ms now)
+{
+    if (leaving) {
+        ggw_backoffs_leave(o->backoffs, FIRST, 1, now);
+    }
+    tell(o, FIRST, leaving ? 0 : FAR, now);
+}
+
+/*
+ * Guards against a cold server that leaves or wants a pause and gets the cold
+ * slot, or requests at the end of its cold start.
+ */
+static void
+test_cold(void)
+{
+    for (int leaving = 0; leaving < 2; leaving++) {
+        for (int used = 0; used < 2; used++) {
+            struct owner *o = start_with(0, true);
+
+            if (used) {
+                ask(o, SERVERS * SLOTS, FAR, STARTED);
+                CU_ASSERT_EQUAL(o->grants[0], 1);
+            }
+            reset(o);
+            tell_of(o, leaving, STARTED);
+            ask(o, SERVERS * SLOTS + 5, FAR, STARTED + 1);
+            if (used) {
+                succeed(o, 0, 10, STARTED + 10);
+            }
+            for (ggw_ms t = STARTED; t <= STARTED + 2 * COLD_TIME; t += 100) {
+                pass(o, t);
+            }
+            CU_ASSERT_EQUAL(o->grants[0], 0);
+            stop(o);
+        }
+    }
+}
+
 int
 main(void)
 {
@@ -470,6 +521,7 @@
         {"ejected before", test_ejected_before},
         {"all refused at once", test_all_refused_at_once},
         {"one left", test_one_left},
+        {"cold", test_cold},
         CU_TEST_INFO_NULL,
     };
 
