slots, test: no repeat on a server that leaves or pauses

Cause: design 5.2 listed hedges and repeats as driven by first attempts only. Change: the driver sends slot requests that have tried servers; test_slots_backoff, "repeat" (grants of an owner, owner silent) and "repeat by policy", each for a leave and a pause.

--- a/tests/slots_driver.c
+++ b/tests/slots_driver.c
@@ -195,8 +195,8 @@
 void
 slots_send_request(struct node *n)
 {
-    struct ggw_message *m =
-        ggw_slot_request_new("T", "S", 1, slots_now() + REQUEST_TIMEOUT, NULL);
+    struct ggw_message *m = ggw_slot_request_new(
+        "T", "S", 1, slots_now() + REQUEST_TIMEOUT, slots_stats.avoid);
 
     m->tag = ++slots_stats.next_tag;
     ggw_kernel_send(n->kernel, "slots", &n->client->base, m);
--- a/tests/slots_driver.h
+++ b/tests/slots_driver.h
@@ -50,6 +50,8 @@
  * @watched_probes: probes of it
  * @retry_after: ms in the last refusal
  * @incarnation: of the servers in published lists; 0 stands for 1
+ * @avoid: NULL-terminated names of servers that new requests have tried, or
+ *         NULL
  *
  * Each new cluster resets it.
  */
@@ -78,6 +80,7 @@
     int watched_probes;
     ggw_ms retry_after;
     int incarnation;
+    char **avoid;
 };
 
 extern struct slots_stats slots_stats;
--- a/tests/test_slots_backoff.c
+++ b/tests/test_slots_backoff.c
@@ -358,6 +358,60 @@
     slots_cluster_free(c);
 }
 
+/* Servers in the tests of repeats, and those that the requests have tried. */
+#define REPEAT_SERVERS 4
+static char *tried[] = {"s-1", "s-2", NULL};
+
+/*
+ * Guards against a repeat or hedge on a server that wants no requests, because
+ * the request has tried most others: with an owner and without its answer.
+ */
+static void
+test_repeat(void)
+{
+    for (int leaving = 0; leaving < 2; leaving++) {
+        struct cluster *c = start(3, REPEAT_SERVERS);
+        int before;
+
+        slots_stats.avoid = tried;
+        CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+        tell(c, 0, SERVER, leaving, leaving ? 0 : LONG_PAUSE);
+        cluster_run_once(c);
+        clear_grants();
+        slots_drive_for(c, SPREAD_MS);
+        CU_ASSERT_EQUAL(slots_stats.watched_grants[0], 0);
+        clear_grants();
+        before = slots_stats.grants;
+        slots_drive_for(c, OBSERVE_MS);
+        CU_ASSERT_TRUE(slots_stats.grants > before);
+        CU_ASSERT_TRUE(pause_owner(c));
+        CU_ASSERT_EQUAL(all_grants(), 0);
+        slots_cluster_free(c);
+    }
+}
+
+/* As test_repeat(), where no owner counts the slots. */
+static void
+test_repeat_by_policy(void)
+{
+    for (int leaving = 0; leaving < 2; leaving++) {
+        struct cluster *c = start(1, REPEAT_SERVERS);
+        int before;
+
+        slots_stats.avoid = tried;
+        slots_publish_tree(&c->nodes[0], 2, tree_random_json);
+        CU_ASSERT_TRUE(slots_drive_until(c, was_used));
+        tell(c, 0, SERVER, leaving, leaving ? 0 : LONG_PAUSE);
+        cluster_run_once(c);
+        clear_grants();
+        before = slots_stats.grants;
+        slots_drive_for(c, OBSERVE_MS);
+        CU_ASSERT_TRUE(slots_stats.grants > before);
+        CU_ASSERT_EQUAL(all_grants(), 0);
+        slots_cluster_free(c);
+    }
+}
+
 static int refusals_wanted;
 
 static bool
@@ -403,6 +457,8 @@
         {"pause", test_pause},
         {"longer pause shown", test_longer_pause_shown},
         {"return by policy", test_return_by_policy},
+        {"repeat", test_repeat},
+        {"repeat by policy", test_repeat_by_policy},
         {"no probes", test_no_probes},
         {"all paused", test_all_paused},
         CU_TEST_INFO_NULL,
