slots, test: leave while the link to the owner is cut, restart of the told

Change: test_slots_backoff, "link cut": all links are cut in the turn in which a gateway is told; it holds during the cut and after it. "restart": the gateway that was told, not the owner, restarts under its name; for a leave and a pause, no gateway uses the server, with the owner and with its fallback, and no gateway is told of the pause again: the restarted one has no record of it.

--- a/tests/slots_driver.c
+++ b/tests/slots_driver.c
@@ -319,6 +319,44 @@
     ggw_tree_unref(tree);
 }
 
+static void
+add_gateway(struct cluster *c, const char *domain)
+{
+    g_autofree char *name = g_strdup_printf("gw-%d", c->len);
+    struct node *n = cluster_add(
+        c, domain, ggw_slots_service_new(name, domain, 7), on_message);
+
+    slots_publish_tree(n, 1, tree_json);
+}
+
+static void
+forget_requests(const struct node *n)
+{
+    GArray *running = slots_stats.running_requests;
+
+    for (guint i = running->len; i > 0; i--) {
+        if (g_array_index(running, struct running_request, i - 1).node == n) {
+            g_array_remove_index_fast(running, i - 1);
+        }
+    }
+    slots_stats.open_requests[n->name[3] - '0'] = 0;
+}
+
+void
+slots_restart_last(struct cluster *c, uint64_t version, int warm)
+{
+    struct node *n = &c->nodes[c->len - 1];
+    g_autofree char *domain = g_strdup(n->domain);
+
+    forget_requests(n);
+    cluster_remove(c, n);
+    c->len--;
+    add_gateway(c, domain);
+    for (int i = 0; i < c->len; i++) {
+        slots_publish_servers(c, &c->nodes[i], version, warm, false, false);
+    }
+}
+
 struct cluster *
 slots_cluster_in(const char *second_domain, int gateways, int warm, bool cold)
 {
@@ -327,12 +365,7 @@
     reset_stats();
     cluster_init(c);
     for (int i = 0; i < gateways; i++) {
-        g_autofree char *name = g_strdup_printf("gw-%d", i);
-        const char *domain = i % 2 == 0 ? "cairo-a" : second_domain;
-        struct node *n = cluster_add(
-            c, domain, ggw_slots_service_new(name, domain, 7), on_message);
-
-        slots_publish_tree(n, 1, tree_json);
+        add_gateway(c, i % 2 == 0 ? "cairo-a" : second_domain);
     }
     for (int i = 0; i < gateways; i++) {
         slots_publish_servers(c, &c->nodes[i], 1, warm, cold, false);
--- a/tests/slots_driver.h
+++ b/tests/slots_driver.h
@@ -119,6 +119,9 @@
 void slots_publish_servers(struct cluster *c, struct node *n, uint64_t version,
                            int warm, bool cold, bool leaving);
 
+/* Restarts the last gateway of a cluster with @warm servers. */
+void slots_restart_last(struct cluster *c, uint64_t version, int warm);
+
 /* Publishes settings of the team "T" to one gateway. */
 void slots_publish_tree(struct node *n, uint64_t revision, const char *json);
 
--- a/tests/test_slots_backoff.c
+++ b/tests/test_slots_backoff.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/metrics.h"
+#include "decide/announce.h"
 #include "tests/slots_driver.h"
 #include "tests/suite.h"
 
@@ -446,6 +447,76 @@
     slots_cluster_free(c);
 }
 
+/* Time in ms after which all gateways have heard which servers are warm. */
+#define ANNOUNCED_MS (2 * GGW_ANNOUNCE_INTERVAL)
+
+static void
+set_links(struct cluster *c, enum relay_mode mode)
+{
+    for (int i = 0; i < c->len; i++) {
+        relay_set_mode(&c->nodes[i].relay, mode);
+    }
+}
+
+/*
+ * Guards against a gateway that is told while its link to the owner breaks,
+ * and that uses the server while the link is cut or when it is back.
+ */
+static void
+test_link_cut(void)
+{
+    const uint64_t *fallbacks = ggw_counter("ggw_slots_fallback_grants_total");
+    uint64_t used = 0;
+
+    for (int told = 0; told < 3; told++) {
+        struct cluster *c = start(3, SERVERS);
+
+        slots_drive_for(c, ANNOUNCED_MS);
+        used -= *fallbacks;
+        set_links(c, RELAY_CUT);
+        tell(c, told, SERVER, true, 0);
+        cluster_run_once(c);
+        clear_grants();
+        slots_drive_for(c, OBSERVE_MS);
+        used += *fallbacks;
+        CU_ASSERT_EQUAL(slots_stats.watched_grants[told], 0);
+        set_links(c, RELAY_FORWARD);
+        CU_ASSERT_TRUE(cluster_wait(c, cluster_joined));
+        slots_drive_for(c, OBSERVE_MS);
+        CU_ASSERT_EQUAL(slots_stats.watched_grants[told], 0);
+        slots_cluster_free(c);
+    }
+    CU_ASSERT_TRUE(used > 0);
+}
+
+/*
+ * Guards against an owner that forgets that a server leaves when the gateway
+ * that told it restarts. That gateway has no record of the leave: it holds
+ * back because the owner grants nothing and does not announce the server.
+ */
+static void
+test_restart(void)
+{
+    for (int leaving = 0; leaving < 2; leaving++) {
+        struct cluster *c = start(4, SERVERS);
+
+        slots_drive_for(c, ANNOUNCED_MS);
+        CU_ASSERT_TRUE(was_used(c));
+        tell(c, 3, SERVER, leaving, leaving ? 0 : LONG_PAUSE);
+        slots_drive_for(c, SPREAD_MS);
+        slots_restart_last(c, 2, SERVERS);
+        slots_stats.watched_until = 0;
+        clear_grants();
+        CU_ASSERT_TRUE(cluster_wait(c, cluster_joined));
+        slots_drive_for(c, ANNOUNCED_MS);
+        CU_ASSERT_EQUAL(all_grants(), 0);
+        CU_ASSERT_TRUE(pause_owner(c));
+        CU_ASSERT_EQUAL(all_grants(), 0);
+        CU_ASSERT_EQUAL(slots_stats.watched_until, 0); /* nobody told it */
+        slots_cluster_free(c);
+    }
+}
+
 int
 main(void)
 {
@@ -460,6 +531,8 @@
         {"repeat", test_repeat},
         {"repeat by policy", test_repeat_by_policy},
         {"no probes", test_no_probes},
+        {"link cut", test_link_cut},
+        {"restart", test_restart},
         {"all paused", test_all_paused},
         CU_TEST_INFO_NULL,
     };
