--- a/tests/slots_driver.h
+++ b/tests/slots_driver.h
@@ -50,6 +50,8 @@
  * @watched_probes: probes of it
  * @retry_after: ms in the last refusal
  * @incarnation: of the servers in published lists; 0 stands for 1
+ * @avoid: NULL-terminated names of servers that new requests have tried, or
+ *         NULL
  *
  * Each new cluster resets it.
  */
@@ -78,6 +80,7 @@
     int watched_probes;
     ggw_ms retry_after;
     int incarnation;
+    char **avoid;
 };
 
 extern struct slots_stats slots_stats;
@@ -116,6 +119,9 @@
 void slots_publish_servers(struct cluster *c, struct node *n, uint64_t version,
                            int warm, bool cold, bool leaving);
 
+/* Restarts the last gateway of a cluster with @warm servers. */
+void slots_restart_last(struct cluster *c, uint64_t version, int warm);
+
 /* Publishes settings of the team "T" to one gateway. */
 void slots_publish_tree(struct node *n, uint64_t revision, const char *json);
 
