--- a/tests/test_proxy_end.c
+++ b/tests/test_proxy_end.c
@@ -1,7 +1,10 @@
 #include <CUnit/CUnit.h>
+#include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -458,6 +461,78 @@
     env_stop(env);
 }
 
+/* Lowers the limit of descriptors to those that are open. */
+static struct rlimit
+use_all_descriptors(void)
+{
+    struct rlimit usual, none;
+    int fd = open("/dev/null", O_RDONLY | O_CLOEXEC);
+
+    getrlimit(RLIMIT_NOFILE, &usual);
+    none = (struct rlimit){(rlim_t)fd, usual.rlim_max};
+    close(fd);
+    setrlimit(RLIMIT_NOFILE, &none);
+    return usual;
+}
+
+/* Connects and sends a request; returns whether the connection was closed. */
+static bool
+is_closed_unanswered(struct env *env, int fd)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons(ggw_proxy_port(env->proxy)),
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    struct timeval limit = {.tv_sec = 10};
+    char byte;
+    ssize_t n;
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        return false;
+    }
+    (void)send(fd, BUFFERED_REQUEST, strlen(BUFFERED_REQUEST), MSG_NOSIGNAL);
+    n = read(fd, &byte, 1);
+    return n == 0 || (n < 0 && errno == ECONNRESET);
+}
+
+/* Connections that are tried, and the pause between two of them, us. */
+#define TRIES 20
+#define TRY_PAUSE_US 200000
+
+/*
+ * Guards against a gateway without a free descriptor that lets connections
+ * wait for good, runs their requests, or accepts none any more afterwards. The
+ * first ones may be accepted, and served or refused, as long as the gateway
+ * closes earlier connections.
+ */
+static void
+test_no_descriptor(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    struct rlimit usual;
+    int fds[TRIES];
+    int accepted = 0;
+
+    for (int i = 0; i < TRIES; i++) {
+        fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    }
+    usual = use_all_descriptors();
+    while (accepted < TRIES && !is_closed_unanswered(env, fds[accepted])) {
+        g_usleep(TRY_PAUSE_US);
+        accepted++;
+    }
+    setrlimit(RLIMIT_NOFILE, &usual);
+    CU_ASSERT_TRUE(accepted < TRIES);
+    CU_ASSERT_TRUE(env->servers[0].requests <= accepted);
+    for (int i = 0; i < TRIES; i++) {
+        close(fds[i]);
+    }
+    CU_ASSERT_TRUE(env_expect(env, BUFFERED_REQUEST, 200, "done", ""));
+    env_stop(env);
+}
+
 int
 main(void)
 {
@@ -473,6 +548,7 @@
         {"client takes nothing", test_client_takes_nothing},
         {"client is idle", test_client_is_idle},
         {"idle at shutdown", test_idle_at_shutdown},
+        {"no descriptor", test_no_descriptor},
         CU_TEST_INFO_NULL,
     };
 
