tests: "no descriptor" asks again only after the turn that found none

Cause: the test, not the gateway. Without a free descriptor, libuv accepts and closes connections until none is left. The test was woken by the first close, raised the limit and sent its last request while that loop still ran. A trace of the calls (accept4, close, connect, recv with their times) shows it in each failed run: connection 9 is accepted and closed, the limit is raised, the new connection is accepted 100 us later by the same loop and reset.

Change: the test waits until the gateway has handled a message that it sent after it had raised the limit, which happens in a later turn of its loop. All checks stay; that the gateway answers a probe is a further one.

--- a/tests/test_proxy_end.c
+++ b/tests/test_proxy_end.c
@@ -497,6 +497,19 @@
     return n == 0 || (n < 0 && errno == ECONNRESET);
 }
 
+/*
+ * Waits until the event loop of the gateway has ended the turn that it is in.
+ * The gateway handles the probe request in a later one.
+ */
+static void
+wait_for_next_turn(struct env *env)
+{
+    env_send(
+        env, "proxy",
+        ggw_probe_request_new("s0", "127.0.0.1", env->servers[0].port, 1000));
+    CU_ASSERT_TRUE(env_wait_len(env, env->probe_results, 1));
+}
+
 /* Connections that are tried, and the pause between two of them, us. */
 #define TRIES 20
 #define TRY_PAUSE_US 200000
@@ -529,6 +542,11 @@
     for (int i = 0; i < TRIES; i++) {
         close(fds[i]);
     }
+    /*
+     * The turn that found no descriptor closes all connections that come
+     * during it, also with a descriptor.
+     */
+    wait_for_next_turn(env);
     CU_ASSERT_TRUE(env_expect(env, BUFFERED_REQUEST, 200, "done", ""));
     env_stop(env);
 }
