http: a response whose status line is none is malformed

Cause: http_parser is built without its strict mode. There, any number up to 999 is a status, any byte a part of a reason phrase, and any byte may follow the carriage return of the status line. Nothing else looked at the line, since the parser was taken for a check.

Change: http/response_check reads each byte of a response before the parser does and compares the status line with the grammar (RFC 9112, section 4) and the classes of status (RFC 9110, section 15). It needs no network. The parser gets only the bytes before the first one that is malformed; the call then ends as with any other broken response: not repeated where that is forbidden, no word of "not run", the connection reset. That holds for responses to requests, hedges, probes and calls of the store, which all come through http/client. A line "malformed" names the server and the part of the response, and ggw_responses_malformed_total counts them. The rule on 101 moves there from the client. Left to the parser's repair: a line that ends with a line feed only, and nothing behind the status. The classes of bytes are shared with the check of requests.

--- a/http/client.c
+++ b/http/client.c
@@ -5,9 +5,11 @@
 #include <math.h>
 #include <string.h>
 
+#include "common/log.h"
 #include "common/metrics.h"
 #include "http/conn.h"
 #include "http/response_body.h"
+#include "http/response_check.h"
 #include "http/response_head.h"
 
 /* Reading from the server pauses while this many body bytes are unread. */
@@ -29,8 +31,16 @@
  */
 #define IDLE_MARGIN_MS 1000
 
-/* Status of a response behind which another protocol begins. */
-#define SWITCHING_PROTOCOLS 101
+/* Limit for log lines about malformed responses, lines per second. */
+#define MALFORMED_LINES_PER_S 20
+
+static struct ggw_log_event malformed = {
+    .part = "http",
+    .name = "malformed",
+    .level = GGW_LOG_WARN,
+    .importance = GGW_LOG_IMPORTANT,
+    .max_per_s = MALFORMED_LINES_PER_S,
+};
 
 struct ggw_call {
     struct ggw_pool *pool;
@@ -39,6 +49,7 @@
     void *data;
 
     struct ggw_http_conn *conn; /* NULL after the call has ended */
+    struct ggw_response_check check;
     http_parser parser;
     uv_timer_t timer;
     bool connected;     /* the request may have been sent */
@@ -389,10 +400,6 @@
         .headers = headers,
     };
 
-    if (parser->status_code == SWITCHING_PROTOCOLS) {
-        call->facts.fault = GGW_FAULT_MALFORMED; /* no request asks for it */
-        return -1;
-    }
     if (is_interim_response(parser)) {
         return 0;
     }
@@ -579,39 +586,69 @@
     end_call(call, GGW_CALL_BROKEN, false);
 }
 
+/*
+ * Ends a call whose response is no HTTP, or with which a callback of the
+ * parser has found another fault.
+ */
+static void
+end_malformed(struct ggw_call *call)
+{
+    if (call->facts.fault == GGW_FAULT_NONE) {
+        ggw_count("ggw_responses_malformed_total");
+        ggw_log_event(&malformed, "server=%s:%u in=%s carried=%u",
+                      call->pool->host, (unsigned)call->pool->port,
+                      ggw_response_part_name(call->check.part),
+                      call->facts.carried);
+    }
+    end_broken(call, GGW_FAULT_MALFORMED);
+}
+
+/*
+ * Ends a call whose response is complete.
+ * @surplus: bytes that came behind it
+ */
+static void
+end_complete(struct ggw_call *call, size_t surplus)
+{
+    bool request_sent, keep;
+
+    if (surplus > 0) {
+        ggw_http_conn_on_surplus(call->conn, GGW_SURPLUS_BEHIND, surplus);
+    }
+    /*
+     * If the server responds before the whole request was written, the rest of
+     * it is still being sent and the connection is not reusable.
+     */
+    request_sent = call->conn->writes == 0;
+    keep = may_reuse_connection(call) && surplus == 0 && request_sent;
+    end_call(call, GGW_CALL_COMPLETE, keep);
+}
+
+/* The parser reads only bytes that the check has found to be in order. */
 static void
 conn_data(void *user, const char *bytes, size_t len)
 {
     struct ggw_call *call = user;
-    size_t parsed;
-    bool request_sent, keep;
+    size_t valid = ggw_response_check_add(&call->check, bytes, len);
+    size_t parsed = 0;
 
     call->input_end = bytes + len;
     if (!check_line_end(call, bytes)) {
         end_broken(call, GGW_FAULT_MALFORMED);
         return;
     }
-    if (!run_parser(call, bytes, len, &parsed)) {
+    /* Without bytes, the parser would take the response for ended. */
+    if (valid > 0 && !run_parser(call, bytes, valid, &parsed)) {
         return;
     }
     if (call->reading_head) {
         call->head_bytes += len;
     }
     if (call->complete) {
-        /*
-         * If the server responds before the whole request was written, the
-         * rest of it is still being sent and the connection is not reusable.
-         */
-        if (parsed < len) {
-            ggw_http_conn_on_surplus(call->conn, GGW_SURPLUS_BEHIND,
-                                     len - parsed);
-        }
-        request_sent = call->conn->writes == 0;
-        keep = may_reuse_connection(call) && parsed == len && request_sent;
-        end_call(call, GGW_CALL_COMPLETE, keep);
+        end_complete(call, len - parsed);
     }
-    else if (HTTP_PARSER_ERRNO(&call->parser) != HPE_OK) {
-        end_broken(call, GGW_FAULT_MALFORMED);
+    else if (valid < len || HTTP_PARSER_ERRNO(&call->parser) != HPE_OK) {
+        end_malformed(call);
     }
     else if (call->head_bytes > MAX_HEAD_BYTES) {
         end_broken(call, GGW_FAULT_TOO_LARGE);
@@ -684,6 +721,7 @@
     call->reading_head = true;
     ggw_response_head_init(&call->head);
     h2o_buffer_init(&call->unread_body, &h2o_socket_buffer_prototype);
+    ggw_response_check_init(&call->check);
     http_parser_init(&call->parser, HTTP_RESPONSE);
     call->parser.data = call;
     uv_timer_init(pool->loop, &call->timer);
--- a/http/request_check.c
+++ b/http/request_check.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "http/grammar.h"
+
 /*
  * h2o 2.2.5 rejects a request with more headers itself, with a response that
  * lacks the outcome header.
@@ -18,20 +20,11 @@
     bool body_too_large;
 };
 
-static bool
-is_token_char(char c)
-{
-    return g_ascii_isalnum(c) ||
-           (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL);
-}
-
 static bool
 has_control(const char *s, size_t len)
 {
     for (size_t i = 0; i < len; i++) {
-        unsigned char c = (unsigned char)s[i];
-
-        if ((c < 0x20 && c != '\t') || c == 0x7f) {
+        if (!ggw_is_text_char(s[i])) {
             return true;
         }
     }
@@ -82,7 +75,7 @@
     name_len = (size_t)(colon - line);
     for (size_t i = 0; i < name_len; i++) {
         /* Also refuses folded lines, which start with a space or tab. */
-        f->bad = f->bad || !is_token_char(line[i]);
+        f->bad = f->bad || !ggw_is_token_char(line[i]);
     }
     value = colon + 1;
     value_len = len - name_len - 1;
@@ -116,7 +109,7 @@
         return false;
     }
     for (const char *c = line; c < method_end; c++) {
-        if (!is_token_char(*c)) {
+        if (!ggw_is_token_char(*c)) {
             return false;
         }
     }
--- /dev/null
+++ b/http/response_check.c
@@ -0,0 +1,169 @@
+#include "http/response_check.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "http/grammar.h"
+
+/* Beginning of a status line; "#" stands for any digit. */
+static const char status_line[] = "HTTP/1.# ###";
+
+#define STATUS_LINE_LEN (sizeof(status_line) - 1)
+
+/* Offset of the status in a status line. */
+#define STATUS_AT 9
+
+/* Status of a response behind which another protocol begins. */
+#define SWITCHING_PROTOCOLS 101
+
+enum state {
+    IN_STATUS_LINE,
+    IN_REASON,
+    AT_LINE_START, /* of a header or the empty line */
+    IN_HEADER,
+    BEHIND_HEAD,
+};
+
+const char *
+ggw_response_part_name(enum ggw_response_part part)
+{
+    static const char *const names[] = {
+        [GGW_RESPONSE_STATUS_LINE] = "status-line",
+        [GGW_RESPONSE_HEADER] = "header",
+        [GGW_RESPONSE_BODY] = "body",
+    };
+
+    return names[part];
+}
+
+static void
+begin_head(struct ggw_response_check *c)
+{
+    c->state = IN_STATUS_LINE;
+    c->part = GGW_RESPONSE_STATUS_LINE;
+    c->status = 0;
+    c->line_len = 0;
+}
+
+void
+ggw_response_check_init(struct ggw_response_check *c)
+{
+    memset(c, 0, sizeof(*c));
+    begin_head(c);
+}
+
+static bool
+add_to_status_line(struct ggw_response_check *c, char b)
+{
+    size_t at = c->line_len++;
+
+    if (at == STATUS_LINE_LEN) {
+        c->state = IN_REASON;
+        return b == ' ';
+    }
+    if (status_line[at] != '#') {
+        return b == status_line[at];
+    }
+    if (!g_ascii_isdigit(b)) {
+        return false;
+    }
+    if (at < STATUS_AT) {
+        return true;
+    }
+    c->status = 10 * c->status + (unsigned)g_ascii_digit_value(b);
+    /* The first digit is the class of the status. */
+    return at > STATUS_AT || (b >= '1' && b <= '5');
+}
+
+static bool
+add_to_line(struct ggw_response_check *c, char b)
+{
+    switch ((enum state)c->state) {
+    case IN_STATUS_LINE:
+        return add_to_status_line(c, b);
+    case IN_REASON:
+        return ggw_is_text_char(b);
+    case AT_LINE_START:
+    case IN_HEADER:
+        c->state = IN_HEADER;
+        return true;
+    default:
+        return false;
+    }
+}
+
+static bool
+is_interim(const struct ggw_response_check *c)
+{
+    return c->status < 200;
+}
+
+/* Handles the empty line behind the headers. */
+static bool
+end_head(struct ggw_response_check *c)
+{
+    if (c->status == SWITCHING_PROTOCOLS) {
+        c->part = GGW_RESPONSE_STATUS_LINE;
+        return false; /* no request asks for it */
+    }
+    if (is_interim(c)) {
+        begin_head(c);
+    }
+    else {
+        c->part = GGW_RESPONSE_BODY;
+        c->state = BEHIND_HEAD;
+    }
+    return true;
+}
+
+static bool
+end_line(struct ggw_response_check *c)
+{
+    switch ((enum state)c->state) {
+    case IN_STATUS_LINE:
+        if (c->line_len < STATUS_LINE_LEN) {
+            return false;
+        }
+        break;
+    case AT_LINE_START:
+        return end_head(c);
+    default:
+        break;
+    }
+    c->part = GGW_RESPONSE_HEADER;
+    c->state = AT_LINE_START;
+    return true;
+}
+
+/* Checks a byte of a line, which may end without a carriage return. */
+static bool
+check_line(struct ggw_response_check *c, char b)
+{
+    if (c->after_return) {
+        c->after_return = false;
+        return b == '\n' ? end_line(c) : c->state == IN_HEADER;
+    }
+    if (b == '\r') {
+        c->after_return = true;
+        return true;
+    }
+    if (b == '\n') {
+        return end_line(c);
+    }
+    return add_to_line(c, b);
+}
+
+size_t
+ggw_response_check_add(struct ggw_response_check *c, const char *bytes,
+                       size_t len)
+{
+    size_t at = 0;
+
+    while (at < len && c->state != BEHIND_HEAD) {
+        if (!check_line(c, bytes[at])) {
+            return at;
+        }
+        at++;
+    }
+    return len;
+}
--- /dev/null
+++ b/http/response_check.h
@@ -0,0 +1,69 @@
+#ifndef GGW_HTTP_RESPONSE_CHECK_H
+#define GGW_HTTP_RESPONSE_CHECK_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/**
+ * DOC: Check of the bytes of a response
+ *
+ * Checks the bytes that a server sends for one request against the grammar of
+ * RFC 9112, section 4, before the parser reads them: the status line. The
+ * parser takes much more for a response. Other lines and bytes are not
+ * checked.
+ *
+ * A recipient may repair some faults. Repaired by the parser are a line of a
+ * head that ends with a line feed only, and a status line that ends behind the
+ * status. All other faults make the response malformed.
+ *
+ * The code reads no sockets.
+ */
+
+/**
+ * enum ggw_response_part - part of a response
+ */
+enum ggw_response_part {
+    GGW_RESPONSE_STATUS_LINE,
+    GGW_RESPONSE_HEADER,
+    GGW_RESPONSE_BODY,
+};
+
+/**
+ * struct ggw_response_check - state of the check
+ * @status: status code of the last status line
+ * @part: where the next byte stands; behind a failure, what is malformed
+ *
+ * The other members are private.
+ */
+struct ggw_response_check {
+    unsigned status;
+    enum ggw_response_part part;
+
+    int state;
+    bool after_return; /* the last byte was a carriage return */
+    size_t line_len;   /* bytes of the status line */
+};
+
+/**
+ * ggw_response_check_init() - begin with the response to a request
+ */
+void ggw_response_check_init(struct ggw_response_check *c);
+
+/**
+ * ggw_response_check_add() - check the next bytes
+ *
+ * Bytes behind the head of the response are not looked at.
+ *
+ * Return: number of bytes before the first one that makes the response
+ * malformed; @len if there is none. After less than @len, the check is not to
+ * be used any more.
+ */
+size_t ggw_response_check_add(struct ggw_response_check *c, const char *bytes,
+                              size_t len);
+
+/**
+ * ggw_response_part_name() - get the name of a part for the log
+ */
+const char *ggw_response_part_name(enum ggw_response_part part);
+
+#endif
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -56,6 +56,7 @@
                               of its connection, a refusal without an id */
     SCRIPT_STALE_SHED_ID,  /* the same with the id of another attempt */
     SCRIPT_SHED_ENDLESS,   /* 503, Backend-Outcome: not-run, endless body */
+    SCRIPT_TEXT,           /* the bytes in text of struct env_server */
     /*
      * 200 with the id of the attempt and, unless stated otherwise, without a
      * length. The bytes of another response stand in its body or behind it;
@@ -73,6 +74,7 @@
 /**
  * struct env_server - a scripted server
  * @load: value of Backend-Load, or NULL
+ * @text: response of SCRIPT_TEXT, a template as in proxy_server.c
  * @body: body of the responses; @body_len is its length in bytes
  * @delay_ms: delay of SCRIPT_SLOW and of the body of SCRIPT_ENDLESS
  * @received: all requests, as received
@@ -91,6 +93,7 @@
     uint16_t port;
     enum script script;
     const char *load;
+    const char *text;
     const char *body;
     size_t body_len;
     unsigned delay_ms;
--- a/tests/proxy_server.c
+++ b/tests/proxy_server.c
@@ -99,8 +99,8 @@
  * @text: template; @h is replaced by the headers X-Server and Backend-Load, @n
  *        by the length of the body in bytes, @x by the same in hexadecimal, @d
  *        by twice the length, @b by the body, @i by the header with the id of
- *        the attempt, @e by that of the connection's first attempt, and @a by
- * a header value of 200,000 bytes
+ *        the attempt, @e by that of the connection's first attempt, @0 by a
+ *        NUL, and @a by a header value of 200,000 bytes
  * @after: what happens to the connection after the response
  */
 struct response {
@@ -167,6 +167,7 @@
     [SCRIPT_STALE_SHED_ID] = {"HTTP/1.1 200 OK\r\n" SIZED, KEEP},
     [SCRIPT_SHED_ENDLESS] =
         {"HTTP/1.1 503 Busy\r\nBackend-Outcome: not-run\r\n@h\r\n", KEEP},
+    [SCRIPT_TEXT] = {"", KEEP},
     [SCRIPT_COPY_BEHIND] = {"HTTP/1.1 200 OK\r\n@i@h\r\n@b" EARLIER_COPY,
                             CLOSE},
     [SCRIPT_COPY_BEHIND_NO_ID] =
@@ -245,6 +246,9 @@
     case 'e':
         g_string_append(out, c->first_id);
         break;
+    case '0':
+        g_string_append_c(out, '\0');
+        break;
     case 'a':
         for (int i = 0; i < 20000; i++) {
             g_string_append(out, "0123456789");
@@ -259,9 +263,11 @@
 respond(struct connection *c)
 {
     const struct response *r = select_response(c);
+    const char *template =
+        c->server->script == SCRIPT_TEXT ? c->server->text : r->text;
     GString *text = g_string_new(NULL);
 
-    for (const char *t = r->text; *t != '\0'; t++) {
+    for (const char *t = template; *t != '\0'; t++) {
         if (*t == '@') {
             expand(text, c, *++t);
         }
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -2,9 +2,11 @@
 #include <fcntl.h>
 #include <math.h>
 #include <string.h>
+#include <sys/mman.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include "common/log.h"
 #include "common/metrics.h"
 #include "http/client.h"
 #include "tests/suite.h"
@@ -500,6 +502,8 @@
     {"switch of protocols before other bytes",
      "HTTP/1.1 101 S\r\nupgrade: x\r\nconnection: upgrade\r\n\r\nbytes", false,
      GGW_FAULT_MALFORMED},
+    {"status that is none", "HTTP/1.1 000 X\r\ncontent-length: 4\r\n\r\nbody",
+     false, GGW_FAULT_MALFORMED},
     {"copy with the same signature",
      OK_HEAD "a: b\r\nsignature: s1\r\n\r\nbody" OK_HEAD
              "c: d\r\nsignature: s1\r\n\r\nbody",
@@ -539,6 +543,53 @@
     }
 }
 
+/* Size of the log that a test reads, bytes. */
+#define LOG_BYTES 4096
+
+/* Sends a request to @s with standard output in a file; returns the lines. */
+static char *
+log_of_call(struct server *s, struct ggw_pools *pools, struct caller *c)
+{
+    char *text = g_malloc0(LOG_BYTES);
+    int file = memfd_create("log", MFD_CLOEXEC);
+    int out = dup(STDOUT_FILENO);
+
+    fflush(stdout);
+    dup2(file, STDOUT_FILENO);
+    CU_ASSERT_TRUE(ggw_log_init("info", NULL));
+    caller_start(c, pools, s, true);
+    run_until_closed(s, c);
+    ggw_log_fini();
+    dup2(out, STDOUT_FILENO);
+    CU_ASSERT_TRUE(pread(file, text, LOG_BYTES - 1, 0) >= 0);
+    close(out);
+    close(file);
+    return text;
+}
+
+/* Guards against a malformed response that no operator hears of. */
+static void
+test_malformed_logged(void)
+{
+    uint64_t before = *ggw_counter("ggw_responses_malformed_total");
+    g_autofree char *log = NULL, *fields = NULL;
+    struct server s;
+    struct caller c;
+    struct ggw_pools *pools;
+
+    server_start(&s, "HTTP/1.1 000 X\r\n\r\n", NULL);
+    s.after = CLOSE;
+    pools = ggw_pools_new(&s.loop);
+    log = log_of_call(&s, pools, &c);
+    fields =
+        g_strdup_printf("event=malformed server=127.0.0.1:%u in=status-line "
+                        "carried=0\n",
+                        (unsigned)s.port);
+    CU_ASSERT_PTR_NOT_NULL(strstr(log, fields));
+    CU_ASSERT_EQUAL(*ggw_counter("ggw_responses_malformed_total"), before + 1);
+    stop(&s, pools, &c);
+}
+
 static const char *const last_responses[] = {
     OK_HEAD "connection: close\r\ncontent-length: 4\r\n\r\nbody",
     OK_HEAD "connection: close\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -647,6 +698,7 @@
         {"no descriptor", test_no_descriptor},
         {"cut head", test_cut_head},
         {"endings", test_endings},
+        {"malformed logged", test_malformed_logged},
         {"closed after response", test_closed_after_response},
         {"endless", test_endless},
         {"slow reader", test_slow_reader},
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -110,8 +110,9 @@
     run->early += now_ms() < run->early_until;
 }
 
-static void
-start_store(struct run *run, size_t max, uint16_t *port)
+/* Listens on a free port of the loopback address; returns the descriptor. */
+static int
+listen_on_loopback(uint16_t *port)
 {
     struct sockaddr_in sa = {
         .sin_family = AF_INET,
@@ -124,6 +125,14 @@
     g_assert_true(listen(fd, CALLS) == 0);
     g_assert_true(getsockname(fd, (struct sockaddr *)&sa, &len) == 0);
     *port = ntohs(sa.sin_port);
+    return fd;
+}
+
+static void
+start_store(struct run *run, size_t max, uint16_t *port)
+{
+    int fd = listen_on_loopback(port);
+
     run->store = fork();
     if (run->store == 0) {
         serve(fd, max);
@@ -190,12 +199,85 @@
     CU_ASSERT_TRUE(run.early < CALLS);
 }
 
+/* Accepts one connection, sends @text on it and ends. */
+static void
+serve_text(int listener, const char *text)
+{
+    int fd = accept(listener, NULL, NULL);
+    char request[4096];
+
+    if (read(fd, request, sizeof(request)) <= 0) {
+        _exit(1);
+    }
+    _exit(write(fd, text, strlen(text)) < 0 ? 1 : 0);
+}
+
+static void
+on_outcome(void *data, const struct ggw_http_response *response)
+{
+    *(enum ggw_http_outcome *)data = response->outcome;
+}
+
+/* Outcome of a call to a store that sends @text. */
+static enum ggw_http_outcome
+outcome_of(const char *text)
+{
+    enum ggw_http_outcome outcome = GGW_HTTP_NOT_SENT;
+    struct ggw_http_client *http;
+    uv_loop_t loop;
+    uint16_t port;
+    int listener = listen_on_loopback(&port);
+    pid_t store = fork();
+
+    if (store == 0) {
+        serve_text(listener, text);
+    }
+    close(listener);
+    uv_loop_init(&loop);
+    http = ggw_http_new(&loop, ggw_clock_system(), "127.0.0.1", port, NULL);
+    ggw_http_send(http, &(struct ggw_http_request){
+                            .method = "POST",
+                            .path = "/",
+                            .body = "{}",
+                            .timeout = TIMEOUT_MS,
+                            .cb = on_outcome,
+                            .data = &outcome,
+                        });
+    while (outcome == GGW_HTTP_NOT_SENT) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    ggw_http_stop(http, g_free);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    ggw_http_destroy(http);
+    uv_loop_close(&loop);
+    waitpid(store, NULL, 0);
+    return outcome;
+}
+
+/* Guards against bytes that are no HTTP and are taken for a response. */
+static void
+test_malformed(void)
+{
+    static const char *const texts[] = {
+        "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 2 00 OK\r\nContent-Length: 2\r\n\r\n{}",
+    };
+
+    CU_ASSERT_EQUAL(
+        outcome_of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+        GGW_HTTP_COMPLETE);
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        CU_ASSERT_EQUAL(outcome_of(texts[i]), GGW_HTTP_UNKNOWN);
+    }
+}
+
 int
 main(void)
 {
     CU_TestInfo tests[] = {
         {"endless", test_endless},
         {"sum of bodies", test_sum},
+        {"malformed", test_malformed},
         CU_TEST_INFO_NULL,
     };
 
--- /dev/null
+++ b/tests/test_proxy_malformed.c
@@ -0,0 +1,244 @@
+#include <CUnit/CUnit.h>
+#include <string.h>
+
+#include "common/metrics.h"
+#include "tests/proxy_env.h"
+#include "tests/suite.h"
+
+/*
+ * Responses of backend servers that are no HTTP: the client gets the response
+ * of another server or a failure of the gateway, never these bytes.
+ */
+
+#define REPEATABLE "GET /any HTTP/1.1\r\nHost: kept.example\r\n\r\n"
+#define NOT_REPEATABLE                                                        \
+    "POST /o HTTP/1.1\r\nHost: once.example\r\nContent-Length: 2\r\n\r\nhi"
+#define STREAMED "GET /team/svc/other HTTP/1.1\r\nHost: h\r\n\r\n"
+
+#define SIZED "@hContent-Length: @n\r\n\r\n@b"
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define CHUNKED OK_LINE "@hTransfer-Encoding: chunked\r\n\r\n"
+
+/**
+ * struct text - a response
+ * @name: for messages
+ * @template: as in proxy_server.c
+ */
+struct text {
+    const char *name;
+    const char *template;
+};
+
+static const struct text malformed_status_lines[] = {
+    {"status 000", "HTTP/1.1 000 X\r\n" SIZED},
+    {"status 001", "HTTP/1.1 001 X\r\n" SIZED},
+    {"status 099", "HTTP/1.1 099 X\r\n" SIZED},
+    {"status 600", "HTTP/1.1 600 X\r\n" SIZED},
+    {"status 999", "HTTP/1.1 999 X\r\n" SIZED},
+    {"status in two parts", "HTTP/1.1 2 00 OK\r\n" SIZED},
+    {"status of two digits", "HTTP/1.1 20 OK\r\n" SIZED},
+    {"status of four digits", "HTTP/1.1 2000 OK\r\n" SIZED},
+    {"no status", "HTTP/1.1 \r\n" SIZED},
+    {"two spaces before the status", "HTTP/1.1  200 OK\r\n" SIZED},
+    {"tab before the status", "HTTP/1.1\t200 OK\r\n" SIZED},
+    {"tab behind the status", "HTTP/1.1 200\tOK\r\n" SIZED},
+    {"version 2.0", "HTTP/2.0 200 OK\r\n" SIZED},
+    {"version 1.10", "HTTP/1.10 200 OK\r\n" SIZED},
+    {"lower case", "http/1.1 200 OK\r\n" SIZED},
+    {"control byte in the reason", "HTTP/1.1 200 O\001K\r\n" SIZED},
+    {"NUL in the reason", "HTTP/1.1 200 O@0K\r\n" SIZED},
+    {"carriage return in the reason", "HTTP/1.1 200 O\rK\r\n" SIZED},
+    {"no line feed", "HTTP/1.1 200 OK\rX" SIZED},
+    {"empty line before the response", "\r\n" OK_LINE SIZED},
+    {"status 000 behind an interim response",
+     "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 000 X\r\n" SIZED},
+    {"malformed interim response", "HTTP/1.1 1 00 C\r\n\r\n" OK_LINE SIZED},
+};
+
+static const struct text sound_texts[] = {
+    {"length", OK_LINE SIZED},
+    {"no reason", "HTTP/1.1 200 \r\n" SIZED},
+    {"nothing behind the status", "HTTP/1.1 200\r\n" SIZED},
+    {"reason in UTF-8", "HTTP/1.1 200 Sch\303\266n\r\n" SIZED},
+    {"tab in the reason", "HTTP/1.1 200 a\tb\r\n" SIZED},
+    {"status 299", "HTTP/1.1 299 X\r\n" SIZED},
+    {"HTTP/1.0", "HTTP/1.0 200 OK\r\n" SIZED},
+    {"HTTP/1.2", "HTTP/1.2 200 OK\r\n" SIZED},
+    {"line feeds only",
+     "HTTP/1.1 200 OK\nX-Server: s0\nContent-Length: 5\n\n@b"},
+    {"token characters in a name", OK_LINE "!#$%&'*+-.^_`|~1aZ: a\r\n" SIZED},
+    {"UTF-8 in a value", OK_LINE "X-Note: \303\266\r\n" SIZED},
+    {"blanks around a value", OK_LINE "X-Note: \t a b \t\r\n" SIZED},
+    {"empty value", OK_LINE "X-Note:\r\n" SIZED},
+    {"length without a blank", OK_LINE "@hContent-Length:@n\r\n\r\n@b"},
+    {"length with zeros", OK_LINE "@hcontent-LENGTH: 0005 \r\n\r\n@b"},
+    {"interim responses",
+     "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nLink: x\r\n\r\n" OK_LINE SIZED},
+    {"chunks", CHUNKED "5\r\n@b\r\n0\r\n\r\n"},
+    {"chunks, in capitals", OK_LINE "@hTRANSFER-ENCODING: Chunked\r\n\r\n"
+                                    "5\r\n@b\r\n0\r\n\r\n"},
+    {"zeros before a size", CHUNKED "0005\r\n@b\r\n000\r\n\r\n"},
+    {"extensions", CHUNKED "5;a;b=c ; d = \"e\\\"\tf\"\r\n@b\r\n0;g\r\n\r\n"},
+    {"trailers", CHUNKED "5\r\n@b\r\n0\r\nX-Note: a\r\nB:\r\n\r\n"},
+};
+
+static struct env *
+start_with(const char *text)
+{
+    struct env *env = env_start(2000, 100, 1000);
+
+    env->servers[0].script = SCRIPT_TEXT;
+    env->servers[0].text = text;
+    return env;
+}
+
+/* Prints what the client got; returns whether it was expected. */
+static bool
+expected(bool ok, const struct text *t, const char *request, const GString *r)
+{
+    if (!ok) {
+        g_autofree char *head = g_strndup(request, strcspn(request, " "));
+        g_autofree char *escaped = g_strescape(r->str, NULL);
+
+        printf("\n%s: %s got \"%s\"", t->name, head, escaped);
+    }
+    return ok;
+}
+
+/* Whether a repeatable request gets the response of server s1. */
+static bool
+is_replaced(const struct text *t)
+{
+    struct env *env = start_with(t->template);
+    GString *r = env_ask(env, REPEATABLE);
+    size_t len;
+    bool ok = env_status(r) == 200 &&
+              strcmp(env_header_or(r, "x-server"), "s1") == 0 &&
+              strcmp(env_body(r, &len), "hello") == 0;
+
+    ok = expected(ok, t, REPEATABLE, r);
+    CU_ASSERT_EQUAL(env_result(env, 0), GGW_ATTEMPT_BROKEN);
+    /* The connection carries no further request. */
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].closed, 1));
+    g_string_free(r, TRUE);
+    env_stop(env);
+    return ok;
+}
+
+/* Whether a request that must not be repeated ends with 502, and ran once. */
+static bool
+is_failed(const struct text *t)
+{
+    struct env *env = start_with(t->template);
+    GString *r = env_ask(env, NOT_REPEATABLE);
+    bool ok =
+        env_status(r) == 502 &&
+        strcmp(env_header_or(r, "greengageway-outcome"), "unknown") == 0 &&
+        strcmp(env_header_or(r, "greengageway-reason"), "broken") == 0;
+
+    ok = expected(ok, t, NOT_REPEATABLE, r);
+    CU_ASSERT_EQUAL(env->servers[0].requests, 1);
+    CU_ASSERT_EQUAL(env->slot_requests, 1);
+    g_string_free(r, TRUE);
+    env_stop(env);
+    return ok;
+}
+
+/*
+ * Whether a client that gets the response as it comes sees the fault.
+ * @sound_head: the head is in order, so that the response may be cut behind it
+ */
+static bool
+is_visible(const struct text *t, bool sound_head)
+{
+    struct env *env = start_with(t->template);
+    GString *r = env_ask(env, STREAMED);
+    bool cut = sound_head && env_status(r) == 200 &&
+               env_header(r, "content-length") == NULL &&
+               !g_str_has_suffix(r->str, "\r\n0\r\n\r\n");
+    bool ok = expected(env_status(r) == 502 || cut, t, STREAMED, r);
+
+    g_string_free(r, TRUE);
+    env_stop(env);
+    return ok;
+}
+
+/* Whether the server counts as one that has not answered a probe. */
+static bool
+is_no_probe_result(const struct text *t)
+{
+    struct env *env = start_with(t->template);
+    bool answered;
+
+    env->servers[0].load = "slots=2; busy=0";
+    env_send(
+        env, "proxy",
+        ggw_probe_request_new("s0", "127.0.0.1", env->servers[0].port, 1000));
+    CU_ASSERT_TRUE(env_wait_len(env, env->probe_results, 1));
+    answered =
+        g_array_index(env->probe_results, struct ggw_probe_result, 0).answered;
+    if (answered) {
+        printf("\n%s: answers a probe", t->name);
+    }
+    env_stop(env);
+    return !answered;
+}
+
+static void
+check_refused(const struct text *texts, size_t len, bool sound_head)
+{
+    for (size_t i = 0; i < len; i++) {
+        CU_ASSERT_TRUE(is_replaced(&texts[i]));
+        CU_ASSERT_TRUE(is_failed(&texts[i]));
+        CU_ASSERT_TRUE(is_visible(&texts[i], sound_head));
+        CU_ASSERT_TRUE(is_no_probe_result(&texts[i]));
+    }
+}
+
+/* Guards against a status line that is none and reaches a client. */
+static void
+test_status_lines(void)
+{
+    check_refused(malformed_status_lines, G_N_ELEMENTS(malformed_status_lines),
+                  false);
+}
+
+static bool
+is_served(const struct text *t, const char *request)
+{
+    struct env *env = start_with(t->template);
+    GString *r = env_ask(env, request);
+    size_t len;
+    bool ok = env_status(r) / 100 == 2 &&
+              strcmp(env_header_or(r, "x-server"), "s0") == 0 &&
+              strcmp(env_body(r, &len), "hello") == 0;
+
+    ok = expected(ok, t, request, r);
+    g_string_free(r, TRUE);
+    env_stop(env);
+    return ok;
+}
+
+/* Guards against a sound response that is refused. */
+static void
+test_sound_responses(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(sound_texts); i++) {
+        CU_ASSERT_TRUE(is_served(&sound_texts[i], REPEATABLE));
+        CU_ASSERT_TRUE(is_served(&sound_texts[i], NOT_REPEATABLE));
+    }
+}
+
+int
+main(void)
+{
+    static CU_TestInfo tests[] = {
+        {"status lines", test_status_lines},
+        {"sound responses", test_sound_responses},
+        CU_TEST_INFO_NULL,
+    };
+    int status = suite_run("proxy_malformed", tests);
+
+    ggw_metrics_fini();
+    return status;
+}
