http: a header line that is none makes a response malformed

The client got it as a response, with the line passed on; "Content-Length : 3" before ten bytes gave it three of them, and "Transfer Encoding: chunked" was passed on as a header. A refusal ("not run") with such a line beside it was believed, and a request that must not be repeated was sent to a second server.

Cause: without the parser's strict mode a blank is a character of a name.

Evidence: test_proxy_malformed "headers", each head in four ways, on: blanks before, in and behind a name, and blanks in the names of a length, a coding and an interim response's header reached clients (8 of 24 heads) and counted as answers of a probe. Handled before, and only kept as tests: control bytes, NUL, DEL, high bytes and quotes in names, lines without a name or colon, control bytes in values; a folded value, which the parser joins.

Change: http/response_check compares the header lines with the grammar (RFC 9112, section 5), also those of interim responses: a name is a token that ends at its colon, a value holds no control byte but the tab, only a value may continue on a further line, and a carriage return is followed by a line feed.

--- a/http/response_check.c
+++ b/http/response_check.c
@@ -20,7 +20,8 @@
     IN_STATUS_LINE,
     IN_REASON,
     AT_LINE_START, /* of a header or the empty line */
-    IN_HEADER,
+    IN_NAME,
+    IN_VALUE,
     BEHIND_HEAD,
 };
 
@@ -43,6 +44,7 @@
     c->part = GGW_RESPONSE_STATUS_LINE;
     c->status = 0;
     c->line_len = 0;
+    c->name_len = 0;
 }
 
 void
@@ -75,6 +77,36 @@
     return at > STATUS_AT || (b >= '1' && b <= '5');
 }
 
+static bool
+add_to_name(struct ggw_response_check *c, char b)
+{
+    if (b == ':') {
+        c->state = IN_VALUE;
+        return c->name_len > 0;
+    }
+    c->name_len++;
+    return ggw_is_token_char(b);
+}
+
+/* Begins a line that continues the value of the header before it. */
+static bool
+continue_value(struct ggw_response_check *c)
+{
+    c->state = IN_VALUE;
+    return c->name_len > 0;
+}
+
+static bool
+begin_name(struct ggw_response_check *c, char b)
+{
+    if (b == ' ' || b == '\t') {
+        return continue_value(c);
+    }
+    c->state = IN_NAME;
+    c->name_len = 0;
+    return add_to_name(c, b);
+}
+
 static bool
 add_to_line(struct ggw_response_check *c, char b)
 {
@@ -82,11 +114,12 @@
     case IN_STATUS_LINE:
         return add_to_status_line(c, b);
     case IN_REASON:
+    case IN_VALUE:
         return ggw_is_text_char(b);
     case AT_LINE_START:
-    case IN_HEADER:
-        c->state = IN_HEADER;
-        return true;
+        return begin_name(c, b);
+    case IN_NAME:
+        return add_to_name(c, b);
     default:
         return false;
     }
@@ -127,6 +160,8 @@
         break;
     case AT_LINE_START:
         return end_head(c);
+    case IN_NAME:
+        return false; /* there is no colon */
     default:
         break;
     }
@@ -141,7 +176,7 @@
 {
     if (c->after_return) {
         c->after_return = false;
-        return b == '\n' ? end_line(c) : c->state == IN_HEADER;
+        return b == '\n' && end_line(c);
     }
     if (b == '\r') {
         c->after_return = true;
--- a/http/response_check.h
+++ b/http/response_check.h
@@ -8,13 +8,14 @@
  * DOC: Check of the bytes of a response
  *
  * Checks the bytes that a server sends for one request against the grammar of
- * RFC 9112, section 4, before the parser reads them: the status line. The
- * parser takes much more for a response. Other lines and bytes are not
- * checked.
+ * RFC 9112, sections 4 and 5, before the parser reads them: the status line
+ * and the header lines. The parser takes much more for a response. Bytes
+ * behind the head are not checked.
  *
- * A recipient may repair some faults. Repaired by the parser are a line of a
- * head that ends with a line feed only, and a status line that ends behind the
- * status. All other faults make the response malformed.
+ * A recipient may repair some faults. The parser repairs a line of a head that
+ * ends with a line feed only, a status line that ends behind the status, and a
+ * value that is continued on the next line. All other faults make the response
+ * malformed.
  *
  * The code reads no sockets.
  */
@@ -42,6 +43,7 @@
     int state;
     bool after_return; /* the last byte was a carriage return */
     size_t line_len;   /* bytes of the status line */
+    size_t name_len;   /* bytes of the name of a header */
 };
 
 /**
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -504,6 +504,8 @@
      GGW_FAULT_MALFORMED},
     {"status that is none", "HTTP/1.1 000 X\r\ncontent-length: 4\r\n\r\nbody",
      false, GGW_FAULT_MALFORMED},
+    {"name with a blank", OK_HEAD "a b: c\r\ncontent-length: 4\r\n\r\nbody",
+     false, GGW_FAULT_MALFORMED},
     {"copy with the same signature",
      OK_HEAD "a: b\r\nsignature: s1\r\n\r\nbody" OK_HEAD
              "c: d\r\nsignature: s1\r\n\r\nbody",
@@ -577,14 +579,13 @@
     struct caller c;
     struct ggw_pools *pools;
 
-    server_start(&s, "HTTP/1.1 000 X\r\n\r\n", NULL);
+    server_start(&s, OK_HEAD "a b: c\r\n\r\n", NULL);
     s.after = CLOSE;
     pools = ggw_pools_new(&s.loop);
     log = log_of_call(&s, pools, &c);
-    fields =
-        g_strdup_printf("event=malformed server=127.0.0.1:%u in=status-line "
-                        "carried=0\n",
-                        (unsigned)s.port);
+    fields = g_strdup_printf("event=malformed server=127.0.0.1:%u in=header "
+                             "carried=0\n",
+                             (unsigned)s.port);
     CU_ASSERT_PTR_NOT_NULL(strstr(log, fields));
     CU_ASSERT_EQUAL(*ggw_counter("ggw_responses_malformed_total"), before + 1);
     stop(&s, pools, &c);
--- a/tests/test_proxy_malformed.c
+++ b/tests/test_proxy_malformed.c
@@ -55,6 +55,37 @@
     {"malformed interim response", "HTTP/1.1 1 00 C\r\n\r\n" OK_LINE SIZED},
 };
 
+static const struct text malformed_headers[] = {
+    {"blank in a name", OK_LINE "X Note: a\r\n" SIZED},
+    {"blank before the colon", OK_LINE "X-Note : a\r\n" SIZED},
+    {"blank before a name", OK_LINE " X-Note: a\r\n" SIZED},
+    {"blank before the first colon", OK_LINE " : a\r\n" SIZED},
+    {"tab in a name", OK_LINE "X\tNote: a\r\n" SIZED},
+    {"control byte in a name", OK_LINE "X\001Note: a\r\n" SIZED},
+    {"NUL in a name", OK_LINE "X@0Note: a\r\n" SIZED},
+    {"DEL in a name", OK_LINE "X\177Note: a\r\n" SIZED},
+    {"high byte in a name", OK_LINE "X\344Note: a\r\n" SIZED},
+    {"quote in a name", OK_LINE "X\"Note: a\r\n" SIZED},
+    {"no name", OK_LINE ": a\r\n" SIZED},
+    {"no colon", OK_LINE "X-Note\r\n" SIZED},
+    {"folded name", OK_LINE "X-Note\r\n : a\r\n" SIZED},
+    {"control byte in a value", OK_LINE "X-Note: a\001b\r\n" SIZED},
+    {"NUL in a value", OK_LINE "X-Note: a@0b\r\n" SIZED},
+    {"DEL in a value", OK_LINE "X-Note: a\177b\r\n" SIZED},
+    {"carriage return in a value", OK_LINE "X-Note: a\rb\r\n" SIZED},
+    {"carriage return in a name", OK_LINE "X\rNote: a\r\n" SIZED},
+    {"no line feed behind a value", OK_LINE "X-Note: a\rX" SIZED},
+    {"no line feed behind the head", OK_LINE "@hContent-Length: 5\r\n\rX@b"},
+    {"length with a blank before its colon",
+     OK_LINE "@hContent-Length : 3\r\n\r\n@b@b"},
+    {"coding with a blank in its name",
+     OK_LINE "Transfer Encoding: chunked\r\n" SIZED},
+    {"blank in a name of an interim response",
+     "HTTP/1.1 103 E\r\nX Note: a\r\n\r\n" OK_LINE SIZED},
+    {"blank in the name of the outcome",
+     "HTTP/1.1 503 X\r\nBackend-Outcome: not-run\r\nX Note: a\r\n" SIZED},
+};
+
 static const struct text sound_texts[] = {
     {"length", OK_LINE SIZED},
     {"no reason", "HTTP/1.1 200 \r\n" SIZED},
@@ -69,6 +100,7 @@
     {"token characters in a name", OK_LINE "!#$%&'*+-.^_`|~1aZ: a\r\n" SIZED},
     {"UTF-8 in a value", OK_LINE "X-Note: \303\266\r\n" SIZED},
     {"blanks around a value", OK_LINE "X-Note: \t a b \t\r\n" SIZED},
+    {"folded value", OK_LINE "X-Note: a\r\n b\r\n" SIZED},
     {"empty value", OK_LINE "X-Note:\r\n" SIZED},
     {"length without a blank", OK_LINE "@hContent-Length:@n\r\n\r\n@b"},
     {"length with zeros", OK_LINE "@hcontent-LENGTH: 0005 \r\n\r\n@b"},
@@ -79,6 +111,7 @@
                                     "5\r\n@b\r\n0\r\n\r\n"},
     {"zeros before a size", CHUNKED "0005\r\n@b\r\n000\r\n\r\n"},
     {"extensions", CHUNKED "5;a;b=c ; d = \"e\\\"\tf\"\r\n@b\r\n0;g\r\n\r\n"},
+    {"folded trailer", CHUNKED "5\r\n@b\r\n0\r\nX-Note: a\r\n b\r\n\r\n"},
     {"trailers", CHUNKED "5\r\n@b\r\n0\r\nX-Note: a\r\nB:\r\n\r\n"},
 };
 
@@ -203,6 +236,13 @@
                   false);
 }
 
+/* Guards against a header line that is none and reaches a client. */
+static void
+test_headers(void)
+{
+    check_refused(malformed_headers, G_N_ELEMENTS(malformed_headers), false);
+}
+
 static bool
 is_served(const struct text *t, const char *request)
 {
@@ -219,6 +259,28 @@
     return ok;
 }
 
+/* Guards against a folded value that is passed on with its line end. */
+static void
+test_folded_value(void)
+{
+    static const char *const folds[] = {"\r\n ", "\r\n\t", "\n ",
+                                        " \r\n  \r\n "};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(folds); i++) {
+        g_autofree char *text =
+            g_strconcat(OK_LINE "X-Note: a", folds[i], "b\r\n" SIZED, NULL);
+        struct env *env = start_with(text);
+        GString *r = env_ask(env, REPEATABLE);
+
+        CU_ASSERT_EQUAL(env_status(r), 200);
+        CU_ASSERT_STRING_EQUAL(env_header_or(r, "x-server"), "s0");
+        CU_ASSERT_TRUE(
+            g_regex_match_simple("\r\nx-note: a[ \t]+b\r\n", r->str, 0, 0));
+        g_string_free(r, TRUE);
+        env_stop(env);
+    }
+}
+
 /* Guards against a sound response that is refused. */
 static void
 test_sound_responses(void)
@@ -234,6 +296,8 @@
 {
     static CU_TestInfo tests[] = {
         {"status lines", test_status_lines},
+        {"headers", test_headers},
+        {"folded value", test_folded_value},
         {"sound responses", test_sound_responses},
         CU_TEST_INFO_NULL,
     };
--- a/tests/test_response_check.c
+++ b/tests/test_response_check.c
@@ -48,6 +48,27 @@
     {"HTTP/1.1 200 O\r", "K\r\n", GGW_RESPONSE_STATUS_LINE},
     {"HTTP/1.1 200 OK\r", "\r\n", GGW_RESPONSE_STATUS_LINE},
     {"HTTP/1.1 101 S\r\n\r", "\n", GGW_RESPONSE_STATUS_LINE},
+
+    {OK_LINE, " A: b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE, "\tA: b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE, ": b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE, "(: b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A", " B: c\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A", " : b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A", "\t: b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A", "\001: b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A", "\177: b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A", "\377: b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A", "/: b\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A\r", "\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A", "\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A: b", "\001\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A: b", "\177\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A: b\r", "c\r\n", GGW_RESPONSE_HEADER},
+    {OK_LINE "A: b\r\n c", "\001\r\n", GGW_RESPONSE_HEADER},
+    {"HTTP/1.1 103 E\r\nA: b\r\n\r\n" OK_LINE, " A: b\r\n",
+     GGW_RESPONSE_HEADER},
+    {OK_LINE "A: b\r\n\r", "x", GGW_RESPONSE_HEADER},
 };
 
 /*
@@ -100,11 +121,15 @@
 test_nul(void)
 {
     static const char reason[] = "HTTP/1.1 200 O\0K\r\n";
+    static const char name[] = OK_LINE "A\0B: c\r\n";
+    static const char value[] = OK_LINE "A: b\0c\r\n";
     static const struct {
         const char *text;
         size_t len;
     } texts[] = {
         {reason, sizeof(reason) - 1},
+        {name, sizeof(name) - 1},
+        {value, sizeof(value) - 1},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
