http: an interim response with a body ended the gateway

What callers would have seen: one interim response with a length ("HTTP/1.1 103", "Content-Length: 5") from a server in trouble, or from the store, ended the process; all requests on that gateway were cut.

Cause: RFC 9112 (section 6.3) ends an interim response at its empty line, and http_parser, told nothing else, reads the stated body. The client began a body for the final response only, so that the bytes met a body without a state: a NULL pointer.

Change: a length or a transfer coding in an interim response, which RFC 9110 and 9112 forbid, makes the response malformed.

--- a/http/response_check.c
+++ b/http/response_check.c
@@ -31,6 +31,7 @@
     static const char *const names[] = {
         [GGW_RESPONSE_STATUS_LINE] = "status-line",
         [GGW_RESPONSE_HEADER] = "header",
+        [GGW_RESPONSE_FRAMING] = "framing",
         [GGW_RESPONSE_BODY] = "body",
     };
 
@@ -45,6 +46,7 @@
     c->status = 0;
     c->line_len = 0;
     c->name_len = 0;
+    c->has_framing = false;
 }
 
 void
@@ -84,10 +86,26 @@
         c->state = IN_VALUE;
         return c->name_len > 0;
     }
+    if (c->name_len < sizeof(c->name)) {
+        c->name[c->name_len] = g_ascii_tolower(b);
+    }
     c->name_len++;
     return ggw_is_token_char(b);
 }
 
+static bool
+name_is(const struct ggw_response_check *c, const char *name)
+{
+    return c->name_len == strlen(name) &&
+           memcmp(c->name, name, c->name_len) == 0;
+}
+
+static bool
+is_framing_header(const struct ggw_response_check *c)
+{
+    return name_is(c, "content-length") || name_is(c, "transfer-encoding");
+}
+
 /* Begins a line that continues the value of the header before it. */
 static bool
 continue_value(struct ggw_response_check *c)
@@ -139,6 +157,10 @@
         c->part = GGW_RESPONSE_STATUS_LINE;
         return false; /* no request asks for it */
     }
+    if (is_interim(c) && c->has_framing) {
+        c->part = GGW_RESPONSE_FRAMING;
+        return false; /* it has no body */
+    }
     if (is_interim(c)) {
         begin_head(c);
     }
@@ -158,6 +180,9 @@
             return false;
         }
         break;
+    case IN_VALUE:
+        c->has_framing = c->has_framing || is_framing_header(c);
+        break;
     case AT_LINE_START:
         return end_head(c);
     case IN_NAME:
--- a/http/response_check.h
+++ b/http/response_check.h
@@ -9,7 +9,8 @@
  *
  * Checks the bytes that a server sends for one request against the grammar of
  * RFC 9112, sections 4 and 5, before the parser reads them: the status line
- * and the header lines. The parser takes much more for a response. Bytes
+ * and the header lines, and that no body is announced where none can be. The
+ * parser takes much more for a response. Bytes
  * behind the head are not checked.
  *
  * A recipient may repair some faults. The parser repairs a line of a head that
@@ -20,12 +21,17 @@
  * The code reads no sockets.
  */
 
+/* Bytes of a header's name that are kept; the longest one looked for has 17.
+ */
+#define GGW_RESPONSE_CHECK_NAME_BYTES 18
+
 /**
  * enum ggw_response_part - part of a response
  */
 enum ggw_response_part {
     GGW_RESPONSE_STATUS_LINE,
     GGW_RESPONSE_HEADER,
+    GGW_RESPONSE_FRAMING,
     GGW_RESPONSE_BODY,
 };
 
@@ -43,7 +49,9 @@
     int state;
     bool after_return; /* the last byte was a carriage return */
     size_t line_len;   /* bytes of the status line */
-    size_t name_len;   /* bytes of the name of a header */
+    char name[GGW_RESPONSE_CHECK_NAME_BYTES];
+    size_t name_len;
+    bool has_framing; /* a length or transfer coding was read */
 };
 
 /**
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -506,6 +506,10 @@
      false, GGW_FAULT_MALFORMED},
     {"name with a blank", OK_HEAD "a b: c\r\ncontent-length: 4\r\n\r\nbody",
      false, GGW_FAULT_MALFORMED},
+    {"interim response with a body",
+     "HTTP/1.1 103 E\r\ncontent-length: 4\r\n\r\nbody" OK_HEAD
+     "content-length: 4\r\n\r\nbody",
+     false, GGW_FAULT_MALFORMED},
     {"copy with the same signature",
      OK_HEAD "a: b\r\nsignature: s1\r\n\r\nbody" OK_HEAD
              "c: d\r\nsignature: s1\r\n\r\nbody",
--- a/tests/test_proxy_malformed.c
+++ b/tests/test_proxy_malformed.c
@@ -86,6 +86,16 @@
      "HTTP/1.1 503 X\r\nBackend-Outcome: not-run\r\nX Note: a\r\n" SIZED},
 };
 
+static const struct text malformed_framing[] = {
+    {"interim response with a length",
+     "HTTP/1.1 103 E\r\nContent-Length: 5\r\n\r\n" OK_LINE SIZED},
+    {"interim response with a body",
+     "HTTP/1.1 103 E\r\nContent-Length: 5\r\n\r\nxxxxx" OK_LINE SIZED},
+    {"interim response with chunks",
+     "HTTP/1.1 103 E\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "5\r\nxxxxx\r\n0\r\n\r\n" OK_LINE SIZED},
+};
+
 static const struct text sound_texts[] = {
     {"length", OK_LINE SIZED},
     {"no reason", "HTTP/1.1 200 \r\n" SIZED},
@@ -243,6 +253,13 @@
     check_refused(malformed_headers, G_N_ELEMENTS(malformed_headers), false);
 }
 
+/* Guards against a body whose length is not certain. */
+static void
+test_framing(void)
+{
+    check_refused(malformed_framing, G_N_ELEMENTS(malformed_framing), false);
+}
+
 static bool
 is_served(const struct text *t, const char *request)
 {
@@ -297,6 +314,7 @@
     static CU_TestInfo tests[] = {
         {"status lines", test_status_lines},
         {"headers", test_headers},
+        {"framing", test_framing},
         {"folded value", test_folded_value},
         {"sound responses", test_sound_responses},
         CU_TEST_INFO_NULL,
--- a/tests/test_response_check.c
+++ b/tests/test_response_check.c
@@ -69,6 +69,10 @@
     {"HTTP/1.1 103 E\r\nA: b\r\n\r\n" OK_LINE, " A: b\r\n",
      GGW_RESPONSE_HEADER},
     {OK_LINE "A: b\r\n\r", "x", GGW_RESPONSE_HEADER},
+
+    {"HTTP/1.1 100 C\r\nContent-Length: 0\r\n\r", "\n", GGW_RESPONSE_FRAMING},
+    {"HTTP/1.1 100 C\r\nTransfer-Encoding: chunked\r\n\r", "\n",
+     GGW_RESPONSE_FRAMING},
 };
 
 /*
