http: a body whose length is not certain makes a response malformed

What callers saw: "Transfer-Encoding: gzip, chunked", the coding stated twice, or chunks with HTTP/1.0: status 200 with what the parser made of the body. "gzip" or "identity" alone: the raw bytes until the connection ended. "204" with "Content-Length: 5": a response that states five bytes and has none, so that a client on a kept connection would take them from the next response.

Cause: the parser looks for "chunked" among the codings and reads a body with any other coding until the end of the connection. What the head says of the body together was not compared with RFC 9112, section 6.

Refused before, and only kept as tests: two lengths, a list, a sign, a blank or letters in a length, an empty or too large one, a length beside a coding.

Change: http/response_check knows the framing: a single length of digits or the single coding "chunked", not with HTTP/1.0, neither of them in an interim response, and no body with 204.

--- a/http/client.c
+++ b/http/client.c
@@ -371,21 +371,26 @@
     return parser->status_code >= 100 && parser->status_code < 200;
 }
 
-static bool
-has_body(const struct ggw_call *call, const http_parser *parser)
-{
-    return !call->spec.is_head && parser->status_code != 204 &&
-           parser->status_code != 304;
-}
-
 static enum ggw_framing
-framing_of(const struct ggw_call *call, const http_parser *parser)
+framing_of(const struct ggw_call *call)
 {
-    if (!has_body(call, parser) || (parser->flags & F_CONTENTLENGTH) != 0) {
+    if (!call->check.has_body || call->check.has_length) {
         return GGW_FRAMING_LENGTH;
     }
-    return (parser->flags & F_CHUNKED) != 0 ? GGW_FRAMING_CHUNKED
-                                            : GGW_FRAMING_CLOSE;
+    return call->check.is_chunked ? GGW_FRAMING_CHUNKED : GGW_FRAMING_CLOSE;
+}
+
+/* Whether the parser reads the framing of the body as the check does. */
+static bool
+framing_agrees(const struct ggw_call *call, const http_parser *parser)
+{
+    const struct ggw_response_check *check = &call->check;
+    bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    bool is_chunked = (parser->flags & F_CHUNKED) != 0;
+
+    return is_chunked == check->is_chunked &&
+           has_length == check->has_length &&
+           (!has_length || parser->content_length == check->length);
 }
 
 static int
@@ -404,6 +409,9 @@
         return 0;
     }
     call->reading_head = false;
+    if (!framing_agrees(call, parser)) {
+        return -1;
+    }
     if (!id_matches(call)) {
         call->facts.fault = GGW_FAULT_OTHER_ID;
         return -1;
@@ -416,13 +424,12 @@
         return -1;
     }
     call->head_at = now_ms();
-    call->content_length = (parser->flags & F_CONTENTLENGTH) != 0
-                               ? (size_t)parser->content_length
-                               : SIZE_MAX;
+    call->content_length =
+        call->check.has_length ? (size_t)call->check.length : SIZE_MAX;
     call->keep_alive = http_should_keep_alive(parser) != 0;
     call->idle_limit = connection_idle_limit(call);
     head.content_length = call->content_length;
-    call->facts.framing = framing_of(call, parser);
+    call->facts.framing = framing_of(call);
     start_body(call);
     head.keep_alive = call->keep_alive;
     head.headers_len = ggw_response_head_fill(&call->head, headers);
@@ -431,7 +438,7 @@
     if (call->destroyed) {
         return -1;
     }
-    return has_body(call, parser) ? 0 : 1; /* 1: no body follows */
+    return call->check.has_body ? 0 : 1; /* 1: no body follows */
 }
 
 /*
@@ -721,7 +728,7 @@
     call->reading_head = true;
     ggw_response_head_init(&call->head);
     h2o_buffer_init(&call->unread_body, &h2o_socket_buffer_prototype);
-    ggw_response_check_init(&call->check);
+    ggw_response_check_init(&call->check, spec->is_head);
     http_parser_init(&call->parser, HTTP_RESPONSE);
     call->parser.data = call;
     uv_timer_init(pool->loop, &call->timer);
--- a/http/response_check.c
+++ b/http/response_check.c
@@ -10,11 +10,18 @@
 
 #define STATUS_LINE_LEN (sizeof(status_line) - 1)
 
-/* Offset of the status in a status line. */
+/* Offsets of the minor version and of the status in a status line. */
+#define MINOR_VERSION_AT 7
 #define STATUS_AT 9
 
-/* Status of a response behind which another protocol begins. */
-#define SWITCHING_PROTOCOLS 101
+/* Maximum number of digits of a length, so that it fits into 60 bits. */
+#define MAX_LENGTH_DIGITS 18
+
+enum {
+    SWITCHING_PROTOCOLS = 101,
+    NO_CONTENT = 204,
+    NOT_MODIFIED = 304,
+};
 
 enum state {
     IN_STATUS_LINE,
@@ -46,13 +53,13 @@
     c->status = 0;
     c->line_len = 0;
     c->name_len = 0;
-    c->has_framing = false;
 }
 
 void
-ggw_response_check_init(struct ggw_response_check *c)
+ggw_response_check_init(struct ggw_response_check *c, bool is_head)
 {
     memset(c, 0, sizeof(*c));
+    c->is_head = is_head;
     begin_head(c);
 }
 
@@ -71,6 +78,9 @@
     if (!g_ascii_isdigit(b)) {
         return false;
     }
+    if (at == MINOR_VERSION_AT) {
+        c->is_http_10 = b == '0';
+    }
     if (at < STATUS_AT) {
         return true;
     }
@@ -84,6 +94,7 @@
 {
     if (b == ':') {
         c->state = IN_VALUE;
+        c->value_len = 0;
         return c->name_len > 0;
     }
     if (c->name_len < sizeof(c->name)) {
@@ -111,7 +122,7 @@
 continue_value(struct ggw_response_check *c)
 {
     c->state = IN_VALUE;
-    return c->name_len > 0;
+    return c->name_len > 0 && !is_framing_header(c);
 }
 
 static bool
@@ -125,6 +136,19 @@
     return add_to_name(c, b);
 }
 
+static bool
+add_to_value(struct ggw_response_check *c, char b)
+{
+    if (c->value_len == 0 && (b == ' ' || b == '\t')) {
+        return true; /* white space before the value */
+    }
+    if (c->value_len < sizeof(c->value)) {
+        c->value[c->value_len] = b;
+    }
+    c->value_len++;
+    return ggw_is_text_char(b);
+}
+
 static bool
 add_to_line(struct ggw_response_check *c, char b)
 {
@@ -132,23 +156,101 @@
     case IN_STATUS_LINE:
         return add_to_status_line(c, b);
     case IN_REASON:
-    case IN_VALUE:
         return ggw_is_text_char(b);
     case AT_LINE_START:
         return begin_name(c, b);
     case IN_NAME:
         return add_to_name(c, b);
+    case IN_VALUE:
+        return add_to_value(c, b);
     default:
         return false;
     }
 }
 
+/*
+ * Takes the blanks off the end of a value that was kept whole. The parser does
+ * not take a tab off a transfer coding.
+ */
+static void
+trim_value(struct ggw_response_check *c)
+{
+    while (c->value_len > 0 && c->value[c->value_len - 1] == ' ') {
+        c->value_len--;
+    }
+}
+
+static bool
+set_length(struct ggw_response_check *c)
+{
+    bool repeated = c->has_length;
+
+    c->has_length = true;
+    c->length = 0;
+    for (size_t i = 0; i < c->value_len; i++) {
+        if (!g_ascii_isdigit(c->value[i])) {
+            return false;
+        }
+        c->length =
+            10 * c->length + (uint64_t)g_ascii_digit_value(c->value[i]);
+    }
+    return !repeated && c->value_len > 0 && c->value_len <= MAX_LENGTH_DIGITS;
+}
+
+/* No request offers to take another transfer coding than this one. */
+static bool
+set_chunked(struct ggw_response_check *c)
+{
+    static const char chunked[] = "chunked";
+    bool repeated = c->is_chunked;
+
+    c->is_chunked = true;
+    return !repeated && c->value_len == strlen(chunked) &&
+           g_ascii_strncasecmp(c->value, chunked, c->value_len) == 0;
+}
+
+static bool
+end_header(struct ggw_response_check *c)
+{
+    if (!is_framing_header(c)) {
+        return true;
+    }
+    c->part = GGW_RESPONSE_FRAMING;
+    if (c->value_len > sizeof(c->value)) {
+        return false;
+    }
+    trim_value(c);
+    return name_is(c, "content-length") ? set_length(c) : set_chunked(c);
+}
+
 static bool
 is_interim(const struct ggw_response_check *c)
 {
     return c->status < 200;
 }
 
+/* Whether what the head says of the body is in order. */
+static bool
+is_framing_valid(const struct ggw_response_check *c)
+{
+    if (is_interim(c)) {
+        return !c->has_length && !c->is_chunked;
+    }
+    if (c->is_chunked) {
+        return !c->has_length && !c->is_http_10 && c->status != NO_CONTENT;
+    }
+    return c->status != NO_CONTENT || c->length == 0;
+}
+
+static void
+begin_body(struct ggw_response_check *c)
+{
+    c->has_body =
+        !c->is_head && c->status != NO_CONTENT && c->status != NOT_MODIFIED;
+    c->part = GGW_RESPONSE_BODY;
+    c->state = BEHIND_HEAD;
+}
+
 /* Handles the empty line behind the headers. */
 static bool
 end_head(struct ggw_response_check *c)
@@ -157,16 +259,15 @@
         c->part = GGW_RESPONSE_STATUS_LINE;
         return false; /* no request asks for it */
     }
-    if (is_interim(c) && c->has_framing) {
+    if (!is_framing_valid(c)) {
         c->part = GGW_RESPONSE_FRAMING;
-        return false; /* it has no body */
+        return false;
     }
     if (is_interim(c)) {
         begin_head(c);
     }
     else {
-        c->part = GGW_RESPONSE_BODY;
-        c->state = BEHIND_HEAD;
+        begin_body(c);
     }
     return true;
 }
@@ -181,7 +282,9 @@
         }
         break;
     case IN_VALUE:
-        c->has_framing = c->has_framing || is_framing_header(c);
+        if (!end_header(c)) {
+            return false;
+        }
         break;
     case AT_LINE_START:
         return end_head(c);
--- a/http/response_check.h
+++ b/http/response_check.h
@@ -3,15 +3,15 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /**
  * DOC: Check of the bytes of a response
  *
  * Checks the bytes that a server sends for one request against the grammar of
- * RFC 9112, sections 4 and 5, before the parser reads them: the status line
- * and the header lines, and that no body is announced where none can be. The
- * parser takes much more for a response. Bytes
- * behind the head are not checked.
+ * RFC 9112, sections 4 to 6, before the parser reads them: the status line,
+ * the header lines, and what they say of the body together. The parser takes
+ * much more for a response. Bytes behind the head are not checked.
  *
  * A recipient may repair some faults. The parser repairs a line of a head that
  * ends with a line feed only, a status line that ends behind the status, and a
@@ -25,6 +25,9 @@
  */
 #define GGW_RESPONSE_CHECK_NAME_BYTES 18
 
+/* Bytes of a header's value that are kept. */
+#define GGW_RESPONSE_CHECK_VALUE_BYTES 32
+
 /**
  * enum ggw_response_part - part of a response
  */
@@ -37,27 +40,40 @@
 
 /**
  * struct ggw_response_check - state of the check
+ * @is_head: the response is to a HEAD request and has no body
  * @status: status code of the last status line
+ * @has_length: a Content-Length was read
+ * @length: its value in bytes
+ * @is_chunked: the body is chunked
+ * @has_body: a body may follow the head of the final response
  * @part: where the next byte stands; behind a failure, what is malformed
  *
  * The other members are private.
  */
 struct ggw_response_check {
+    bool is_head;
     unsigned status;
+    bool has_length;
+    uint64_t length;
+    bool is_chunked;
+    bool has_body;
     enum ggw_response_part part;
 
     int state;
     bool after_return; /* the last byte was a carriage return */
     size_t line_len;   /* bytes of the status line */
+    bool is_http_10;
     char name[GGW_RESPONSE_CHECK_NAME_BYTES];
     size_t name_len;
-    bool has_framing; /* a length or transfer coding was read */
+    char value[GGW_RESPONSE_CHECK_VALUE_BYTES];
+    size_t value_len;
 };
 
 /**
  * ggw_response_check_init() - begin with the response to a request
+ * @is_head: the method of the request is HEAD
  */
-void ggw_response_check_init(struct ggw_response_check *c);
+void ggw_response_check_init(struct ggw_response_check *c, bool is_head);
 
 /**
  * ggw_response_check_add() - check the next bytes
--- a/tests/test_proxy_malformed.c
+++ b/tests/test_proxy_malformed.c
@@ -87,6 +87,40 @@
 };
 
 static const struct text malformed_framing[] = {
+    {"two lengths", OK_LINE "Content-Length: 5\r\n" SIZED},
+    {"two different lengths", OK_LINE "Content-Length: 3\r\n" SIZED},
+    {"list of lengths", OK_LINE "@hContent-Length: 5, 5\r\n\r\n@b"},
+    {"length with a sign", OK_LINE "@hContent-Length: +5\r\n\r\n@b"},
+    {"negative length", OK_LINE "@hContent-Length: -5\r\n\r\n@b"},
+    {"hexadecimal length", OK_LINE "@hContent-Length: 0x5\r\n\r\n@b"},
+    {"length with a blank", OK_LINE "@hContent-Length: 1 0\r\n\r\n@b@b"},
+    {"empty length", OK_LINE "@hContent-Length:\r\n\r\n@b"},
+    {"folded length", OK_LINE "@hContent-Length:\r\n 5\r\n\r\n@b"},
+    {"length in two lines", OK_LINE "@hContent-Length: 5\r\n 0\r\n\r\n@b"},
+    {"folded coding", OK_LINE "@hTransfer-Encoding:\r\n chunked\r\n\r\n"
+                              "5\r\n@b\r\n0\r\n\r\n"},
+    {"length above 64 bits",
+     OK_LINE "@hContent-Length: 18446744073709551621\r\n\r\n@b"},
+    {"length and coding", OK_LINE "Transfer-Encoding: chunked\r\n" SIZED},
+    {"another coding", OK_LINE "@hTransfer-Encoding: gzip\r\n\r\n@b"},
+    {"identity", OK_LINE "@hTransfer-Encoding: identity\r\n\r\n@b"},
+    {"another coding and a length",
+     OK_LINE "Transfer-Encoding: gzip\r\n" SIZED},
+    {"two codings", OK_LINE "@hTransfer-Encoding: gzip, chunked\r\n\r\n"
+                            "5\r\n@b\r\n0\r\n\r\n"},
+    {"coding twice",
+     OK_LINE "@hTransfer-Encoding: chunked\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n5\r\n@b\r\n0\r\n\r\n"},
+    {"coding that is not known",
+     OK_LINE "@hTransfer-Encoding: xchunked\r\n\r\n"
+             "5\r\n@b\r\n0\r\n\r\n"},
+    {"chunks with HTTP/1.0",
+     "HTTP/1.0 200 OK\r\n@hTransfer-Encoding: chunked\r\n\r\n"
+     "5\r\n@b\r\n0\r\n\r\n"},
+    {"204 with a body", "HTTP/1.1 204 N\r\n" SIZED},
+    {"204 with chunks",
+     "HTTP/1.1 204 N\r\n@hTransfer-Encoding: chunked\r\n\r\n"
+     "5\r\n@b\r\n0\r\n\r\n"},
     {"interim response with a length",
      "HTTP/1.1 103 E\r\nContent-Length: 5\r\n\r\n" OK_LINE SIZED},
     {"interim response with a body",
