http: chunks and trailers that are none make a response malformed

What callers saw: status 200 with the whole body of a response whose chunk sizes or trailers are no HTTP: a blank or text behind a size, control bytes, a NUL, a line feed or an open quote in an extension, a semicolon with nothing behind it, blanks in the name of a trailer, a last line without its line feed.

Cause: the parser passes over everything between the size and the carriage return, and reads names of trailers as those of headers. The client added checks of its own only for the line ends before and behind a chunk.

Change: http/response_check goes on behind the head: http/chunk_line compares the line before a chunk with the grammar (RFC 9112, section 7.1), trailers are checked as headers are, and lines of chunks end with CR LF only. The client's own checks of line ends are replaced by it. As before, bytes of a chunk that is in order may have reached the client when a later line is malformed; the response is then cut visibly.

--- a/http/client.c
+++ b/http/client.c
@@ -61,12 +61,6 @@
     bool id_repeated; /* the response carries the id of the request */
     struct ggw_call_facts facts;
     struct ggw_response_body body;
-    bool at_part_start; /* the next body byte follows a line end */
-    const char *input;  /* bytes that are being parsed */
-    const char *input_end;
-    char last_input;       /* last byte of the bytes before them */
-    uint64_t chunk_left;   /* bytes of the current chunk */
-    size_t line_end_bytes; /* that are still to come behind a chunk */
     ggw_ms started_at;
     ggw_ms paused_at;   /* when reading was paused; 0 while reading */
     ggw_ms complete_by; /* end of spec.complete_timeout */
@@ -319,7 +313,6 @@
 
     ggw_response_body_init(&call->body, &call->head, call->conn->carried > 0,
                            call->facts.framing != GGW_FRAMING_CLOSE);
-    call->at_part_start = true;
     if (spec->id.base != NULL) {
         ggw_surplus_scan_mark(&call->body.scan, spec->id_name, spec->id.base,
                               spec->id.len);
@@ -441,58 +434,6 @@
     return call->check.has_body ? 0 : 1; /* 1: no body follows */
 }
 
-/*
- * Whether a line end precedes the body or chunk that begins at @at. The parser
- * takes any byte for the line feed behind a carriage return.
- */
-static bool
-follows_line_end(const struct ggw_call *call, const char *at)
-{
-    char previous = at > call->input ? at[-1] : call->last_input;
-
-    return previous == '\n';
-}
-
-static int
-on_chunk_header(http_parser *parser)
-{
-    struct ggw_call *call = call_from_parser(parser);
-
-    call->at_part_start = true;
-    call->chunk_left = parser->content_length;
-    return 0;
-}
-
-/*
- * Checks as much of the line end behind a chunk as is there. The parser takes
- * any two bytes for it.
- */
-static bool
-check_line_end(struct ggw_call *call, const char *at)
-{
-    static const char line_end[] = "\r\n";
-
-    while (call->line_end_bytes > 0 && at < call->input_end) {
-        if (*at++ != line_end[2 - call->line_end_bytes]) {
-            return false;
-        }
-        call->line_end_bytes--;
-    }
-    return true;
-}
-
-/* Counts bytes of a chunk; returns false if no line end is behind it. */
-static bool
-count_chunk(struct ggw_call *call, const char *at, size_t len)
-{
-    call->chunk_left -= len;
-    if (call->chunk_left > 0) {
-        return true;
-    }
-    call->line_end_bytes = 2;
-    return check_line_end(call, at + len);
-}
-
 /* Hands the bytes of the body that are decided to the caller. */
 static void
 report_body(struct ggw_call *call)
@@ -511,16 +452,6 @@
 {
     struct ggw_call *call = call_from_parser(parser);
 
-    if (call->at_part_start && !follows_line_end(call, at)) {
-        call->facts.fault = GGW_FAULT_MALFORMED;
-        return -1;
-    }
-    call->at_part_start = false;
-    if (call->facts.framing == GGW_FRAMING_CHUNKED &&
-        !count_chunk(call, at, len)) {
-        call->facts.fault = GGW_FAULT_MALFORMED;
-        return -1;
-    }
     if (!ggw_response_body_add(&call->body, at, len, &call->unread_body)) {
         call->facts.fault = GGW_FAULT_SURPLUS;
         return -1;
@@ -555,7 +486,6 @@
     .on_header_value = on_header_value,
     .on_headers_complete = on_headers_complete,
     .on_body = on_body,
-    .on_chunk_header = on_chunk_header,
     .on_message_complete = on_message_complete,
 };
 
@@ -565,17 +495,12 @@
            size_t *parsed)
 {
     call->in_parser = true;
-    call->input = bytes;
-    call->input_end = bytes + len;
     *parsed = http_parser_execute(&call->parser, &parser_settings, bytes, len);
     call->in_parser = false;
     if (call->destroyed) {
         free_call(call);
         return false;
     }
-    if (len > 0) {
-        call->last_input = bytes[len - 1];
-    }
     return true;
 }
 
@@ -639,11 +564,6 @@
     size_t valid = ggw_response_check_add(&call->check, bytes, len);
     size_t parsed = 0;
 
-    call->input_end = bytes + len;
-    if (!check_line_end(call, bytes)) {
-        end_broken(call, GGW_FAULT_MALFORMED);
-        return;
-    }
     /* Without bytes, the parser would take the response for ended. */
     if (valid > 0 && !run_parser(call, bytes, valid, &parsed)) {
         return;
--- a/http/response_check.c
+++ b/http/response_check.c
@@ -26,10 +26,15 @@
 enum state {
     IN_STATUS_LINE,
     IN_REASON,
-    AT_LINE_START, /* of a header or the empty line */
+    AT_LINE_START, /* of a header, a trailer or the empty line */
     IN_NAME,
     IN_VALUE,
-    BEHIND_HEAD,
+    IN_SIZED_BODY,
+    IN_CHUNK_LINE,
+    IN_CHUNK,
+    BEHIND_CHUNK,
+    IN_UNFRAMED_BODY,
+    AT_END,
 };
 
 const char *
@@ -40,6 +45,8 @@
         [GGW_RESPONSE_HEADER] = "header",
         [GGW_RESPONSE_FRAMING] = "framing",
         [GGW_RESPONSE_BODY] = "body",
+        [GGW_RESPONSE_CHUNK] = "chunk",
+        [GGW_RESPONSE_TRAILER] = "trailer",
     };
 
     return names[part];
@@ -163,6 +170,8 @@
         return add_to_name(c, b);
     case IN_VALUE:
         return add_to_value(c, b);
+    case IN_CHUNK_LINE:
+        return ggw_chunk_line_add(&c->chunk, b);
     default:
         return false;
     }
@@ -212,7 +221,7 @@
 static bool
 end_header(struct ggw_response_check *c)
 {
-    if (!is_framing_header(c)) {
+    if (c->part == GGW_RESPONSE_TRAILER || !is_framing_header(c)) {
         return true;
     }
     c->part = GGW_RESPONSE_FRAMING;
@@ -242,19 +251,43 @@
     return c->status != NO_CONTENT || c->length == 0;
 }
 
+static void
+begin_chunk_line(struct ggw_response_check *c)
+{
+    c->state = IN_CHUNK_LINE;
+    ggw_chunk_line_begin(&c->chunk);
+}
+
 static void
 begin_body(struct ggw_response_check *c)
 {
     c->has_body =
         !c->is_head && c->status != NO_CONTENT && c->status != NOT_MODIFIED;
     c->part = GGW_RESPONSE_BODY;
-    c->state = BEHIND_HEAD;
+    if (!c->has_body) {
+        c->state = AT_END;
+    }
+    else if (c->is_chunked) {
+        c->part = GGW_RESPONSE_CHUNK;
+        begin_chunk_line(c);
+    }
+    else if (c->has_length) {
+        c->body_left = c->length;
+        c->state = c->length > 0 ? IN_SIZED_BODY : AT_END;
+    }
+    else {
+        c->state = IN_UNFRAMED_BODY;
+    }
 }
 
-/* Handles the empty line behind the headers. */
+/* Handles the empty line behind the headers or the trailers. */
 static bool
 end_head(struct ggw_response_check *c)
 {
+    if (c->part == GGW_RESPONSE_TRAILER) {
+        c->state = AT_END;
+        return true;
+    }
     if (c->status == SWITCHING_PROTOCOLS) {
         c->part = GGW_RESPONSE_STATUS_LINE;
         return false; /* no request asks for it */
@@ -272,6 +305,22 @@
     return true;
 }
 
+static bool
+end_chunk_line(struct ggw_response_check *c)
+{
+    if (!ggw_chunk_line_is_complete(&c->chunk)) {
+        return false;
+    }
+    c->body_left = c->chunk.size;
+    c->state = IN_CHUNK;
+    if (c->chunk.size == 0) {
+        c->part = GGW_RESPONSE_TRAILER;
+        c->state = AT_LINE_START;
+        c->name_len = 0;
+    }
+    return true;
+}
+
 static bool
 end_line(struct ggw_response_check *c)
 {
@@ -288,17 +337,24 @@
         break;
     case AT_LINE_START:
         return end_head(c);
+    case IN_CHUNK_LINE:
+        return end_chunk_line(c);
+    case BEHIND_CHUNK:
+        begin_chunk_line(c);
+        return true;
     case IN_NAME:
         return false; /* there is no colon */
     default:
         break;
     }
-    c->part = GGW_RESPONSE_HEADER;
+    if (c->part != GGW_RESPONSE_TRAILER) {
+        c->part = GGW_RESPONSE_HEADER;
+    }
     c->state = AT_LINE_START;
     return true;
 }
 
-/* Checks a byte of a line, which may end without a carriage return. */
+/* Checks a byte of a line. Only lines of a head may end without a return. */
 static bool
 check_line(struct ggw_response_check *c, char b)
 {
@@ -311,22 +367,41 @@
         return true;
     }
     if (b == '\n') {
-        return end_line(c);
+        return c->state != IN_CHUNK_LINE && c->state != BEHIND_CHUNK &&
+               end_line(c);
     }
     return add_to_line(c, b);
 }
 
+/* Passes over the bytes of a body; returns their number. */
+static size_t
+skip_body(struct ggw_response_check *c, size_t len)
+{
+    size_t skipped = (size_t)MIN(c->body_left, (uint64_t)len);
+
+    c->body_left -= skipped;
+    if (c->body_left == 0) {
+        c->state = c->state == IN_CHUNK ? BEHIND_CHUNK : AT_END;
+    }
+    return skipped;
+}
+
 size_t
 ggw_response_check_add(struct ggw_response_check *c, const char *bytes,
                        size_t len)
 {
     size_t at = 0;
 
-    while (at < len && c->state != BEHIND_HEAD) {
-        if (!check_line(c, bytes[at])) {
+    while (at < len && c->state != AT_END && c->state != IN_UNFRAMED_BODY) {
+        if (c->state == IN_SIZED_BODY || c->state == IN_CHUNK) {
+            at += skip_body(c, len - at);
+        }
+        else if (check_line(c, bytes[at])) {
+            at++;
+        }
+        else {
             return at;
         }
-        at++;
     }
     return len;
 }
--- a/http/response_check.h
+++ b/http/response_check.h
@@ -5,13 +5,15 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "http/chunk_line.h"
+
 /**
  * DOC: Check of the bytes of a response
  *
  * Checks the bytes that a server sends for one request against the grammar of
- * RFC 9112, sections 4 to 6, before the parser reads them: the status line,
- * the header lines, and what they say of the body together. The parser takes
- * much more for a response. Bytes behind the head are not checked.
+ * RFC 9112, sections 4 to 7, before the parser reads them: the status line,
+ * the header lines, what they say of the body together, and the lines and
+ * trailers of a chunked body. The parser takes much more for a response.
  *
  * A recipient may repair some faults. The parser repairs a line of a head that
  * ends with a line feed only, a status line that ends behind the status, and a
@@ -36,6 +38,8 @@
     GGW_RESPONSE_HEADER,
     GGW_RESPONSE_FRAMING,
     GGW_RESPONSE_BODY,
+    GGW_RESPONSE_CHUNK,
+    GGW_RESPONSE_TRAILER,
 };
 
 /**
@@ -67,6 +71,8 @@
     size_t name_len;
     char value[GGW_RESPONSE_CHECK_VALUE_BYTES];
     size_t value_len;
+    struct ggw_chunk_line chunk;
+    uint64_t body_left; /* bytes of a body with a length, or of a chunk */
 };
 
 /**
@@ -78,7 +84,7 @@
 /**
  * ggw_response_check_add() - check the next bytes
  *
- * Bytes behind the head of the response are not looked at.
+ * Bytes behind the end of the response are not looked at.
  *
  * Return: number of bytes before the first one that makes the response
  * malformed; @len if there is none. After less than @len, the check is not to
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -510,6 +510,8 @@
      "HTTP/1.1 103 E\r\ncontent-length: 4\r\n\r\nbody" OK_HEAD
      "content-length: 4\r\n\r\nbody",
      false, GGW_FAULT_MALFORMED},
+    {"malformed trailer", CHUNKED_HEAD "4\r\nbody\r\n0\r\na b: c\r\n\r\n",
+     false, GGW_FAULT_MALFORMED},
     {"copy with the same signature",
      OK_HEAD "a: b\r\nsignature: s1\r\n\r\nbody" OK_HEAD
              "c: d\r\nsignature: s1\r\n\r\nbody",
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -263,6 +263,8 @@
         "HTTP/1.1 2 00 OK\r\nContent-Length: 2\r\n\r\n{}",
         "HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 2\r\n\r\n{}",
         "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}{}",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2;\001\r\n{}\r\n0\r\n\r\n",
         "HTTP/1.1 103 E\r\nContent-Length: 2\r\n\r\n{}"
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
     };
--- a/tests/test_proxy_malformed.c
+++ b/tests/test_proxy_malformed.c
@@ -130,6 +130,39 @@
      "5\r\nxxxxx\r\n0\r\n\r\n" OK_LINE SIZED},
 };
 
+static const struct text malformed_chunks[] = {
+    {"no size", CHUNKED "\r\n@b\r\n0\r\n\r\n"},
+    {"size that is no number", CHUNKED "g\r\n@b\r\n0\r\n\r\n"},
+    {"size with a sign", CHUNKED "+5\r\n@b\r\n0\r\n\r\n"},
+    {"size with 0x", CHUNKED "0x5\r\n@b\r\n0\r\n\r\n"},
+    {"size behind a blank", CHUNKED " 5\r\n@b\r\n0\r\n\r\n"},
+    {"blank behind the size", CHUNKED "5 \r\n@b\r\n0\r\n\r\n"},
+    {"text behind the size", CHUNKED "5 x\r\n@b\r\n0\r\n\r\n"},
+    {"size above 64 bits", CHUNKED "10000000000000005\r\n@b\r\n0\r\n\r\n"},
+    {"no extension behind the semicolon", CHUNKED "5;\r\n@b\r\n0\r\n\r\n"},
+    {"control byte in an extension", CHUNKED "5;a\001b\r\n@b\r\n0\r\n\r\n"},
+    {"NUL in an extension", CHUNKED "5;a@0b\r\n@b\r\n0\r\n\r\n"},
+    {"line feed in an extension", CHUNKED "5;a\nb\r\n@b\r\n0\r\n\r\n"},
+    {"open quote", CHUNKED "5;a=\"b\r\n@b\r\n0\r\n\r\n"},
+    {"no line feed behind the size", CHUNKED "5\rX@b\r\n0\r\n\r\n"},
+    {"no carriage return behind the size", CHUNKED "5\n@b\r\n0\r\n\r\n"},
+    {"no line end behind a chunk", CHUNKED "5\r\n@b0\r\n\r\n"},
+    {"other bytes behind a chunk", CHUNKED "5\r\n@bxx0\r\n\r\n"},
+    {"no line feed behind the last chunk", CHUNKED "5\r\n@b\r\n0\rX\r\n"},
+};
+
+static const struct text malformed_trailers[] = {
+    {"blank in a name", CHUNKED "5\r\n@b\r\n0\r\nX Note: a\r\n\r\n"},
+    {"blank before the colon", CHUNKED "5\r\n@b\r\n0\r\nX-Note : a\r\n\r\n"},
+    {"control byte in a name", CHUNKED "5\r\n@b\r\n0\r\nX\001: a\r\n\r\n"},
+    {"no colon", CHUNKED "5\r\n@b\r\n0\r\nX-Note\r\n\r\n"},
+    {"control byte in a value",
+     CHUNKED "5\r\n@b\r\n0\r\nX-Note: a\001\r\n\r\n"},
+    {"no line feed", CHUNKED "5\r\n@b\r\n0\r\nX-Note: a\rX\r\n\r\n"},
+    {"no line feed behind the trailers",
+     CHUNKED "5\r\n@b\r\n0\r\nX-Note: a\r\n\rX"},
+};
+
 static const struct text sound_texts[] = {
     {"length", OK_LINE SIZED},
     {"no reason", "HTTP/1.1 200 \r\n" SIZED},
@@ -294,6 +327,20 @@
     check_refused(malformed_framing, G_N_ELEMENTS(malformed_framing), false);
 }
 
+/* Guards against bytes that are no chunks and are taken for a body. */
+static void
+test_chunks(void)
+{
+    check_refused(malformed_chunks, G_N_ELEMENTS(malformed_chunks), true);
+}
+
+/* Guards against a body that looks complete before malformed trailers. */
+static void
+test_trailers(void)
+{
+    check_refused(malformed_trailers, G_N_ELEMENTS(malformed_trailers), true);
+}
+
 static bool
 is_served(const struct text *t, const char *request)
 {
@@ -349,6 +396,8 @@
         {"status lines", test_status_lines},
         {"headers", test_headers},
         {"framing", test_framing},
+        {"chunks", test_chunks},
+        {"trailers", test_trailers},
         {"folded value", test_folded_value},
         {"sound responses", test_sound_responses},
         CU_TEST_INFO_NULL,
--- a/tests/test_response_check.c
+++ b/tests/test_response_check.c
@@ -102,6 +102,36 @@
     {"HTTP/1.1 204 N\r\nContent-Length: 1\r\n\r", "\n", GGW_RESPONSE_FRAMING},
     {"HTTP/1.1 204 N\r\nTransfer-Encoding: chunked\r\n\r", "\n",
      GGW_RESPONSE_FRAMING},
+
+    {CHUNKED, "x\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED, " 1\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED, "+1\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED, ";a\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "\r", "\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "0", "x1\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1", "\nx\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1\r", "x\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1 \r", "\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1 ", "x\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "111111111111111", "1\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1;\r", "\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1;", "=b\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1;a", "\001\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1;a=\r", "\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1;a=b", "=c\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1;a=\"b\r", "\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1;a=\"\\\r", "\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1;a=\"b\"", "c\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1;a \r", "\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1\r\nx", "x\r\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1\r\nx", "\n", GGW_RESPONSE_CHUNK},
+    {CHUNKED "1\r\nx\r", "x", GGW_RESPONSE_CHUNK},
+
+    {CHUNKED "0\r\nA", " B: c\r\n", GGW_RESPONSE_TRAILER},
+    {CHUNKED "0\r\n", " A: b\r\n", GGW_RESPONSE_TRAILER},
+    {CHUNKED "0\r\nA: b", "\001\r\n", GGW_RESPONSE_TRAILER},
+    {CHUNKED "0\r\nA\r", "\n", GGW_RESPONSE_TRAILER},
+    {CHUNKED "0\r\n\r", "x", GGW_RESPONSE_TRAILER},
 };
 
 /*
@@ -156,6 +186,7 @@
     static const char reason[] = "HTTP/1.1 200 O\0K\r\n";
     static const char name[] = OK_LINE "A\0B: c\r\n";
     static const char value[] = OK_LINE "A: b\0c\r\n";
+    static const char size[] = CHUNKED "1\0\r\n";
     static const struct {
         const char *text;
         size_t len;
@@ -163,6 +194,7 @@
         {reason, sizeof(reason) - 1},
         {name, sizeof(name) - 1},
         {value, sizeof(value) - 1},
+        {size, sizeof(size) - 1},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
