http: 204 states no length

What callers saw: a server's 204 with "Content-Length: 0" was passed on with that line, which RFC 9110 (section 8.6) forbids. No harm was seen.

--- a/http/client.c
+++ b/http/client.c
@@ -31,6 +31,9 @@
  */
 #define IDLE_MARGIN_MS 1000
 
+/* Status of a response without a body, whatever its head says. */
+#define NO_CONTENT 204
+
 /* Limit for log lines about malformed responses, lines per second. */
 #define MALFORMED_LINES_PER_S 20
 
@@ -386,6 +389,16 @@
            (!has_length || parser->content_length == check->length);
 }
 
+/* Length that the head states for the client; some servers state 0 with 204.
+ */
+static size_t
+content_length(const struct ggw_call *call)
+{
+    return call->check.has_length && call->head.status != NO_CONTENT
+               ? (size_t)call->check.length
+               : SIZE_MAX;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -417,8 +430,7 @@
         return -1;
     }
     call->head_at = now_ms();
-    call->content_length =
-        call->check.has_length ? (size_t)call->check.length : SIZE_MAX;
+    call->content_length = content_length(call);
     call->keep_alive = http_should_keep_alive(parser) != 0;
     call->idle_limit = connection_idle_limit(call);
     head.content_length = call->content_length;
--- a/tests/test_proxy_malformed.c
+++ b/tests/test_proxy_malformed.c
@@ -1,5 +1,7 @@
 #include <CUnit/CUnit.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "common/metrics.h"
 #include "tests/proxy_env.h"
@@ -389,6 +391,32 @@
     }
 }
 
+/*
+ * Guards against a response without a body that states a length: the client
+ * would take a part of the next response for its body.
+ */
+static void
+test_no_content(void)
+{
+    static const char request[] =
+        "GET /any HTTP/1.1\r\nHost: kept.example\r\nConnection: close\r\n\r\n";
+    struct env *env = start_with("HTTP/1.1 204 N\r\n@hContent-Length: 0\r\n"
+                                 "\r\n");
+    int fd = env_connect(env);
+    GString *r;
+
+    CU_ASSERT_EQUAL(send(fd, request, strlen(request), MSG_NOSIGNAL),
+                    (ssize_t)strlen(request));
+    r = env_read(fd, true);
+    CU_ASSERT_EQUAL(env_status(r), 204);
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "x-server"), "s0");
+    CU_ASSERT_PTR_NULL(env_header(r, "content-length"));
+    CU_ASSERT_PTR_NULL(env_header(r, "transfer-encoding"));
+    g_string_free(r, TRUE);
+    close(fd);
+    env_stop(env);
+}
+
 int
 main(void)
 {
@@ -400,6 +428,7 @@
         {"trailers", test_trailers},
         {"folded value", test_folded_value},
         {"sound responses", test_sound_responses},
+        {"no content", test_no_content},
         CU_TEST_INFO_NULL,
     };
     int status = suite_run("proxy_malformed", tests);
