soak: servers send heads that are no HTTP, and clients check the grammar

In one more step of each seed with unplanned faults, drawn last, one in ten responses of a service has a status line or a header that is none, or an interim response with a body. The soak's clients compare every byte of a response with http/response_check; one that does not fit is MIXED.

--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -36,6 +36,7 @@
     [SOAK_UNFRAMED_RESPONSES] = "unframed responses",
     [SOAK_REPEATED_RESPONSES] = "repeated responses",
     [SOAK_ENDLESS_RESPONSES] = "endless responses",
+    [SOAK_MALFORMED_RESPONSES] = "malformed responses",
 };
 
 const char *const soak_link_faults[SOAK_LINK_FAULTS] = {
@@ -63,6 +64,7 @@
     case SOAK_UNFRAMED_RESPONSES:
     case SOAK_REPEATED_RESPONSES:
     case SOAK_ENDLESS_RESPONSES:
+    case SOAK_MALFORMED_RESPONSES:
         return g_rand_int_range(rand, 0, SOAK_SERVERS);
     default:
         return g_rand_int_range(rand, 0, SOAK_GATEWAYS);
@@ -98,6 +100,8 @@
 #define MAX_REPEATED_MS 8000.0
 #define MIN_ENDLESS_MS 3000.0
 #define MAX_ENDLESS_MS 6000.0
+#define MIN_MALFORMED_MS 3000.0
+#define MAX_MALFORMED_MS 6000.0
 
 static void
 add_step(GArray *steps, GRand *rand, int first, int end, ggw_ms shortest,
@@ -124,7 +128,7 @@
                  MIN_REPEATED_MS, MAX_REPEATED_MS, span);
     }
     if (with_faults) {
-        add_step(steps, rand, SOAK_ENDLESS_RESPONSES, SOAK_FAULTS,
+        add_step(steps, rand, SOAK_ENDLESS_RESPONSES, SOAK_MALFORMED_RESPONSES,
                  MIN_ENDLESS_MS, MAX_ENDLESS_MS, span);
     }
 }
@@ -176,6 +180,8 @@
     add_sent_steps(steps, rand, end != SOAK_FIRST_UNPLANNED, span);
     if (end != SOAK_FIRST_UNPLANNED) {
         add_pauses(steps, rand, span);
+        add_step(steps, rand, SOAK_MALFORMED_RESPONSES, SOAK_FAULTS,
+                 MIN_MALFORMED_MS, MAX_MALFORMED_MS, span);
     }
     g_array_sort(steps, by_time);
     g_rand_free(rand);
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -644,12 +644,13 @@
         failed += !a->served && !is_not_run_status(a->status);
         repeats += MAX(a->arrivals - 1, 0);
     }
-    return g_strdup_printf("requests=%u served=%d refused=%d failed=%d "
-                           "repeats=%d lost=%d unframed=%d copies=%d "
-                           "earlier_copies=%d endless=%d violations=%u",
-                           r->order->len, served, refused, failed, repeats,
-                           r->lost, forms[SOAK_SENT_UNFRAMED],
-                           forms[SOAK_SENT_COPY],
-                           forms[SOAK_SENT_EARLIER_COPY],
-                           forms[SOAK_SENT_ENDLESS], r->violations->len);
+    return g_strdup_printf(
+        "requests=%u served=%d refused=%d failed=%d "
+        "repeats=%d lost=%d unframed=%d copies=%d "
+        "earlier_copies=%d endless=%d malformed=%d "
+        "violations=%u",
+        r->order->len, served, refused, failed, repeats, r->lost,
+        forms[SOAK_SENT_UNFRAMED], forms[SOAK_SENT_COPY],
+        forms[SOAK_SENT_EARLIER_COPY], forms[SOAK_SENT_ENDLESS],
+        forms[SOAK_SENT_MALFORMED], r->violations->len);
 }
--- a/tests/soak/record.h
+++ b/tests/soak/record.h
@@ -60,6 +60,7 @@
     SOAK_SENT_COPY,         /* with a copy of itself behind it */
     SOAK_SENT_EARLIER_COPY, /* with a copy of an earlier one */
     SOAK_SENT_ENDLESS,
+    SOAK_SENT_MALFORMED, /* its head is no HTTP */
     SOAK_SENT_FORMS,
 };
 
--- a/tests/soak/responses.c
+++ b/tests/soak/responses.c
@@ -419,6 +419,30 @@
     }
 }
 
+/* What stands in place of a status line. */
+static const char *const malformed_lines[] = {
+    "HTTP/1.1 000 X\r\n",
+    "HTTP/1.1 2 00 X\r\n",
+    "HTTP/1.1 200 X\r\nX Note: a\r\n",
+    "HTTP/1.1 200 X\r\nX\001Note: a\r\n",
+    "HTTP/1.1 200 X\r\nContent-Length : 1\r\n",
+    "HTTP/1.1 103 X\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 X\r\n",
+};
+
+static void
+send_malformed(struct soak_responder *r, const struct soak_response *response)
+{
+    GString *s = head_text(response, true, FRAMED_BY_LENGTH);
+    size_t status_line = strcspn(s->str, "\n") + 1;
+    const char *line = malformed_lines[g_rand_int_range(
+        r->rand, 0, G_N_ELEMENTS(malformed_lines))];
+
+    add_bytes(r, line, strlen(line));
+    add_bytes(r, s->str + status_line, s->len - status_line);
+    add_body(r, response);
+    g_string_free(s, TRUE);
+}
+
 void
 soak_responder_send(struct soak_responder *r,
                     const struct soak_response *response)
@@ -444,8 +468,16 @@
         advance(r);
         return;
     }
+    draw -= faults->endless_ratio;
+    if (draw < faults->malformed_ratio) {
+        a->sent_form = SOAK_SENT_MALFORMED;
+        send_malformed(r, response);
+        advance(r);
+        return;
+    }
+    draw -= faults->malformed_ratio;
     a->response_sent = true;
-    if (draw < faults->endless_ratio + faults->repeat_ratio) {
+    if (draw < faults->repeat_ratio) {
         send_with_copy(r, response, a);
     }
     else if (g_rand_double(r->rand) < faults->unframed_ratio) {
--- a/tests/soak/responses.h
+++ b/tests/soak/responses.h
@@ -10,7 +10,8 @@
 
 /*
  * What a backend server of the soak sends on one connection: responses with
- * or without a length, copies of earlier ones, and bytes without end.
+ * or without a length, copies of earlier ones, bytes without end, and heads
+ * that are no HTTP.
  */
 
 /**
@@ -20,11 +21,13 @@
  * @repeat_ratio: ratio of responses with a copy of the same or of an earlier
  *                response before, in or behind them
  * @endless_ratio: ratio of responses whose head or body has no end
+ * @malformed_ratio: ratio of responses whose head is no HTTP
  */
 struct soak_response_faults {
     double unframed_ratio;
     double repeat_ratio;
     double endless_ratio;
+    double malformed_ratio;
 };
 
 /**
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -40,6 +40,7 @@
 #define UNFRAMED_RATIO 0.4
 #define REPEAT_RATIO 0.2
 #define ENDLESS_RATIO 0.05
+#define MALFORMED_RATIO 0.1
 
 struct soak;
 
@@ -307,6 +308,9 @@
         else if (step->fault == SOAK_ENDLESS_RESPONSES && alike) {
             faults->endless_ratio = on ? ENDLESS_RATIO : 0;
         }
+        else if (step->fault == SOAK_MALFORMED_RESPONSES && alike) {
+            faults->malformed_ratio = on ? MALFORMED_RATIO : 0;
+        }
     }
 }
 
@@ -408,6 +412,7 @@
     case SOAK_UNFRAMED_RESPONSES:
     case SOAK_REPEATED_RESPONSES:
     case SOAK_ENDLESS_RESPONSES:
+    case SOAK_MALFORMED_RESPONSES:
         set_sent(s, step, on);
         break;
     case SOAK_FAULTS:
--- a/tests/soak/wire.c
+++ b/tests/soak/wire.c
@@ -133,6 +133,7 @@
     struct soak_wire *w = wire_of(parser);
 
     w->message_started = false;
+    ggw_response_check_init(&w->check, false); /* of the next response */
     if (!w->closing) {
         w->ops->message(w);
     }
@@ -180,6 +181,18 @@
     soak_wire_close(w, !in_order);
 }
 
+/* Reads bytes; returns whether they are a part of a message. */
+static bool
+parse(struct soak_wire *w, const char *bytes, size_t len)
+{
+    if (w->parser.type == HTTP_RESPONSE &&
+        ggw_response_check_add(&w->check, bytes, len) < len) {
+        return false;
+    }
+    return http_parser_execute(&w->parser, &parser_settings, bytes, len) ==
+           len;
+}
+
 static void
 read_cb(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -196,8 +209,7 @@
     if (w->paced) {
         uv_read_stop(stream);
     }
-    if (http_parser_execute(&w->parser, &parser_settings, buf->base, len) !=
-        len) {
+    if (!parse(w, buf->base, len)) {
         w->malformed = true;
         soak_wire_close(w, false);
     }
@@ -233,6 +245,7 @@
     w->unsent = g_string_new(NULL);
     w->headers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    ggw_response_check_init(&w->check, false);
     http_parser_init(&w->parser, type);
     w->parser.data = w;
     uv_tcp_init(loop, &w->tcp);
--- a/tests/soak/wire.h
+++ b/tests/soak/wire.h
@@ -7,6 +7,8 @@
 #include <stdbool.h>
 #include <uv.h>
 
+#include "http/response_check.h"
+
 /* HTTP/1.1 connections of the soak's clients and backend servers. */
 
 struct soak_wire;
@@ -27,6 +29,7 @@
  * @url, @body, @headers: of the message that is received; header names are in
  *                        lower case
  * @field, @value: the header that is parsed
+ * @check: of the response that is received
  * @unsent: bytes to send once the connection is established
  * @connected: the connection is established
  * @message_started: a message was begun and is incomplete
@@ -41,6 +44,7 @@
     uv_tcp_t tcp;
     uv_connect_t connect;
     http_parser parser;
+    struct ggw_response_check check;
     GString *url;
     GString *body;
     GHashTable *headers;
