proxy: a refusal that turns out to be malformed proves nothing

What callers saw: a server in trouble sent 503 with "not run", or 421, and chunks or trailers that are no HTTP. The gateway believed the head: it sent a request that must not be repeated to a second server, or told the client 503 "not run". A broken response promises nothing.

Cause: an attempt's result follows from what the head said, however the response ends. That is right for a refusal whose body is cut or late, and wrong for bytes that are no HTTP.

Change: when a response ends as malformed, what its head said of the run, of the server and of its load is forgotten.

--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -538,18 +538,37 @@
     return result;
 }
 
+/*
+ * Forgets what the head of a response has said that turned out to be no HTTP:
+ * it proves neither that the request did not run nor who responded.
+ */
+static void
+forget_head(struct ggw_attempt *a)
+{
+    a->shed = false;
+    a->misdirected = false;
+    a->signature_missing = false;
+    a->unproven = false;
+    a->report = (struct ggw_load_report){.present = false};
+}
+
 static void
 on_end(void *data, enum ggw_call_end end)
 {
     struct ggw_attempt *a = data;
     struct ggw_request *r = a->request;
-    enum ggw_attempt_result result = result_of(a, end);
+    enum ggw_call_fault fault = ggw_call_facts(a->call).fault;
+    enum ggw_attempt_result result;
     bool won = r->winner == a;
 
     a->ended = true;
-    if (ggw_call_facts(a->call).fault == GGW_FAULT_SURPLUS) {
+    if (fault == GGW_FAULT_SURPLUS) {
         r->response_mixed = true;
     }
+    if (fault == GGW_FAULT_MALFORMED) {
+        forget_head(a);
+    }
+    result = result_of(a, end);
     release_slot(a, result_for_slot(a, result));
     if (deliver_buffered(a, result)) {
         return;
--- a/tests/test_proxy_malformed.c
+++ b/tests/test_proxy_malformed.c
@@ -20,6 +20,9 @@
 #define SIZED "@hContent-Length: @n\r\n\r\n@b"
 #define OK_LINE "HTTP/1.1 200 OK\r\n"
 #define CHUNKED OK_LINE "@hTransfer-Encoding: chunked\r\n\r\n"
+#define REFUSAL                                                               \
+    "HTTP/1.1 503 X\r\nBackend-Outcome: not-run\r\n"                          \
+    "Transfer-Encoding: chunked\r\n\r\n"
 
 /**
  * struct text - a response
@@ -133,6 +136,7 @@
 };
 
 static const struct text malformed_chunks[] = {
+    {"not run, with a chunk that is none", REFUSAL "x\r\n"},
     {"no size", CHUNKED "\r\n@b\r\n0\r\n\r\n"},
     {"size that is no number", CHUNKED "g\r\n@b\r\n0\r\n\r\n"},
     {"size with a sign", CHUNKED "+5\r\n@b\r\n0\r\n\r\n"},
@@ -161,6 +165,10 @@
     {"control byte in a value",
      CHUNKED "5\r\n@b\r\n0\r\nX-Note: a\001\r\n\r\n"},
     {"no line feed", CHUNKED "5\r\n@b\r\n0\r\nX-Note: a\rX\r\n\r\n"},
+    {"not run, in a refusal", REFUSAL "0\r\nX Note: a\r\n\r\n"},
+    {"another server, in a refusal",
+     "HTTP/1.1 421 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "0\r\nX Note: a\r\n\r\n"},
     {"no line feed behind the trailers",
      CHUNKED "5\r\n@b\r\n0\r\nX-Note: a\r\n\rX"},
 };
