config, slots, peers, platform: interfaces of roll-outs and customers

Cause: roll-outs of versions, customers with keys and rates, and second sends need the same settings, messages and frames in several folders.

Nothing uses them yet.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 VARIANT ?= release
 OUT ?= build/$(VARIANT)
 
-DIRS := kernel common decide http proxy peers slots platform config claims ctl
+DIRS := kernel common decide http proxy peers slots platform config claims \
+	customers rollouts ctl
 LIB_SRC := $(wildcard $(addsuffix /*.c,$(DIRS)))
 MAIN_SRC := $(wildcard main/*.c)
 STANDIN_SRC := $(wildcard standins/*.c)
--- a/config/schema.c
+++ b/config/schema.c
@@ -21,6 +21,8 @@
 
 #define MAX_WEIGHT 1000000
 
+#define MAX_KEY 200 /* bytes */
+
 bool
 ggw_setting_refuse(GError **error, const char *path, const char *format, ...)
 {
@@ -234,6 +236,34 @@
     return true;
 }
 
+/* Refuses a key without repeating it, since keys are secret. */
+static bool
+parse_keys(const json_t *value, const char *path, char ***dest, GError **error)
+{
+    size_t len = json_array_size(value);
+
+    if (!json_is_array(value)) {
+        return ggw_setting_refuse(error, path, "is not a list");
+    }
+    *dest = g_new0(char *, len + 1);
+    for (size_t i = 0; i < len; i++) {
+        const char *key = json_string_value(json_array_get(value, i));
+        size_t key_len = key != NULL ? strlen(key) : 0;
+
+        for (size_t j = 0; j < key_len; j++) {
+            key_len = g_ascii_isgraph(key[j]) ? key_len : 0;
+        }
+        if (key_len == 0 || key_len > MAX_KEY) {
+            return ggw_setting_refuse(error, path,
+                                      "key %zu is not 1..%d visible ASCII "
+                                      "characters",
+                                      i + 1, MAX_KEY);
+        }
+        (*dest)[i] = g_strdup(key);
+    }
+    return true;
+}
+
 static bool parse_level(const struct ggw_setting_level *level,
                         const json_t *value, const char *path, void *entry,
                         GError **error);
@@ -318,6 +348,8 @@
         return parse_order(value, path, entry, error);
     case GGW_SETTING_SPLIT:
         return parse_split(value, path, entry, error);
+    case GGW_SETTING_KEYS:
+        return parse_keys(value, path, dest, error);
     case GGW_SETTING_MAP:
         break;
     }
@@ -409,6 +441,9 @@
     case GGW_SETTING_SPLIT:
         return g_strdup_printf("object of SERVICE to weight, 0..%d",
                                MAX_WEIGHT);
+    case GGW_SETTING_KEYS:
+        return g_strdup_printf("list of texts, 1..%d visible ASCII characters",
+                               MAX_KEY);
     case GGW_SETTING_MAP:
         return g_strdup_printf("entries `%s`", s->entries->path);
     case GGW_SETTING_CHOICE:
--- a/config/schema.h
+++ b/config/schema.h
@@ -43,4 +43,10 @@
  */
 void ggw_route_rule_clear(struct ggw_route_rule *route);
 
+/**
+ * ggw_customer_rule_clear() - free the members of a customer's settings
+ * @customer: settings that ggw_schema_parse() stored
+ */
+void ggw_customer_rule_clear(struct ggw_customer_rule *customer);
+
 #endif
--- a/config/setting.h
+++ b/config/setting.h
@@ -27,6 +27,8 @@
  *                     of struct ggw_kind
  * @GGW_SETTING_SPLIT: object of service names and weights, stored in
  *                     struct ggw_route_rule
+ * @GGW_SETTING_KEYS: list of customers' keys, stored as a NULL-terminated
+ *                    array; their text is left out of error messages
  * @GGW_SETTING_MAP: object of named entries, each parsed as a level of its own
  */
 enum ggw_setting_type {
@@ -40,6 +42,7 @@
     GGW_SETTING_HOST,
     GGW_SETTING_ORDER,
     GGW_SETTING_SPLIT,
+    GGW_SETTING_KEYS,
     GGW_SETTING_MAP,
 };
 
--- a/config/settings_tables.c
+++ b/config/settings_tables.c
@@ -170,6 +170,31 @@
     g_free(route->host);
 }
 
+void
+ggw_customer_rule_clear(struct ggw_customer_rule *customer)
+{
+    g_strfreev(customer->keys);
+    g_free(customer->name);
+}
+
+static void
+add_customer(void *parent, const char *name, void *entry)
+{
+    struct ggw_tree *tree = parent;
+    struct ggw_customer_rule *customer = entry;
+
+    customer->name = g_strdup(name);
+    tree->customers = g_renew(struct ggw_customer_rule, tree->customers,
+                              tree->customers_len + 1);
+    tree->customers[tree->customers_len++] = *customer;
+}
+
+static void
+clear_customer(void *entry)
+{
+    ggw_customer_rule_clear(entry);
+}
+
 static void
 clear_route(void *entry)
 {
@@ -510,6 +535,14 @@
         .help = "services that receive the requests, each with its weight",
     },
     KIND_SETTINGS(offsetof(struct ggw_route_rule, kind)),
+    {
+        .name = "public",
+        .type = GGW_SETTING_ENUM,
+        .offset = offsetof(struct ggw_route_rule, is_public),
+        .default_json = "\"no\"",
+        .choices = "no|yes",
+        .help = "\"yes\": requests need no key of a customer",
+    },
     {0},
 };
 
@@ -522,6 +555,56 @@
     .clear = clear_route,
 };
 
+static const struct ggw_setting customer_settings[] = {
+    {
+        .name = "keys",
+        .type = GGW_SETTING_KEYS,
+        .offset = offsetof(struct ggw_customer_rule, keys),
+        .default_json = "[]",
+        .help = "keys that identify the customer's requests; two customers "
+                "cannot hold the same key",
+    },
+    {
+        .name = "priority",
+        .type = GGW_SETTING_INT,
+        .offset = offsetof(struct ggw_customer_rule, priority),
+        .min = GGW_CUSTOMER_PRIORITY_UNSET,
+        .max = 9,
+        .default_json = "-1",
+        .help = "priority of the customer's requests, which replaces that of "
+                "the route; -1: that of the route",
+    },
+    {
+        .name = "rate",
+        .type = GGW_SETTING_NUMBER,
+        .offset = offsetof(struct ggw_customer_rule, rate),
+        .min = 0,
+        .max = 1e9,
+        .default_json = "0",
+        .help = "requests per second that the customer may send to all "
+                "gateways together; 0: no limit",
+    },
+    {
+        .name = "burst",
+        .type = GGW_SETTING_NUMBER,
+        .offset = offsetof(struct ggw_customer_rule, burst),
+        .min = 0,
+        .max = 1e9,
+        .default_json = "0",
+        .help = "requests that the customer may send at once in addition to "
+                "its rate",
+    },
+    {0},
+};
+
+static const struct ggw_setting_level customer_level = {
+    .path = "customers.CUSTOMER",
+    .settings = customer_settings,
+    .size = sizeof(struct ggw_customer_rule),
+    .add = add_customer,
+    .clear = clear_customer,
+};
+
 static const struct ggw_setting domain_settings[] = {
     {
         .name = "state",
@@ -586,6 +669,14 @@
         .help = "routes that match requests by host and path instead of "
                 "/TEAM/SERVICE",
     },
+    {
+        .name = "customers",
+        .type = GGW_SETTING_MAP,
+        .entries = &customer_level,
+        .help = "customers, one of which each request to a route that is not "
+                "public must name by a key; without customers, requests need "
+                "no key",
+    },
     {0},
 };
 
--- a/config/tree.c
+++ b/config/tree.c
@@ -42,6 +42,41 @@
     return strcmp(x->name, y->name);
 }
 
+static int
+compare_customers(const void *a, const void *b)
+{
+    const struct ggw_customer_rule *x = a, *y = b;
+
+    return strcmp(x->name, y->name);
+}
+
+/* Refuses a key that two customers hold, without repeating the key. */
+static bool
+index_customers(struct ggw_tree *tree, GError **error)
+{
+    if (tree->customers_len > 0) {
+        qsort(tree->customers, tree->customers_len, sizeof(*tree->customers),
+              compare_customers);
+    }
+    for (size_t i = 0; i < tree->customers_len; i++) {
+        struct ggw_customer_rule *c = &tree->customers[i];
+
+        for (char **key = c->keys; *key != NULL; key++) {
+            const struct ggw_customer_rule *other =
+                g_hash_table_lookup(tree->customer_keys, *key);
+
+            if (other != NULL && other != c) {
+                g_set_error(error, GGW_ERROR, GGW_ERROR_INVALID,
+                            "customers.%s.keys: key %d is a key of %s, too",
+                            c->name, (int)(key - c->keys) + 1, other->name);
+                return false;
+            }
+            g_hash_table_insert(tree->customer_keys, *key, c);
+        }
+    }
+    return true;
+}
+
 static void
 sort_rules(struct ggw_tree *tree)
 {
@@ -102,7 +137,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     tree->servers_draining =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    if (ggw_schema_parse(root, tree, error)) {
+    tree->customer_keys = g_hash_table_new(g_str_hash, g_str_equal);
+    if (ggw_schema_parse(root, tree, error) && index_customers(tree, error)) {
         sort_rules(tree);
         tree->route_index =
             ggw_route_index_new(tree->routes, tree->routes_len);
@@ -133,7 +169,12 @@
     for (size_t i = 0; i < tree->routes_len; i++) {
         ggw_route_rule_clear(&tree->routes[i]);
     }
+    for (size_t i = 0; i < tree->customers_len; i++) {
+        ggw_customer_rule_clear(&tree->customers[i]);
+    }
     ggw_route_index_free(tree->route_index);
+    g_hash_table_destroy(tree->customer_keys);
+    g_free(tree->customers);
     g_free(tree->routes);
     g_free(tree->services);
     g_hash_table_destroy(tree->domains_out);
@@ -175,6 +216,24 @@
     return ggw_route_index_find(tree->route_index, host, path);
 }
 
+const struct ggw_customer_rule *
+ggw_tree_customer_by_key(const struct ggw_tree *tree, const char *key)
+{
+    return g_hash_table_lookup(tree->customer_keys, key);
+}
+
+const struct ggw_customer_rule *
+ggw_tree_customer(const struct ggw_tree *tree, const char *name)
+{
+    struct ggw_customer_rule key = {.name = (char *)name};
+
+    if (tree->customers_len == 0) {
+        return NULL;
+    }
+    return bsearch(&key, tree->customers, tree->customers_len,
+                   sizeof(*tree->customers), compare_customers);
+}
+
 bool
 ggw_tree_domain_out(const struct ggw_tree *tree, const char *failure_domain)
 {
--- a/config/tree.h
+++ b/config/tree.h
@@ -115,6 +115,8 @@
  * @kind: path prefix that the route matches, and how its requests are handled
  * @split: services that receive the requests, with their weights
  * @split_len: number of elements in @split, at least 1
+ * @is_public: 1 if requests need no key of a customer, otherwise 0; an int
+ *             because the table of settings stores it as an enum
  */
 struct ggw_route_rule {
     char *name;
@@ -122,6 +124,29 @@
     struct ggw_kind kind;
     struct ggw_split_part *split;
     size_t split_len;
+    int is_public;
+};
+
+/* Priority of a customer whose requests have the priority of their kind. */
+#define GGW_CUSTOMER_PRIORITY_UNSET (-1)
+
+/**
+ * struct ggw_customer_rule - settings of one customer
+ * @name: name of the customer, which backend servers get
+ * @keys: NULL-terminated list of the keys that identify the customer's
+ *        requests; never written to logs, metrics or pages
+ * @priority: priority of the customer's requests, which replaces that of the
+ *            kind; GGW_CUSTOMER_PRIORITY_UNSET for none
+ * @rate: requests per second that the customer may send to all gateways
+ *        together; 0 for no limit
+ * @burst: requests that the customer may send in addition to @rate
+ */
+struct ggw_customer_rule {
+    char *name;
+    char **keys;
+    int priority;
+    double rate;
+    double burst;
 };
 
 /**
@@ -192,6 +217,9 @@
  *          prefix
  * @routes_len: number of elements in @routes
  * @route_index: index of @routes
+ * @customers: customers, sorted by name
+ * @customers_len: number of elements in @customers; 0 if requests need no key
+ * @customer_keys: key to struct ggw_customer_rule in @customers
  */
 struct ggw_tree {
     int refs;
@@ -204,6 +232,9 @@
     struct ggw_route_rule *routes;
     size_t routes_len;
     struct ggw_route_index *route_index;
+    struct ggw_customer_rule *customers;
+    size_t customers_len;
+    GHashTable *customer_keys;
 };
 
 /**
@@ -269,6 +300,26 @@
                                             const char *host,
                                             const char *path);
 
+/**
+ * ggw_tree_customer_by_key() - find the customer that a key identifies
+ * @tree: snapshot
+ * @key: key as the client sent it
+ *
+ * Return: the settings of the customer, or NULL for an unknown key.
+ */
+const struct ggw_customer_rule *
+ggw_tree_customer_by_key(const struct ggw_tree *tree, const char *key);
+
+/**
+ * ggw_tree_customer() - look up a customer by name
+ * @tree: snapshot
+ * @name: name of the customer
+ *
+ * Return: the settings of the customer, or NULL.
+ */
+const struct ggw_customer_rule *ggw_tree_customer(const struct ggw_tree *tree,
+                                                  const char *name);
+
 /**
  * ggw_tree_domain_out() - tell whether a failure domain is out of service
  * @tree: snapshot
--- a/config/vms.c
+++ b/config/vms.c
@@ -229,6 +229,7 @@
         g_free(vm->service);
         g_free(vm->failure_domain);
         g_free(vm->host);
+        g_free(vm->version);
     }
     g_free(list->vms);
     g_free(list);
--- a/config/vms.h
+++ b/config/vms.h
@@ -43,6 +43,8 @@
  * @reports_cold: whether @cold_until is known
  * @cold_until: monotonic time in ms until which the VM counts as just started;
  *              0 if it is warm
+ * @version: version of the software that a backend server runs; NULL if the
+ *           list does not state it
  */
 struct ggw_vm {
     char *name;
@@ -58,6 +60,7 @@
     int slots;
     bool reports_cold;
     ggw_ms cold_until;
+    char *version;
 };
 
 /**
--- a/decide/slots.h
+++ b/decide/slots.h
@@ -99,6 +99,9 @@
  * @failure_domain: failure domain of the holder, or NULL
  * @cross_domain_cost: cost of a server in another failure domain, as a
  *                     multiple of the usual latency of the request
+ * @customer: name of the customer that sent the request, or NULL
+ * @route: name of the route or kind of the request, or NULL
+ * @hedge: the slot is for a second attempt beside one that is in progress
  */
 struct ggw_ledger_request {
     const char *holder;
@@ -111,6 +114,9 @@
     ggw_ms median_latency;
     const char *failure_domain;
     double cross_domain_cost;
+    const char *customer;
+    const char *route;
+    bool hedge;
 };
 
 /**
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -229,6 +229,10 @@
     case GGW_PEER_ROWS_GET:
     case GGW_PEER_ROWS_DEFLATED:
         return "site";
+    case GGW_PEER_ALLOTMENT:
+        return "allotments";
+    case GGW_PEER_ROLLOUT:
+        return "rollouts";
     default:
         return NULL;
     }
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -119,6 +119,11 @@
  * @GGW_PEER_ROWS_GET: requests all of these rows
  * @GGW_PEER_ROWS_DEFLATED: ROWS with a compressed payload
  * @GGW_PEER_SLOT_NOTICE: tells an owner that a server wants no requests
+ * @GGW_PEER_ALLOTMENT: exchanges what customers may still send, see
+ *                      customers/allotments.h
+ * @GGW_PEER_ROLLOUT: exchanges the state of roll-outs, see rollouts/rollouts.h
+ *
+ * Gateways of earlier versions ignore types that they do not know.
  */
 enum ggw_peer_frame_type {
     GGW_PEER_HELLO = 1,
@@ -137,6 +142,8 @@
     GGW_PEER_ROWS_GET,
     GGW_PEER_ROWS_DEFLATED,
     GGW_PEER_SLOT_NOTICE,
+    GGW_PEER_ALLOTMENT,
+    GGW_PEER_ROLLOUT,
 };
 
 /**
@@ -175,8 +182,8 @@
  * @request_id: ID that the sender chose
  * @payload: one msgpack object
  *
- * SLOT_* frames go to the service "slots", CONFIG_* frames to "config" and
- * ROWS* frames to "site".
+ * SLOT_* frames go to the service "slots", CONFIG_* frames to "config", ROWS*
+ * frames to "site", ALLOTMENT to "allotments" and ROLLOUT to "rollouts".
  */
 struct ggw_peer_received {
     struct ggw_message base;
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -271,19 +271,31 @@
     }
 }
 
+/* A customer's priority replaces that of the kind. */
+static int
+request_priority(const struct ggw_request *r)
+{
+    return r->customer != NULL &&
+                   r->customer->priority != GGW_CUSTOMER_PRIORITY_UNSET
+               ? r->customer->priority
+               : r->kind->priority;
+}
+
 /* Asks "slots" for a slot on a server that the request has not tried yet. */
 static void
 request_slot(struct ggw_request *r)
 {
     struct ggw_proxy *proxy = r->proxy;
     struct ggw_message *m = ggw_slot_request_new(
-        r->tree->team, r->rule->name, r->kind->priority, r->retry.deadline,
+        r->tree->team, r->rule->name, request_priority(r), r->retry.deadline,
         r->tried->len > 1 ? (char **)r->tried->pdata : NULL);
     struct ggw_slot_request *slot = (struct ggw_slot_request *)m;
 
     slot->cross_domain_cost = ggw_request_cross_domain_cost(r);
     slot->target = r->target_at;
     slot->median_latency = r->kind_state->latency_estimate.p50;
+    slot->customer = r->customer != NULL ? g_strdup(r->customer->name) : NULL;
+    slot->route = g_strdup(r->kind->name);
     r->slot_tag = ++proxy->next_id;
     r->slot_requested = ggw_kernel_now(proxy->base.kernel);
     m->tag = r->slot_tag;
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -209,6 +209,7 @@
  * @route: route that matched the request, or NULL for /TEAM/SERVICE
  * @route_state: state of @route, or NULL
  * @client_attempt_id: attempt id that the client chose, or NULL
+ * @customer: customer that sent the request, or NULL; part of @tree
  * @received: time when the request was received, monotonic ms
  * @slot_requested: time of the last SLOT_REQUEST, monotonic ms
  * @wall_deadline: deadline that the backend server gets, Unix ms
@@ -255,6 +256,7 @@
     const struct ggw_route_rule *route;
     struct ggw_proxy_route_state *route_state;
     char *client_attempt_id;
+    const struct ggw_customer_rule *customer;
 
     ggw_ms received;
     ggw_ms slot_requested;
--- a/slots/acquire.c
+++ b/slots/acquire.c
@@ -127,7 +127,7 @@
     uint32_t avoid = r->avoid != NULL ? g_strv_length(r->avoid) : 0;
     struct ggw_payload_writer w;
 
-    ggw_payload_begin(&w, 11);
+    ggw_payload_begin(&w, 14);
     ggw_payload_put_string(&w, r->team);
     ggw_payload_put_string(&w, r->service);
     ggw_payload_put_string(&w, a->domain->name);
@@ -143,6 +143,9 @@
                                              : NO_TARGET);
     ggw_payload_put_double(&w, r->median_latency);
     ggw_payload_put_double(&w, answer_time(p, a));
+    ggw_payload_put_string(&w, r->customer != NULL ? r->customer : "");
+    ggw_payload_put_string(&w, r->route != NULL ? r->route : "");
+    ggw_payload_put_bool(&w, r->hedge);
     ggw_slots_send_frame(p, a->owner, GGW_PEER_SLOT_ACQUIRE, a->id, &w);
 }
 
@@ -162,6 +165,9 @@
         .cross_domain_cost = r->cross_domain_cost,
         .target = r->target,
         .median_latency = r->median_latency,
+        .customer = r->customer,
+        .route = r->route,
+        .hedge = r->hedge,
     };
 
     if (d->ledger == NULL) {
--- a/slots/messages.c
+++ b/slots/messages.c
@@ -8,6 +8,8 @@
     g_free(m->team);
     g_free(m->service);
     g_strfreev(m->avoid);
+    g_free(m->customer);
+    g_free(m->route);
     g_free(m);
 }
 
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -256,6 +256,12 @@
     return NULL;
 }
 
+static const char *
+empty_to_null(const char *text)
+{
+    return *text != '\0' ? text : NULL;
+}
+
 static void
 on_acquire(struct ggw_slots *p, const struct ggw_peer_received *frame,
            struct ggw_payload_reader *r)
@@ -280,6 +286,12 @@
     request.median_latency = ggw_slots_read_time(r);
     /* Earlier versions do not state how long they wait. */
     answer_time = ggw_payload_at_end(r) ? INFINITY : ggw_slots_read_time(r);
+    /* Nor do they name the customer and the route. */
+    if (!ggw_payload_at_end(r)) {
+        request.customer = empty_to_null(ggw_payload_string(r));
+        request.route = empty_to_null(ggw_payload_string(r));
+        request.hedge = ggw_payload_bool(r);
+    }
     if (!r->ok || request.median_latency < 0) {
         ggw_count("ggw_slots_frames_malformed_total");
         return;
--- a/slots/probing.c
+++ b/slots/probing.c
@@ -42,6 +42,8 @@
     g_free((char *)r->request.holder);
     g_free((char *)r->request.failure_domain);
     g_strfreev((char **)r->request.avoid);
+    g_free((char *)r->request.customer);
+    g_free((char *)r->request.route);
     g_ptr_array_unref(r->servers);
     g_free(r);
 }
@@ -55,6 +57,8 @@
     r->request.holder = g_strdup(request->holder);
     r->request.failure_domain = g_strdup(request->failure_domain);
     r->request.avoid = g_strdupv((char **)request->avoid);
+    r->request.customer = g_strdup(request->customer);
+    r->request.route = g_strdup(request->route);
     r->servers = g_ptr_array_new_with_free_func(g_free);
     r->due = due;
     return r;
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -264,6 +264,9 @@
     copy->cross_domain_cost = r->cross_domain_cost;
     copy->target = r->target;
     copy->median_latency = r->median_latency;
+    copy->customer = g_strdup(r->customer);
+    copy->route = g_strdup(r->route);
+    copy->hedge = r->hedge;
     copy->base.from = r->base.from;
     copy->base.tag = r->base.tag;
     return copy;
--- a/slots/slots.h
+++ b/slots/slots.h
@@ -31,6 +31,9 @@
  *                  unknown
  * @cross_domain_cost: cost of a server in another failure domain, as a
  *                     multiple of the usual latency
+ * @customer: name of the customer that sent the request, or NULL
+ * @route: name of the route or kind of the request, or NULL
+ * @hedge: the slot is for a second attempt beside one that is in progress
  *
  * The service answers each request with exactly one ggw_slot_grant or
  * ggw_slot_refuse that has the same tag.
@@ -45,6 +48,9 @@
     ggw_ms target;
     ggw_ms median_latency;
     double cross_domain_cost;
+    char *customer;
+    char *route;
+    bool hedge;
 };
 
 extern const struct ggw_message_ops ggw_slot_request_ops;
--- a/tests/test_mutated_peers.c
+++ b/tests/test_mutated_peers.c
@@ -51,6 +51,7 @@
 
 static const struct frame_form slot_forms[] = {
     {GGW_PEER_SLOT_ACQUIRE, "sssudbadddd"},
+    {GGW_PEER_SLOT_ACQUIRE, "sssudbaddddssb"},
     {GGW_PEER_SLOT_GRANT, "s"},
     {GGW_PEER_SLOT_REFUSE, "ud"},
     {GGW_PEER_SLOT_RELEASE, "ssssudbuuubbuudb"},
