config, decide, proxy, platform: requests name their customer by a key

Cause: a deployment with customers gives each request a key; the key was passed on to servers and no customer was named.

Change: a pure decision finds the customer of a request, or the reason to refuse it with 401. Settings tell no list of customers from an empty one. The dialects name the header with the key and the one with the customer's name; where settings have customers, both are removed from every request, and the gateway sets the latter.

--- a/config/setting.h
+++ b/config/setting.h
@@ -58,6 +58,7 @@
  * @default_json: JSON text of the default; NULL leaves the setting unset
  * @choices: allowed texts, separated by "|"
  * @entries: level of the entries of a map
+ * @optional: an absent map means something else than an empty one
  * @help: description in the operators' reference
  */
 struct ggw_setting {
@@ -68,6 +69,7 @@
     const char *default_json;
     const char *choices;
     const struct ggw_setting_level *entries;
+    bool optional;
     const char *help;
 };
 
@@ -75,6 +77,8 @@
  * struct ggw_setting_level - one level of the settings tree
  * @path: path of the level in the operators' reference
  * @settings: settings of the level, terminated by an entry without a name
+ * @any_name: names of entries may hold any visible ASCII characters but quotes
+ *            and backslashes, since they are chosen outside of the project
  * @size: size of the struct that stores the settings of one entry, in bytes
  * @check: check of rules that involve more than one setting, or NULL
  * @add: moves a checked entry into its parent
@@ -83,6 +87,7 @@
 struct ggw_setting_level {
     const char *path;
     const struct ggw_setting *settings;
+    bool any_name;
     size_t size;
     bool (*check)(const void *entry, const char *path, GError **error);
     void (*add)(void *parent, const char *name, void *entry);
--- a/config/settings_tables.c
+++ b/config/settings_tables.c
@@ -600,6 +600,7 @@
 static const struct ggw_setting_level customer_level = {
     .path = "customers.CUSTOMER",
     .settings = customer_settings,
+    .any_name = true,
     .size = sizeof(struct ggw_customer_rule),
     .add = add_customer,
     .clear = clear_customer,
@@ -673,9 +674,11 @@
         .name = "customers",
         .type = GGW_SETTING_MAP,
         .entries = &customer_level,
-        .help = "customers, one of which each request to a route that is not "
-                "public must name by a key; without customers, requests need "
-                "no key",
+        .optional = true,
+        .help =
+            "customers, one of which each request to a route that is not "
+            "public must name by a key; if this setting is absent, requests "
+            "need no key, and if it is empty, every key is unknown",
     },
     {0},
 };
--- a/config/tree.c
+++ b/config/tree.c
@@ -138,6 +138,7 @@
     tree->servers_draining =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     tree->customer_keys = g_hash_table_new(g_str_hash, g_str_equal);
+    tree->needs_key = json_object_get(root, "customers") != NULL;
     if (ggw_schema_parse(root, tree, error) && index_customers(tree, error)) {
         sort_rules(tree);
         tree->route_index =
--- a/config/tree.h
+++ b/config/tree.h
@@ -218,7 +218,9 @@
  * @routes_len: number of elements in @routes
  * @route_index: index of @routes
  * @customers: customers, sorted by name
- * @customers_len: number of elements in @customers; 0 if requests need no key
+ * @customers_len: number of elements in @customers
+ * @needs_key: requests to routes that are not public need a customer's key,
+ *             since the settings have a member "customers", even an empty one
  * @customer_keys: key to struct ggw_customer_rule in @customers
  */
 struct ggw_tree {
@@ -234,6 +236,7 @@
     struct ggw_route_index *route_index;
     struct ggw_customer_rule *customers;
     size_t customers_len;
+    bool needs_key;
     GHashTable *customer_keys;
 };
 
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -670,6 +670,10 @@
     if (dialect->server_id != NULL) {
         g_string_append_printf(head, "%s: %s\r\n", dialect->server_id, server);
     }
+    if (r->customer != NULL) {
+        g_string_append_printf(head, "%s: %s\r\n", dialect->customer,
+                               r->customer->name);
+    }
     if (new_connection) {
         g_string_append(head, "connection: close\r\n");
     }
--- a/proxy/dialect.h
+++ b/proxy/dialect.h
@@ -24,6 +24,8 @@
  * @retry_count: header with the number of retries, including those of earlier
  *               hops; NULL: not sent
  * @server_id: header that names the intended backend server; NULL: not sent
+ * @customer_key: request header with the key of a customer
+ * @customer: header that names the customer to a server
  * @signature: header that every successful response of a server has; without
  *             it the response is rejected. NULL: not checked
  * @stripped_prefixes: NULL-terminated prefixes of headers that are not
@@ -52,6 +54,8 @@
     bool deadline_relative;
     const char *retry_count;
     const char *server_id;
+    const char *customer_key;
+    const char *customer;
     const char *signature;
     const char *const *stripped_prefixes;
     int retry_after_decimals;
--- a/proxy/dispatch.c
+++ b/proxy/dispatch.c
@@ -88,6 +88,7 @@
     ggw_ms wall = ggw_clock_wall(ggw_kernel_clock(proxy->base.kernel));
     struct ggw_matched_kind f = {0};
     const char *reason = ggw_request_find_kind(proxy, parsed, method, &f);
+    const struct ggw_customer_rule *customer;
     g_autofree char *order = NULL;
     double deadline, prior_retries = 0;
     struct ggw_request *r;
@@ -99,6 +100,10 @@
                            no_route ? 0 : NO_CONFIGURATION_RETRY_MS);
         return;
     }
+    if (!ggw_request_identify(proxy, x, f.tree, false, f.kind->name,
+                              &customer)) {
+        return;
+    }
     deadline = wall + f.kind->timeout;
     if (!parse_number_header(req, "greengageway-deadline", 1e15, &deadline) ||
         !parse_number_header(req, "greengageway-attempt", 1e6,
@@ -125,6 +130,7 @@
     }
     r = ggw_request_new(proxy, x, f.tree, f.rule, f.kind,
                         parsed->forward_path);
+    r->customer = customer;
     r->order = g_steal_pointer(&order);
     r->wall_deadline = floor(deadline);
     r->retry.prior_retries = (int)prior_retries;
--- a/proxy/events.c
+++ b/proxy/events.c
@@ -31,6 +31,7 @@
 static struct ggw_log_event retry = IMPORTANT("retry");
 static struct ggw_log_event response = ROUTINE("response");
 static struct ggw_log_event refused = IMPORTANT("refused");
+static struct ggw_log_event key_refused = IMPORTANT("key_refused");
 static struct ggw_log_event client_left = ROUTINE("client_left");
 static struct ggw_log_event cut = IMPORTANT("cut");
 static struct ggw_log_event truncated = IMPORTANT("truncated");
@@ -182,6 +183,16 @@
                   r->retry.deadline - request_now(r), retry_after);
 }
 
+void
+ggw_proxy_log_key_refused(const char *id, const char *route,
+                          const char *reason, uint64_t revision)
+{
+    ggw_log_event(&key_refused,
+                  "id=%s kind=%s customer=unknown status=401 reason=%s "
+                  "revision=%" G_GUINT64_FORMAT,
+                  id != NULL ? id : "-", route, reason, (guint64)revision);
+}
+
 void
 ggw_proxy_log_disconnected(const struct ggw_request *r,
                            enum ggw_exchange_end end, enum ggw_outcome outcome)
--- a/proxy/events.h
+++ b/proxy/events.h
@@ -44,6 +44,14 @@
                            const char *reason, enum ggw_outcome outcome,
                            ggw_ms retry_after);
 
+/*
+ * A request without a valid key of a customer is refused; the key itself is
+ * not logged.
+ * @id: id of the request, or NULL
+ */
+void ggw_proxy_log_key_refused(const char *id, const char *route,
+                               const char *reason, uint64_t revision);
+
 /*
  * The client disconnected before it had its response, or the request was cut
  * because the gateway stops.
--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -46,6 +46,33 @@
            g_ascii_strncasecmp(name->base, text, name->len) == 0;
 }
 
+/*
+ * The same; "_" counts as "-", since many servers do not tell them apart.
+ */
+static bool
+name_resembles(const h2o_iovec_t *name, const char *text)
+{
+    if (name->len != strlen(text)) {
+        return false;
+    }
+    for (size_t i = 0; i < name->len; i++) {
+        char c = name->base[i] == '_' ? '-' : g_ascii_tolower(name->base[i]);
+
+        if (c != text[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether a request header is a key of a customer, or names a customer. */
+static bool
+identifies_customer(const struct ggw_dialect *dialect, const h2o_iovec_t *name)
+{
+    return name_resembles(name, dialect->customer_key) ||
+           name_resembles(name, dialect->customer);
+}
+
 static bool
 is_hop_by_hop(const h2o_iovec_t *name)
 {
@@ -105,9 +132,25 @@
     return found == 1 ? ggw_headers_find(req, name) : NULL;
 }
 
+GPtrArray *
+ggw_headers_find_all(const h2o_req_t *req, const char *name)
+{
+    GPtrArray *values = g_ptr_array_new_with_free_func(g_free);
+
+    for (size_t i = 0; i < req->headers.size; i++) {
+        const h2o_header_t *h = &req->headers.entries[i];
+
+        if (name_is(h->name, name)) {
+            g_ptr_array_add(values, g_strndup(h->value.base, h->value.len));
+        }
+    }
+    return values;
+}
+
 GString *
 ggw_headers_build_request(const h2o_req_t *req,
-                          const struct ggw_dialect *dialect)
+                          const struct ggw_dialect *dialect,
+                          bool has_customers)
 {
     GString *out = g_string_sized_new(512);
 
@@ -119,7 +162,8 @@
         const h2o_header_t *h = &req->headers.entries[i];
 
         if (!is_forwarded(dialect, req->headers.entries, req->headers.size,
-                          i)) {
+                          i) ||
+            (has_customers && identifies_customer(dialect, h->name))) {
             continue;
         }
         g_string_append_len(out, h->name->base, (gssize)h->name->len);
--- a/proxy/headers.h
+++ b/proxy/headers.h
@@ -28,8 +28,19 @@
  */
 char *ggw_headers_find_single(const h2o_req_t *req, const char *name);
 
+/**
+ * ggw_headers_find_all() - get the values of a header that may be repeated
+ * @name: name in lower case
+ *
+ * Return: an array of texts in the order of the request, to be freed by the
+ * caller.
+ */
+GPtrArray *ggw_headers_find_all(const h2o_req_t *req, const char *name);
+
 /**
  * ggw_headers_build_request() - build the headers for the backend server
+ * @has_customers: the settings have customers; the headers that identify one
+ *                 are left out, also on routes that need no key
  *
  * Hop-by-hop headers and those that the dialect replaces are left out.
  *
@@ -37,7 +48,8 @@
  * Content-Length.
  */
 GString *ggw_headers_build_request(const h2o_req_t *req,
-                                   const struct ggw_dialect *dialect);
+                                   const struct ggw_dialect *dialect,
+                                   bool has_customers);
 
 /**
  * ggw_headers_copy_response() - copy headers of a server's response
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -773,7 +773,8 @@
     r->kind_state = get_kind_state(r->service_state, tree, rule, kind);
     r->method = g_strndup(req->input.method.base, req->input.method.len);
     r->path = g_strdup(path);
-    r->headers = ggw_headers_build_request(req, proxy->options.dialect);
+    r->headers = ggw_headers_build_request(req, proxy->options.dialect,
+                                           tree->needs_key);
     if (req->entity.len > 0) {
         /* A copy, since the request may outlive the client's connection. */
         r->body.base = g_memdup2(req->entity.base, req->entity.len);
--- a/proxy/routed.c
+++ b/proxy/routed.c
@@ -133,8 +133,13 @@
     ggw_ms now = ggw_kernel_now(proxy->base.kernel);
     ggw_ms left = client_time_left(proxy, req);
     g_autofree char *path = NULL;
+    const struct ggw_customer_rule *customer;
     struct ggw_request *r;
 
+    if (!ggw_request_identify(proxy, x, tree, route->is_public != 0,
+                              route->name, &customer)) {
+        return;
+    }
     if (rule == NULL) {
         ggw_request_refuse(x, 503, "no-server", NO_SERVER_RETRY_MS);
         return;
@@ -145,6 +150,7 @@
     }
     path = g_strndup(req->input.path.base, req->input.path.len);
     r = ggw_request_new(proxy, x, tree, rule, &route->kind, path);
+    r->customer = customer;
     r->route = route;
     r->route_state = state;
     r->client_attempt_id = dialect->id_from_client
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -340,6 +340,12 @@
 void ggw_requests_refuse_unfinishable(struct ggw_proxy *proxy);
 void ggw_requests_abandon(struct ggw_proxy *proxy);
 
+/* proxy/identity.c */
+bool ggw_request_identify(struct ggw_proxy *proxy, struct ggw_exchange *x,
+                          const struct ggw_tree *tree, bool is_public,
+                          const char *route,
+                          const struct ggw_customer_rule **customer);
+
 /* proxy/routed.c */
 void ggw_request_start_routed(struct ggw_proxy *proxy, struct ggw_exchange *x,
                               struct ggw_tree *tree,
