tests, docs: keys and names of customers

Cause: no test sent a key or a forged name of a customer.

A message about text that is not JSON repeats no part of a text that may hold keys.

--- a/config/tree.c
+++ b/config/tree.c
@@ -98,6 +98,20 @@
     }
 }
 
+/*
+ * Removes the part of the text that an error message repeats, if the text may
+ * contain keys of customers.
+ */
+static void
+hide_keys(char *message, const char *text)
+{
+    char *near = strstr(message, " near ");
+
+    if (near != NULL && strstr(text, "\"customers\"") != NULL) {
+        *near = '\0';
+    }
+}
+
 static json_t *
 parse_json(const char *text, GError **error)
 {
@@ -113,6 +127,7 @@
     root = ggw_json_parse("settings", text, strlen(text),
                           JSON_REJECT_DUPLICATES, &e);
     if (root == NULL) {
+        hide_keys(e.text, text);
         g_set_error(error, GGW_ERROR, GGW_ERROR_INVALID,
                     "settings: not JSON: line %d: %s", e.line, e.text);
     }
--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -141,7 +141,9 @@
         const h2o_header_t *h = &req->headers.entries[i];
 
         if (name_is(h->name, name)) {
-            g_ptr_array_add(values, g_strndup(h->value.base, h->value.len));
+            char *value = g_strndup(h->value.base, h->value.len);
+
+            g_ptr_array_add(values, g_strstrip(value));
         }
     }
     return values;
--- a/proxy/headers.h
+++ b/proxy/headers.h
@@ -32,8 +32,8 @@
  * ggw_headers_find_all() - get the values of a header that may be repeated
  * @name: name in lower case
  *
- * Return: an array of texts in the order of the request, to be freed by the
- * caller.
+ * Return: an array of texts without white space around them, in the order of
+ * the request, to be freed by the caller.
  */
 GPtrArray *ggw_headers_find_all(const h2o_req_t *req, const char *name);
 
--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -341,6 +341,9 @@
     dialect.misdirected = is_other_server;
     dialect.status_promises = like_site;
     dialect.probe_misdirected = is_other_probed_server;
+    /* Names that do not begin with one of the prefixes stripped anyway. */
+    dialect.customer_key = "x-key";
+    dialect.customer = "x-customer";
 
     pthread_mutex_init(&env->lock, NULL);
     pthread_cond_init(&env->changed, NULL);
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -187,6 +187,9 @@
  * are idempotent and their responses are buffered until complete; requests to
  * once.example must not be repeated. All servers run SCRIPT_OK.
  *
+ * Keys of customers are in the header X-Key; servers get the customer's name
+ * in X-Customer.
+ *
  * Returns when the gateway is ready.
  */
 struct env *env_start(ggw_ms timeout, ggw_ms max_age, ggw_ms drain);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -199,6 +199,130 @@
     return json != NULL ? ggw_tree_parse(GGW_SITE_TEAM, 1, json, NULL) : NULL;
 }
 
+#define CUSTOMERS(tenants, rule)                                              \
+    "{\"Version\":\"00000007\",\"Tenants\":" tenants                          \
+    ",\"Listeners\":[{\"Host\":\"H.example\",\"Rules\":[" rule                \
+    "]}],\"Clusters\":[{\"Name\":\"s\"},{\"Name\":\"t\"}]}"
+#define PUBLIC_RULE                                                           \
+    "{\"Name\":\"p\",\"Public\":true,\"Match\":{\"Prefix\":\"/p/\"},"         \
+    "\"Action\":{\"Service\":\"s\"}}"
+#define KEYED_RULE                                                            \
+    "{\"Name\":\"k\",\"Public\":false,\"Match\":{\"Prefix\":\"/k/\"},"        \
+    "\"Action\":{\"Service\":\"s\"}}"
+
+/*
+ * Guards against customers of a configuration whose keys, priority or rate are
+ * lost or given to another one, and against a route that is public by
+ * mistake.
+ */
+static void
+test_tenants(void)
+{
+    struct ggw_tree *t = translate_config(
+        CUSTOMERS("[{\"Name\":\"t.1\",\"ApiKeys\":[\"k1\",\"k2\"],"
+                  "\"Priority\":1,\"RatePerS\":258,\"Burst\":129.5},"
+                  "{\"Name\":\"t2\",\"ApiKeys\":[\"k3\"],\"Priority\":99},"
+                  "{\"Name\":\"t3\"}]",
+                  PUBLIC_RULE "," KEYED_RULE "," RULE("idempotent")),
+        NULL, NULL);
+    const struct ggw_customer_rule *c;
+
+    g_assert_nonnull(t);
+    CU_ASSERT_TRUE(t->needs_key);
+    CU_ASSERT_EQUAL(t->customers_len, 3);
+    c = ggw_tree_customer_by_key(t, "k2");
+    g_assert_nonnull(c);
+    CU_ASSERT_STRING_EQUAL(c->name, "t.1");
+    CU_ASSERT_EQUAL(c->priority, 1);
+    CU_ASSERT_EQUAL(c->rate, 258);
+    CU_ASSERT_EQUAL(c->burst, 129.5);
+    c = ggw_tree_customer_by_key(t, "k3");
+    g_assert_nonnull(c);
+    CU_ASSERT_STRING_EQUAL(c->name, "t2");
+    CU_ASSERT_EQUAL(c->priority, 9);
+    CU_ASSERT_EQUAL(c->rate, 0);
+    c = ggw_tree_customer(t, "t3");
+    g_assert_nonnull(c);
+    CU_ASSERT_EQUAL(c->priority, GGW_CUSTOMER_PRIORITY_UNSET);
+    for (size_t i = 0; i < t->routes_len; i++) {
+        CU_ASSERT_EQUAL(t->routes[i].is_public,
+                        strcmp(t->routes[i].name, "p") == 0);
+    }
+    ggw_tree_unref(t);
+}
+
+/*
+ * Guards against a configuration with an empty list of customers that needs no
+ * key, and against one without a list that needs one.
+ */
+static void
+test_tenants_absent(void)
+{
+    struct ggw_tree *t =
+        translate_config(CUSTOMERS("[]", KEYED_RULE), NULL, NULL);
+
+    g_assert_nonnull(t);
+    CU_ASSERT_TRUE(t->needs_key);
+    ggw_tree_unref(t);
+    t = translate_config(CUSTOMERS("null", KEYED_RULE), NULL, NULL);
+    g_assert_nonnull(t);
+    CU_ASSERT_FALSE(t->needs_key);
+    ggw_tree_unref(t);
+    t = translate_config(CONFIG(RULE("idempotent")), NULL, NULL);
+    g_assert_nonnull(t);
+    CU_ASSERT_FALSE(t->needs_key);
+    ggw_tree_unref(t);
+}
+
+/*
+ * Guards against a configuration with a key that two customers hold, or an
+ * empty or malformed one, that is applied or ends the last valid one, and
+ * against a reason that shows a key.
+ */
+static void
+test_tenants_refused(void)
+{
+    static const char *const refused[] = {
+        "[{\"Name\":\"a\",\"ApiKeys\":[\"secret\"]},"
+        "{\"Name\":\"b\",\"ApiKeys\":[\"x\",\"secret\"]}]",
+        "[{\"Name\":\"a\",\"ApiKeys\":[\"\"]}]",
+        "[{\"Name\":\"a\",\"ApiKeys\":[\"secret secret\"]}]",
+        "[{\"Name\":\"a\",\"ApiKeys\":[7]}]",
+        "[{\"Name\":\"a\",\"ApiKeys\":\"secret\"}]",
+        "[{\"Name\":\"a\"},{\"Name\":\"a\",\"ApiKeys\":[\"secret\"]}]",
+        "[{\"ApiKeys\":[\"secret\"]}]",
+        "[{\"Name\":\"a\",\"ApiKeys\":[\"secret\"],\"RatePerS\":-1}]",
+        "[\"secret\"]",
+        "{\"secret\":{}}",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(refused); i++) {
+        struct ggw_site_config site = {
+            .domains_out = g_hash_table_new(g_str_hash, g_str_equal),
+        };
+        g_autofree char *config = g_strdup_printf(
+            "{\"Version\":\"00000009\",\"Tenants\":%s,\"Listeners\":[],"
+            "\"Clusters\":[]}",
+            refused[i]);
+        g_autoptr(GError) error = NULL;
+        struct ggw_tree *t = resolve(
+            &site,
+            CUSTOMERS("[{\"Name\":\"a\",\"ApiKeys\":[\"k\"]}]", KEYED_RULE),
+            NULL);
+
+        g_assert_nonnull(t);
+        ggw_tree_unref(t);
+        t = resolve(&site, config, &error);
+        g_assert_nonnull(error);
+        CU_ASSERT_PTR_NULL(strstr(error->message, "secret"));
+        g_assert_nonnull(t);
+        CU_ASSERT_PTR_NOT_NULL(ggw_tree_customer_by_key(t, "k"));
+        CU_ASSERT_PTR_NOT_NULL(ggw_tree_route(t, "h.example", "/k/"));
+        ggw_tree_unref(t);
+        ggw_site_config_clear(&site);
+    }
+}
+
 /* A rule that is malformed, and one that the settings do not allow. */
 #define RULE_WITHOUT_PREFIX                                                   \
     "{\"Name\":\"lost\",\"Action\":{\"Service\":\"s\"}}"
@@ -543,6 +667,9 @@
         {"config", test_config},
         {"unknown route type", test_unknown_type},
         {"config refused", test_config_refused},
+        {"customers", test_tenants},
+        {"customers absent", test_tenants_absent},
+        {"customers refused", test_tenants_refused},
         {"domain out while refused", test_domain_out_while_refused},
         {"entry", test_entry},
         {"malformed entries", test_malformed_entries},
--- a/tests/test_tree.c
+++ b/tests/test_tree.c
@@ -96,6 +96,8 @@
     const char *message;
 };
 
+#define KEY "not-to-be-shown"
+#define CUSTOMER(settings) "{\"customers\":{\"c\":{" settings "}}}"
 #define SERVICE(settings) "{\"services\":{\"s\":{" settings "}}}"
 #define KIND(settings) SERVICE("\"kinds\":{\"k\":{" settings "}}")
 
@@ -145,6 +147,25 @@
     {"{\"services\":{\"s\":{}},\"routes\":{\"r\":{\"host\":\"h\","
      "\"services\":{\"s\":0}}}}",
      "routes.r.services: no weight is above 0"},
+    {"{\"customers\":{\"c\":{\"keys\":[\"" KEY "\"]},"
+     "\"d\":{\"keys\":[\"x\",\"" KEY "\"]}}}",
+     "customers.d.keys: key 2 is a key of c, too"},
+    {CUSTOMER("\"keys\":[\"x\",\"\"]"),
+     "customers.c.keys: key 2 is not 1..200 visible ASCII characters"},
+    {CUSTOMER("\"keys\":[\"" KEY " x\"]"),
+     "customers.c.keys: key 1 is not 1..200 visible ASCII characters"},
+    {CUSTOMER("\"keys\":[7]"),
+     "customers.c.keys: key 1 is not 1..200 visible ASCII characters"},
+    {CUSTOMER("\"keys\":\"" KEY "\""), "customers.c.keys: is not a list"},
+    {CUSTOMER("\"keys\":[\"" KEY "\" 7]"),
+     "settings: not JSON: line 1: ']' expected"},
+    {CUSTOMER("\"rate\":-1"), "customers.c.rate: -1 is not in 0..1000000000"},
+    {"{\"customers\":{\"a\\\"b\":{}}}",
+     "customers: the name \"a\"b\" is not 1..200 visible ASCII characters "
+     "without quotes and backslashes"},
+    {"{\"customers\":{\"a b\":{}}}",
+     "customers: the name \"a b\" is not 1..200 visible ASCII characters "
+     "without quotes and backslashes"},
     {KIND("\"timeout_ms\":0"),
      "services.s.kinds.k.timeout_ms: 0 is not in 1..600000"},
 };
@@ -207,6 +228,46 @@
     ggw_tree_unref(t);
 }
 
+/*
+ * Guards against customers that get each other's settings, and against an
+ * empty list that is taken for an absent one.
+ */
+static void
+test_customers(void)
+{
+    struct ggw_tree *t =
+        ggw_tree_parse("team", 1,
+                       "{\"customers\":{\"b/x\":{\"keys\":[\"k1\",\"k1\"],"
+                       "\"priority\":3,\"rate\":2.5,\"burst\":10},\"a\":{}}}",
+                       NULL);
+    const struct ggw_customer_rule *c;
+
+    g_assert_nonnull(t);
+    CU_ASSERT_TRUE(t->needs_key);
+    c = ggw_tree_customer_by_key(t, "k1");
+    g_assert_nonnull(c);
+    CU_ASSERT_STRING_EQUAL(c->name, "b/x");
+    CU_ASSERT_EQUAL(c->priority, 3);
+    CU_ASSERT_EQUAL(c->rate, 2.5);
+    CU_ASSERT_EQUAL(c->burst, 10);
+    CU_ASSERT_PTR_EQUAL(ggw_tree_customer(t, "b/x"), c);
+    c = ggw_tree_customer(t, "a");
+    g_assert_nonnull(c);
+    CU_ASSERT_EQUAL(c->priority, GGW_CUSTOMER_PRIORITY_UNSET);
+    CU_ASSERT_EQUAL(c->rate, 0);
+    CU_ASSERT_PTR_NULL(ggw_tree_customer(t, "c"));
+    CU_ASSERT_PTR_NULL(ggw_tree_customer_by_key(t, "k2"));
+    ggw_tree_unref(t);
+    t = ggw_tree_parse("team", 1, "{\"customers\":{}}", NULL);
+    g_assert_nonnull(t);
+    CU_ASSERT_TRUE(t->needs_key);
+    ggw_tree_unref(t);
+    t = ggw_tree_parse("team", 1, "{}", NULL);
+    g_assert_nonnull(t);
+    CU_ASSERT_FALSE(t->needs_key);
+    ggw_tree_unref(t);
+}
+
 /* Guards against parsing settings of unbounded size. */
 static void
 test_size(void)
@@ -236,6 +297,7 @@
     CU_add_test(suite, "states", test_states);
     CU_add_test(suite, "invalid settings", test_refusals);
     CU_add_test(suite, "routes", test_routes);
+    CU_add_test(suite, "customers", test_customers);
     CU_add_test(suite, "maximum size", test_size);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
