customers, decide, proxy: allotments of customers over all gateways

Cause: a customer's rate holds over the sum of all gateways, which knew nothing of each other's requests.

Change: one gateway, chosen by rendezvous hash, owns the token bucket of each customer and grants short leases of tokens; "proxy" asks the service "allotments" for permission before a request starts, refuses with 429 beyond the allotment and returns the permission of a request that did not run.

--- a/customers/allotments.h
+++ b/customers/allotments.h
@@ -1,6 +1,7 @@
 #ifndef GGW_CUSTOMERS_ALLOTMENTS_H
 #define GGW_CUSTOMERS_ALLOTMENTS_H
 
+#include <jansson.h>
 #include <stdbool.h>
 
 #include "kernel/kernel.h"
@@ -11,6 +12,14 @@
  * The service keeps the rate of each customer over the sum of all gateways.
  * "proxy" asks it for permission before each request of a customer with a
  * rate, and returns the permission of a request that did not run.
+ *
+ * Payloads of ALLOTMENT frames are arrays that begin with a kind:
+ *   0, ask: team, customer, gateway that asks, whether it was forwarded, time
+ *   of the ask, tokens needed, tokens ahead, tokens given back;
+ *   1, answer: team, customer, gateway that asked, time of the ask, tokens
+ *   granted, requests refused, ms until the first of them may come back, ms
+ *   between them, owner.
+ * The time of the ask is one of the clock of the gateway that asks.
  */
 
 /**
@@ -62,16 +71,37 @@
  * @base: message header
  * @team: name of the team
  * @customer: name of the customer
+ * @used_at: time of the permission, monotonic ms
  */
 struct ggw_allotment_return {
     struct ggw_message base;
     char *team;
     char *customer;
+    ggw_ms used_at;
 };
 
 extern const struct ggw_message_ops ggw_allotment_return_ops;
 struct ggw_message *ggw_allotment_return_new(const char *team,
-                                             const char *customer);
+                                             const char *customer,
+                                             ggw_ms used_at);
+
+/**
+ * struct ggw_allotments_status - message to "proxy" with what the status page
+ *                                shows
+ * @base: message header
+ * @json: array with one object for each customer
+ */
+struct ggw_allotments_status {
+    struct ggw_message base;
+    json_t *json;
+};
+
+extern const struct ggw_message_ops ggw_allotments_status_ops;
+
+/**
+ * ggw_allotments_status_new() - create the message; takes over @json
+ */
+struct ggw_message *ggw_allotments_status_new(json_t *json);
 
 /**
  * ggw_allotments_service_new() - create the service
--- a/customers/messages.c
+++ b/customers/messages.c
@@ -72,12 +72,38 @@
 };
 
 struct ggw_message *
-ggw_allotment_return_new(const char *team, const char *customer)
+ggw_allotment_return_new(const char *team, const char *customer,
+                         ggw_ms used_at)
 {
     struct ggw_allotment_return *m = g_new0(struct ggw_allotment_return, 1);
 
     m->base.ops = &ggw_allotment_return_ops;
     m->team = g_strdup(team);
     m->customer = g_strdup(customer);
+    m->used_at = used_at;
+    return &m->base;
+}
+
+static void
+status_destroy(struct ggw_message *message)
+{
+    struct ggw_allotments_status *m = (struct ggw_allotments_status *)message;
+
+    json_decref(m->json);
+    g_free(m);
+}
+
+const struct ggw_message_ops ggw_allotments_status_ops = {
+    .name = "ALLOTMENTS_STATUS",
+    .destroy = status_destroy,
+};
+
+struct ggw_message *
+ggw_allotments_status_new(json_t *json)
+{
+    struct ggw_allotments_status *m = g_new0(struct ggw_allotments_status, 1);
+
+    m->base.ops = &ggw_allotments_status_ops;
+    m->json = json;
     return &m->base;
 }
--- a/main/cmd_gateway.c
+++ b/main/cmd_gateway.c
@@ -11,6 +11,7 @@
 #include "common/options.h"
 #include "config/config.h"
 #include "config/vms.h"
+#include "customers/allotments.h"
 #include "kernel/kernel.h"
 #include "main/daemon.h"
 #include "peers/peers.h"
@@ -107,6 +108,7 @@
     ggw_kernel_add(kernel, ggw_slots_service_new(s->name, s->failure_domain,
                                                  (uint32_t)incarnation));
     ggw_kernel_add(kernel, ggw_claims_service_new(s->name, incarnation));
+    ggw_kernel_add(kernel, ggw_allotments_service_new(s->name));
     ggw_kernel_add(kernel, ggw_proxy_service_new(&proxy));
 }
 
--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -7,6 +7,7 @@
 #include "common/metrics.h"
 #include "common/options.h"
 #include "config/config.h"
+#include "customers/allotments.h"
 #include "decide/drain.h"
 #include "kernel/kernel.h"
 #include "main/daemon.h"
@@ -85,6 +86,7 @@
     ggw_kernel_add(kernel, ggw_peers_service_new(&peers));
     ggw_kernel_add(kernel, ggw_slots_service_new(s->name, s->failure_domain,
                                                  (uint32_t)incarnation));
+    ggw_kernel_add(kernel, ggw_allotments_service_new(s->name));
     ggw_kernel_add(kernel, ggw_proxy_service_new(&proxy));
     ggw_kernel_add(kernel, ggw_pages_service_new(s, max_age));
 }
--- a/peers/hello.c
+++ b/peers/hello.c
@@ -328,6 +328,9 @@
     ggw_kernel_send(
         p->base.kernel, "slots", &p->base,
         ggw_peer_heard_new(peer->name, peer->rtt, p->majority_valid_until));
+    ggw_kernel_send(
+        p->base.kernel, "allotments", &p->base,
+        ggw_peer_heard_new(peer->name, peer->rtt, p->majority_valid_until));
 }
 
 /* Reports the teams whose revision is higher than the one in force here. */
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -211,8 +211,8 @@
 extern const struct ggw_message_ops ggw_peer_lost_ops;
 
 /**
- * struct ggw_peer_heard - tells "slots" that a gateway acknowledged a
- *                         heartbeat
+ * struct ggw_peer_heard - tells "slots" and "allotments" that a gateway
+ *                         acknowledged a heartbeat
  * @base: message header
  * @peer: name of the gateway
  * @rtt: round-trip time to the gateway in ms
--- a/proxy/events.c
+++ b/proxy/events.c
@@ -26,6 +26,7 @@
 
 static struct ggw_log_event granted = ROUTINE("granted");
 static struct ggw_log_event no_slot = IMPORTANT("no_slot");
+static struct ggw_log_event over_allotment = IMPORTANT("over_allotment");
 static struct ggw_log_event attempt = ROUTINE("attempt");
 static struct ggw_log_event hedge = ROUTINE("hedge");
 static struct ggw_log_event retry = IMPORTANT("retry");
@@ -94,6 +95,19 @@
                   r->retry.deadline - request_now(r), refuse->retry_after);
 }
 
+void
+ggw_proxy_log_over_allotment(const struct ggw_request *r,
+                             const struct ggw_allotment_result *result)
+{
+    ggw_log_event(&over_allotment,
+                  "id=%s kind=%s customer=%s tokens=%.0f grant_age=%.1f "
+                  "owner=%s age=%.1f retry_after=%.0f",
+                  request_id(r).text, r->kind->name, r->customer->name,
+                  result->tokens, result->grant_age,
+                  result->owner != NULL ? result->owner : "-",
+                  request_now(r) - r->received, result->retry_after);
+}
+
 void
 ggw_proxy_log_attempt(const struct ggw_attempt *a, const char *result,
                       ggw_ms latency)
--- a/proxy/events.h
+++ b/proxy/events.h
@@ -16,6 +16,10 @@
 void ggw_proxy_log_no_slot(const struct ggw_request *r,
                            const struct ggw_slot_refuse *refuse);
 
+/* The request is over its customer's allotment. */
+void ggw_proxy_log_over_allotment(const struct ggw_request *r,
+                                  const struct ggw_allotment_result *result);
+
 /* An attempt has ended; @result: name of its result in the metrics. */
 void ggw_proxy_log_attempt(const struct ggw_attempt *a, const char *result,
                            ggw_ms latency);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -215,6 +215,16 @@
             ggw_request_claimed(r, (struct ggw_claim_result *)m);
         }
     }
+    else if (m->ops == &ggw_allotment_result_ops) {
+        r = g_hash_table_lookup(p->allotment_waits, &m->tag);
+        if (r != NULL) {
+            ggw_request_allotted(r, (struct ggw_allotment_result *)m);
+        }
+    }
+    else if (m->ops == &ggw_allotments_status_ops) {
+        json_decref(p->customers);
+        p->customers = json_incref(((struct ggw_allotments_status *)m)->json);
+    }
     else if (m->ops == &ggw_config_in_force_ops) {
         on_config(p, (struct ggw_config_in_force *)m);
     }
@@ -305,6 +315,8 @@
     g_hash_table_destroy(p->routes);
     g_hash_table_destroy(p->slot_waits);
     g_hash_table_destroy(p->claim_waits);
+    g_hash_table_destroy(p->allotment_waits);
+    json_decref(p->customers);
     g_hash_table_destroy(p->probes);
     g_hash_table_destroy(p->live);
     g_hash_table_destroy(p->backoffs);
@@ -364,6 +376,7 @@
                                         service_state_free);
     p->slot_waits = g_hash_table_new(g_int64_hash, g_int64_equal);
     p->claim_waits = g_hash_table_new(g_int64_hash, g_int64_equal);
+    p->allotment_waits = g_hash_table_new(g_int64_hash, g_int64_equal);
     p->probes = g_hash_table_new(NULL, NULL);
     p->live = g_hash_table_new(NULL, NULL);
     p->malformed_backoffs =
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -54,8 +54,8 @@
 ggw_request_free_if_unused(struct ggw_request *r)
 {
     if (r->exchange != NULL || r->slot_tag != 0 || r->claim_tag != 0 ||
-        r->attempts[0] != NULL || r->attempts[1] != NULL ||
-        uv_is_closing((uv_handle_t *)&r->timer)) {
+        r->allotment_tag != 0 || r->attempts[0] != NULL ||
+        r->attempts[1] != NULL || uv_is_closing((uv_handle_t *)&r->timer)) {
         return;
     }
     g_hash_table_remove(r->proxy->live, r);
@@ -82,6 +82,7 @@
         }
         r->slot_tag = 0;
         r->claim_tag = 0;
+        r->allotment_tag = 0;
         for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
             if (r->attempts[i] != NULL) {
                 ggw_attempt_cancel(r->attempts[i]);
@@ -161,6 +162,21 @@
                     ggw_claim_settle_new(r->claim, outcome, status));
 }
 
+/* Returns the permission of a request that did not run. */
+static void
+return_permission(struct ggw_request *r)
+{
+    struct ggw_proxy *proxy = r->proxy;
+
+    if (r->permitted_at > 0) {
+        ggw_kernel_send(proxy->base.kernel, "allotments", &proxy->base,
+                        ggw_allotment_return_new(r->tree->team,
+                                                 r->customer->name,
+                                                 r->permitted_at));
+        r->permitted_at = 0;
+    }
+}
+
 /* Gives back what was charged for a repeat that is not sent. */
 static void
 refund_repeat(struct ggw_request *r)
@@ -208,6 +224,7 @@
     }
     else {
         ggw_request_settle(r, GGW_CLAIM_OUTCOME_NOT_RUN, 0);
+        return_permission(r);
         if (r->retry.attempts > 0) {
             status = 503;
             reason = "shed";
@@ -534,6 +551,11 @@
     if (r->attempts[0] != NULL || r->attempts[1] != NULL) {
         return; /* the timeout of the attempt ends the request */
     }
+    if (r->allotment_tag != 0) {
+        /* A permission that comes later is returned. */
+        respond(r, 503, "too-late", GGW_OUTCOME_NOT_RUN, SHED_RETRY_MS);
+        return;
+    }
     if (r->claim_tag != 0) {
         /* If the claim is won later, ggw_request_claimed() settles it. */
         respond(r, 503, "claims-unavailable", GGW_OUTCOME_NOT_RUN,
@@ -643,7 +665,7 @@
         ggw_request_free_if_unused(r);
         return;
     }
-    if (r->claim_tag != 0) {
+    if (r->claim_tag != 0 || r->allotment_tag != 0) {
         return;
     }
     ggw_request_stop_waiting(r);
@@ -659,6 +681,9 @@
     }
     ggw_request_stop_waiting(r);
     uv_timer_stop(&r->timer);
+    if (known_outcome(r) == GGW_OUTCOME_NOT_RUN) {
+        return_permission(r);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
         if (r->attempts[i] != NULL) {
             ggw_attempt_cancel(r->attempts[i]);
@@ -806,9 +831,65 @@
     ggw_kernel_send(proxy->base.kernel, "claims", &proxy->base, m);
 }
 
+/* Asks "allotments" for permission to process the request. */
+static void
+ask_permission(struct ggw_request *r)
+{
+    struct ggw_proxy *proxy = r->proxy;
+    struct ggw_message *m = ggw_allotment_request_new(
+        r->tree->team, r->customer->name, r->retry.deadline);
+
+    r->allotment_tag = ++proxy->next_id;
+    m->tag = r->allotment_tag;
+    g_hash_table_insert(proxy->allotment_waits, &r->allotment_tag, r);
+    ggw_kernel_send(proxy->base.kernel, "allotments", &proxy->base, m);
+}
+
+/* Claims the order, or requests a slot. */
+static void
+proceed(struct ggw_request *r)
+{
+    if (r->order != NULL) {
+        claim_order(r);
+    }
+    else {
+        request_slot(r);
+    }
+}
+
+/* Handles ALLOTMENT_RESULT: processes the request or refuses it. */
+void
+ggw_request_allotted(struct ggw_request *r,
+                     const struct ggw_allotment_result *result)
+{
+    ggw_ms now = ggw_kernel_now(r->proxy->base.kernel);
+
+    g_hash_table_remove(r->proxy->allotment_waits, &r->allotment_tag);
+    r->allotment_tag = 0;
+    if (!result->permitted) {
+        ggw_proxy_log_over_allotment(r, result);
+        uv_timer_stop(&r->timer);
+        respond(r, 429, "allotment", GGW_OUTCOME_NOT_RUN,
+                MAX(result->retry_after, 1));
+        ggw_request_free_if_unused(r);
+        return;
+    }
+    r->permitted_at = now;
+    if (r->exchange == NULL || now >= r->retry.deadline) {
+        finish(r, 503, "too-late", SHED_RETRY_MS);
+    }
+    else if (!can_finish(r)) {
+        finish_leaving(r);
+    }
+    else {
+        proceed(r);
+    }
+}
+
 /*
- * Starts to process a request: claims its order or requests a slot. Refuses it
- * if it cannot finish before the gateway stops.
+ * Starts to process a request: asks for permission if its customer has a rate,
+ * then claims its order or requests a slot. Refuses it if it cannot finish
+ * before the gateway stops.
  * @deadline: monotonic ms
  */
 void
@@ -826,10 +907,10 @@
     ggw_retry_budget_count_call(&r->service_state->hedges,
                                 r->retry.prior_retries, now);
     uv_timer_start(&r->timer, deadline_cb, (uint64_t)ceil(deadline - now), 0);
-    if (r->order != NULL) {
-        claim_order(r);
+    if (r->customer != NULL && r->customer->rate > 0) {
+        ask_permission(r);
     }
     else {
-        request_slot(r);
+        proceed(r);
     }
 }
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -10,6 +10,7 @@
 #include "config/config.h"
 #include "config/route_history.h"
 #include "config/vms.h"
+#include "customers/allotments.h"
 #include "decide/retry.h"
 #include "http/client.h"
 #include "http/exchange.h"
@@ -69,12 +70,14 @@
  * @histories: maps a team to its struct ggw_route_history
  * @services: maps "TEAM/SERVICE" to struct ggw_proxy_service_state
  * @routes: maps the name of a route to struct ggw_proxy_route_state
- * @slot_waits, @claim_waits: map a message tag to the struct ggw_request that
- *                            awaits the answer
+ * @slot_waits, @claim_waits, @allotment_waits: map a message tag to the struct
+ *                                              ggw_request that awaits the
+ *                                              answer
  * @probes: set of struct probe in progress
  * @backoffs: maps a server that wants no requests to its last
  *            struct ggw_server_backoff
  * @malformed_backoffs: names of servers whose malformed headers were logged
+ * @customers: last status of "allotments", or NULL
  * @live: set of struct ggw_request that have not been freed
  * @next_id: last number used as id of a request or as tag of a message
  * @requests: number of requests in progress
@@ -109,6 +112,8 @@
     GHashTable *routes;
     GHashTable *slot_waits;
     GHashTable *claim_waits;
+    GHashTable *allotment_waits;
+    json_t *customers;
     GHashTable *probes;
     GHashTable *backoffs;
     GHashTable *malformed_backoffs;
@@ -221,7 +226,10 @@
  * @timer: fires at the deadline
  * @hedge_timer: fires when a hedge may be due
  * @tried: names of the servers tried, a NULL-terminated array
- * @slot_tag, @claim_tag: tag of the message whose answer is awaited, or 0
+ * @slot_tag, @claim_tag, @allotment_tag: tag of the message whose answer is
+ *                                        awaited, or 0
+ * @permitted_at: time at which "allotments" permitted the request, monotonic
+ *                ms; 0: not, or the permission was returned
  * @claim: identifies the claim, if @claimed
  * @claimed: a claim was won and has not been settled
  * @retry_granted: the budget has already been charged for the next retry
@@ -270,6 +278,8 @@
     GPtrArray *tried;
     uint64_t slot_tag;
     uint64_t claim_tag;
+    uint64_t allotment_tag;
+    ggw_ms permitted_at;
     uint64_t claim;
     bool claimed;
     bool retry_granted;
@@ -325,6 +335,8 @@
                          const struct ggw_slot_refuse *refuse);
 void ggw_request_claimed(struct ggw_request *r,
                          const struct ggw_claim_result *result);
+void ggw_request_allotted(struct ggw_request *r,
+                          const struct ggw_allotment_result *result);
 void ggw_request_attempt_failed(struct ggw_request *r,
                                 enum ggw_attempt_result result,
                                 enum ggw_outcome outcome);
