--- a/customers/owned.c
+++ b/customers/owned.c
@@ -61,8 +61,8 @@
                                        ggw_allotments_now(p));
     reply->granted = answer.granted;
     /* Without a majority nothing proves that the rate is used up. */
-    if (p->has_majority && answer.granted < ask->needed) {
-        reply->refused = ask->needed - answer.granted;
+    if (p->has_majority) {
+        reply->refused = answer.refused;
         reply->retry_after = answer.retry_after;
         reply->step = answer.step;
     }
--- a/decide/allotment.c
+++ b/decide/allotment.c
@@ -13,6 +13,14 @@
  */
 #define MAX_RETRY_AFTER 1000.0
 
+/*
+ * Tokens of a bucket at first: a constant, and those of 50 ms. Three changes
+ * of the owner within a window stay within its excess together with the
+ * leases.
+ */
+#define FIRST_TOKENS 1.0
+#define FIRST_MS 50.0
+
 /* Rounding error of sums of fractions of tokens. */
 #define EPSILON 1e-6
 
@@ -33,6 +41,8 @@
     *b = (struct ggw_allotment_bucket){
         .rate = rate,
         .capacity = burst + GGW_ALLOTMENT_SPARE,
+        .since = fmin(since, now),
+        .level = FIRST_TOKENS + rate * FIRST_MS / 1000,
         .at = fmin(since, now),
     };
     refill(b, now);
@@ -51,7 +61,8 @@
 void
 ggw_allotment_bucket_reset(struct ggw_allotment_bucket *b, ggw_ms now)
 {
-    b->level = 0;
+    b->level = fmin(b->level, 0);
+    b->since = now;
     b->at = now;
 }
 
@@ -65,7 +76,7 @@
 
 /* Gives each refused request a time of its own, at the pace of the tokens. */
 static void
-plan_retries(struct ggw_allotment_bucket *b, unsigned refused,
+plan_retries(struct ggw_allotment_bucket *b,
              struct ggw_allotment_answer *answer, ggw_ms now)
 {
     ggw_ms token_at = now + (1 - b->level) * 1000 / b->rate;
@@ -75,7 +86,7 @@
         b->retry_at = token_at;
     }
     answer->retry_after = b->retry_at - now;
-    b->retry_at += refused * answer->step;
+    b->retry_at += answer->refused * answer->step;
 }
 
 struct ggw_allotment_answer
@@ -88,8 +99,9 @@
     answer.granted =
         (unsigned)fmin(floor(b->level + EPSILON), (double)needed + ahead);
     b->level -= answer.granted;
-    if (answer.granted < needed) {
-        plan_retries(b, needed - answer.granted, &answer, now);
+    if (answer.granted < needed && now >= b->since + GGW_ALLOTMENT_SETTLE) {
+        answer.refused = needed - answer.granted;
+        plan_retries(b, &answer, now);
     }
     return answer;
 }
--- a/decide/allotment.h
+++ b/decide/allotment.h
@@ -41,6 +41,13 @@
  */
 #define GGW_ALLOTMENT_SPARE 4.0
 
+/*
+ * Time after a change of the owner in which requests wait for a token instead
+ * of being refused, in ms. The new owner has few tokens, although the customer
+ * may be within its allotment.
+ */
+#define GGW_ALLOTMENT_SETTLE 1000.0
+
 /*
  * Share of its rate that a customer has on the gateways that lack a majority,
  * over all of them together. They may be the smaller side of a partition whose
@@ -52,6 +59,7 @@
  * struct ggw_allotment_bucket - tokens of one customer, kept by its owner
  * @rate: requests per second
  * @capacity: tokens that a full bucket holds
+ * @since: time from which on no other gateway has granted tokens, monotonic ms
  * @level: tokens left at @at
  * @at: time of the last update, monotonic ms
  * @retry_at: time that the last refused request was told, monotonic ms
@@ -59,6 +67,7 @@
 struct ggw_allotment_bucket {
     double rate;
     double capacity;
+    ggw_ms since;
     double level;
     ggw_ms at;
     ggw_ms retry_at;
@@ -67,11 +76,13 @@
 /**
  * struct ggw_allotment_answer - answer of an owner
  * @granted: tokens granted
+ * @refused: requests that get no token; the others wait and ask again
  * @retry_after: ms after which the first request without a token may come back
  * @step: ms by which each further one comes later
  */
 struct ggw_allotment_answer {
     unsigned granted;
+    unsigned refused;
     ggw_ms retry_after;
     ggw_ms step;
 };
@@ -82,8 +93,8 @@
  * @burst: requests that may come at once
  * @since: time from which on no other gateway has granted tokens, monotonic ms
  *
- * Tokens have collected since then, so that a gateway that takes over does
- * not grant the burst a second time.
+ * Tokens have collected since then, from a few on, so that a gateway that
+ * takes over does not grant the burst a second time.
  */
 void ggw_allotment_bucket_init(struct ggw_allotment_bucket *b, double rate,
                                double burst, ggw_ms since, ggw_ms now);
