tests, proxy: requests of a customer with a rate

Guards against requests over the allotment that run, second tokens for retries, tokens lost with refused requests, and waits beyond the deadline.

--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -124,6 +124,29 @@
     env_signal_and_unlock(env);
 }
 
+/* Fake of "allotments". */
+
+static void
+allotments_receive(struct ggw_service *service, struct ggw_message *m)
+{
+    struct env *env = env_of(service, offsetof(struct env, allotments));
+
+    pthread_mutex_lock(&env->lock);
+    if (m->ops == &ggw_allotment_request_ops) {
+        env->permissions_asked++;
+        env->allotment_tag = m->tag;
+        if (env->allotments_mode != ENV_PERMIT_HOLD) {
+            ggw_kernel_reply(service, m,
+                             ggw_allotment_result_new(
+                                 env->allotments_mode == ENV_PERMIT, 200));
+        }
+    }
+    else if (m->ops == &ggw_allotment_return_ops) {
+        env->permissions_returned++;
+    }
+    env_signal_and_unlock(env);
+}
+
 /* Service "driver": starts the servers and delivers what the test posts. */
 
 /**
@@ -198,6 +221,7 @@
     .name = "driver", .start = driver_start, .stop = driver_stop};
 static const struct ggw_service_ops slots_ops = {.name = "slots"};
 static const struct ggw_service_ops claims_ops = {.name = "claims"};
+static const struct ggw_service_ops allotments_ops = {.name = "allotments"};
 
 static void
 driver_receive(struct ggw_service *service, struct ggw_message *m)
@@ -367,18 +391,22 @@
     env->kernel = ggw_kernel_new(ggw_clock_system());
     env->proxy = ggw_proxy_service_new(&options);
     ggw_kernel_add(env->kernel, env->proxy);
-    static struct ggw_service_ops d, s, c;
+    static struct ggw_service_ops d, s, c, a;
     d = driver_ops;
     d.receive = driver_receive;
     s = slots_ops;
     s.receive = slots_receive;
     c = claims_ops;
     c.receive = claims_receive;
+    a = allotments_ops;
+    a.receive = allotments_receive;
+    env->allotments.ops = &a;
     env->driver.ops = &d;
     env->slots.ops = &s;
     env->claims.ops = &c;
     ggw_kernel_add(env->kernel, &env->slots);
     ggw_kernel_add(env->kernel, &env->claims);
+    ggw_kernel_add(env->kernel, &env->allotments);
     ggw_kernel_add(env->kernel, &env->driver);
     run(env);
     pthread_mutex_lock(&env->lock);
@@ -471,6 +499,17 @@
     post(env, "proxy", m);
 }
 
+void
+env_permit(struct env *env)
+{
+    struct ggw_message *m = ggw_allotment_result_new(true, 0);
+
+    pthread_mutex_lock(&env->lock);
+    m->tag = env->allotment_tag;
+    pthread_mutex_unlock(&env->lock);
+    post(env, "proxy", m);
+}
+
 void
 env_stop(struct env *env)
 {
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -7,6 +7,7 @@
 
 #include "claims/claims.h"
 #include "config/config.h"
+#include "customers/allotments.h"
 #include "peers/peers.h"
 #include "proxy/proxy.h"
 #include "slots/slots.h"
@@ -127,6 +128,11 @@
  * @claims_asked: number of CLAIM_REQUEST messages
  * @held_tag: tag of the last CLAIM_REQUEST
  * @settles: array of struct ggw_claim_settle
+ * @allotments_mode: "allotments" permits, refuses with a Retry-After of 200
+ * ms, or does not answer
+ * @permissions_asked: number of ALLOTMENT_REQUEST messages
+ * @permissions_returned: number of ALLOTMENT_RETURN messages
+ * @allotment_tag: tag of the last ALLOTMENT_REQUEST
  * @notices: array of struct ggw_backoff_notice, from SERVER_NOTICE messages
  * @probe_results: array of struct ggw_probe_result
  */
@@ -138,6 +144,7 @@
     struct ggw_service driver;
     struct ggw_service slots;
     struct ggw_service claims;
+    struct ggw_service allotments;
     uv_async_t async;
     GQueue posted;
     bool stop;
@@ -171,6 +178,15 @@
     uint64_t held_tag;
     GArray *settles;
 
+    enum {
+        ENV_PERMIT,
+        ENV_PERMIT_NOT,
+        ENV_PERMIT_HOLD
+    } allotments_mode;
+    int permissions_asked;
+    int permissions_returned;
+    uint64_t allotment_tag;
+
     GArray *notices;
     GArray *probe_results;
 };
@@ -236,6 +252,9 @@
  */
 void env_grant(struct env *env, size_t server, unsigned stall_ms);
 
+/* Permits the last request, in mode ENV_PERMIT_HOLD. */
+void env_permit(struct env *env);
+
 /* Settings as in env_start(), with failure domain @domain_out taken out. */
 struct ggw_tree *env_tree(uint64_t revision, ggw_ms timeout,
                           const char *domain_out);
