--- a/ctl/verbs.h
+++ b/ctl/verbs.h
@@ -11,6 +11,9 @@
 int ggw_ctl_drain(int argc, char **argv);
 int ggw_ctl_undrain(int argc, char **argv);
 
+/* verbs_customers.c */
+int ggw_ctl_customers(int argc, char **argv);
+
 /* verbs_read.c */
 int ggw_ctl_show(int argc, char **argv);
 int ggw_ctl_diff(int argc, char **argv);
--- a/customers/owned.c
+++ b/customers/owned.c
@@ -122,13 +122,17 @@
 static unsigned
 read_tokens(struct ggw_payload_reader *r)
 {
-    return (unsigned)MIN(ggw_payload_uint(r), MAX_TOKENS);
+    uint64_t tokens = ggw_payload_uint(r);
+
+    return (unsigned)MIN(tokens, MAX_TOKENS);
 }
 
 static ggw_ms
 read_time(struct ggw_payload_reader *r)
 {
-    return CLAMP(ggw_payload_double(r), 0, MAX_TIME_MS);
+    ggw_ms time = ggw_payload_double(r);
+
+    return CLAMP(time, 0, MAX_TIME_MS);
 }
 
 /*
--- a/proxy/events.c
+++ b/proxy/events.c
@@ -101,10 +101,10 @@
                              const struct ggw_allotment_result *result)
 {
     ggw_log_event(&over_allotment,
-                  "id=%s kind=%s customer=%s tokens=%.0f grant_age=%.1f "
-                  "owner=%s age=%.1f retry_after=%.0f",
+                  "id=%s kind=%s customer=%s rate=%.1f tokens=%.0f "
+                  "grant_age=%.1f owner=%s age=%.1f retry_after=%.0f",
                   request_id(r).text, r->kind->name, r->customer->name,
-                  result->tokens, result->grant_age,
+                  r->customer->rate, result->tokens, result->grant_age,
                   result->owner != NULL ? result->owner : "-",
                   request_now(r) - r->received, result->retry_after);
 }
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -868,7 +868,9 @@
     g_hash_table_remove(r->proxy->allotment_waits, &r->allotment_tag);
     r->allotment_tag = 0;
     if (!result->permitted) {
-        ggw_proxy_log_over_allotment(r, result);
+        if (r->exchange != NULL) {
+            ggw_proxy_log_over_allotment(r, result);
+        }
         uv_timer_stop(&r->timer);
         respond(r, 429, "allotment", GGW_OUTCOME_NOT_RUN,
                 MAX(result->retry_after, 1));
