decide: customers may use nearly the whole bound of their allotment

Cause: a request is within the allotment up to the bound of a window.

Change: the bucket is refilled faster and holds less than the burst, so that a window with leases, three changes of the owner and the smaller sides of a partition stays within the bound.

--- a/decide/allotment.c
+++ b/decide/allotment.c
@@ -13,17 +13,57 @@
  */
 #define MAX_RETRY_AFTER 1000.0
 
-/*
- * Tokens of a bucket at first: a constant, and those of 50 ms. Three changes
- * of the owner within a window stay within its excess together with the
- * leases.
- */
+/* Tokens of a bucket at first: a constant, and those of a time in ms. */
 #define FIRST_TOKENS 1.0
 #define FIRST_MS 50.0
 
+/* Time in ms whose tokens a full bucket holds at least. */
+#define MIN_DEPTH_MS 100.0
+
+/* Changes of the owner for which a window has room. */
+#define OWNER_CHANGES 3
+
+/* Requests that are left over below the bound. */
+#define MARGIN 2.0
+
 /* Rounding error of sums of fractions of tokens. */
 #define EPSILON 1e-6
 
+double
+ggw_allotment_bound(double rate, double burst)
+{
+    return (rate * GGW_ALLOTMENT_WINDOW + burst) * GGW_ALLOTMENT_FACTOR +
+           GGW_ALLOTMENT_SLACK;
+}
+
+/*
+ * Tokens that a full bucket holds: enough for the time between the asks of
+ * several gateways, also without a burst.
+ */
+static double
+depth(double rate, double burst)
+{
+    return fmax(burst * GGW_ALLOTMENT_DEPTH, rate * MIN_DEPTH_MS / 1000) +
+           GGW_ALLOTMENT_SPARE;
+}
+
+/*
+ * Tokens per second. They are chosen so that a window in which a full bucket
+ * is used, with the leases of before, changes of the owner and the grants of
+ * gateways without a majority, stays within the bound.
+ */
+static double
+pace(double rate, double burst)
+{
+    double seconds =
+        GGW_ALLOTMENT_WINDOW * (1 + GGW_ALLOTMENT_MINORITY_SHARE) +
+        GGW_ALLOTMENT_LEASE / 1000 + OWNER_CHANGES * FIRST_MS / 1000;
+    double tokens = ggw_allotment_bound(rate, burst) - depth(rate, burst) -
+                    OWNER_CHANGES * FIRST_TOKENS - MARGIN;
+
+    return tokens / seconds;
+}
+
 static void
 refill(struct ggw_allotment_bucket *b, ggw_ms now)
 {
@@ -39,10 +79,10 @@
                           double burst, ggw_ms since, ggw_ms now)
 {
     *b = (struct ggw_allotment_bucket){
-        .rate = rate,
-        .capacity = burst + GGW_ALLOTMENT_SPARE,
+        .rate = pace(rate, burst),
+        .capacity = depth(rate, burst),
         .since = fmin(since, now),
-        .level = FIRST_TOKENS + rate * FIRST_MS / 1000,
+        .level = FIRST_TOKENS + pace(rate, burst) * FIRST_MS / 1000,
         .at = fmin(since, now),
     };
     refill(b, now);
@@ -53,8 +93,8 @@
                          double burst, double share, ggw_ms now)
 {
     refill(b, now);
-    b->rate = rate * share;
-    b->capacity = fmax((burst + GGW_ALLOTMENT_SPARE) * share, 1);
+    b->rate = pace(rate, burst) * share;
+    b->capacity = fmax(depth(rate, burst) * share, 1);
     b->level = fmin(b->level, b->capacity);
 }
 
--- a/decide/allotment.h
+++ b/decide/allotment.h
@@ -12,15 +12,21 @@
  * One gateway owns the token bucket of a customer and grants tokens to the
  * gateways that ask for them. A gateway uses one token for each request and
  * asks ahead for what it expects to use soon. A grant is valid for
- * GGW_ALLOTMENT_LEASE only, so that the requests in any period of length w
- * stay below rate * (w + lease) + burst.
+ * GGW_ALLOTMENT_LEASE only.
+ *
+ * In no window of 5 s may more than (rate * 5 + burst) * 1.1 + 20 requests
+ * run. Requests below this bound are within the allotment. The bucket is
+ * therefore refilled faster than at the customer's rate, and holds less than
+ * the burst: a customer that sends evenly can use the whole bound, and a new
+ * owner, which begins with few tokens, stays within it.
  */
 
-/*
- * Validity of a grant in ms, from the time at which the gateway asked for it.
- * A window of 5 s with an excess of 10 % leaves 500 ms for grants of an
- * earlier period and for a change of the owner.
- */
+/* The bound: length of a window in s, factor, and requests in addition. */
+#define GGW_ALLOTMENT_WINDOW 5.0
+#define GGW_ALLOTMENT_FACTOR 1.1
+#define GGW_ALLOTMENT_SLACK 20.0
+
+/* Validity of a grant in ms, from the time at which the gateway asked. */
 #define GGW_ALLOTMENT_LEASE 200.0
 
 /* Tokens for this time are asked for ahead of need, in ms. */
@@ -35,10 +41,8 @@
 /* Longest time that a request waits for an answer of an owner, in ms. */
 #define GGW_ALLOTMENT_MAX_WAIT 1500.0
 
-/*
- * Tokens that a bucket holds above the customer's burst, for the tokens that
- * expire unused on other gateways.
- */
+/* Tokens that a full bucket holds: share of the burst, and in addition. */
+#define GGW_ALLOTMENT_DEPTH 0.4
 #define GGW_ALLOTMENT_SPARE 4.0
 
 /*
@@ -53,11 +57,11 @@
  * over all of them together. They may be the smaller side of a partition whose
  * larger side grants the whole rate.
  */
-#define GGW_ALLOTMENT_MINORITY_SHARE 0.05
+#define GGW_ALLOTMENT_MINORITY_SHARE 0.02
 
 /**
  * struct ggw_allotment_bucket - tokens of one customer, kept by its owner
- * @rate: requests per second
+ * @rate: tokens per second
  * @capacity: tokens that a full bucket holds
  * @since: time from which on no other gateway has granted tokens, monotonic ms
  * @level: tokens left at @at
@@ -87,10 +91,15 @@
     ggw_ms step;
 };
 
+/**
+ * ggw_allotment_bound() - requests that may run in a window
+ */
+double ggw_allotment_bound(double rate, double burst);
+
 /**
  * ggw_allotment_bucket_init() - start to count a customer
- * @rate: requests per second
- * @burst: requests that may come at once
+ * @rate: requests per second of the settings
+ * @burst: burst of the settings
  * @since: time from which on no other gateway has granted tokens, monotonic ms
  *
  * Tokens have collected since then, from a few on, so that a gateway that
