decide: customers take turns in the queue for slots

Cause: the queue served requests of one priority first come, first served, so that a customer which sent many times its usual pushed out all others.

Change: within a priority, customers take turns by start-time fair queueing over the slot time that they use. The weight of a customer has a part for its rate in the settings, one for what it has sent lately and one that is the same for all. If the queue is full, a request of the longest backlog for its weight gives way. An idle customer saves nothing up. Without customers nothing changes.

--- a/decide/admission.c
+++ b/decide/admission.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 #include <math.h>
 
+#include "decide/fair_share.h"
+
 /* Weight of a new hold time in the moving average. */
 #define HOLD_TIME_WEIGHT (1.0 / 16)
 
@@ -16,12 +18,14 @@
  * struct item - a queued request
  * @waiter: the request
  * @class: index in ggw_admission.classes
+ * @flow: requests of the same customer
  * @link: link in the queue of the class
  * @iter: position in ggw_admission.by_deadline
  */
 struct item {
     struct ggw_waiter waiter;
     int class;
+    struct ggw_fair_flow *flow;
     GList link;
     GSequenceIter *iter;
 };
@@ -36,6 +40,7 @@
  * @classes: struct item in the order of their arrival, highest priority first
  * @by_deadline: struct item in the order of their deadlines
  * @by_id: identifier of a request to its struct item
+ * @shares: whose turn it is among the customers
  */
 struct ggw_admission {
     size_t max;
@@ -45,8 +50,11 @@
     GQueue classes[CLASS_COUNT];
     GSequence *by_deadline;
     GHashTable *by_id;
+    struct ggw_fair_share *shares;
 };
 
+G_STATIC_ASSERT(GGW_ADMISSION_CLASSES == GGW_FAIR_PRIORITIES);
+
 struct ggw_admission *
 ggw_admission_new(size_t max)
 {
@@ -55,6 +63,7 @@
     a->max = max;
     a->by_deadline = g_sequence_new(NULL);
     a->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+    a->shares = ggw_fair_share_new();
     for (int i = 0; i < CLASS_COUNT; i++) {
         g_queue_init(&a->classes[i]);
     }
@@ -69,6 +78,7 @@
         *waiter = item->waiter;
     }
     g_queue_unlink(&a->classes[item->class], &item->link);
+    ggw_fair_share_drop_waiting(a->shares, item->flow, item->class);
     g_sequence_remove(item->iter);
     g_hash_table_remove(a->by_id, &item->waiter.id);
     a->len--;
@@ -88,6 +98,7 @@
     }
     g_sequence_free(a->by_deadline);
     g_hash_table_destroy(a->by_id);
+    ggw_fair_share_free(a->shares);
     g_free(a);
 }
 
@@ -111,6 +122,13 @@
                              : held;
 }
 
+void
+ggw_admission_add_customer_hold_time(struct ggw_admission *a,
+                                     const char *customer, ggw_ms held)
+{
+    ggw_fair_share_add_hold_time(a->shares, customer, held);
+}
+
 static int
 class_of(int priority)
 {
@@ -131,6 +149,59 @@
     return (ahead + 1) * a->mean_hold_time / a->slots;
 }
 
+/* Slot time that a request of the flow is expected to need. */
+static ggw_ms
+flow_cost(const struct ggw_admission *a, const struct ggw_fair_flow *flow)
+{
+    if (flow->hold_time > 0) {
+        return flow->hold_time;
+    }
+    return a->mean_hold_time > 0 ? a->mean_hold_time : 1;
+}
+
+/* Virtual time for which one request of the flow is served. */
+static double
+flow_step(const struct ggw_admission *a, const struct ggw_fair_flow *flow)
+{
+    return flow_cost(a, flow) / ggw_fair_share_weight(a->shares, flow);
+}
+
+/* Requests of another flow that are served before virtual time @start. */
+static guint
+flow_ahead(const struct ggw_admission *a, const struct ggw_fair_flow *other,
+           int class, double start)
+{
+    double first = ggw_fair_share_start(a->shares, other, class);
+
+    if (other->queued[class] == 0 || start < first) {
+        return 0;
+    }
+    return (guint)MIN(floor((start - first) / flow_step(a, other)) + 1,
+                      other->queued[class]);
+}
+
+/* Estimated wait of a request of the flow pushed now, ms. */
+static ggw_ms
+flow_wait(const struct ggw_admission *a, const struct ggw_fair_flow *flow,
+          int class)
+{
+    double start = ggw_fair_share_start(a->shares, flow, class) +
+                   flow->queued[class] * flow_step(a, flow);
+    guint ahead = flow->queued[class];
+
+    if (a->slots <= 0) {
+        return INFINITY;
+    }
+    for (int i = 0; i < class; i++) {
+        ahead += a->classes[i].length;
+    }
+    for (const GList *i = ggw_fair_share_active(a->shares); i != NULL;
+         i = i->next) {
+        ahead += i->data != flow ? flow_ahead(a, i->data, class, start) : 0;
+    }
+    return (ahead + 1) * a->mean_hold_time / a->slots;
+}
+
 static int
 compare_deadlines(gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -141,34 +212,83 @@
 }
 
 static void
-insert(struct ggw_admission *a, const struct ggw_waiter *waiter, bool late)
+insert(struct ggw_admission *a, const struct ggw_waiter *waiter,
+       struct ggw_fair_flow *flow, int class)
 {
     struct item *item = g_new0(struct item, 1);
 
     item->waiter = *waiter;
-    item->class =
-        class_of(waiter->priority) + (late ? GGW_ADMISSION_CLASSES : 0);
+    item->waiter.customer = NULL; /* the caller's, not valid any more */
+    item->class = class;
+    item->flow = flow;
     item->link.data = item;
     g_queue_push_tail_link(&a->classes[item->class], &item->link);
     item->iter = g_sequence_insert_sorted(a->by_deadline, item,
                                           compare_deadlines, NULL);
     g_hash_table_insert(a->by_id, &item->waiter.id, item);
+    ggw_fair_share_add_waiting(a->shares, flow, class);
     a->len++;
 }
 
+/* Time that the requests of a flow in a class need at the flow's share. */
+static double
+flow_backlog(const struct ggw_admission *a, const struct ggw_fair_flow *flow,
+             int class, guint more)
+{
+    return (flow->queued[class] + more) * flow_step(a, flow);
+}
+
+/* Returns the newest request of the flow with the longest backlog. */
+static struct item *
+find_longest(const struct ggw_admission *a, int class)
+{
+    const struct ggw_fair_flow *longest = NULL;
+    GList *node = a->classes[class].tail;
+
+    for (const GList *i = ggw_fair_share_active(a->shares); i != NULL;
+         i = i->next) {
+        if (longest == NULL || flow_backlog(a, i->data, class, 0) >
+                                   flow_backlog(a, longest, class, 0)) {
+            longest = i->data;
+        }
+    }
+    while (node != NULL && ((struct item *)node->data)->flow != longest) {
+        node = node->prev;
+    }
+    return node != NULL ? node->data : NULL;
+}
+
 /*
- * Returns the newest request of the lowest class that has one, if that class
- * is lower than the given one, or NULL.
+ * Returns a request of a class that gives way to a further one of @flow, so
+ * that a flow with a long backlog does not keep others out, or NULL.
  */
 static struct item *
-find_displaceable(struct ggw_admission *a, int class)
+find_longer(const struct ggw_admission *a, const struct ggw_fair_flow *flow,
+            int class)
+{
+    struct item *item = find_longest(a, class);
+
+    return item != NULL && flow_backlog(a, item->flow, class, 0) >
+                               flow_backlog(a, flow, class, 1)
+               ? item
+               : NULL;
+}
+
+/*
+ * Returns the request that gives way to one of @flow in a full queue, or NULL:
+ * one of the lowest class if that is lower than the given one, or else one of
+ * a flow with a longer backlog.
+ */
+static struct item *
+find_displaceable(struct ggw_admission *a, const struct ggw_fair_flow *flow,
+                  int class)
 {
     for (int i = CLASS_COUNT - 1; i > class; i--) {
         if (a->classes[i].length > 0) {
-            return g_queue_peek_tail(&a->classes[i]);
+            return find_longest(a, i);
         }
     }
-    return NULL;
+    return find_longer(a, flow, class);
 }
 
 static guint
@@ -192,23 +312,40 @@
 ggw_admission_push(struct ggw_admission *a, const struct ggw_waiter *waiter,
                    ggw_ms now, struct ggw_waiter *displaced)
 {
+    int class = class_of(waiter->priority);
+    struct ggw_fair_flow *flow = ggw_fair_share_flow(
+        a->shares, waiter->customer, waiter->customer_rate, now);
     struct item *victim = NULL;
-    ggw_ms start = now + ggw_admission_wait(a, waiter->priority);
-    bool late = !is_on_time(waiter, start);
+    ggw_ms start;
+    bool late;
 
     g_assert(!g_hash_table_contains(a->by_id, &waiter->id));
-    if (now >= waiter->deadline || start > waiter->deadline ||
-        (late && late_count(a) >= GGW_ADMISSION_LATE_FRACTION * a->slots)) {
+    if (a->classes[class].length == 0 &&
+        a->classes[class + GGW_ADMISSION_CLASSES].length == 0) {
+        ggw_fair_share_restart(a->shares, class);
+    }
+    ggw_fair_share_request(a->shares, flow, flow_cost(a, flow), now);
+    start = now + flow_wait(a, flow, class);
+    late = !is_on_time(waiter, start);
+    if (now >= waiter->deadline || start > waiter->deadline) {
         return GGW_ADMISSION_TOO_LATE;
     }
-    if (a->len >= a->max) {
-        victim = find_displaceable(a, class_of(waiter->priority));
+    if (late && late_count(a) >= GGW_ADMISSION_LATE_FRACTION * a->slots) {
+        victim = find_longer(a, flow, class + GGW_ADMISSION_CLASSES);
+        if (victim == NULL) {
+            return GGW_ADMISSION_TOO_LATE;
+        }
+    }
+    else if (a->len >= a->max) {
+        victim = find_displaceable(a, flow, class);
         if (victim == NULL) {
             return GGW_ADMISSION_FULL;
         }
+    }
+    if (victim != NULL) {
         remove_item(a, victim, displaced);
     }
-    insert(a, waiter, late);
+    insert(a, waiter, flow, class + (late ? GGW_ADMISSION_CLASSES : 0));
     return victim != NULL ? GGW_ADMISSION_DISPLACED : GGW_ADMISSION_QUEUED;
 }
 
@@ -224,28 +361,57 @@
         next = node->next;
         if (!is_on_time(&item->waiter, now)) {
             g_queue_unlink(&a->classes[class], &item->link);
+            ggw_fair_share_drop_waiting(a->shares, item->flow, class);
             item->class = class + GGW_ADMISSION_CLASSES;
+            ggw_fair_share_add_waiting(a->shares, item->flow, item->class);
             g_queue_push_tail_link(&a->classes[item->class], &item->link);
         }
     }
 }
 
+/*
+ * Returns the request of a class that is served next: the oldest one of the
+ * flow whose turn it is. NULL if none can start.
+ */
+static struct item *
+find_next(const struct ggw_admission *a, int class, ggw_ms now)
+{
+    int priority = class % GGW_ADMISSION_CLASSES;
+    const GList *flows = ggw_fair_share_active(a->shares);
+    bool single = flows != NULL && flows->next == NULL;
+    struct item *next = NULL;
+    double first = INFINITY;
+
+    for (GList *node = a->classes[class].head;
+         node != NULL && !(single && next != NULL); node = node->next) {
+        struct item *item = node->data;
+        double start = ggw_fair_share_start(a->shares, item->flow, priority);
+
+        if (start < first && item->waiter.deadline > now) {
+            next = item;
+            first = start;
+        }
+    }
+    return next;
+}
+
 bool
 ggw_admission_pop(struct ggw_admission *a, ggw_ms now,
                   struct ggw_waiter *waiter)
 {
+    struct item *item;
+
     for (int i = 0; i < CLASS_COUNT; i++) {
         if (i < GGW_ADMISSION_CLASSES) {
             demote(a, i, now);
         }
-        for (GList *node = a->classes[i].head; node != NULL;
-             node = node->next) {
-            struct item *item = node->data;
-
-            if (item->waiter.deadline > now) {
-                remove_item(a, item, waiter);
-                return true;
-            }
+        item = find_next(a, i, now);
+        if (item != NULL) {
+            ggw_fair_share_serve(a->shares, item->flow,
+                                 i % GGW_ADMISSION_CLASSES,
+                                 flow_cost(a, item->flow));
+            remove_item(a, item, waiter);
+            return true;
         }
     }
     return false;
--- a/decide/admission.h
+++ b/decide/admission.h
@@ -10,12 +10,15 @@
 /**
  * DOC: Bounded queue of the requests that wait for a slot (design 5.11)
  *
- * The queue has strict priorities and is first come, first served within a
- * priority. Waiting does not raise a priority: a request of low priority waits
- * at most until its deadline and is refused then. Requests that can still meet
- * their target come before all others. Under overload, the servers then spend
- * their time on responses that are on time, instead of on a queue in which
- * every request becomes late.
+ * The queue has strict priorities. Within a priority, customers take turns by
+ * the slot time that they use (decide/fair_share.h); the requests of one
+ * customer, and all requests if none has a customer, are served first come,
+ * first served. If the queue is full, a request of low priority gives way, or
+ * else one of the customer with the longest queue. Waiting does not raise a
+ * priority: a request of low priority waits at most until its deadline and is
+ * refused then. Requests that can still meet their target come before all
+ * others. Under overload, the servers then spend their time on responses that
+ * are on time, instead of on a queue in which every request becomes late.
  */
 
 /* Number of priorities; lower priorities are treated as the last one. */
@@ -31,6 +34,9 @@
  * @on_time_until: latest start with which the response meets its target,
  *                 monotonic ms; 0: no target. After it, the request comes
  *                 after all requests that can still meet their target.
+ * @customer: name of the customer, or NULL; used during the push only
+ * @customer_rate: requests per second that the settings allow the customer; 0:
+ *                 not limited
  * @data: pointer for the caller
  */
 struct ggw_waiter {
@@ -38,6 +44,8 @@
     int priority;
     ggw_ms deadline;
     ggw_ms on_time_until;
+    const char *customer;
+    double customer_rate;
     void *data;
 };
 
@@ -103,15 +111,26 @@
  */
 void ggw_admission_add_hold_time(struct ggw_admission *a, ggw_ms held);
 
+/**
+ * ggw_admission_add_customer_hold_time() - the same for one customer
+ * @customer: name, or NULL
+ *
+ * The average determines what a request of the customer is charged.
+ */
+void ggw_admission_add_customer_hold_time(struct ggw_admission *a,
+                                          const char *customer, ggw_ms held);
+
 /**
  * ggw_admission_push() - queue a request that found no free slot
  * @waiter: request, which is copied; its id must not be queued already
  * @now: monotonic ms
  * @displaced: with GGW_ADMISSION_DISPLACED, filled with the newest request of
  *             the lowest priority, which is no longer queued and must be
- *             refused
+ *             refused; if several customers have requests of that priority,
+ *             with that of the customer with the longest queue for its weight
  *
- * Takes O(log n).
+ * Takes O(log n + number of customers that wait), and O(n) if the queue is
+ * full.
  */
 enum ggw_admission_result ggw_admission_push(struct ggw_admission *a,
                                              const struct ggw_waiter *waiter,
@@ -123,7 +142,8 @@
  * @now: monotonic ms
  * @waiter: filled with the request
  *
- * Takes O(n), because it checks the targets of the queued requests. Call
+ * Takes O(n), because it checks the targets of the queued requests and whose
+ * turn it is. Call
  * ggw_admission_expire() first: requests past their deadline are never
  * returned here and stay queued.
  *
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -72,6 +72,7 @@
  * @expires: time at which the slot is given back without a release, monotonic
  *           ms
  * @iter: position in ggw_ledger.by_expiry
+ * @customer: name of the customer that sent the request, or NULL
  * @released: the attempt has failed, but the grant occupies its slot until
  *            @expires, so that a server that fails fast does not look idle
  */
@@ -81,6 +82,7 @@
     ggw_ms started;
     ggw_ms expires;
     GSequenceIter *iter;
+    char *customer;
     bool released;
 };
 
@@ -96,6 +98,7 @@
  * @failure_domain: failure domain of the holder, or NULL
  * @cross_domain_cost: cost of a server in another failure domain, as a
  *                     multiple of the usual latency of the request
+ * @customer: name of the customer that sent the request, or NULL
  */
 struct ggw_ledger_waiter {
     struct ggw_ledger_key key;
@@ -106,6 +109,7 @@
     char **avoid;
     char *failure_domain;
     double cross_domain_cost;
+    char *customer;
 };
 
 /**
@@ -197,12 +201,12 @@
 
 /*
  * Adds a grant that expires at the given time, monotonic ms. The key must have
- * neither a grant nor a waiting request.
+ * neither a grant nor a waiting request. Returns the grant.
  */
-void ggw_ledger_add_grant(struct ggw_ledger *l,
-                          const struct ggw_ledger_key *key,
-                          struct ggw_ledger_server_entry *s, ggw_ms expires,
-                          ggw_ms now);
+struct ggw_ledger_grant *
+ggw_ledger_add_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key,
+                     struct ggw_ledger_server_entry *s, ggw_ms expires,
+                     ggw_ms now);
 
 /* Removes a waiting request; returns false if there is none with the key. */
 bool ggw_ledger_remove_waiter(struct ggw_ledger *l,
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -44,6 +44,7 @@
     g_free(w->key.holder);
     g_strfreev(w->avoid);
     g_free(w->failure_domain);
+    g_free(w->customer);
     g_free(w);
 }
 
@@ -53,6 +54,7 @@
     struct ggw_ledger_grant *g = data;
 
     g_free(g->key.holder);
+    g_free(g->customer);
     g_free(g);
 }
 
@@ -216,7 +218,7 @@
     return (x->expires > y->expires) - (x->expires < y->expires);
 }
 
-void
+struct ggw_ledger_grant *
 ggw_ledger_add_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key,
                      struct ggw_ledger_server_entry *s, ggw_ms expires,
                      ggw_ms now)
@@ -231,6 +233,7 @@
     g->iter = g_sequence_insert_sorted(l->by_expiry, g, by_expiry, NULL);
     g_hash_table_insert(l->grants, &g->key, g);
     s->in_flight++;
+    return g;
 }
 
 void
@@ -243,16 +246,19 @@
 
 static bool
 try_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key,
-          const struct ggw_ledger_pick_params *params, ggw_ms deadline,
-          ggw_ms now)
+          const struct ggw_ledger_pick_params *params, const char *customer,
+          ggw_ms deadline, ggw_ms now)
 {
     struct ggw_ledger_server_entry *s = ggw_ledger_pick(l, params, now);
+    struct ggw_ledger_grant *g;
 
     if (s == NULL) {
         return false;
     }
     ggw_limit_started(&s->limit, now);
-    ggw_ledger_add_grant(l, key, s, deadline + GGW_LEDGER_EXPIRY_MARGIN, now);
+    g = ggw_ledger_add_grant(l, key, s, deadline + GGW_LEDGER_EXPIRY_MARGIN,
+                             now);
+    g->customer = g_strdup(customer);
     push_decision(l, key, GGW_LEDGER_GRANTED, s->name, GGW_SLOT_NO_SERVER, 0);
     return true;
 }
@@ -350,7 +356,7 @@
     struct ggw_ledger_pick_params params = {
         w->priority, w->avoid, w->failure_domain, w->cross_domain_cost};
 
-    return try_grant(l, &w->key, &params, w->deadline, now);
+    return try_grant(l, &w->key, &params, w->customer, w->deadline, now);
 }
 
 /*
@@ -442,6 +448,8 @@
                              ? request->target - LONG_LATENCY_FACTOR *
                                                      request->median_latency
                              : 0,
+        .customer = request->customer,
+        .customer_rate = request->customer_rate,
         .data = w,
     };
     struct ggw_waiter displaced;
@@ -454,6 +462,7 @@
     w->start_by = waiter.deadline;
     w->avoid = g_strdupv((char **)request->avoid);
     w->failure_domain = g_strdup(request->failure_domain);
+    w->customer = g_strdup(request->customer);
     w->cross_domain_cost = request->cross_domain_cost;
     update_queue_max(l);
     switch (ggw_admission_push(l->queue, &waiter, now, &displaced)) {
@@ -502,8 +511,8 @@
     else if (now >= latest_start(request)) {
         refuse(l, &key, request->priority, GGW_SLOT_TOO_LATE, now);
     }
-    else if (!others_waiting &&
-             try_grant(l, &key, &params, request->deadline, now)) {
+    else if (!others_waiting && try_grant(l, &key, &params, request->customer,
+                                          request->deadline, now)) {
         return;
     }
     else if (!request->may_queue) {
@@ -688,6 +697,8 @@
     apply_result(l, s, result, g->started, latency, now);
     if (result != GGW_ATTEMPT_UNUSED) {
         ggw_admission_add_hold_time(l->queue, now - g->started);
+        ggw_admission_add_customer_hold_time(l->queue, g->customer,
+                                             now - g->started);
     }
     hold_time = ggw_limit_hold_time(result, latency, l->latency.p90);
     if (ggw_attempt_failed(result) && g->started + hold_time > now) {
--- a/decide/slots.h
+++ b/decide/slots.h
@@ -100,6 +100,8 @@
  * @cross_domain_cost: cost of a server in another failure domain, as a
  *                     multiple of the usual latency of the request
  * @customer: name of the customer that sent the request, or NULL
+ * @customer_rate: requests per second that the settings allow the customer; 0:
+ *                 not limited
  * @route: name of the route or kind of the request, or NULL
  * @hedge: the slot is for a second attempt beside one that is in progress
  */
@@ -115,6 +117,7 @@
     const char *failure_domain;
     double cross_domain_cost;
     const char *customer;
+    double customer_rate;
     const char *route;
     bool hedge;
 };
--- a/slots/acquire.c
+++ b/slots/acquire.c
@@ -166,6 +166,7 @@
         .target = r->target,
         .median_latency = r->median_latency,
         .customer = r->customer,
+        .customer_rate = ggw_slots_customer_rate(d, r->customer),
         .route = r->route,
         .hedge = r->hedge,
     };
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -385,6 +385,13 @@
 
 /* slots/owned.c */
 
+/*
+ * Requests per second that the settings allow a customer, whose name may be
+ * NULL; 0: not limited, or not known.
+ */
+double ggw_slots_customer_rate(const struct ggw_slots_domain *d,
+                               const char *customer);
+
 /**
  * ggw_slots_update_owners() - determine the owner of each domain again
  * @old_members: previous members; NULL if they have not changed
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -262,6 +262,17 @@
     return *text != '\0' ? text : NULL;
 }
 
+double
+ggw_slots_customer_rate(const struct ggw_slots_domain *d, const char *customer)
+{
+    const struct ggw_tree *tree = d->group->tree;
+    const struct ggw_customer_rule *rule =
+        tree != NULL && customer != NULL ? ggw_tree_customer(tree, customer)
+                                         : NULL;
+
+    return rule != NULL ? rule->rate : 0;
+}
+
 static void
 on_acquire(struct ggw_slots *p, const struct ggw_peer_received *frame,
            struct ggw_payload_reader *r)
@@ -305,6 +316,7 @@
     g_ptr_array_add(avoid, NULL);
     request.avoid = n > 0 ? (char *const *)avoid->pdata : NULL;
     request.failure_domain = member_failure_domain(p, frame->peer);
+    request.customer_rate = ggw_slots_customer_rate(d, request.customer);
     ggw_slots_owner_acquire(p, d, &request, answer_time);
     ggw_slots_flush_ledger(p, d);
 }
