ctl: verbs print no keys of customers

Cause: show and diff printed all settings, keys included.

Change: they print a digest in place of each key; apply, set and diff put the keys in force back, and a digest that belongs to none is refused.

--- a/ctl/verbs_change.c
+++ b/ctl/verbs_change.c
@@ -3,6 +3,7 @@
 
 #include "ctl/change.h"
 #include "ctl/ctl.h"
+#include "ctl/keys.h"
 #include "ctl/path.h"
 #include "ctl/table.h"
 #include "ctl/verbs.h"
@@ -35,8 +36,15 @@
 static bool
 edit_set(const struct ggw_ctl_args *args, json_t **tree)
 {
-    return set_setting(args, *tree, args->operands[0],
-                       ggw_path_parse_value(args->operands[1]));
+    json_t *current = json_deep_copy(*tree);
+    bool ok = set_setting(args, *tree, args->operands[0],
+                          ggw_path_parse_value(args->operands[1]));
+
+    if (ok) {
+        ggw_ctl_restore_keys(*tree, current);
+    }
+    json_decref(current);
+    return ok;
 }
 
 int
@@ -62,6 +70,7 @@
     if (file == NULL) {
         return false;
     }
+    ggw_ctl_restore_keys(file, *tree);
     json_decref(*tree);
     *tree = file;
     return true;
--- a/ctl/verbs_read.c
+++ b/ctl/verbs_read.c
@@ -4,6 +4,7 @@
 
 #include "config/schema.h"
 #include "ctl/ctl.h"
+#include "ctl/keys.h"
 #include "ctl/path.h"
 #include "ctl/table.h"
 #include "ctl/verbs.h"
@@ -19,6 +20,7 @@
     };
     struct ggw_ctl_args args;
     struct ggw_ctl_settings settings;
+    json_t *shown;
 
     ggw_ctl_parse(&usage, argc, argv, &args);
     if (!ggw_ctl_read_settings(&args, &settings)) {
@@ -32,8 +34,10 @@
     else {
         fprintf(stderr, "%s: no settings yet\n", args.team);
     }
-    json_dumpf(settings.row.tree, stdout, JSON_INDENT(2));
+    shown = ggw_ctl_hide_keys(settings.row.tree);
+    json_dumpf(shown, stdout, JSON_INDENT(2));
     putchar('\n');
+    json_decref(shown);
     ggw_config_row_clear(&settings.row);
     return GGW_CTL_DONE;
 }
@@ -41,7 +45,9 @@
 static void
 print_differences(const json_t *before, const json_t *after)
 {
-    GArray *paths = ggw_json_diff(before, after);
+    json_t *shown_before = ggw_ctl_hide_keys(before);
+    json_t *shown_after = ggw_ctl_hide_keys(after);
+    GArray *paths = ggw_json_diff(shown_before, shown_after);
 
     for (guint i = 0; i < paths->len; i++) {
         const struct ggw_difference *d =
@@ -52,6 +58,21 @@
                d->after != NULL ? d->after : "unset");
     }
     g_array_unref(paths);
+    json_decref(shown_before);
+    json_decref(shown_after);
+}
+
+static int
+diff_settings(const struct ggw_ctl_args *args,
+              const struct ggw_ctl_settings *settings, json_t *file,
+              bool hidden)
+{
+    ggw_ctl_restore_keys(file, settings->row.tree);
+    if (hidden && !ggw_ctl_check_settings(args, 1, file)) {
+        return GGW_CTL_REFUSED;
+    }
+    print_differences(settings->row.tree, file);
+    return GGW_CTL_DONE;
 }
 
 int
@@ -68,15 +89,17 @@
     struct ggw_ctl_settings settings;
     json_t *file;
     int status = GGW_CTL_REFUSED;
+    bool hidden;
 
     ggw_ctl_parse(&usage, argc, argv, &args);
     file = ggw_ctl_read_file(&args, args.operands[0]);
-    if (file != NULL && ggw_ctl_check_settings(&args, 1, file)) {
+    /* Settings with hidden keys can be checked only after these are known. */
+    hidden = ggw_ctl_has_hidden_keys(file);
+    if (file != NULL && (hidden || ggw_ctl_check_settings(&args, 1, file))) {
         status = GGW_CTL_UNREACHABLE;
         if (ggw_ctl_read_settings(&args, &settings)) {
-            print_differences(settings.row.tree, file);
+            status = diff_settings(&args, &settings, file, hidden);
             ggw_config_row_clear(&settings.row);
-            status = GGW_CTL_DONE;
         }
     }
     json_decref(file);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -8,7 +8,9 @@
 
 #include "ctl/blocking.h"
 #include "ctl/ctl.h"
+#include "ctl/keys.h"
 #include "ctl/path.h"
+#include "ctl/table.h"
 #include "tests/platform_process.h"
 
 /* Delay of a write in ms; the other operator reads the settings meanwhile. */
@@ -459,6 +461,100 @@
     json_decref(b);
 }
 
+/* Settings with the given keys of one customer. */
+static json_t *
+settings_with_keys(const char *keys)
+{
+    g_autofree char *text =
+        g_strdup_printf("{\"customers\":{\"c\":{\"keys\":%s}}}", keys);
+    json_t *tree = json_loads(text, 0, NULL);
+
+    g_assert_nonnull(tree);
+    return tree;
+}
+
+/*
+ * Guards against a key in the output of a verb, against settings that lose
+ * their keys when what was printed is edited and applied, and against a hidden
+ * key that is applied as a key.
+ */
+static void
+test_hidden_keys(void)
+{
+    json_t *current = settings_with_keys("[\"secret-1\",\"secret-2\"]");
+    json_t *shown = ggw_ctl_hide_keys(current);
+    json_t *again = ggw_ctl_hide_keys(shown);
+    json_t *other =
+        settings_with_keys("[\"hidden 0123456789abcdef\",\"new\"]");
+    static const struct ggw_ctl_usage usage = {.verb = "apply"};
+    struct ggw_ctl_args args = {.usage = &usage, .team = "t"};
+    char *text = json_dumps(shown, 0);
+    json_t *keys;
+
+    CU_ASSERT_PTR_NULL(strstr(text, "secret"));
+    CU_ASSERT_TRUE(json_equal(shown, again));
+    CU_ASSERT_TRUE(ggw_ctl_has_hidden_keys(shown));
+    CU_ASSERT_FALSE(ggw_ctl_has_hidden_keys(current));
+    ggw_ctl_restore_keys(shown, current);
+    CU_ASSERT_TRUE(json_equal(shown, current));
+    ggw_ctl_restore_keys(other, current);
+    CU_ASSERT_FALSE(ggw_ctl_check_settings(&args, 1, other));
+    keys = json_object_get(
+        json_object_get(json_object_get(other, "customers"), "c"), "keys");
+    CU_ASSERT_STRING_EQUAL(json_string_value(json_array_get(keys, 1)), "new");
+    free(text);
+    json_decref(current);
+    json_decref(shown);
+    json_decref(again);
+    json_decref(other);
+}
+
+/*
+ * Guards against keys of customers in what the verbs print and write to the
+ * audit, and against "apply" that replaces them by their hidden form.
+ */
+static void
+test_verbs_hide_keys(void)
+{
+    static const char *const reads[] = {
+        "show --team keys --platform 127.0.0.1:PORT",
+        "audit --team keys --platform 127.0.0.1:PORT",
+    };
+    g_autofree char *shown = NULL;
+    g_autofree char *path = g_strdup_printf("/tmp/ggw-keys-%d.json", getpid());
+    g_autofree char *diff =
+        g_strdup_printf("diff --team keys --platform 127.0.0.1:PORT %s", path);
+    g_autofree char *apply = g_strdup_printf(
+        "apply --team keys --platform 127.0.0.1:PORT --who ops %s", path);
+    const char *json;
+
+    expect("set --team keys --platform 127.0.0.1:PORT --who ops "
+           "customers.c.keys '[\"secret-1\"]'",
+           0, "revision 1");
+    for (size_t i = 0; i < G_N_ELEMENTS(reads); i++) {
+        g_autofree char *out = NULL;
+
+        CU_ASSERT_EQUAL(run(reads[i], &out), 0);
+        CU_ASSERT_PTR_NULL(strstr(out, "secret"));
+    }
+    CU_ASSERT_EQUAL(run(reads[0], &shown), 0);
+    json = strchr(shown, '{');
+    g_assert_nonnull(json);
+    CU_ASSERT_TRUE(g_file_set_contents(path, json, -1, NULL));
+    expect(diff, 0, "");
+    expect(apply, 0, "nothing to change");
+    CU_ASSERT_TRUE(g_file_set_contents(
+        path, "{\"customers\":{\"c\":{\"keys\":[\"secret-2\"]}}}", -1, NULL));
+    {
+        g_autofree char *out = NULL;
+
+        CU_ASSERT_EQUAL(run(diff, &out), 0);
+        CU_ASSERT_PTR_NOT_NULL(strstr(out, "customers.c.keys"));
+        CU_ASSERT_PTR_NULL(strstr(out, "secret"));
+    }
+    unlink(path);
+}
+
 /*
  * Guards against a reference in docs/settings.md that differs from the schema
  * by which a gateway checks settings.
@@ -581,6 +677,8 @@
     CU_add_test(suite, "many operators", test_many_operators);
     CU_add_test(suite, "gateways", test_gateways);
     CU_add_test(suite, "compare", test_compare);
+    CU_add_test(suite, "hidden keys", test_hidden_keys);
+    CU_add_test(suite, "verbs hide keys", test_verbs_hide_keys);
     CU_add_test(suite, "reference", test_reference);
     CU_add_test(suite, "deleted", test_deleted);
     CU_add_test(suite, "last revision", test_last_revision);
