rollouts: service that decides the stages, and its rows in the store

Cause: nothing acts on an operator's order yet.

The list of the roll-outs is on the status page. Only nodes whose settings have roll-outs run the services.

--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -13,9 +13,12 @@
 #include "peers/peers.h"
 #include "platform/dialect.h"
 #include "platform/pages.h"
+#include "platform/platform.h"
+#include "platform/rollouts.h"
 #include "platform/settings.h"
 #include "platform/site.h"
 #include "proxy/proxy.h"
+#include "rollouts/rollouts.h"
 #include "slots/slots.h"
 
 /*
@@ -48,6 +51,23 @@
     {.name = NULL},
 };
 
+static void
+add_rollouts(struct ggw_kernel *kernel, const struct ggw_node_settings *s)
+{
+    const struct ggw_rollouts_options rollouts = {
+        .self = s->name,
+        .failure_domain = s->failure_domain,
+        .exposure_percent = s->exposure_percent,
+        .exposure_slack = s->exposure_slack,
+        .rollback_limit = s->rollback_limit,
+    };
+
+    ggw_kernel_add(kernel,
+                   ggw_platform_service_new(s->store.host, s->store.port));
+    ggw_kernel_add(kernel, ggw_rollout_rows_service_new());
+    ggw_kernel_add(kernel, ggw_rollouts_service_new(&rollouts));
+}
+
 static void
 add_services(struct ggw_kernel *kernel, const struct ggw_node_settings *s,
              uint64_t incarnation)
@@ -87,6 +107,9 @@
                                                  (uint32_t)incarnation));
     ggw_kernel_add(kernel, ggw_proxy_service_new(&proxy));
     ggw_kernel_add(kernel, ggw_pages_service_new(s, max_age));
+    if (s->rollouts) {
+        add_rollouts(kernel, s);
+    }
 }
 
 /* Argument of reload(). */
--- a/proxy/pages.c
+++ b/proxy/pages.c
@@ -214,6 +214,7 @@
 page_status(struct ggw_proxy *proxy, struct ggw_exchange *x)
 {
     json_t *revisions = json_object();
+    json_t *page;
     GHashTableIter iter;
     gpointer team, tree;
 
@@ -223,15 +224,17 @@
             revisions, team,
             json_integer((json_int_t)((struct ggw_tree *)tree)->revision));
     }
-    ggw_proxy_respond_json(
-        x, json_pack("{s:s,s:I,s:s,s:b,s:b,s:i,s:o,s:o,s:o}", "name",
-                     proxy->options.name, "incarnation",
-                     (json_int_t)proxy->options.incarnation, "failure_domain",
-                     proxy->options.failure_domain, "leaving",
-                     (int)proxy->leaving, "ready", (int)ggw_proxy_ready(proxy),
-                     "requests", (int)proxy->requests, "revisions", revisions,
-                     "members", members_json(proxy), "backend_servers",
-                     servers_json(proxy)));
+    page = json_pack(
+        "{s:s,s:I,s:s,s:b,s:b,s:i,s:o,s:o,s:o}", "name", proxy->options.name,
+        "incarnation", (json_int_t)proxy->options.incarnation,
+        "failure_domain", proxy->options.failure_domain, "leaving",
+        (int)proxy->leaving, "ready", (int)ggw_proxy_ready(proxy), "requests",
+        (int)proxy->requests, "revisions", revisions, "members",
+        members_json(proxy), "backend_servers", servers_json(proxy));
+    if (proxy->rollouts != NULL) {
+        json_object_set(page, "rollouts", proxy->rollouts);
+    }
+    ggw_proxy_respond_json(x, page);
 }
 
 static void
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "common/metrics.h"
 #include "proxy/state.h"
+#include "rollouts/status.h"
 
 #define PART "proxy"
 
@@ -224,6 +225,11 @@
     else if (m->ops == &ggw_vms_changed_ops) {
         on_vms(p, (struct ggw_vms_changed *)m);
     }
+    else if (m->ops == &ggw_rollouts_status_ops) {
+        json_decref(p->rollouts);
+        p->rollouts =
+            json_loads(((struct ggw_rollouts_status *)m)->json, 0, NULL);
+    }
     else if (m->ops == &ggw_server_backoff_ops) {
         ggw_proxy_on_backoff(p, (struct ggw_server_backoff *)m);
     }
@@ -309,6 +315,7 @@
     g_hash_table_destroy(p->live);
     g_hash_table_destroy(p->backoffs);
     g_hash_table_destroy(p->malformed_backoffs);
+    json_decref(p->rollouts);
     if (p->members != NULL) {
         p->members->base.ops->destroy(&p->members->base);
     }
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -80,6 +80,7 @@
  * @requests: number of requests in progress
  * @vms: last list of VMs, or NULL
  * @members: last MEMBERS_CHANGED, or NULL
+ * @rollouts: JSON list of the roll-outs, or NULL in a gateway without them
  * @shutdown_timer: while leaving, polls for the next step of the shutdown
  * @started_at: monotonic ms
  * @leaving: shutdown has begun: the gateway is not ready and does not list
@@ -118,6 +119,7 @@
 
     struct ggw_vm_list *vms;
     struct ggw_members_changed *members;
+    json_t *rollouts;
 
     uv_timer_t shutdown_timer;
     bool started;
