--- a/rollouts/rollouts.c
+++ b/rollouts/rollouts.c
@@ -18,7 +18,7 @@
 
 #define PART "rollouts"
 
-/* Interval of tick_cb(), ms. */
+/* Interval of ggw_rollouts_tick(), ms. */
 #define TICK 200.0
 
 /*
@@ -138,6 +138,7 @@
  * @save_timeout: timeout of the next call, ms
  * @verify_at: when the rows are read again, monotonic ms
  * @read: whether the rows have been read
+ * @reread: a write got no answer, so that the rows are not known
  * @record_version, @state_version: their versions
  * @stored_term: term of the state in the store
  * @unsent: the state that operators read differs from @state
@@ -166,6 +167,7 @@
     ggw_ms save_timeout;
     ggw_ms verify_at;
     bool read;
+    bool reread;
     int64_t record_version;
     int64_t state_version;
     uint64_t stored_term;
@@ -177,7 +179,7 @@
  * @base: service header
  * @self: name of this gateway
  * @options: settings; the texts are unset
- * @timer: calls tick_cb()
+ * @timer: calls ggw_rollouts_tick()
  * @started_at, @ticked_at: monotonic ms
  * @rollouts: "TEAM/SERVICE" to struct rollout
  * @members: last MEMBERS_CHANGED, or NULL
@@ -755,7 +757,7 @@
     if (r->save_tag != 0 || now < r->save_at) {
         return;
     }
-    if (!r->read) {
+    if (!r->read || r->reread) {
         save(p, r, NULL);
     }
     else if (r->completing) {
@@ -948,10 +950,10 @@
     r->completing = false;
 }
 
-static void
-tick_cb(uv_timer_t *timer)
+void
+ggw_rollouts_tick(struct ggw_service *service)
 {
-    struct priv *p = timer->data;
+    struct priv *p = (struct priv *)service;
     ggw_ms now = now_ms(p);
     bool paused = now - p->ticked_at > PAUSE;
     GHashTableIter iter;
@@ -970,6 +972,12 @@
     }
 }
 
+static void
+tick_cb(uv_timer_t *timer)
+{
+    ggw_rollouts_tick(timer->data);
+}
+
 static void
 on_order(struct priv *p, const struct ggw_rollout_order *m)
 {
@@ -1196,10 +1204,12 @@
     if (m->status != GGW_PLATFORM_OK && m->status != GGW_PLATFORM_CONFLICT) {
         ggw_count("ggw_rollout_writes_total{result=\"failed\"}");
         r->save_at = now + SAVE_RETRY;
+        r->reread |= m->status == GGW_PLATFORM_UNKNOWN;
         r->save_timeout = MIN(2 * r->save_timeout, SAVE_TIMEOUT_MAX);
         return;
     }
     r->save_timeout = SAVE_TIMEOUT;
+    r->reread = false;
     r->verify_at = now + VERIFY;
     r->record_version = m->record_version;
     r->state_version = m->state_version;
--- a/rollouts/rollouts.h
+++ b/rollouts/rollouts.h
@@ -181,4 +181,12 @@
 struct ggw_service *
 ggw_rollouts_service_new(const struct ggw_rollouts_options *options);
 
+/**
+ * ggw_rollouts_tick() - do the periodic work
+ *
+ * The service calls it every 200 ms; tests with a clock of their own call it
+ * themselves.
+ */
+void ggw_rollouts_tick(struct ggw_service *rollouts);
+
 #endif
--- a/rollouts/state.c
+++ b/rollouts/state.c
@@ -17,6 +17,9 @@
 #define MAX_VERSIONS 1000
 #define MAX_SAMPLES 20000
 
+/* Requests in progress of one gateway; a higher number is cut off. */
+#define MAX_REQUESTS 1000000
+
 /* Stands in a frame for a list of versions that holds all of them. */
 #define ALL_VERSIONS ""
 
@@ -259,13 +262,15 @@
     uint64_t stage;
     const char *target;
     ggw_ms left;
+    ggw_ms duration;
 
     s->order = ggw_payload_uint(r);
     stage = ggw_payload_uint(r);
     target = ggw_payload_string(r);
     s->allowed = read_versions(r);
     left = ggw_payload_double(r);
-    s->duration = CLAMP(ggw_payload_double(r), 0, MAX_DURATION);
+    duration = ggw_payload_double(r);
+    s->duration = CLAMP(duration, 0, MAX_DURATION);
     s->deadline = now + CLAMP(left, -MAX_DURATION, s->duration);
     s->reason = g_strdup(ggw_payload_string(r));
     if (!r->ok || stage >= G_N_ELEMENTS(stage_names) ||
@@ -281,7 +286,9 @@
 static uint32_t
 read_count(struct ggw_payload_reader *r)
 {
-    return (uint32_t)MIN(ggw_payload_uint(r), G_MAXUINT32);
+    uint64_t count = ggw_payload_uint(r);
+
+    return (uint32_t)MIN(count, G_MAXUINT32);
 }
 
 static bool
@@ -318,13 +325,15 @@
     struct ggw_rollout_counts *c =
         (struct ggw_rollout_counts *)ggw_rollout_counts_new(frame->team,
                                                             frame->service);
-    uint32_t n;
+    uint32_t held, granted, n;
 
     frame->counts = c;
     c->order = ggw_payload_uint(r);
     c->term = ggw_payload_uint(r);
-    c->held_old = (int)MIN(ggw_payload_uint(r), G_MAXINT / 2);
-    c->granted_old = (int)MIN(ggw_payload_uint(r), G_MAXINT / 2);
+    held = read_count(r);
+    granted = read_count(r);
+    c->held_old = (int)MIN(held, MAX_REQUESTS);
+    c->granted_old = (int)MIN(granted, MAX_REQUESTS);
     c->since = ggw_payload_double(r);
     frame->left = ggw_payload_double(r);
     n = ggw_payload_array(r, &samples);
