--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -14,6 +14,7 @@
     {"drain", "give a backend server no new work", ggw_ctl_drain},
     {"undrain", "give a backend server work again", ggw_ctl_undrain},
     {"status", "print the gateways and the backend servers", ggw_ctl_status},
+    {"rollouts", "print the roll-outs of new versions", ggw_ctl_rollouts},
     {"route", "print where a request goes", ggw_ctl_route},
     {"audit", "print the changes of a team", ggw_ctl_audit},
     {"wait", "wait until every gateway has a revision", ggw_ctl_wait},
--- a/ctl/verbs.h
+++ b/ctl/verbs.h
@@ -20,6 +20,9 @@
 /* verbs_route.c */
 int ggw_ctl_route(int argc, char **argv);
 
+/* verbs_rollouts.c */
+int ggw_ctl_rollouts(int argc, char **argv);
+
 /* verbs_status.c */
 int ggw_ctl_status(int argc, char **argv);
 int ggw_ctl_wait(int argc, char **argv);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -379,6 +379,44 @@
     platform_process_put_object(gateway, "-/status", page);
 }
 
+/*
+ * Guards against a list that shows a gateway's view of a roll-out in place of
+ * the one of the gateway that decides on it.
+ */
+static void
+test_rollouts(void)
+{
+    struct platform_process g[2];
+    g_autofree char *line = NULL;
+    g_autofree char *out = NULL;
+
+    for (int i = 0; i < 2; i++) {
+        platform_process_start(&g[i], NULL);
+    }
+    for (int i = 0; i < 2; i++) {
+        g_autofree char *page = g_strdup_printf(
+            "{\"name\":\"g%d\",\"members\":["
+            "{\"name\":\"g0\",\"failure_domain\":\"a\",\"address\":"
+            "\"127.0.0.1:%u\",\"state\":\"alive\"},"
+            "{\"name\":\"g1\",\"failure_domain\":\"b\",\"address\":"
+            "\"127.0.0.1:%u\",\"state\":\"alive\"}],"
+            "\"rollouts\":[{\"service\":\"orders\",\"target\":\"v2\","
+            "\"stage\":\"trial\",\"decider\":%s,\"left_ms\":5000,"
+            "\"granted\":%d,\"granted_others\":100,\"results\":4,"
+            "\"failed\":1,\"slow\":0,\"reason\":\"because %d\"}]}",
+            i, g[0].port, g[1].port, i == 1 ? "true" : "false", 25 * i, i);
+
+        platform_process_put_object(&g[i], "-/status", page);
+    }
+    line = g_strdup_printf("rollouts --gateway 127.0.0.1:%u", g[0].port);
+    CU_ASSERT_EQUAL(run(line, &out), 0);
+    CU_ASSERT_PTR_NOT_NULL(strstr(out, "because 1\n"));
+    CU_ASSERT_PTR_NULL(strstr(out, "because 0\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(out, " 20.0 "));
+    platform_process_stop(&g[0]);
+    platform_process_stop(&g[1]);
+}
+
 /*
  * Guards against a wait that ends before every alive gateway has the revision
  * or that waits for a dead one, and against a status that omits a gateway.
@@ -580,6 +618,7 @@
     CU_add_test(suite, "race", test_race);
     CU_add_test(suite, "many operators", test_many_operators);
     CU_add_test(suite, "gateways", test_gateways);
+    CU_add_test(suite, "rollouts", test_rollouts);
     CU_add_test(suite, "compare", test_compare);
     CU_add_test(suite, "reference", test_reference);
     CU_add_test(suite, "deleted", test_deleted);
