--- a/rollouts/rollouts.c
+++ b/rollouts/rollouts.c
@@ -486,7 +486,7 @@
         (guint64)r->state.order,
         r->state.target != NULL ? r->state.target : "none", allowed, by,
         r->state.reason != NULL ? r->state.reason : "",
-        r->state.deadline - now_ms(p), (guint64)f->granted,
+        MAX(r->state.deadline - now_ms(p), 0), (guint64)f->granted,
         (guint64)f->results, (guint64)f->failed, (guint64)f->slow,
         (guint64)f->others_granted, (guint64)f->others,
         (guint64)f->others_failed, r->servers.target, r->servers.others);
@@ -1011,6 +1011,9 @@
     if (!r->known && r->servers.others > 0) {
         send_to_slots(p, r);
     }
+    if (r->deciding) {
+        tick_decider(p, r);
+    }
 }
 
 /* Takes over a state of another gateway, or corrects that gateway. */
