--- a/rollouts/rollouts.c
+++ b/rollouts/rollouts.c
@@ -118,59 +118,59 @@
  * struct rollout - roll-out of one service, or its allowed versions
  * @team, @name: the service
  * @order: the operator's last order
- * @known: whether @state is known
  * @state: stage that this gateway applies
  * @stage_since: since when it applies it, monotonic ms
- * @lifted: all versions are allowed, because the allowed ones have no server
  * @servers: servers of the service
  * @own: last counts of this gateway, or NULL
  * @sent_at: when they, or the state, were sent to others; monotonic ms
- * @deciding: this gateway is the decider
- * @deciding_since: since when it is, monotonic ms
+ * @deciding_since: since when this gateway is the decider, monotonic ms
  * @judge: results of the order, in the decider
  * @finding: what the judge has found last
  * @reports: name of a gateway to struct report
- * @completing: the last old request has ended; the state is to be written
  * @save_tag: tag of the call to the store in progress; 0: none
- * @writing: that call writes @save_state; otherwise it only reads
  * @save_state: state that it writes
  * @save_at: earliest time of the next call, monotonic ms
  * @save_timeout: timeout of the next call, ms
  * @verify_at: when the rows are read again, monotonic ms
+ * @record_version, @state_version: versions of the rows
+ * @stored_term: term of the state in the store
+ * @known: whether @state is known
+ * @lifted: all versions are allowed, because the allowed ones have no server
+ * @deciding: this gateway is the decider
+ * @completing: the last old request has ended; the state is to be written
+ * @writing: the call in progress writes @save_state; otherwise it only reads
  * @read: whether the rows have been read
  * @reread: a write got no answer, so that the rows are not known
- * @record_version, @state_version: their versions
- * @stored_term: term of the state in the store
  * @unsent: the state that operators read differs from @state
  */
 struct rollout {
     char *team;
     char *name;
     struct order order;
-    bool known;
     struct ggw_rollout_state state;
     ggw_ms stage_since;
-    bool lifted;
     struct servers servers;
     struct ggw_rollout_counts *own;
     ggw_ms sent_at;
-    bool deciding;
     ggw_ms deciding_since;
     struct ggw_rollout_judge *judge;
     struct ggw_rollout_finding finding;
     GHashTable *reports;
-    bool completing;
     uint64_t save_tag;
-    bool writing;
     struct ggw_rollout_state save_state;
     ggw_ms save_at;
     ggw_ms save_timeout;
     ggw_ms verify_at;
-    bool read;
-    bool reread;
     int64_t record_version;
     int64_t state_version;
     uint64_t stored_term;
+    bool known;
+    bool lifted;
+    bool deciding;
+    bool completing;
+    bool writing;
+    bool read;
+    bool reread;
     bool unsent;
 };
 
@@ -747,6 +747,21 @@
     ggw_kernel_send(p->base.kernel, "rollout-rows", &p->base, message);
 }
 
+static bool
+must_write(const struct rollout *r)
+{
+    return r->known && (r->stored_term < get_term(r) || r->unsent ||
+                        r->record_version == 0);
+}
+
+static bool
+must_read(const struct rollout *r, ggw_ms now)
+{
+    return !r->read || r->reread ||
+           (!r->completing && !must_write(r) && is_active(r, now) &&
+            now >= r->verify_at);
+}
+
 /* Writes the state to the store, or reads it, when it is time to. */
 static void
 update_store(struct priv *p, struct rollout *r)
@@ -757,7 +772,7 @@
     if (r->save_tag != 0 || now < r->save_at) {
         return;
     }
-    if (!r->read || r->reread) {
+    if (must_read(r, now)) {
         save(p, r, NULL);
     }
     else if (r->completing) {
@@ -765,13 +780,9 @@
         completed.reason = "no request is in progress on other versions";
         save(p, r, &completed);
     }
-    else if (r->known && (r->stored_term < get_term(r) || r->unsent ||
-                          r->record_version == 0)) {
+    else if (must_write(r)) {
         save(p, r, &r->state);
     }
-    else if (is_active(r, now) && now >= r->verify_at) {
-        save(p, r, NULL);
-    }
 }
 
 static void
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -28,7 +28,7 @@
 #define EXPOSURE_SHARE 10
 #define EXPOSURE_MORE 50
 #define USED_SHARE (EXPOSURE_SHARE * GGW_ROLLOUT_EXPOSURE_PERCENT / 100.0)
-#define USED_MORE (EXPOSURE_MORE * GGW_ROLLOUT_EXPOSURE_PERCENT / 100)
+#define USED_MORE (EXPOSURE_MORE * GGW_ROLLOUT_EXPOSURE_PERCENT / 100.0)
 
 /* Noisy neighbours: mean length of a slow phase, ms, and its share. */
 #define SLOW_PHASE 600.0
--- a/tests/test_rollouts.c
+++ b/tests/test_rollouts.c
@@ -1076,9 +1076,8 @@
     for (int i = 0; i < GATEWAYS; i++) {
         char **allowed = w.gateways[i].allowed;
 
-        CU_ASSERT_PTR_NOT_NULL_FATAL(allowed);
-        CU_ASSERT_STRING_EQUAL(allowed[0], "v1");
-        CU_ASSERT_PTR_NULL(allowed[1]);
+        CU_ASSERT_TRUE(allowed != NULL && g_strv_length(allowed) == 1 &&
+                       strcmp(allowed[0], "v1") == 0);
     }
     remove_servers(&w, "v1");
     publish_vms(&w);
