--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -16,6 +16,7 @@
     {"status", "print the gateways and the backend servers", ggw_ctl_status},
     {"customers", "print the rates of customers and their use",
      ggw_ctl_customers},
+    {"rollouts", "print the roll-outs of new versions", ggw_ctl_rollouts},
     {"route", "print where a request goes", ggw_ctl_route},
     {"audit", "print the changes of a team", ggw_ctl_audit},
     {"wait", "wait until every gateway has a revision", ggw_ctl_wait},
--- a/proxy/pages.c
+++ b/proxy/pages.c
@@ -234,6 +234,9 @@
     if (proxy->customers != NULL) {
         json_object_set(page, "customers", proxy->customers);
     }
+    if (proxy->rollouts != NULL) {
+        json_object_set(page, "rollouts", proxy->rollouts);
+    }
     ggw_proxy_respond_json(x, page);
 }
 
