decide: exposure limit of roll-outs in the slot ledger

Cause: during a roll-out, the new version may get only a bounded share of the requests, counted over all gateways.

Change: decide/exposure tells which versions get requests in each stage, limits the grants of the new version to a share of the owner's own grants, and counts results by version and route. The ledger applies it where a stage is set; without one nothing changes.

--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -107,6 +107,9 @@
         s->slots = servers[i].slots;
         g_free(s->failure_domain);
         s->failure_domain = g_strdup(servers[i].failure_domain);
+        g_free(s->version);
+        s->version = g_strdup(servers[i].version);
+        ggw_ledger_classify(l, s);
         ggw_limit_set_draining(&s->limit, s->closed);
         if (s->out && !servers[i].out) {
             ggw_limit_set_cold(&s->limit, now);
@@ -226,15 +229,18 @@
 ggw_ledger_available_slots(const struct ggw_ledger *l, ggw_ms now)
 {
     int n = 0;
+    int limited = 0;
 
     for (guint i = 0; i < l->servers->len; i++) {
         const struct ggw_ledger_server_entry *s =
             g_ptr_array_index(l->servers, i);
 
         if (ggw_ledger_can_grant(l, s, now)) {
-            n += MAX(ggw_limit_slots(&s->limit) - s->in_flight, 0);
+            *(s->exposure == GGW_EXPOSURE_LIMITED ? &limited : &n) +=
+                MAX(ggw_limit_slots(&s->limit) - s->in_flight, 0);
         }
     }
+    n += ggw_ledger_limit_exposed(l, limited);
     return MAX(n - (int)ggw_ledger_waiting_count(l), 0);
 }
 
@@ -274,7 +280,7 @@
             g_ptr_array_index(l->servers, i);
 
         summary->in_flight += s->in_flight;
-        if (s->closed) {
+        if (s->closed || s->exposure == GGW_EXPOSURE_CLOSED) {
             summary->closed++;
             continue;
         }
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -2,6 +2,7 @@
 #define GGW_DECIDE_LEDGER_H
 
 #include "decide/admission.h"
+#include "decide/exposure.h"
 #include "decide/latency.h"
 #include "decide/policy.h"
 #include "decide/slots.h"
@@ -33,6 +34,9 @@
  * @slots: requests that the server runs concurrently; 0: use the rule's number
  * @paused_until: end of the pause that the server wants, monotonic ms; 0: none
  * @notified_state: last state that ggw_ledger_change() returned
+ * @version: version that the server runs; NULL: unknown
+ * @exposure: whether the stage of a roll-out lets it take requests
+ * @target: it runs the new version of a roll-out
  */
 struct ggw_ledger_server_entry {
     char *name;
@@ -52,6 +56,9 @@
     int slots;
     ggw_ms paused_until;
     enum ggw_limit_state notified_state;
+    char *version;
+    enum ggw_exposure_class exposure;
+    bool target;
 };
 
 /**
@@ -74,6 +81,9 @@
  * @iter: position in ggw_ledger.by_expiry
  * @released: the attempt has failed, but the grant occupies its slot until
  *            @expires, so that a server that fails fast does not look idle
+ * @order: order of the roll-out that counts the grant; 0: none
+ * @first: it is the first attempt of its request
+ * @route: route of the request if @order is set, or NULL
  */
 struct ggw_ledger_grant {
     struct ggw_ledger_key key;
@@ -82,6 +92,9 @@
     ggw_ms expires;
     GSequenceIter *iter;
     bool released;
+    uint64_t order;
+    bool first;
+    char *route;
 };
 
 /**
@@ -96,6 +109,8 @@
  * @failure_domain: failure domain of the holder, or NULL
  * @cross_domain_cost: cost of a server in another failure domain, as a
  *                     multiple of the usual latency of the request
+ * @route: name of the route of the request, or NULL
+ * @hedge: the slot is for a second attempt beside one that is in progress
  */
 struct ggw_ledger_waiter {
     struct ggw_ledger_key key;
@@ -106,6 +121,8 @@
     char **avoid;
     char *failure_domain;
     double cross_domain_cost;
+    char *route;
+    bool hedge;
 };
 
 /**
@@ -132,6 +149,8 @@
  * @last_queue_id: last identifier given to a request in @queue
  * @hold_until: until then no slots on servers that are not warm are granted,
  *              monotonic ms
+ * @exposure: stage of a roll-out of the service; NULL for none
+ * @exposure_counter: grants since the order of the roll-out
  */
 struct ggw_ledger {
     const struct ggw_ledger_grant_limits *grant_limits;
@@ -152,6 +171,8 @@
     GHashTable *ended;
     uint64_t last_queue_id;
     ggw_ms hold_until;
+    const struct ggw_exposure_limits *exposure;
+    struct ggw_exposure_counter exposure_counter;
 };
 
 /**
@@ -163,14 +184,58 @@
  * @failure_domain: failure domain of the holder, or NULL
  * @cross_domain_cost: cost of a server in another failure domain, as a
  *                     multiple of the usual latency of the request
+ * @route: name of the route of the request, or NULL
+ * @hedge: the slot is for a second attempt beside one that is in progress
  */
 struct ggw_ledger_pick_params {
     int priority;
     char *const *avoid;
     const char *failure_domain;
     double cross_domain_cost;
+    const char *route;
+    bool hedge;
 };
 
+/* decide/ledger_exposure.c */
+
+/* Applies the stage of a roll-out to a server. */
+void ggw_ledger_classify(const struct ggw_ledger *l,
+                         struct ggw_ledger_server_entry *s);
+
+/* Returns whether the stage of a roll-out lets a server take a request now. */
+bool ggw_ledger_may_expose(const struct ggw_ledger *l,
+                           const struct ggw_ledger_server_entry *s);
+
+/*
+ * Returns how many of @slots free slots of servers of the new version may be
+ * granted now.
+ */
+int ggw_ledger_limit_exposed(const struct ggw_ledger *l, int slots);
+
+/*
+ * Returns how many of @limited slots of servers of the new version are in use
+ * on average while @open slots of the other servers are.
+ */
+int ggw_ledger_share_exposed(const struct ggw_ledger *l, int open,
+                             int limited);
+
+/*
+ * Picks one of l->candidates during a roll-out. Returns an index, or
+ * GGW_POLICY_NONE.
+ */
+size_t ggw_ledger_pick_exposed(struct ggw_ledger *l,
+                               const struct ggw_ledger_pick_params *params,
+                               ggw_ms now);
+
+/* Counts a new grant if a roll-out is in progress. */
+void ggw_ledger_count_grant(struct ggw_ledger *l, struct ggw_ledger_grant *g,
+                            const struct ggw_ledger_pick_params *params);
+
+/* Counts the end of a grant if the order that counted it is in progress. */
+void ggw_ledger_count_end(struct ggw_ledger *l,
+                          const struct ggw_ledger_grant *g,
+                          enum ggw_attempt_result result, ggw_ms latency);
+
 /* decide/place.c */
 
 /**
@@ -199,10 +264,10 @@
  * Adds a grant that expires at the given time, monotonic ms. The key must have
  * neither a grant nor a waiting request.
  */
-void ggw_ledger_add_grant(struct ggw_ledger *l,
-                          const struct ggw_ledger_key *key,
-                          struct ggw_ledger_server_entry *s, ggw_ms expires,
-                          ggw_ms now);
+struct ggw_ledger_grant *
+ggw_ledger_add_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key,
+                     struct ggw_ledger_server_entry *s, ggw_ms expires,
+                     ggw_ms now);
 
 /* Removes a waiting request; returns false if there is none with the key. */
 bool ggw_ledger_remove_waiter(struct ggw_ledger *l,
--- a/decide/place.c
+++ b/decide/place.c
@@ -32,7 +32,8 @@
         const struct ggw_ledger_server_entry *s =
             g_ptr_array_index(l->servers, i);
 
-        if (!s->closed && s->limit.state != GGW_LIMIT_EJECTED &&
+        if (!s->closed && ggw_ledger_may_expose(l, s) &&
+            s->limit.state != GGW_LIMIT_EJECTED &&
             !is_avoided(avoid, s->name)) {
             return false;
         }
@@ -89,8 +90,10 @@
     g_array_set_size(l->candidates, l->servers->len);
     for (i = 0; i < l->servers->len; i++) {
         struct ggw_ledger_server_entry *s = g_ptr_array_index(l->servers, i);
-        bool startable = ggw_ledger_can_grant(l, s, now) &&
-                         ggw_limit_may_start(&s->limit, s->in_flight, now);
+        bool startable =
+            !(params->hedge && s->exposure == GGW_EXPOSURE_LIMITED) &&
+            ggw_ledger_can_grant(l, s, now) &&
+            ggw_limit_may_start(&s->limit, s->in_flight, now);
 
         if (startable && s->limit.state == GGW_LIMIT_EJECTED &&
             !is_avoided(avoid, s->name)) {
@@ -123,9 +126,11 @@
     if (trial != NULL && params->priority > 0) {
         return trial;
     }
-    i = ggw_policy_pick(&l->policy,
-                        (struct ggw_candidate *)l->candidates->data,
-                        l->servers->len, now);
+    i = l->exposure != NULL
+            ? ggw_ledger_pick_exposed(l, params, now)
+            : ggw_policy_pick(&l->policy,
+                              (struct ggw_candidate *)l->candidates->data,
+                              l->servers->len, now);
     return i != GGW_POLICY_NONE ? g_ptr_array_index(l->servers, i) : trial;
 }
 
@@ -135,9 +140,9 @@
                             ggw_ms max_age, const char **names, size_t max,
                             ggw_ms now)
 {
-    struct ggw_ledger_pick_params params = {request->priority, request->avoid,
-                                            request->failure_domain,
-                                            request->cross_domain_cost};
+    struct ggw_ledger_pick_params params = {
+        request->priority,          request->avoid, request->failure_domain,
+        request->cross_domain_cost, request->route, request->hedge};
     size_t found = 0;
 
     if (g_hash_table_size(l->waiting) > 0) {
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -33,6 +33,7 @@
 
     g_free(s->name);
     g_free(s->failure_domain);
+    g_free(s->version);
     g_free(s);
 }
 
@@ -44,6 +45,7 @@
     g_free(w->key.holder);
     g_strfreev(w->avoid);
     g_free(w->failure_domain);
+    g_free(w->route);
     g_free(w);
 }
 
@@ -53,6 +55,7 @@
     struct ggw_ledger_grant *g = data;
 
     g_free(g->key.holder);
+    g_free(g->route);
     g_free(g);
 }
 
@@ -192,7 +195,8 @@
 ggw_ledger_can_grant(const struct ggw_ledger *l,
                      const struct ggw_ledger_server_entry *s, ggw_ms now)
 {
-    if (s->closed || now < l->grant_limits->stopped_until) {
+    if (s->closed || !ggw_ledger_may_expose(l, s) ||
+        now < l->grant_limits->stopped_until) {
         return false;
     }
     if (s->limit.state == GGW_LIMIT_WARM) {
@@ -216,7 +220,7 @@
     return (x->expires > y->expires) - (x->expires < y->expires);
 }
 
-void
+struct ggw_ledger_grant *
 ggw_ledger_add_grant(struct ggw_ledger *l, const struct ggw_ledger_key *key,
                      struct ggw_ledger_server_entry *s, ggw_ms expires,
                      ggw_ms now)
@@ -231,6 +235,7 @@
     g->iter = g_sequence_insert_sorted(l->by_expiry, g, by_expiry, NULL);
     g_hash_table_insert(l->grants, &g->key, g);
     s->in_flight++;
+    return g;
 }
 
 void
@@ -247,12 +252,15 @@
           ggw_ms now)
 {
     struct ggw_ledger_server_entry *s = ggw_ledger_pick(l, params, now);
+    struct ggw_ledger_grant *g;
 
     if (s == NULL) {
         return false;
     }
     ggw_limit_started(&s->limit, now);
-    ggw_ledger_add_grant(l, key, s, deadline + GGW_LEDGER_EXPIRY_MARGIN, now);
+    g = ggw_ledger_add_grant(l, key, s, deadline + GGW_LEDGER_EXPIRY_MARGIN,
+                             now);
+    ggw_ledger_count_grant(l, g, params);
     push_decision(l, key, GGW_LEDGER_GRANTED, s->name, GGW_SLOT_NO_SERVER, 0);
     return true;
 }
@@ -260,30 +268,37 @@
 static void
 update_slot_total(struct ggw_ledger *l)
 {
-    int slots = 0;
+    int slots[GGW_EXPOSURE_CLOSED + 1] = {0};
 
     for (guint i = 0; i < l->servers->len; i++) {
         const struct ggw_ledger_server_entry *s =
             g_ptr_array_index(l->servers, i);
 
         if (!s->closed) {
-            slots += ggw_limit_slots(&s->limit);
+            slots[s->exposure] += ggw_limit_slots(&s->limit);
         }
     }
-    ggw_admission_set_slots(l->queue, slots);
+    ggw_admission_set_slots(
+        l->queue, slots[GGW_EXPOSURE_OPEN] +
+                      ggw_ledger_share_exposed(l, slots[GGW_EXPOSURE_OPEN],
+                                               slots[GGW_EXPOSURE_LIMITED]));
 }
 
 static bool
 takes_requests(const struct ggw_ledger_server_entry *s)
 {
-    return !s->closed && !s->limit.drain_reported;
+    return !s->closed && s->exposure != GGW_EXPOSURE_CLOSED &&
+           !s->limit.drain_reported;
 }
 
 static bool
 has_open_server(const struct ggw_ledger *l)
 {
     for (guint i = 0; i < l->servers->len; i++) {
-        if (takes_requests(g_ptr_array_index(l->servers, i))) {
+        const struct ggw_ledger_server_entry *s =
+            g_ptr_array_index(l->servers, i);
+
+        if (takes_requests(s) && ggw_ledger_may_expose(l, s)) {
             return true;
         }
     }
@@ -348,7 +363,8 @@
              ggw_ms now)
 {
     struct ggw_ledger_pick_params params = {
-        w->priority, w->avoid, w->failure_domain, w->cross_domain_cost};
+        w->priority,          w->avoid, w->failure_domain,
+        w->cross_domain_cost, w->route, w->hedge};
 
     return try_grant(l, &w->key, &params, w->deadline, now);
 }
@@ -455,6 +471,8 @@
     w->avoid = g_strdupv((char **)request->avoid);
     w->failure_domain = g_strdup(request->failure_domain);
     w->cross_domain_cost = request->cross_domain_cost;
+    w->route = g_strdup(request->route);
+    w->hedge = request->hedge;
     update_queue_max(l);
     switch (ggw_admission_push(l->queue, &waiter, now, &displaced)) {
     case GGW_ADMISSION_DISPLACED:
@@ -481,9 +499,9 @@
 {
     struct ggw_ledger_key key = {(char *)request->holder, request->id};
     const struct ggw_ledger_grant *g = g_hash_table_lookup(l->grants, &key);
-    struct ggw_ledger_pick_params params = {request->priority, request->avoid,
-                                            request->failure_domain,
-                                            request->cross_domain_cost};
+    struct ggw_ledger_pick_params params = {
+        request->priority,          request->avoid, request->failure_domain,
+        request->cross_domain_cost, request->route, request->hedge};
     bool others_waiting = g_hash_table_size(l->waiting) > 0;
 
     if (g != NULL && g->released) {
@@ -676,6 +694,9 @@
     }
     record_ended_grant(l, &key, g != NULL, now);
     update_failure_rate(s, result, now);
+    if (g != NULL) {
+        ggw_ledger_count_end(l, g, result, latency);
+    }
     if (is_shed_with_free_slot(s, result, report)) {
         result = GGW_ATTEMPT_UNUSED;
     }
@@ -786,7 +807,7 @@
             g_ptr_array_index(l->servers, i);
         ggw_ms at = ggw_limit_next_start(&s->limit);
 
-        if (!s->closed && at > 0 &&
+        if (!s->closed && ggw_ledger_may_expose(l, s) && at > 0 &&
             s->in_flight < ggw_limit_slots(&s->limit)) {
             next = MIN(next, MAX(at, l->hold_until));
         }
--- a/decide/slots.h
+++ b/decide/slots.h
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "decide/exposure.h"
 #include "decide/limit.h"
 #include "decide/policy.h"
 #include "kernel/clock.h"
@@ -70,6 +71,7 @@
  * @reports_cold: @cold_until is valid
  * @paused_until: end of the pause that the server wants, monotonic ms; 0:
  * none. The server is closed until then and cold afterwards.
+ * @version: version that the server runs; NULL: unknown
  */
 struct ggw_ledger_server_config {
     const char *name;
@@ -82,6 +84,7 @@
     bool warm;
     bool reports_cold;
     ggw_ms paused_until;
+    const char *version;
 };
 
 /**
@@ -213,6 +216,27 @@
                            const struct ggw_policy_ops *policy,
                            int busy_percent);
 
+/**
+ * ggw_ledger_set_exposure() - apply the stage of a roll-out
+ * @limits: stage; NULL for none. It must stay valid until the next call or
+ *          the end of the ledger.
+ * @owners: number of ledgers that share the slack of the order
+ *
+ * A ledger starts to count when it learns of an order; the counts of another
+ * owner are not handed over, since each owner earns its own allowance.
+ * ggw_ledger_tick() or ggw_ledger_configure() grants the slots that became
+ * free.
+ */
+void ggw_ledger_set_exposure(struct ggw_ledger *l,
+                             const struct ggw_exposure_limits *limits,
+                             int owners, ggw_ms now);
+
+/**
+ * ggw_ledger_granted_old() - number of grants in use on servers that do not
+ *                            run the new version of a roll-out
+ */
+int ggw_ledger_granted_old(const struct ggw_ledger *l);
+
 /**
  * ggw_ledger_probe_candidates() - list the servers to probe before a request
  *                                 is granted
