rollouts: count the new version's results by server

Cause: a good version is tried on few servers, and one of them may be faulty or slow like any server. Without the server's name, its results look like those of a bad version.

Change: a sample of the new version names its server.

Result: nothing uses it yet.

--- a/rollouts/messages.c
+++ b/rollouts/messages.c
@@ -31,7 +31,10 @@
 static void
 sample_clear(gpointer data)
 {
-    g_free(((struct ggw_rollout_sample *)data)->route);
+    struct ggw_rollout_sample *sample = data;
+
+    g_free(sample->route);
+    g_free(sample->server);
 }
 
 static void
--- a/rollouts/rollouts.h
+++ b/rollouts/rollouts.h
@@ -80,6 +80,9 @@
  * struct ggw_rollout_sample - results of one version on one route
  * @route: name of the route or kind
  * @is_target: servers of the new version; otherwise of the others
+ * @server: with @is_target, name of the server that the counts are for, so
+ *          that one faulty server does not condemn its version; NULL without
+ *          @is_target, and when the sender does not count by server
  * @granted: slots granted since the order
  * @failed: responses with a 5xx status, broken and silent attempts
  * @latencies: number of successful attempts by latency: bucket i holds
@@ -91,6 +94,7 @@
 struct ggw_rollout_sample {
     char *route;
     bool is_target;
+    char *server;
     uint32_t granted;
     uint32_t failed;
     uint32_t latencies[GGW_ROLLOUT_LATENCY_BUCKETS];
