slots: apply the stage of a roll-out

Cause: the stage that "rollouts" decides has to hold at every gateway, also for grants that an owner gave before it learned of the stage, and without an owner.

A server that the stage closes counts as not open, so fallback grants, picks by policy and grants that arrive late do not use it; one of a version on trial gets no grant without its owner. SLOT_ACQUIRE names the route only during a roll-out.

--- a/decide/exposure.c
+++ b/decide/exposure.c
@@ -62,17 +62,18 @@
 
 void
 ggw_exposure_begin(struct ggw_exposure_counter *counter, uint64_t order,
-                   double slack)
+                   double slack_share)
 {
-    *counter = (struct ggw_exposure_counter){.order = order, .slack = slack};
+    *counter = (struct ggw_exposure_counter){.order = order,
+                                             .slack_share = slack_share};
 }
 
 double
 ggw_exposure_allowance(const struct ggw_exposure_limits *limits,
                        const struct ggw_exposure_counter *counter)
 {
-    return limits->percent * counter->requests / 100 + counter->slack -
-           counter->target;
+    return limits->percent * counter->requests / 100 +
+           limits->slack * counter->slack_share - counter->target;
 }
 
 void
@@ -93,12 +94,25 @@
 
 /**
  * struct route_counts - counts of one route
- * @samples: results of the other versions and of the new one
+ * @old: results of all servers that do not run the new version
+ * @trials: grants on servers of the new version
+ * @servers: name of such a server to its struct ggw_rollout_sample
  */
 struct route_counts {
-    struct ggw_rollout_sample samples[2];
+    struct ggw_rollout_sample old;
+    uint32_t trials;
+    GHashTable *servers;
 };
 
+static void
+route_counts_free(gpointer data)
+{
+    struct route_counts *counts = data;
+
+    g_hash_table_destroy(counts->servers);
+    g_free(counts);
+}
+
 struct ggw_exposure_tally {
     GHashTable *routes;
     uint64_t changes;
@@ -109,7 +123,8 @@
 {
     struct ggw_exposure_tally *t = g_new0(struct ggw_exposure_tally, 1);
 
-    t->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    t->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                      route_counts_free);
     return t;
 }
 
@@ -147,6 +162,8 @@
     }
     if (counts == NULL) {
         counts = g_new0(struct route_counts, 1);
+        counts->servers =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         g_hash_table_insert(t->routes, g_strdup(name), counts);
     }
     return counts;
@@ -159,23 +176,39 @@
 {
     double allowance = ggw_exposure_allowance(limits, counter);
     const struct route_counts *counts;
-    double trials;
-    double requests;
 
     if (allowance < 1 || allowance >= 1 + ROUTE_RESERVE) {
         return allowance >= 1;
     }
     counts = ensure_route(limits->tally, route);
-    trials = counts->samples[true].granted;
-    requests = trials + counts->samples[false].granted;
-    return trials <= limits->percent * requests / 100;
+    return counts->trials <=
+           limits->percent * (counts->trials + counts->old.granted) / 100;
+}
+
+static struct ggw_rollout_sample *
+ensure_sample(struct route_counts *counts, const char *server)
+{
+    struct ggw_rollout_sample *sample;
+
+    if (server == NULL) {
+        return &counts->old;
+    }
+    sample = g_hash_table_lookup(counts->servers, server);
+    if (sample == NULL) {
+        sample = g_new0(struct ggw_rollout_sample, 1);
+        g_hash_table_insert(counts->servers, g_strdup(server), sample);
+    }
+    return sample;
 }
 
 void
 ggw_exposure_tally_granted(struct ggw_exposure_tally *t, const char *route,
-                           bool target)
+                           const char *server)
 {
-    ensure_route(t, route)->samples[target].granted++;
+    struct route_counts *counts = ensure_route(t, route);
+
+    counts->trials += server != NULL;
+    ensure_sample(counts, server)->granted++;
     t->changes++;
 }
 
@@ -189,11 +222,11 @@
 
 void
 ggw_exposure_tally_result(struct ggw_exposure_tally *t, const char *route,
-                          bool target, enum ggw_attempt_result result,
+                          const char *server, enum ggw_attempt_result result,
                           ggw_ms latency)
 {
     struct ggw_rollout_sample *sample =
-        &ensure_route(t, route)->samples[target];
+        ensure_sample(ensure_route(t, route), server);
 
     switch (result) {
     case GGW_ATTEMPT_OK:
@@ -213,23 +246,35 @@
     t->changes++;
 }
 
+static void
+append_sample(GArray *samples, const struct ggw_rollout_sample *counts,
+              const char *route, const char *server)
+{
+    struct ggw_rollout_sample sample = *counts;
+
+    sample.route = g_strdup(route);
+    sample.is_target = server != NULL;
+    sample.server = g_strdup(server);
+    g_array_append_val(samples, sample);
+}
+
 void
 ggw_exposure_tally_samples(const struct ggw_exposure_tally *t, GArray *samples)
 {
-    GHashTableIter iter;
+    GHashTableIter routes;
+    GHashTableIter servers;
     gpointer route;
+    gpointer server;
     gpointer value;
 
-    g_hash_table_iter_init(&iter, t->routes);
-    while (g_hash_table_iter_next(&iter, &route, &value)) {
+    g_hash_table_iter_init(&routes, t->routes);
+    while (g_hash_table_iter_next(&routes, &route, &value)) {
         const struct route_counts *counts = value;
 
-        for (int target = 0; target < 2; target++) {
-            struct ggw_rollout_sample sample = counts->samples[target];
-
-            sample.route = g_strdup(route);
-            sample.is_target = target;
-            g_array_append_val(samples, sample);
+        append_sample(samples, &counts->old, route, NULL);
+        g_hash_table_iter_init(&servers, counts->servers);
+        while (g_hash_table_iter_next(&servers, &server, &value)) {
+            append_sample(samples, value, route, server);
         }
     }
 }
--- a/decide/exposure.h
+++ b/decide/exposure.h
@@ -59,13 +59,13 @@
  * struct ggw_exposure_counter - grants of one owner since it learned of an
  *                               order
  * @order: number of the order
- * @slack: share of the owner in the slack of the order
+ * @slack_share: part of the slack that the owner may use, 0 to 1
  * @requests: first attempts granted; retries and hedges earn no allowance
  * @target: grants on servers of the new version, of any attempt
  */
 struct ggw_exposure_counter {
     uint64_t order;
-    double slack;
+    double slack_share;
     uint32_t requests;
     uint32_t target;
 };
@@ -92,10 +92,10 @@
 
 /**
  * ggw_exposure_begin() - start to count the grants of an owner for an order
- * @slack: share of the owner in the slack of the order
+ * @slack_share: part of the slack that the owner may use, 0 to 1
  */
 void ggw_exposure_begin(struct ggw_exposure_counter *counter, uint64_t order,
-                        double slack);
+                        double slack_share);
 
 /**
  * ggw_exposure_allowance() - number of grants that the new version may get now
@@ -147,17 +147,19 @@
 /**
  * ggw_exposure_tally_granted() - count a grant
  * @route: name of the request's route, or NULL
+ * @server: name of the server if it runs the new version, otherwise NULL
  */
 void ggw_exposure_tally_granted(struct ggw_exposure_tally *t,
-                                const char *route, bool target);
+                                const char *route, const char *server);
 
 /**
  * ggw_exposure_tally_result() - count the result of an attempt
+ * @server: as for ggw_exposure_tally_granted()
  * @latency: time to the end of the response head, ms
  */
 void ggw_exposure_tally_result(struct ggw_exposure_tally *t, const char *route,
-                               bool target, enum ggw_attempt_result result,
-                               ggw_ms latency);
+                               const char *server,
+                               enum ggw_attempt_result result, ggw_ms latency);
 
 /**
  * ggw_exposure_tally_samples() - append copies of all counts
--- a/decide/ledger_exposure.c
+++ b/decide/ledger_exposure.c
@@ -9,7 +9,7 @@
  * servers at a time get many requests each, because a version may fail under
  * load only; the servers take turns, because one of them may differ.
  */
-#define GRANTS_PER_TURN 100
+#define GRANTS_PER_TURN 30
 
 /*
  * An owner gets its share of the slack of an order only if it knew all
@@ -24,9 +24,9 @@
 {
     bool knew_gateways = now - l->hold_until >= SLACK_MIN_AGE &&
                          now < l->grant_limits->majority_valid_until;
-    double slack = knew_gateways ? l->exposure->slack / MAX(owners, 1) : 0;
 
-    ggw_exposure_begin(&l->exposure_counter, l->exposure->order, slack);
+    ggw_exposure_begin(&l->exposure_counter, l->exposure->order,
+                       knew_gateways ? 1.0 / MAX(owners, 1) : 0);
 }
 
 void
@@ -141,6 +141,13 @@
     return i != GGW_POLICY_NONE ? i : limited;
 }
 
+/* Returns the name of a grant's server if it runs the new version. */
+static const char *
+target_name(const struct ggw_ledger_grant *g)
+{
+    return g->server->target ? g->server->name : NULL;
+}
+
 void
 ggw_ledger_count_grant(struct ggw_ledger *l, struct ggw_ledger_grant *g,
                        const struct ggw_ledger_pick_params *params)
@@ -152,8 +159,7 @@
     g->first = params->avoid == NULL && !params->hedge;
     g->route = g_strdup(params->route);
     ggw_exposure_granted(&l->exposure_counter, g->first, g->server->target);
-    ggw_exposure_tally_granted(l->exposure->tally, g->route,
-                               g->server->target);
+    ggw_exposure_tally_granted(l->exposure->tally, g->route, target_name(g));
 }
 
 void
@@ -168,7 +174,7 @@
         ggw_exposure_returned(&l->exposure_counter, g->first,
                               g->server->target);
     }
-    ggw_exposure_tally_result(l->exposure->tally, g->route, g->server->target,
+    ggw_exposure_tally_result(l->exposure->tally, g->route, target_name(g),
                               result, latency);
 }
 
--- a/slots/acquire.c
+++ b/slots/acquire.c
@@ -120,6 +120,18 @@
     acquire_destroy(a);
 }
 
+/* Owners use the route only during a roll-out. */
+static const char *
+route_to_send(const struct ggw_slots_acquire *a)
+{
+    const char *route = a->pending->request->route;
+
+    return route != NULL &&
+                   ggw_slots_rollout_counts_routes(a->pending->group->rollout)
+               ? route
+               : "";
+}
+
 static void
 send_acquire(struct ggw_slots *p, const struct ggw_slots_acquire *a)
 {
@@ -144,7 +156,7 @@
     ggw_payload_put_double(&w, r->median_latency);
     ggw_payload_put_double(&w, answer_time(p, a));
     ggw_payload_put_string(&w, r->customer != NULL ? r->customer : "");
-    ggw_payload_put_string(&w, r->route != NULL ? r->route : "");
+    ggw_payload_put_string(&w, route_to_send(a));
     ggw_payload_put_bool(&w, r->hedge);
     ggw_slots_send_frame(p, a->owner, GGW_PEER_SLOT_ACQUIRE, a->id, &w);
 }
--- a/slots/fallback.c
+++ b/slots/fallback.c
@@ -56,7 +56,8 @@
             const struct ggw_slots_server *s =
                 g_ptr_array_index(g->servers, j);
             bool home = strcmp(s->failure_domain, p->domain) == 0;
-            bool usable = ggw_slots_server_is_open(s) && s->warm &&
+            bool usable = ggw_slots_server_is_open(s) &&
+                          s->exposure == GGW_EXPOSURE_OPEN && s->warm &&
                           !s->suspect && (home || pass == 1);
 
             fill_candidate(s, pd->request, usable ? limit : 0, &c[j]);
@@ -73,11 +74,14 @@
     return i != GGW_POLICY_NONE ? g_ptr_array_index(g->servers, i) : NULL;
 }
 
-/* Requests that a gateway sends to a server whose slots nobody counts. */
+/*
+ * Requests that a gateway sends to a server whose slots nobody counts. One of
+ * a version on trial gets none, because its share could not be limited.
+ */
 static int
 limit_without_owner(const struct ggw_slots_server *s)
 {
-    if (!ggw_slots_server_is_open(s)) {
+    if (!ggw_slots_server_is_open(s) || s->exposure != GGW_EXPOSURE_OPEN) {
         return 0;
     }
     return s->unproven ? 1 : G_MAXINT;
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -22,6 +22,7 @@
     g_free(s->name);
     g_free(s->host);
     g_free(s->failure_domain);
+    g_free(s->version);
     g_free(s);
 }
 
@@ -129,7 +130,8 @@
 bool
 ggw_slots_server_is_open(const struct ggw_slots_server *s)
 {
-    return !s->closed && !s->out && s->backoff == GGW_BACKOFF_NONE;
+    return !s->closed && !s->out && s->backoff == GGW_BACKOFF_NONE &&
+           s->exposure != GGW_EXPOSURE_CLOSED;
 }
 
 bool
@@ -182,6 +184,8 @@
     struct ggw_slots_group *g = ggw_slots_find_group(p, team, service);
 
     if (g == NULL) {
+        g_autofree char *key = g_strdup_printf("%s/%s", team, service);
+
         g = g_new0(struct ggw_slots_group, 1);
         g->team = g_strdup(team);
         g->service = g_strdup(service);
@@ -189,13 +193,20 @@
         g->domains = g_ptr_array_new_with_free_func(domain_free);
         g->policy.rand = p->rand;
         ggw_probe_budget_init(&g->budget, 0, ggw_slots_now(p));
-        g_hash_table_insert(p->groups, g_strdup_printf("%s/%s", team, service),
-                            g);
+        g->rollout = g_hash_table_lookup(p->rollouts, key);
+        g_hash_table_insert(p->groups, g_steal_pointer(&key), g);
         apply_rule(p, g);
     }
     return g;
 }
 
+static void
+classify_server(struct ggw_slots_server *s, const struct ggw_slots_group *g)
+{
+    s->exposure = ggw_exposure_classify(ggw_slots_rollout_limits(g->rollout),
+                                        s->version);
+}
+
 static void
 apply_vm(struct ggw_slots *p, const struct ggw_vm *vm)
 {
@@ -227,6 +238,9 @@
     g_free(s->host);
     s->host = g_strdup(vm->host);
     s->port = vm->port;
+    g_free(s->version);
+    s->version = g_strdup(vm->version);
+    classify_server(s, g);
     s->closed = vm->leaving;
     ggw_backoffs_listed(p->backoffs, s->name, s->incarnation,
                         ggw_slots_now(p));
@@ -253,6 +267,18 @@
     }
 }
 
+/* Returns the number of ledgers of a service. */
+static int
+count_owners(const struct ggw_slots_group *g)
+{
+    int n = 0;
+
+    for (guint i = 0; i < g->domains->len; i++) {
+        n += ggw_slots_domain_in_use(g_ptr_array_index(g->domains, i));
+    }
+    return n;
+}
+
 void
 ggw_slots_configure_ledger(struct ggw_slots *p, struct ggw_slots_domain *d)
 {
@@ -289,12 +315,15 @@
             .slots = s->slots,
             .reports_cold = s->reports_cold,
             .cold_until = s->cold_until,
+            .version = s->version,
         };
 
         if (s->domain == d) {
             g_array_append_val(servers, info);
         }
     }
+    ggw_ledger_set_exposure(d->ledger, ggw_slots_rollout_limits(g->rollout),
+                            count_owners(g), ggw_slots_now(p));
     ggw_ledger_configure(d->ledger, &rule,
                          g->rule != NULL ? g->rule->queue : 0,
                          (struct ggw_ledger_server_config *)servers->data,
@@ -478,3 +507,92 @@
     }
     return g_ptr_array_index(it->group->domains, it->next++);
 }
+
+static struct ggw_slots_rollout *
+ensure_rollout(struct ggw_slots *p, const struct ggw_rollout_limits *m)
+{
+    g_autofree char *key = g_strdup_printf("%s/%s", m->team, m->service);
+    struct ggw_slots_rollout *r = g_hash_table_lookup(p->rollouts, key);
+
+    if (r == NULL) {
+        r = ggw_slots_rollout_new();
+        g_hash_table_insert(p->rollouts, g_steal_pointer(&key), r);
+    }
+    return r;
+}
+
+void
+ggw_slots_on_rollout_limits(struct ggw_slots *p,
+                            const struct ggw_rollout_limits *m)
+{
+    struct ggw_slots_rollout *r = ensure_rollout(p, m);
+    struct ggw_slots_group *g = ggw_slots_find_group(p, m->team, m->service);
+
+    if (!ggw_slots_rollout_apply(r, m, ggw_slots_now(p)) || g == NULL) {
+        return;
+    }
+    g->rollout = r;
+    for (guint i = 0; i < g->servers->len; i++) {
+        classify_server(g_ptr_array_index(g->servers, i), g);
+    }
+    configure_ledgers(p, g);
+    ggw_slots_report_rollouts(p, ggw_slots_now(p));
+}
+
+/* Counts the grants in use on servers that do not run the new version. */
+static int
+count_held_old(const struct ggw_slots *p, const struct ggw_slots_group *g)
+{
+    const struct ggw_exposure_limits *limits =
+        ggw_slots_rollout_limits(g->rollout);
+    GHashTableIter iter;
+    gpointer value;
+    int n = 0;
+
+    g_hash_table_iter_init(&iter, p->held_grants);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct ggw_slots_held_grant *h = value;
+        const struct ggw_slots_server *s =
+            h->group == g ? ggw_slots_find_server(g, h->server) : NULL;
+
+        /* A server that is no longer listed may have been an old one. */
+        n += h->group == g &&
+             (s == NULL || !ggw_exposure_is_target(limits, s->version));
+    }
+    return n;
+}
+
+static int
+count_granted_old(const struct ggw_slots_group *g)
+{
+    int n = 0;
+
+    for (guint i = 0; i < g->domains->len; i++) {
+        const struct ggw_slots_domain *d = g_ptr_array_index(g->domains, i);
+
+        n += d->ledger != NULL ? ggw_ledger_granted_old(d->ledger) : 0;
+    }
+    return n;
+}
+
+void
+ggw_slots_report_rollouts(struct ggw_slots *p, ggw_ms now)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, p->groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct ggw_slots_group *g = value;
+        struct ggw_message *m;
+
+        if (g->rollout == NULL) {
+            continue;
+        }
+        m = ggw_slots_rollout_report(g->rollout, count_held_old(p, g),
+                                     count_granted_old(g), now);
+        if (m != NULL) {
+            ggw_kernel_send(p->base.kernel, "rollouts", &p->base, m);
+        }
+    }
+}
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -11,6 +11,7 @@
 #include "decide/slots.h"
 #include "peers/payload.h"
 #include "peers/peers.h"
+#include "slots/rollout.h"
 #include "slots/slots.h"
 
 /* Types and functions shared by the files of the service "slots". */
@@ -58,6 +59,8 @@
  * @slots: slots stated in the list of VMs; 0 to use the service's setting
  * @reports_cold: @cold_until is valid
  * @cold_until: monotonic ms at which a cold start ends; 0 for a warm server
+ * @version: version that the server runs; NULL: unknown
+ * @exposure: whether the stage of a roll-out lets it take requests
  */
 struct ggw_slots_server {
     char *name;
@@ -83,6 +86,8 @@
     int slots;
     bool reports_cold;
     ggw_ms cold_until;
+    char *version;
+    enum ggw_exposure_class exposure;
 };
 
 /**
@@ -142,6 +147,7 @@
  * @domains: array of struct ggw_slots_domain
  * @policy: policy that selects a server
  * @budget: budget of the probes of servers that this gateway owns
+ * @rollout: roll-out of the service; NULL while no stage was sent
  */
 struct ggw_slots_group {
     char *team;
@@ -153,6 +159,7 @@
     GPtrArray *domains;
     struct ggw_policy policy;
     struct ggw_probe_budget budget;
+    struct ggw_slots_rollout *rollout;
 };
 
 /**
@@ -256,6 +263,7 @@
  * @rand: random numbers for the choices between servers
  * @trees: team name to struct ggw_tree, the settings in force
  * @groups: "team/service" to struct ggw_slots_group
+ * @rollouts: "team/service" to struct ggw_slots_rollout
  * @vms: last list of VMs; NULL before the first
  * @members: array of struct ggw_member, this gateway included
  * @known_gateways: number of gateways that exist, alive or not
@@ -283,6 +291,7 @@
     GRand *rand;
     GHashTable *trees;
     GHashTable *groups;
+    GHashTable *rollouts;
     struct ggw_vm_list *vms;
     GArray *members;
     int known_gateways;
@@ -375,10 +384,20 @@
 ggw_slots_home_domain(const struct ggw_slots *p,
                       const struct ggw_slots_group *g);
 
-/* A server is open if it accepts new requests. */
+/*
+ * A server is open if it accepts new requests and the stage of a roll-out lets
+ * it take some.
+ */
 bool ggw_slots_domain_has_open_server(const struct ggw_slots_domain *d);
 bool ggw_slots_server_is_open(const struct ggw_slots_server *s);
 
+/* Handles ROLLOUT_LIMITS. */
+void ggw_slots_on_rollout_limits(struct ggw_slots *p,
+                                 const struct ggw_rollout_limits *m);
+
+/* Sends "rollouts" the counts of all services with a roll-out that are due. */
+void ggw_slots_report_rollouts(struct ggw_slots *p, ggw_ms now);
+
 /* Applies settings and servers to the ledger of an owned domain. */
 void ggw_slots_configure_ledger(struct ggw_slots *p,
                                 struct ggw_slots_domain *d);
--- a/slots/slots.c
+++ b/slots/slots.c
@@ -130,6 +130,7 @@
     ggw_slots_end_pauses(p, now);
     ggw_slots_owner_tick(p, now);
     ggw_slots_run_due(p, now);
+    ggw_slots_report_rollouts(p, now);
     ggw_slots_schedule_wake(p, ggw_slots_ledgers_tick(p, now));
 }
 
@@ -337,6 +338,9 @@
     else if (message->ops == &ggw_probe_result_ops) {
         ggw_slots_on_probe_result(p, (struct ggw_probe_result *)message);
     }
+    else if (message->ops == &ggw_rollout_limits_ops) {
+        ggw_slots_on_rollout_limits(p, (struct ggw_rollout_limits *)message);
+    }
 }
 
 static bool
@@ -390,6 +394,7 @@
     g_hash_table_destroy(p->acquires);
     g_hash_table_destroy(p->held_grants);
     g_hash_table_destroy(p->groups);
+    g_hash_table_destroy(p->rollouts);
     g_hash_table_destroy(p->trees);
     g_hash_table_destroy(p->peers);
     g_hash_table_destroy(p->probes);
@@ -428,6 +433,8 @@
                                      (GDestroyNotify)ggw_tree_unref);
     p->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                       ggw_slots_group_free);
+    p->rollouts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        ggw_slots_rollout_free);
     p->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     p->acquires = g_hash_table_new(g_int64_hash, g_int64_equal);
     p->held_grants = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
