--- a/decide/ledger_exposure.c
+++ b/decide/ledger_exposure.c
@@ -92,15 +92,25 @@
 static size_t
 first_limited(const struct ggw_ledger *l)
 {
+    g_autoptr(GArray) limited = NULL;
     guint first = l->exposure_counter.target / GRANTS_PER_TURN;
 
+    if (l->exposure->stage != GGW_ROLLOUT_TRIAL) {
+        return GGW_POLICY_NONE;
+    }
+    limited = g_array_new(FALSE, FALSE, sizeof(guint));
     for (guint i = 0; i < l->servers->len; i++) {
-        guint j = (first + i) % l->servers->len;
         const struct ggw_ledger_server_entry *s =
-            g_ptr_array_index(l->servers, j);
+            g_ptr_array_index(l->servers, i);
+
+        if (s->exposure == GGW_EXPOSURE_LIMITED) {
+            g_array_append_val(limited, i);
+        }
+    }
+    for (guint i = 0; i < limited->len; i++) {
+        guint j = g_array_index(limited, guint, (first + i) % limited->len);
 
-        if (s->exposure == GGW_EXPOSURE_LIMITED &&
-            is_free(&g_array_index(l->candidates, struct ggw_candidate, j))) {
+        if (is_free(&g_array_index(l->candidates, struct ggw_candidate, j))) {
             return j;
         }
     }
