tests: stages of a roll-out over several gateways

Cause: the exposure limit is a sum over gateways, and the switch to the new version has to hold at each of them, also without an answer from the owner.

The driver publishes versions, and the cluster passes on messages to "rollouts". A repeated message that changes nothing is not applied again, and looking up a route no longer creates an empty sample.

--- a/decide/exposure.c
+++ b/decide/exposure.c
@@ -150,10 +150,16 @@
     return t->changes;
 }
 
+static const char *
+route_name(const char *route)
+{
+    return route != NULL ? route : OTHER_ROUTES;
+}
+
 static struct route_counts *
 ensure_route(struct ggw_exposure_tally *t, const char *route)
 {
-    const char *name = route != NULL ? route : OTHER_ROUTES;
+    const char *name = route_name(route);
     struct route_counts *counts = g_hash_table_lookup(t->routes, name);
 
     if (counts == NULL && g_hash_table_size(t->routes) >= MAX_ROUTES) {
@@ -180,9 +186,10 @@
     if (allowance < 1 || allowance >= 1 + ROUTE_RESERVE) {
         return allowance >= 1;
     }
-    counts = ensure_route(limits->tally, route);
-    return counts->trials <=
-           limits->percent * (counts->trials + counts->old.granted) / 100;
+    counts = g_hash_table_lookup(limits->tally->routes, route_name(route));
+    return counts == NULL ||
+           counts->trials <=
+               limits->percent * (counts->trials + counts->old.granted) / 100;
 }
 
 static struct ggw_rollout_sample *
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -529,7 +529,7 @@
     struct ggw_slots_group *g = ggw_slots_find_group(p, m->team, m->service);
 
     if (!ggw_slots_rollout_apply(r, m, ggw_slots_now(p)) || g == NULL) {
-        return;
+        return; /* a service without servers gets it with the first one */
     }
     g->rollout = r;
     for (guint i = 0; i < g->servers->len; i++) {
--- a/slots/rollout.c
+++ b/slots/rollout.c
@@ -77,11 +77,30 @@
     };
 }
 
+static bool
+equal_versions(char *const *a, char *const *b)
+{
+    return a == NULL || b == NULL
+               ? a == b
+               : g_strv_equal((const char *const *)a, (const char *const *)b);
+}
+
+static bool
+is_same(const struct ggw_slots_rollout *r, const struct ggw_rollout_limits *m)
+{
+    return r->team != NULL && m->term == r->term &&
+           m->order == r->limits.order && m->stage == r->limits.stage &&
+           m->exposure_percent == r->limits.percent &&
+           m->exposure_slack == r->limits.slack &&
+           g_strcmp0(m->target, r->target) == 0 &&
+           equal_versions(m->allowed, r->allowed);
+}
+
 bool
 ggw_slots_rollout_apply(struct ggw_slots_rollout *r,
                         const struct ggw_rollout_limits *m, ggw_ms now)
 {
-    if (r->team != NULL && m->term < r->term) {
+    if ((r->team != NULL && m->term < r->term) || is_same(r, m)) {
         return false;
     }
     if (r->team == NULL) {
--- a/slots/rollout.h
+++ b/slots/rollout.h
@@ -25,7 +25,7 @@
  * ggw_slots_rollout_apply() - store the stage of a message
  * @now: monotonic ms
  *
- * Return: false if the message is older than the stored one.
+ * Return: false if the message is older than the stored one or changes nothing.
  */
 bool ggw_slots_rollout_apply(struct ggw_slots_rollout *r,
                              const struct ggw_rollout_limits *m, ggw_ms now);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "rollouts/rollouts.h"
+
 static void
 store_members(struct client *c, const struct ggw_members_changed *m)
 {
@@ -50,6 +52,47 @@
     .destroy = client_destroy,
 };
 
+/**
+ * struct rollouts_client - stands in for the service "rollouts"
+ * @client: service that gets the messages
+ */
+struct rollouts_client {
+    struct ggw_service base;
+    struct client *client;
+};
+
+static void
+rollouts_receive(struct ggw_service *service, struct ggw_message *message)
+{
+    struct client *c = ((struct rollouts_client *)service)->client;
+
+    if (message->ops == &ggw_rollout_counts_ops && c->on_message != NULL) {
+        c->on_message(c->node, message);
+    }
+}
+
+static void
+rollouts_destroy(struct ggw_service *service)
+{
+    g_free(service);
+}
+
+static const struct ggw_service_ops rollouts_client_ops = {
+    .name = "rollouts",
+    .receive = rollouts_receive,
+    .destroy = rollouts_destroy,
+};
+
+static struct ggw_service *
+rollouts_client_new(struct client *client)
+{
+    struct rollouts_client *c = g_new0(struct rollouts_client, 1);
+
+    c->base.ops = &rollouts_client_ops;
+    c->client = client;
+    return &c->base;
+}
+
 void
 cluster_init(struct cluster *c)
 {
@@ -107,6 +150,7 @@
     n->client->on_message = on_message;
     ggw_kernel_add(n->kernel, n->peers);
     ggw_kernel_add(n->kernel, &n->client->base);
+    ggw_kernel_add(n->kernel, rollouts_client_new(n->client));
     if (slots != NULL) {
         ggw_kernel_add(n->kernel, slots);
     }
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -51,7 +51,8 @@
  *           number of the enum ggw_member_state
  * @known_gateways: number of known gateways in the last MEMBERS_CHANGED
  * @lost_peers: number of PEER_LOST received
- * @on_message: called with every other message; may be NULL
+ * @on_message: called with every other message; may be NULL. Messages to
+ *              "rollouts" are passed to it, too.
  */
 struct client {
     struct ggw_service base;
--- a/tests/slots_driver.c
+++ b/tests/slots_driver.c
@@ -87,6 +87,19 @@
     return n;
 }
 
+static void
+count_version(const struct node *node, const char *server)
+{
+    int gateway = node->name[3] - '0';
+
+    if (slots_stats.new_from > 0 && server[2] - '0' < slots_stats.new_from) {
+        slots_stats.old_grants[gateway]++;
+    }
+    else if (slots_stats.new_from > 0) {
+        slots_stats.new_grants[gateway]++;
+    }
+}
+
 static void
 on_grant(struct node *node, const struct ggw_slot_grant *m)
 {
@@ -101,6 +114,7 @@
     g_array_append_val(slots_stats.running_requests, r);
     n = slots_count_running(m->vm);
     slots_stats.grants++;
+    count_version(node, m->vm);
     slots_stats.watched_grants[node->name[3] - '0'] +=
         g_strcmp0(m->vm, slots_stats.watched) == 0;
     slots_stats.connections = m->connections;
@@ -181,6 +195,10 @@
     if (message->ops == &ggw_probe_request_ops) {
         on_probe(node, (struct ggw_probe_request *)message);
     }
+    if (message->ops == &ggw_rollout_counts_ops &&
+        slots_stats.on_counts != NULL) {
+        slots_stats.on_counts(node, (struct ggw_rollout_counts *)message);
+    }
     if (message->ops == &ggw_slot_grant_ops) {
         on_grant(node, (struct ggw_slot_grant *)message);
     }
@@ -199,6 +217,7 @@
         "T", "S", 1, slots_now() + REQUEST_TIMEOUT, slots_stats.avoid);
 
     m->tag = ++slots_stats.next_tag;
+    ((struct ggw_slot_request *)m)->route = g_strdup(slots_stats.route);
     ggw_kernel_send(n->kernel, "slots", &n->client->base, m);
     slots_stats.open_requests[n->name[3] - '0']++;
 }
@@ -280,6 +299,20 @@
     }
 }
 
+/* The servers follow the gateways in the list. */
+static void
+set_versions(struct ggw_vm_list *list, int gateways)
+{
+    for (size_t i = 0; i < list->len && slots_stats.new_from > 0; i++) {
+        int server = (int)i - gateways;
+
+        if (server >= 0) {
+            list->vms[i].version = g_strdup(
+                server < slots_stats.new_from ? OLD_VERSION : NEW_VERSION);
+        }
+    }
+}
+
 void
 slots_publish_servers(struct cluster *c, struct node *n, uint64_t version,
                       int warm, bool cold, bool leaving)
@@ -305,6 +338,7 @@
     g_string_append(json, "]}");
     list = ggw_vm_list_parse(json->str, NULL);
     CU_ASSERT_PTR_NOT_NULL_FATAL(list);
+    set_versions(list, c->len);
     ggw_kernel_publish(n->kernel, NULL, ggw_vms_changed_new(list));
     ggw_vm_list_unref(list);
 }
--- a/tests/slots_driver.h
+++ b/tests/slots_driver.h
@@ -6,6 +6,7 @@
 
 #include "config/config.h"
 #include "config/vms.h"
+#include "rollouts/rollouts.h"
 #include "slots/slots.h"
 #include "tests/cluster.h"
 
@@ -21,6 +22,10 @@
 /* Name of the server that reports itself as cold. */
 #define COLD_SERVER "s-cold"
 
+/* Versions of the servers if slots_stats.new_from is set. */
+#define OLD_VERSION "v1"
+#define NEW_VERSION "v2"
+
 /**
  * struct slots_stats - state and counts of the driver
  * @running_requests: array of requests that run on servers
@@ -52,6 +57,12 @@
  * @incarnation: of the servers in published lists; 0 stands for 1
  * @avoid: NULL-terminated names of servers that new requests have tried, or
  *         NULL
+ * @new_from: index of the first server with NEW_VERSION in published lists,
+ *            those before it have OLD_VERSION; 0: no versions
+ * @route: route of new requests, or NULL
+ * @old_grants: grants on servers before @new_from, by gateway
+ * @new_grants: grants on the others, by gateway
+ * @on_counts: called with each ggw_rollout_counts, or NULL
  *
  * Each new cluster resets it.
  */
@@ -81,6 +92,11 @@
     ggw_ms retry_after;
     int incarnation;
     char **avoid;
+    int new_from;
+    const char *route;
+    int old_grants[CLUSTER_MAX];
+    int new_grants[CLUSTER_MAX];
+    void (*on_counts)(struct node *node, const struct ggw_rollout_counts *m);
 };
 
 extern struct slots_stats slots_stats;
--- a/tests/test_slots_exposure.c
+++ b/tests/test_slots_exposure.c
@@ -50,6 +50,7 @@
  * @by_route: grants on the new version, by route
  * @refused: refused requests
  * @fail_percent: percentage of the requests on the new version that fail
+ * @retries: failed requests are sent again; @sent does not count these
  */
 struct model {
     struct ggw_ledger *l;
@@ -64,6 +65,7 @@
     int by_route[ROUTES];
     int refused;
     int fail_percent;
+    bool retries;
 };
 
 static void
@@ -217,6 +219,12 @@
                            fails ? GGW_ATTEMPT_ERROR : GGW_ATTEMPT_OK,
                            SERVICE_TIME, NULL, m->now);
         take_decisions(m);
+        if (fails && m->retries) {
+            char *avoid[] = {(char *)names[run.server], NULL};
+
+            send_request(m, false, avoid);
+            m->sent--;
+        }
     }
 }
 
@@ -262,8 +270,8 @@
 }
 
 /*
- * Guards against a version that fails fast, so that its slots are always free,
- * and gets more than its limit for that.
+ * Guards against a version that gets more than its limit because it fails: its
+ * slots are free, and the retries of its failures are grants, too.
  */
 static void
 test_failing_version(void)
@@ -272,6 +280,7 @@
 
     model_init(&m);
     m.fail_percent = 100;
+    m.retries = true;
     set_stage(&m, GGW_ROLLOUT_TRIAL);
     run_for(&m, 10000, 300);
     CU_ASSERT_TRUE(granted_new(&m) > 0);
@@ -432,6 +441,7 @@
 static void
 test_no_open_server(void)
 {
+    char *allowed[] = {(char *)"v0", NULL};
     struct model m;
 
     model_init(&m);
@@ -441,6 +451,14 @@
     CU_ASSERT_EQUAL(m.refused, 1);
     CU_ASSERT_EQUAL(ggw_ledger_available_slots(m.l, 0), 0);
     model_clear(&m);
+
+    /* Without other servers, the allowance of a trial never grows. */
+    model_init(&m);
+    m.limits.allowed = allowed;
+    set_stage(&m, GGW_ROLLOUT_TRIAL);
+    send_request(&m, false, NULL);
+    CU_ASSERT_EQUAL(m.refused, 1);
+    model_clear(&m);
 }
 
 /*
