standins: versions of backend servers that are bad in some way

Cause: roll-outs of versions that fail or are slow at once, later, under load or on one route could not be played.

Change: the setting "bad_version" of the backend stand-in. The store's stand-in needs no change: its rows are those of any table and key.

--- a/standins/backend.c
+++ b/standins/backend.c
@@ -62,6 +62,7 @@
  * @offset: bytes of the body sent so far
  * @len: length of the body in bytes
  * @send_len: bytes to send; less than @len when the body is to break off
+ * @fails: the request gets status 500, because the version is bad
  * @chunk: buffer of CHUNK bytes
  */
 struct call {
@@ -73,6 +74,7 @@
     struct ggw_fine_timer timer;
     ggw_ms deadline;
     char *path, *id, *order;
+    bool fails;
     /* response body of /body/ */
     uint64_t seed, offset, len, send_len;
     char *chunk;
@@ -236,6 +238,10 @@
         c->req->http1_is_persistent = 0;
         shutdown(c->conn->fd, SHUT_RDWR);
     }
+    if (c->fails) {
+        send_text(c->server, c->req, 500, "{}");
+        return;
+    }
     if (g_str_has_prefix(c->path, "/body/")) {
         respond_body(c);
         return;
@@ -278,6 +284,7 @@
 call_run(struct call *c)
 {
     struct server *s = c->server;
+    ggw_ms time;
 
     if (c->deadline > 0 && ggw_clock_wall(ggw_clock_system()) > c->deadline) {
         s->late++;
@@ -288,8 +295,13 @@
     c->state = CALL_RUNNING;
     s->busy++;
     take_snapshot(s);
+    time = service_time(s);
+    if (bad_version_affects(&s->bad, c->path, s->busy, now_ms())) {
+        c->fails = bad_version_fails(&s->bad, s->rand);
+        time *= s->bad.slow > 0 ? s->bad.slow : 1;
+    }
     c->timer.data = c;
-    ggw_fine_timer_start(backend.timers, &c->timer, now_ms() + service_time(s),
+    ggw_fine_timer_start(backend.timers, &c->timer, now_ms() + time,
                          service_done_cb);
 }
 
--- a/standins/server_state.h
+++ b/standins/server_state.h
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "common/fine_timer.h"
+#include "standins/bad_version.h"
 #include "standins/control.h"
 #include "standins/endless.h"
 
@@ -58,6 +59,7 @@
  * @lose_answers: requests run, but the connection closes without a response
  * @misleading: load reports show no load
  * @endless: response without an end that all requests and probes get, or NULL
+ * @bad: faults of the version that the server runs
  * @incarnation: wall clock time of the last restart in ms
  * @cold_until: monotonic time in ms
  * @failing_until: end of the time in --cold-fails, monotonic in ms
@@ -90,6 +92,7 @@
     double service_mean_ms, slow, pause_s;
     bool draining, paused, short_body, lose_answers, misleading;
     const struct endless_form *endless;
+    struct bad_version bad;
     /* state */
     uint64_t incarnation;
     ggw_ms cold_until, failing_until, noise_start, noise_end;
@@ -338,6 +341,9 @@
     else if (strcmp(key, "endless") == 0) {
         s->endless = endless_find(json_string_value(value));
     }
+    else if (strcmp(key, "bad_version") == 0) {
+        bad_version_set(&s->bad, value, now_ms());
+    }
     else if (strcmp(key, "connections") == 0) {
         s->connections_max = (int)number;
     }
--- a/tests/test_backend.c
+++ b/tests/test_backend.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "kernel/clock.h"
 #include "tests/suite.h"
 #include "tests/system.h"
 
@@ -168,6 +169,58 @@
     CU_ASSERT(system_free(s));
 }
 
+/* Returns the status of a GET request. */
+static int
+status_of(const char *path)
+{
+    return check_reply(client_read(open_get(path)), NULL);
+}
+
+/*
+ * Guards against a stand-in whose bad version is good, or bad where it is not
+ * meant to be: on other routes, without load, or too early.
+ */
+static void
+test_bad_version(void)
+{
+    static const char *const flags[] = {"--service-ms", "100", "--service",
+                                        "const", NULL};
+    double one_started = 1;
+    ggw_ms start;
+    int fd;
+
+    start_server(flags);
+    CU_ASSERT_EQUAL(status_of("/a"), 200);
+    system_set_backend(s, "s",
+                       "{\"server\":\"*\",\"bad_version\":"
+                       "{\"fail_percent\":100,\"prefix\":\"/b\"}}");
+    CU_ASSERT_EQUAL(status_of("/a"), 200);
+    CU_ASSERT_EQUAL(status_of("/b"), 500);
+    CU_ASSERT_EQUAL(system_count_sum(s, "ran", NULL, NULL), 3);
+    system_set_backend(s, "s",
+                       "{\"server\":\"*\",\"reset\":true,\"bad_version\":"
+                       "{\"fail_percent\":100,\"busy\":2}}");
+    fd = open_get("/a");
+    CU_ASSERT(client_await(has_started, &one_started, 10000));
+    CU_ASSERT_EQUAL(status_of("/b"), 500);
+    CU_ASSERT_EQUAL(check_reply(client_read(fd), NULL), 200);
+    start = ggw_clock_now(ggw_clock_system());
+    system_set_backend(s, "s",
+                       "{\"server\":\"*\",\"bad_version\":"
+                       "{\"fail_percent\":100,\"after_ms\":300}}");
+    while (status_of("/a") == 200) {
+    }
+    CU_ASSERT(ggw_clock_now(ggw_clock_system()) - start >= 300);
+    system_set_backend(s, "s",
+                       "{\"server\":\"*\",\"bad_version\":{\"slow\":4}}");
+    start = ggw_clock_now(ggw_clock_system());
+    CU_ASSERT_EQUAL(status_of("/a"), 200);
+    CU_ASSERT(ggw_clock_now(ggw_clock_system()) - start >= 400);
+    system_set_backend(s, "s", "{\"server\":\"*\",\"bad_version\":null}");
+    CU_ASSERT_EQUAL(status_of("/a"), 200);
+    CU_ASSERT(system_free(s));
+}
+
 int
 main(void)
 {
@@ -176,6 +229,7 @@
         {"disconnected client and expired deadline", test_cancel_and_deadline},
         {"cold server sheds requests over its limit", test_cold_limit},
         {"request runs although its response is lost", test_lost_response},
+        {"version that is bad in each way", test_bad_version},
         CU_TEST_INFO_NULL,
     };
 
