decide: a grown allowance of a trial is used up slowly

Cause: the allowance grows while no server of the new version is ready. Used at once, it would give the new version most of the requests for a while.

--- a/decide/exposure.c
+++ b/decide/exposure.c
@@ -16,6 +16,9 @@
  */
 #define ROUTE_RESERVE 1.0
 
+/* Multiple of the usual share in which a grown allowance is used up. */
+#define CATCH_UP 3
+
 bool
 ggw_exposure_is_target(const struct ggw_exposure_limits *limits,
                        const char *version)
@@ -82,6 +85,7 @@
 {
     counter->requests += first;
     counter->target += target;
+    counter->since_trial = target ? 0 : counter->since_trial + first;
 }
 
 void
@@ -183,8 +187,12 @@
     double allowance = ggw_exposure_allowance(limits, counter);
     const struct route_counts *counts;
 
-    if (allowance < 1 || allowance >= 1 + ROUTE_RESERVE) {
-        return allowance >= 1;
+    if (allowance < 1 ||
+        (counter->since_trial + 1) * limits->percent * CATCH_UP < 100) {
+        return false;
+    }
+    if (allowance >= 1 + ROUTE_RESERVE) {
+        return true;
     }
     counts = g_hash_table_lookup(limits->tally->routes, route_name(route));
     return counts == NULL ||
--- a/decide/exposure.h
+++ b/decide/exposure.h
@@ -62,12 +62,14 @@
  * @slack_share: part of the slack that the owner may use, 0 to 1
  * @requests: first attempts granted; retries and hedges earn no allowance
  * @target: grants on servers of the new version, of any attempt
+ * @since_trial: first attempts granted since the last one of @target
  */
 struct ggw_exposure_counter {
     uint64_t order;
     double slack_share;
     uint32_t requests;
     uint32_t target;
+    uint32_t since_trial;
 };
 
 /**
@@ -125,8 +127,11 @@
  *                              version
  * @route: name of the request's route, or NULL
  *
- * The last grant of the allowance is kept for routes that have had less than
- * their share of trials, so that each route is tried.
+ * An allowance that has grown, for example before the first server of the new
+ * version was ready, is used up over a multiple of the usual share, so that a
+ * bad version does not get most of the requests for a while. The last grant of
+ * the allowance is kept for routes that have had less than their share of
+ * trials, so that each route is tried.
  */
 bool ggw_exposure_wants_trial(const struct ggw_exposure_limits *limits,
                               const struct ggw_exposure_counter *counter,
--- a/tests/test_exposure.c
+++ b/tests/test_exposure.c
@@ -193,6 +193,32 @@
     ggw_exposure_tally_free(t);
 }
 
+/*
+ * Guards against a version on trial that gets most requests for a while,
+ * because its servers were not ready while the allowance grew, and against an
+ * allowance that is not used up then.
+ */
+static void
+test_grown_allowance(void)
+{
+    struct ggw_exposure_tally *t = ggw_exposure_tally_new();
+    struct ggw_exposure_limits limits = trial;
+    struct ggw_exposure_counter counter;
+
+    limits.tally = t;
+    ggw_exposure_begin(&counter, 1, 0);
+    for (int n = 0; n < 2000; n++) {
+        ggw_exposure_granted(&counter, true, false);
+    }
+    for (int n = 1; n <= 2000; n++) {
+        ggw_exposure_granted(&counter, true,
+                             ggw_exposure_wants_trial(&limits, &counter, "a"));
+        CU_ASSERT_TRUE(counter.target <= 0.3 * n + 1);
+    }
+    CU_ASSERT_TRUE(counter.target >= 0.1 * counter.requests - 1);
+    ggw_exposure_tally_free(t);
+}
+
 static const struct ggw_rollout_sample *
 find_sample(const GArray *samples, const char *route, const char *server)
 {
@@ -278,6 +304,7 @@
         {"retries", test_retries},
         {"unused grants", test_unused},
         {"routes", test_routes},
+        {"grown allowance", test_grown_allowance},
         {"tally", test_tally},
         {"many routes", test_many_routes},
         CU_TEST_INFO_NULL,
