slots: count for a roll-out only while the new version is judged

Cause: after the end of a roll-out its order stays known, and gateways would go on sending routes and counts.

Change: grants are counted and routes sent in the trial and the switch only; after a roll-back only the new term is reported. Tests of the reset by a new order, of the refusal without an open server, of a cold server that may not start and of several owners' slack now fail without their part.

--- a/decide/exposure.c
+++ b/decide/exposure.c
@@ -63,6 +63,14 @@
     return GGW_EXPOSURE_CLOSED;
 }
 
+bool
+ggw_exposure_is_judged(const struct ggw_exposure_limits *limits)
+{
+    return limits != NULL && limits->order != 0 &&
+           (limits->stage == GGW_ROLLOUT_TRIAL ||
+            limits->stage == GGW_ROLLOUT_SWITCHING);
+}
+
 void
 ggw_exposure_begin(struct ggw_exposure_counter *counter, uint64_t order,
                    double slack_share)
--- a/decide/exposure.h
+++ b/decide/exposure.h
@@ -92,6 +92,14 @@
 ggw_exposure_classify(const struct ggw_exposure_limits *limits,
                       const char *version);
 
+/**
+ * ggw_exposure_is_judged() - tell whether grants and results are counted
+ * @limits: stage of the roll-out, or NULL for none
+ *
+ * They are while the new version may still prove to be bad.
+ */
+bool ggw_exposure_is_judged(const struct ggw_exposure_limits *limits);
+
 /**
  * ggw_exposure_begin() - start to count the grants of an owner for an order
  * @slack_share: part of the slack that the owner may use, 0 to 1
--- a/decide/ledger_exposure.c
+++ b/decide/ledger_exposure.c
@@ -162,7 +162,7 @@
 ggw_ledger_count_grant(struct ggw_ledger *l, struct ggw_ledger_grant *g,
                        const struct ggw_ledger_pick_params *params)
 {
-    if (l->exposure == NULL || l->exposure->order == 0) {
+    if (!ggw_exposure_is_judged(l->exposure)) {
         return;
     }
     g->order = l->exposure->order;
--- a/slots/rollout.c
+++ b/slots/rollout.c
@@ -126,7 +126,7 @@
 bool
 ggw_slots_rollout_counts_routes(const struct ggw_slots_rollout *r)
 {
-    return r != NULL && r->limits.order != 0;
+    return r != NULL && ggw_exposure_is_judged(&r->limits);
 }
 
 /* Returns whether "rollouts" waits for what the report says. */
@@ -150,7 +150,8 @@
                          int granted_old, ggw_ms now)
 {
     struct ggw_rollout_counts *m;
-    bool due = now - r->reported_at >= REPORT_INTERVAL &&
+    bool due = r->limits.stage != GGW_ROLLOUT_ROLLED_BACK &&
+               now - r->reported_at >= REPORT_INTERVAL &&
                has_changed(r, held_old, granted_old);
 
     if (r->limits.order == 0 ||
--- a/slots/rollout.h
+++ b/slots/rollout.h
@@ -25,7 +25,8 @@
  * ggw_slots_rollout_apply() - store the stage of a message
  * @now: monotonic ms
  *
- * Return: false if the message is older than the stored one or changes nothing.
+ * Return: false if the message is older than the stored one or changes
+ * nothing.
  */
 bool ggw_slots_rollout_apply(struct ggw_slots_rollout *r,
                              const struct ggw_rollout_limits *m, ggw_ms now);
@@ -41,7 +42,7 @@
 ggw_slots_rollout_limits(const struct ggw_slots_rollout *r);
 
 /**
- * ggw_slots_rollout_counts_routes() - tell whether owners count by route
+ * ggw_slots_rollout_counts_routes() - tell whether owners count by route now
  * @r: state of the service, or NULL
  */
 bool ggw_slots_rollout_counts_routes(const struct ggw_slots_rollout *r);
@@ -51,7 +52,8 @@
  * @held_old, @granted_old: see struct ggw_rollout_counts
  *
  * A new term, and in GGW_ROLLOUT_SWITCHING the end of the last old request, is
- * reported at once; other changes wait for the interval between reports.
+ * reported at once; other changes wait for the interval between reports. After
+ * a roll-back, only the new term is reported.
  *
  * Return: message for "rollouts", or NULL if there is nothing to report now.
  */
--- a/tests/test_slots_exposure.c
+++ b/tests/test_slots_exposure.c
@@ -49,6 +49,7 @@
  * @max_running: most requests that ran at the same time, by server
  * @by_route: grants on the new version, by route
  * @refused: refused requests
+ * @reason: reason of the last refusal
  * @fail_percent: percentage of the requests on the new version that fail
  * @retries: failed requests are sent again; @sent does not count these
  */
@@ -64,6 +65,7 @@
     int max_running[SERVERS];
     int by_route[ROUTES];
     int refused;
+    enum ggw_slot_refusal reason;
     int fail_percent;
     bool retries;
 };
@@ -177,7 +179,10 @@
         if (d.answer == GGW_LEDGER_GRANTED) {
             on_grant(m, &d);
         }
-        m->refused += d.answer == GGW_LEDGER_REFUSED;
+        if (d.answer == GGW_LEDGER_REFUSED) {
+            m->refused++;
+            m->reason = d.reason;
+        }
         g_free(d.holder);
         g_free(d.server);
     }
@@ -318,7 +323,8 @@
 
 /*
  * Guards against the slack of an order being used twice, by an owner that took
- * over after another had used it, and against a slack that is never used.
+ * over after another had used it, or by each of several owners, and against a
+ * slack that is never used.
  */
 static void
 test_slack(void)
@@ -340,6 +346,18 @@
                                   : granted_new(&m) >= 0.1 * m.sent + 15);
         model_clear(&m);
     }
+    {
+        struct model m;
+
+        model_init(&m);
+        m.limits.slack = 20;
+        m.now = 60000;
+        configure(&m);
+        ggw_ledger_set_exposure(m.l, &m.limits, 4, m.now);
+        CU_ASSERT_EQUAL(ggw_ledger_available_slots(m.l, m.now),
+                        OLD_SERVERS * SLOTS + 20 / 4);
+        model_clear(&m);
+    }
 }
 
 /*
@@ -472,6 +490,7 @@
     set_stage(&m, GGW_ROLLOUT_TRIAL);
     send_request(&m, false, NULL);
     CU_ASSERT_EQUAL(m.refused, 1);
+    CU_ASSERT_EQUAL(m.reason, GGW_SLOT_NO_SERVER);
     model_clear(&m);
 }
 
@@ -493,6 +512,12 @@
     cold_rule.cold_rate = 20;
     m.now = 10000;
     ggw_ledger_configure(m.l, &cold_rule, QUEUE, s, 2, m.now);
+    for (int i = 0; i < SLOTS + 1; i++) {
+        send_request(&m, false, NULL);
+    }
+    CU_ASSERT_EQUAL(granted_new(&m), 1);
+    m.now += 2 * SERVICE_TIME;
+    end_runs(&m);
     set_stage(&m, GGW_ROLLOUT_TRIAL);
     for (int i = 0; i < SLOTS + 1; i++) {
         send_request(&m, false, NULL);
@@ -512,11 +537,12 @@
     struct model m;
 
     model_init(&m);
+    m.limits.percent = 0;
     set_stage(&m, GGW_ROLLOUT_TRIAL);
     run_for(&m, 1000, 100);
     m.limits.order = 2;
+    m.limits.percent = 10;
     set_stage(&m, GGW_ROLLOUT_TRIAL);
-    run_for(&m, 50, 1); /* ends what ran before */
     CU_ASSERT_EQUAL(ggw_ledger_available_slots(m.l, m.now),
                     OLD_SERVERS * SLOTS - (int)m.runs->len);
     model_clear(&m);
--- a/tests/test_slots_rollout.c
+++ b/tests/test_slots_rollout.c
@@ -173,6 +173,48 @@
     slots_cluster_free(c);
 }
 
+/**
+ * struct last_counts - last counts of a gateway
+ * @term, @held_old, @granted_old: see struct ggw_rollout_counts
+ * @old, @new: slots granted on both versions on the route "r"
+ * @other_routes: a sample has another route
+ * @held_seen: the gateway reported requests on old servers
+ * @messages: number of counts received in this term
+ */
+struct last_counts {
+    uint64_t term;
+    int held_old;
+    int granted_old;
+    uint32_t old;
+    uint32_t new;
+    bool other_routes;
+    bool held_seen;
+    int messages;
+};
+
+static struct last_counts last_counts[CLUSTER_MAX];
+
+static void
+store_counts(struct node *node, const struct ggw_rollout_counts *m)
+{
+    struct last_counts *last = &last_counts[node->name[3] - '0'];
+
+    *last = (struct last_counts){
+        .term = m->term,
+        .held_old = m->held_old,
+        .granted_old = m->granted_old,
+        .messages = (last->term == m->term ? last->messages : 0) + 1,
+        .held_seen = last->held_seen || m->held_old > 0,
+    };
+    for (guint i = 0; i < m->samples->len; i++) {
+        const struct ggw_rollout_sample *s =
+            &g_array_index(m->samples, struct ggw_rollout_sample, i);
+
+        last->other_routes |= strcmp(s->route, "r") != 0;
+        *(s->is_target ? &last->new : &last->old) += s->granted;
+    }
+}
+
 /*
  * Guards against requests on a version on trial that no owner has counted: the
  * owner does not answer, and the other gateways place requests without it.
@@ -199,12 +241,19 @@
     CU_ASSERT_TRUE(slots_drive_until(c, cluster_joined));
     CU_ASSERT_EQUAL(sum_except(slots_stats.new_grants, -1), 0);
 
-    /* Nor does a version that was rolled back get any. */
+    /* Nor does one that was rolled back, of which no counts are sent. */
+    memset(last_counts, 0, sizeof(last_counts));
+    slots_stats.on_counts = store_counts;
     publish_stage_to_all(c, -1, 3, GGW_ROLLOUT_ROLLED_BACK, 50);
     slots_drive_for(c, SETTLE_MS);
     reset_grants();
-    drive_grants(c, 300);
+    slots_drive_for(c, 1000);
     CU_ASSERT_EQUAL(sum_except(slots_stats.new_grants, -1), 0);
+    CU_ASSERT_TRUE(sum_except(slots_stats.old_grants, -1) > 0);
+    for (int i = 0; i < c->len; i++) {
+        CU_ASSERT_EQUAL(last_counts[i].term, 3);
+        CU_ASSERT_EQUAL(last_counts[i].messages, 1);
+    }
     slots_cluster_free(c);
 }
 
@@ -257,48 +306,6 @@
     slots_cluster_free(c);
 }
 
-/**
- * struct last_counts - last counts of a gateway
- * @term, @held_old, @granted_old: see struct ggw_rollout_counts
- * @old, @new: slots granted on both versions on the route "r"
- * @other_routes: a sample has another route
- * @held_seen: the gateway reported requests on old servers
- * @messages: number of counts received
- */
-struct last_counts {
-    uint64_t term;
-    int held_old;
-    int granted_old;
-    uint32_t old;
-    uint32_t new;
-    bool other_routes;
-    bool held_seen;
-    int messages;
-};
-
-static struct last_counts last_counts[CLUSTER_MAX];
-
-static void
-store_counts(struct node *node, const struct ggw_rollout_counts *m)
-{
-    struct last_counts *last = &last_counts[node->name[3] - '0'];
-
-    *last = (struct last_counts){
-        .term = m->term,
-        .held_old = m->held_old,
-        .granted_old = m->granted_old,
-        .messages = last->messages + 1,
-        .held_seen = last->held_seen || m->held_old > 0,
-    };
-    for (guint i = 0; i < m->samples->len; i++) {
-        const struct ggw_rollout_sample *s =
-            &g_array_index(m->samples, struct ggw_rollout_sample, i);
-
-        last->other_routes |= strcmp(s->route, "r") != 0;
-        *(s->is_target ? &last->new : &last->old) += s->granted;
-    }
-}
-
 /*
  * Guards against counts from which the deciding gateway cannot judge: without
  * the routes of other gateways' requests, without the requests that still run
