--- a/tests/slots_driver.c
+++ b/tests/slots_driver.c
@@ -303,6 +303,7 @@
 static void
 set_versions(struct ggw_vm_list *list, int gateways)
 {
+    g_assert(list != NULL);
     for (size_t i = 0; i < list->len && slots_stats.new_from > 0; i++) {
         int server = (int)i - gateways;
 
