tests: a decider that stands still before it completes a roll-out

Result: fails when the age of the gateways' reports is not looked at. Without the check for a pause alone it passes: the age protects by itself.

--- a/tests/test_rollouts.c
+++ b/tests/test_rollouts.c
@@ -836,6 +836,39 @@
     world_clear(&w);
 }
 
+/* Guards against a decider that stood still and then completes the roll-out
+ * because of what it had heard before: its timers run before it reads what has
+ * arrived meanwhile. */
+static void
+test_paused_before_write(void)
+{
+    struct world w = {0};
+    struct gateway *g;
+
+    world_init(&w);
+    order(&w, "v2");
+    run(&w, 3000);
+    w.down = true;
+    run(&w, DURATION);
+    CU_ASSERT_TRUE(all_in(&w, GGW_ROLLOUT_SWITCHING));
+    g = &w.gateways[find_decider(&w)];
+    g->paused = true;
+    publish_members(&w);
+    w.bad = true;
+    run(&w, 4000);
+    CU_ASSERT_TRUE(all_in(&w, GGW_ROLLOUT_ROLLED_BACK));
+    w.down = false;
+    g->paused = false;
+    g->clock.manual_now = w.now;
+    ggw_rollouts_tick(g->rollouts);
+    ggw_rollouts_tick(g->rollouts);
+    run(&w, 4000);
+    CU_ASSERT_TRUE(state_is(&w, "rolled_back", "v2"));
+    CU_ASSERT_TRUE(all_in(&w, GGW_ROLLOUT_ROLLED_BACK));
+    CU_ASSERT_STRING_EQUAL(w.states->str, "running rolled_back ");
+    world_clear(&w);
+}
+
 /* Guards against states that are lost or go back when answers are lost. */
 static void
 test_lost_answers(void)
@@ -1183,6 +1216,7 @@
         {"bad version", test_bad},
         {"decider killed before the write", test_decider_killed},
         {"paused writer", test_paused_writer},
+        {"paused before the write", test_paused_before_write},
         {"lost answers", test_lost_answers},
         {"store away at the deadline", test_store_away},
         {"bad while the store is away", test_bad_while_store_away},
