--- a/config/setting.h
+++ b/config/setting.h
@@ -52,24 +52,24 @@
  * struct ggw_setting - description of one setting
  * @name: key in the JSON object
  * @type: type of the value
+ * @optional: an absent map means something else than an empty one
  * @offset: offset of the value in the struct of the level, in bytes
  * @min: minimum of a number, inclusive
  * @max: maximum of a number, inclusive
  * @default_json: JSON text of the default; NULL leaves the setting unset
  * @choices: allowed texts, separated by "|"
  * @entries: level of the entries of a map
- * @optional: an absent map means something else than an empty one
  * @help: description in the operators' reference
  */
 struct ggw_setting {
     const char *name;
     enum ggw_setting_type type;
+    bool optional;
     size_t offset;
     double min, max;
     const char *default_json;
     const char *choices;
     const struct ggw_setting_level *entries;
-    bool optional;
     const char *help;
 };
 
--- a/tests/readers/model.c
+++ b/tests/readers/model.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "config/config.h"
 #include "decide/readers.h"
 #include "platform/site.h"
 
@@ -69,6 +70,26 @@
     g_clear_pointer(&row.value, g_bytes_unref);
 }
 
+void
+model_write_config(const char *keys)
+{
+    char *text = g_strdup_printf(
+        "{\"Version\":\"%" G_GUINT64_FORMAT "\",\"Tenants\":[{\"Name\":\"c\","
+        "\"ApiKeys\":[%s]}],\"Listeners\":[],\"Clusters\":[]}",
+        (guint64)play->version + 1, keys);
+    struct ggw_store_row row = {
+        .key = (char *)"config",
+        .version = ++play->version,
+        .value = g_bytes_new_take(text, strlen(text)),
+    };
+
+    if (play->config != NULL) {
+        ggw_store_row_free(play->config);
+    }
+    play->config = copy_row(&row);
+    g_bytes_unref(row.value);
+}
+
 void
 model_call_free(gpointer data)
 {
@@ -144,6 +165,17 @@
     return strcmp(c->table, "servers") == 0;
 }
 
+static bool
+collect_config(struct call *c)
+{
+    if (play->config == NULL ||
+        (c->feed && play->config->version <= c->after)) {
+        return false;
+    }
+    g_ptr_array_add(c->response.rows, copy_row(play->config));
+    return true;
+}
+
 /* Adds the rows that the response has. Returns whether there are any. */
 static bool
 collect_rows(struct call *c)
@@ -152,7 +184,7 @@
     gpointer row;
 
     if (!is_servers(c)) {
-        return false;
+        return collect_config(c);
     }
     if (!c->feed) {
         g_hash_table_iter_init(&iter, play->rows);
@@ -206,12 +238,19 @@
     return !parts || play->now + LINK_MS < LOSS_AT;
 }
 
+/* Whether a call reads the table that the play changes. */
+static bool
+is_changed_table(const struct call *c)
+{
+    return is_servers(c) == (play->change != CHANGE_KEYS);
+}
+
 /* Notes when a gateway first learned of the change from the store. */
 static void
 note_known(const struct call *c)
 {
-    if (is_servers(c) && is_heard(c->from) && play->changed_version > 0 &&
-        c->response.status == GGW_STORE_OK &&
+    if (is_changed_table(c) && is_heard(c->from) &&
+        play->changed_version > 0 && c->response.status == GGW_STORE_OK &&
         c->response.version >= play->changed_version) {
         play->known_at = MIN(play->known_at, play->now);
     }
@@ -356,6 +395,25 @@
     }
 }
 
+/* As the service "config", drops versions that are not newer. */
+static void
+config_receive(struct ggw_service *service, struct ggw_message *message)
+{
+    struct gateway *g = play->current;
+    const struct ggw_config_given *m = (struct ggw_config_given *)message;
+
+    if (message->ops != &ggw_config_given_ops || m->revision <= g->revision) {
+        return;
+    }
+    g->revision = m->revision;
+    g->has_config = true;
+    g->has_withdrawn = strstr(m->json, "\"withdrawn\"") != NULL;
+    g->has_added = strstr(m->json, "\"added\"") != NULL;
+}
+
+static const struct ggw_service_ops config_ops = {.name = "config",
+                                                  .receive = config_receive};
+
 static const struct ggw_service_ops peers_ops = {.name = "peers",
                                                  .receive = peers_receive};
 
@@ -439,6 +497,7 @@
     g->domain[0] = (char)('a' + i / 2);
     g->kernel = ggw_kernel_new(ggw_clock_system());
     g->peers.ops = &peers_ops;
+    g->config.ops = &config_ops;
     g->settings.name = g->name;
     g->settings.max_change_delay = MAX_CHANGE_DELAY_MS;
     g_strlcpy(g->settings.store.host, "127.0.0.1",
@@ -448,6 +507,7 @@
     g->site = ggw_site_service_new(&g->settings);
     play->current = g;
     ggw_kernel_add(g->kernel, &g->peers);
+    ggw_kernel_add(g->kernel, &g->config);
     ggw_kernel_add(g->kernel, g->site);
     g_assert_true(ggw_kernel_start(g->kernel, NULL));
 }
--- a/tests/readers/model.h
+++ b/tests/readers/model.h
@@ -87,6 +87,7 @@
     CHANGE_DRAINED,
     CHANGE_BACK,
     CHANGE_EXPIRED,
+    CHANGE_KEYS, /* one key of a customer is withdrawn, another one added */
 };
 
 /**
@@ -108,6 +109,11 @@
  * @no_store: it does not reach the store
  * @apart: it reaches only the gateways that are apart, too
  * @view: what it uses
+ * @config: stands for the service "config"
+ * @has_config: it has had a configuration
+ * @revision: revision of the last configuration
+ * @has_withdrawn: that configuration has the key that is withdrawn
+ * @has_added: that configuration has the key that is added
  */
 struct gateway {
     struct ggw_kernel *kernel;
@@ -121,6 +127,11 @@
     bool apart;
     bool has_list;
     struct view view;
+    struct ggw_service config;
+    bool has_config;
+    uint64_t revision;
+    bool has_withdrawn;
+    bool has_added;
 };
 
 /**
@@ -162,6 +173,7 @@
  * @order: the gateways in the order of the readers
  * @rows: key to struct ggw_store_row, the rows of table "servers"
  * @log: of struct ggw_store_row, all changes of that table
+ * @config: the only row of table "op", or NULL
  * @version: version of the store
  * @history_from: the store has the changes after this version
  * @changed_version: version in which the entry was removed or drained
@@ -182,6 +194,7 @@
     GPtrArray *calls;
     GHashTable *rows;
     GPtrArray *log;
+    struct ggw_store_row *config;
     uint64_t version;
     uint64_t history_from;
     uint64_t changed_version;
@@ -200,6 +213,9 @@
 /* Writes a row of table "servers"; removes it if @state is NULL. */
 void model_write_row(const char *key, int slots, const char *state);
 
+/* Writes a configuration with one customer that has these keys. */
+void model_write_config(const char *keys);
+
 /* Makes the response of a call if the store has one now. */
 void model_answer_call(struct call *c);
 
--- a/tests/readers/steps.c
+++ b/tests/readers/steps.c
@@ -55,8 +55,13 @@
 static void
 step_change(struct gateway *g)
 {
-    model_write_row("changed", 2,
-                    play->change == CHANGE_DRAINED ? "draining" : NULL);
+    if (play->change == CHANGE_KEYS) {
+        model_write_config("\"kept\",\"added\"");
+    }
+    else {
+        model_write_row("changed", 2,
+                        play->change == CHANGE_DRAINED ? "draining" : NULL);
+    }
     play->changed_version = play->version;
     play->written_at = play->now;
 }
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -305,7 +305,7 @@
     else if (ends_at <= arrives_at) {
         end_call(sim, ending);
     }
-    else {
+    else if (arriving != NULL) {
         g_sequence_remove(first);
         start_call(sim, arriving);
     }
--- a/tests/test_readers_change.c
+++ b/tests/test_readers_change.c
@@ -61,6 +61,7 @@
     [CHANGE_DRAINED] = "entry drained",
     [CHANGE_BACK] = "entry removed and back",
     [CHANGE_EXPIRED] = "entry expired and back",
+    [CHANGE_KEYS] = "keys changed",
 };
 
 /* Time of the next event after this moment, ms. */
@@ -124,14 +125,30 @@
                      : from + DRAIN_MS;
 }
 
+static void
+check_keys(const struct gateway *g)
+{
+    if (g->has_withdrawn) {
+        model_note_wrong(g, "has a withdrawn key later than the bound");
+    }
+    if (!g->has_added) {
+        model_note_wrong(g, "lacks an added key later than the bound");
+    }
+}
+
 static void
 check_bound(void)
 {
     for (int i = 0; i < GATEWAYS; i++) {
         const struct gateway *g = &play->gateways[i];
 
-        if (!g->ended && g->view.slots == 2 && uses_changed(g) &&
-            play->now > bound(g)) {
+        if (g->ended || play->now <= bound(g)) {
+            continue;
+        }
+        if (play->change == CHANGE_KEYS) {
+            check_keys(g);
+        }
+        else if (g->view.slots == 2 && uses_changed(g)) {
             model_note_wrong(g, "uses the entry later than the bound");
         }
     }
@@ -140,8 +157,9 @@
 static void
 check_end(void)
 {
-    bool expected =
-        play->change == CHANGE_BACK || play->change == CHANGE_EXPIRED;
+    bool expected = play->change == CHANGE_BACK ||
+                    play->change == CHANGE_EXPIRED ||
+                    play->change == CHANGE_KEYS;
 
     for (int i = 0; i < GATEWAYS; i++) {
         const struct gateway *g = &play->gateways[i];
@@ -152,6 +170,9 @@
         if (!g->has_list) {
             model_note_wrong(g, "has no list");
         }
+        if (play->change == CHANGE_KEYS) {
+            check_keys(g);
+        }
         if (uses_changed(g) != expected) {
             model_note_wrong(g, "does not have the last version at the end");
         }
@@ -182,6 +203,9 @@
                                    ggw_store_row_free);
     model_write_row("kept", 2, "ready");
     model_write_row("changed", 2, "ready");
+    if (change == CHANGE_KEYS) {
+        model_write_config("\"kept\",\"withdrawn\"");
+    }
     for (int i = 0; i < GATEWAYS; i++) {
         model_start_gateway(&p.gateways[i], i);
     }
@@ -207,6 +231,7 @@
     g_ptr_array_unref(p.frames);
     g_ptr_array_unref(p.calls);
     g_ptr_array_unref(p.log);
+    g_clear_pointer(&p.config, ggw_store_row_free);
     g_hash_table_unref(p.rows);
     return p.wrong;
 }
@@ -290,13 +315,34 @@
     }
 }
 
+/*
+ * Guards against a key that is withdrawn or added and that gateways which
+ * cannot reach the store learn of too late, while readers change.
+ */
+static void
+test_keys(void)
+{
+    for (enum loss loss = 0; loss < LOSSES; loss++) {
+        for (int moment = FIRST_MOMENT; moment <= LAST_MOMENT;
+             moment += MOMENT_STEP) {
+            check_play(loss, STORE_SOUND, CHANGE_KEYS, moment);
+            check_play(loss, STORE_SLOW, CHANGE_KEYS, moment);
+            check_play(loss, STORE_AWAY, CHANGE_KEYS, moment);
+        }
+    }
+}
+
 int
 main(void)
 {
     static CU_TestInfo tests[] = {
-        {"store sound", test_store_sound}, {"store slow", test_store_slow},
-        {"store away", test_store_away},   {"history lost", test_history_lost},
-        {"expired", test_expired},         CU_TEST_INFO_NULL,
+        {"store sound", test_store_sound},
+        {"store slow", test_store_slow},
+        {"store away", test_store_away},
+        {"history lost", test_history_lost},
+        {"expired", test_expired},
+        {"keys", test_keys},
+        CU_TEST_INFO_NULL,
     };
     int status = suite_run("readers_change", tests);
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -283,8 +283,8 @@
 test_tenants_refused(void)
 {
     static const char *const refused[] = {
-        "[{\"Name\":\"a\",\"ApiKeys\":[\"secret\"]},"
-        "{\"Name\":\"b\",\"ApiKeys\":[\"x\",\"secret\"]}]",
+        ("[{\"Name\":\"a\",\"ApiKeys\":[\"secret\"]},"
+         "{\"Name\":\"b\",\"ApiKeys\":[\"x\",\"secret\"]}]"),
         "[{\"Name\":\"a\",\"ApiKeys\":[\"\"]}]",
         "[{\"Name\":\"a\",\"ApiKeys\":[\"secret secret\"]}]",
         "[{\"Name\":\"a\",\"ApiKeys\":[7]}]",
