--- a/decide/allotment.h
+++ b/decide/allotment.h
@@ -42,7 +42,7 @@
 #define GGW_ALLOTMENT_MAX_WAIT 1500.0
 
 /* Tokens that a full bucket holds: share of the burst, and in addition. */
-#define GGW_ALLOTMENT_DEPTH 0.4
+#define GGW_ALLOTMENT_DEPTH 0.2
 #define GGW_ALLOTMENT_SPARE 4.0
 
 /*
