config, platform: the configuration states the largest body

Cause: the gateway refused bodies above 1 MiB whatever MaxBodyBytes of the operator's configuration said.

--- a/config/settings_tables.c
+++ b/config/settings_tables.c
@@ -677,6 +677,16 @@
                 "public must name by a key; without customers, requests need "
                 "no key",
     },
+    {
+        .name = "body_max",
+        .type = GGW_SETTING_INT,
+        .offset = offsetof(struct ggw_tree, body_max),
+        .min = 0,
+        .max = G_MAXINT,
+        .default_json = "0",
+        .help = "largest body of a request in bytes, as far as the memory of "
+                "the machine allows; 0 for 1 MiB",
+    },
     {0},
 };
 
--- a/config/tree.h
+++ b/config/tree.h
@@ -220,6 +220,7 @@
  * @customers: customers, sorted by name
  * @customers_len: number of elements in @customers; 0 if requests need no key
  * @customer_keys: key to struct ggw_customer_rule in @customers
+ * @body_max: largest body of a request, bytes; 0 for the usual one
  */
 struct ggw_tree {
     int refs;
@@ -235,6 +236,7 @@
     struct ggw_customer_rule *customers;
     size_t customers_len;
     GHashTable *customer_keys;
+    int body_max;
 };
 
 /**
