--- a/decide/clients.c
+++ b/decide/clients.c
@@ -13,6 +13,9 @@
 #define PAGE_CONNECTIONS_MAX 256
 #define PAGE_PART 8 /* of the reserved descriptors */
 
+/* Links without a hello: one in so many of the reserved descriptors. */
+#define LINK_PART 4
+
 /* Limits for a number of connections. */
 static struct ggw_client_limits
 limits_for(uint64_t connections)
@@ -46,6 +49,12 @@
     return limits_for(MIN(connections, PAGE_CONNECTIONS_MAX));
 }
 
+unsigned
+ggw_peer_link_limit(uint64_t descriptors)
+{
+    return (unsigned)MAX(reserved_for(descriptors) / LINK_PART, 1);
+}
+
 bool
 ggw_client_gives_way(const struct ggw_client *c, ggw_ms now)
 {
--- a/decide/clients.h
+++ b/decide/clients.h
@@ -61,6 +61,14 @@
  */
 struct ggw_client_limits ggw_page_client_limits(uint64_t descriptors);
 
+/**
+ * ggw_peer_link_limit() - most links whose other end has not said who it is
+ *
+ * Return: a quarter of the descriptors that ggw_client_limits() keeps. More
+ * gateways than that do not connect at once.
+ */
+unsigned ggw_peer_link_limit(uint64_t descriptors);
+
 /**
  * enum ggw_client_state - state of a connection; the first gives way first
  * @GGW_CLIENT_IDLE: no byte of a request has been read
--- a/peers/internal.h
+++ b/peers/internal.h
@@ -117,6 +117,7 @@
  * @name: name of this gateway
  * @listen_host: IPv4 address that the listener binds to
  * @listen_port: port of the listener; 0 until a free one has been picked
+ * @max_strangers: most accepted links without a hello
  * @peer_host: IPv4 address at which other gateways reach the listener
  * @view: liveness of all gateways
  * @peers: name to struct ggw_peer
@@ -142,6 +143,7 @@
     char *name;
     char *listen_host;
     uint16_t listen_port;
+    unsigned max_strangers;
     char *peer_host;
     struct ggw_view *view;
 
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -8,6 +8,7 @@
 #include "common/metrics.h"
 #include "config/config.h"
 #include "config/vms.h"
+#include "decide/clients.h"
 #include "peers/internal.h"
 
 /*
@@ -25,6 +26,14 @@
  */
 #define FIRST_FRAME_MAX 65536
 
+static struct ggw_log_event strangers_event = {
+    .part = "peers",
+    .name = "links_without_hello",
+    .level = GGW_LOG_WARN,
+    .importance = GGW_LOG_ROUTINE,
+    .max_per_s = 1,
+};
+
 static struct ggw_peers *
 self_of(struct ggw_service *service)
 {
@@ -300,6 +309,34 @@
     return &link_ops;
 }
 
+/*
+ * Closes the oldest accepted link whose other end has not said who it is, if
+ * there are as many as allowed. A gateway sends its hello at once.
+ */
+static void
+limit_strangers(struct ggw_peers *p)
+{
+    struct ggw_conn *oldest = NULL;
+    unsigned count = 0;
+
+    for (guint i = 0; i < p->conns->len; i++) {
+        struct ggw_conn *c = g_ptr_array_index(p->conns, i);
+
+        if (c->peer != NULL || c->target != NULL || c->link == NULL) {
+            continue;
+        }
+        count++;
+        if (oldest == NULL || c->opened_at < oldest->opened_at) {
+            oldest = c;
+        }
+    }
+    if (count >= p->max_strangers) {
+        ggw_log_event(&strangers_event, "count=%u max=%u", count,
+                      p->max_strangers);
+        ggw_link_close(oldest->link, "too-many-links");
+    }
+}
+
 static void
 connection_cb(uv_stream_t *listener, int status)
 {
@@ -309,6 +346,7 @@
     if (status < 0) {
         return;
     }
+    limit_strangers(p);
     c = ggw_peers_conn_add(p);
     if (ggw_link_accept(listener, &link_ops, c) == NULL) {
         g_ptr_array_remove(p->conns, c);
@@ -624,6 +662,9 @@
     p->listen_host = g_strdup(options->listen_host);
     p->listen_port = options->listen_port;
     p->peer_host = g_strdup(options->advertise_host);
+    p->max_strangers = options->descriptors > 0
+                           ? ggw_peer_link_limit(options->descriptors)
+                           : G_MAXUINT;
     p->rand = g_rand_new();
     p->conns = g_ptr_array_new_with_free_func(g_free);
     p->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -258,6 +258,7 @@
  *                  gateway
  * @advertise_port: port at which clients reach this gateway
  * @capacity: resources of the VM
+ * @descriptors: descriptors that the process may use for sockets; 0 if unknown
  * @seeds: NULL-terminated array of "IP:PORT" listener addresses of other
  *         gateways; may be NULL
  */
@@ -269,6 +270,7 @@
     const char *advertise_host;
     uint16_t advertise_port;
     struct ggw_capacity capacity;
+    uint64_t descriptors;
     char **seeds;
 };
 
