decide, http, proxy: tie all limits to the memory and descriptors

Cause: 32 MiB of requests, 32 MiB of held responses and half of the soft limit of descriptors held on every machine, also on those of 160 MB. Bytes received and not yet read, responses to slow readers and requests kept up to four times came on top, so that several crowds together took 167 MiB, 239 MiB with unread bytes (test_crowd_bodies, "together").

Change: decide/memory divides Limits.MemoryMb of the settings between the bytes of requests, requests in progress, held responses, responses that wait for their client, the receive buffers and the pages; Limits.MaxFds less the platform's 200 bounds the descriptors. Where they are unknown, the limits stay. A body may be as large as the configuration says, at most 7/128 of the memory. A request's body is no longer copied to be written to its server. Blocks of 1 MiB and more are freed to the system at once, free memory above 8 MiB once a second.

ggw_head_check() and ggw_http_conn_write() have one argument more, and a call's body is a GBytes; test_http_input, test_conn and test_call pass it.

--- a/http/client.c
+++ b/http/client.c
@@ -12,7 +12,10 @@
 #include "http/response_check.h"
 #include "http/response_head.h"
 
-/* Reading from the server pauses while this many body bytes are unread. */
+/*
+ * Reading from the server pauses while this many body bytes are unread, or any
+ * when those of all calls are too many.
+ */
 #define MAX_UNREAD_BYTES 65536
 
 /* Maximum size of a response head, with its interim responses, in bytes. */
@@ -76,6 +79,7 @@
     bool keep_alive;
     ggw_ms idle_limit;
     h2o_buffer_t *unread_body; /* not yet read by the caller */
+    size_t unread_counted;     /* of them, counted for all calls together */
 };
 
 static ggw_ms
@@ -90,9 +94,21 @@
     g_free(handle->data);
 }
 
+static void
+count_unread(struct ggw_call *call)
+{
+    size_t bytes = call->unread_body->size;
+
+    ggw_pools_count_unread(call->pool->pools,
+                           (ssize_t)bytes - (ssize_t)call->unread_counted);
+    call->unread_counted = bytes;
+}
+
 static void
 free_call(struct ggw_call *call)
 {
+    h2o_buffer_consume(&call->unread_body, call->unread_body->size);
+    count_unread(call);
     h2o_buffer_dispose(&call->unread_body);
     ggw_response_head_clear(&call->head);
     ggw_response_body_clear(&call->body);
@@ -225,6 +241,7 @@
     swap = *buffer;
     *buffer = call->unread_body;
     call->unread_body = swap;
+    count_unread(call);
     if (call->conn != NULL && call->paused_at > 0) {
         resume_reading(call);
     }
@@ -450,7 +467,11 @@
 static void
 report_body(struct ggw_call *call)
 {
-    if (call->unread_body->size >= MAX_UNREAD_BYTES && call->conn != NULL &&
+    size_t limit =
+        ggw_pools_are_full(call->pool->pools) ? 1 : MAX_UNREAD_BYTES;
+
+    count_unread(call);
+    if (call->unread_body->size >= limit && call->conn != NULL &&
         call->paused_at == 0) {
         pause_reading(call);
     }
@@ -622,16 +643,10 @@
 send_request(struct ggw_call *call)
 {
     h2o_iovec_t head = call->spec.head;
-    h2o_iovec_t body = call->spec.body;
-    g_autoptr(GString) text = g_string_sized_new(head.len + body.len);
 
-    g_string_append_len(text, head.base, (gssize)head.len);
-    if (body.len > 0) {
-        g_string_append_len(text, body.base, (gssize)body.len);
-    }
     call->connected = true;
     call->sent_at = now_ms();
-    ggw_http_conn_write(call->conn, text->str, text->len);
+    ggw_http_conn_write(call->conn, head.base, head.len, call->spec.body);
     arm_timer(call, MAX(time_to_head_timeout(call), 0));
 }
 
--- a/http/client.h
+++ b/http/client.h
@@ -74,7 +74,7 @@
 /**
  * struct ggw_call_spec - parameters of a call
  * @head: request line and headers, including the empty line at the end
- * @body: request body, may be empty
+ * @body: request body, or NULL
  * @id_name: name, in lower case, of the header that carries the request id in
  *           both directions
  * @id: value of that header in @head. A response with a different value
@@ -98,7 +98,7 @@
  */
 struct ggw_call_spec {
     h2o_iovec_t head;
-    h2o_iovec_t body;
+    GBytes *body;
     const char *id_name;
     h2o_iovec_t id;
     bool id_required;
--- a/http/conn.c
+++ b/http/conn.c
@@ -24,6 +24,7 @@
 struct write {
     uv_write_t req;
     struct ggw_http_conn *conn;
+    GBytes *body;
     char bytes[];
 };
 
@@ -212,6 +213,17 @@
     report_closed(timer->data, false);
 }
 
+/* The buffer has to be set before the connection opens. */
+static void
+limit_receive_buffer(struct ggw_http_conn *conn)
+{
+    int bytes = ggw_pools_receive_buffer(conn->pool->pools);
+
+    if (bytes > 0) {
+        uv_recv_buffer_size((uv_handle_t *)&conn->tcp, &bytes);
+    }
+}
+
 /* Connects; without a free descriptor, closes an idle connection for it. */
 static int
 connect_conn(struct ggw_http_conn *conn,
@@ -219,6 +231,7 @@
 {
     int rc;
 
+    limit_receive_buffer(conn);
     do {
         rc = uv_tcp_connect(&conn->connect, &conn->tcp,
                             (const struct sockaddr *)address, connect_cb);
@@ -230,20 +243,36 @@
     return rc;
 }
 
+/*
+ * Opens the socket at once where its buffer is to be set; else the connect
+ * does, which can be repeated without a free descriptor.
+ */
+static void
+open_socket(struct ggw_http_conn *conn, const struct sockaddr_storage *address)
+{
+    unsigned flags = ggw_pools_receive_buffer(conn->pool->pools) > 0
+                         ? address->ss_family
+                         : AF_UNSPEC;
+
+    if (uv_tcp_init_ex(conn->pool->loop, &conn->tcp, flags) != 0) {
+        uv_tcp_init(conn->pool->loop, &conn->tcp);
+    }
+}
+
 static struct ggw_http_conn *
 open_conn(struct ggw_pool *pool)
 {
     struct ggw_http_conn *conn = g_new0(struct ggw_http_conn, 1);
-    struct sockaddr_storage address;
+    struct sockaddr_storage address = {.ss_family = AF_UNSPEC};
+    bool valid = ggw_http_conn_address(pool->host, pool->port, &address);
 
     conn->pool = pool;
-    uv_tcp_init(pool->loop, &conn->tcp);
+    open_socket(conn, &address);
     uv_timer_init(pool->loop, &conn->idle_timer);
     conn->tcp.data = conn;
     conn->idle_timer.data = conn;
     conn->open_handles = 2;
-    if (!ggw_http_conn_address(pool->host, pool->port, &address) ||
-        connect_conn(conn, &address) != 0) {
+    if (!valid || connect_conn(conn, &address) != 0) {
         uv_timer_start(&conn->idle_timer, report_failure_cb, 0, 0);
     }
     return conn;
@@ -269,6 +298,13 @@
     return conn;
 }
 
+static void
+write_free(struct write *w)
+{
+    g_bytes_unref(w->body);
+    g_free(w);
+}
+
 static void
 write_cb(uv_write_t *req, int status)
 {
@@ -279,19 +315,29 @@
         /* This also ends the stream, which read_cb() reports. */
         w->conn->write_failed = true;
     }
-    g_free(w);
+    write_free(w);
 }
 
 void
-ggw_http_conn_write(struct ggw_http_conn *conn, const char *bytes, size_t len)
+ggw_http_conn_write(struct ggw_http_conn *conn, const char *bytes, size_t len,
+                    GBytes *body)
 {
     struct write *w = g_malloc(sizeof(*w) + len);
-    uv_buf_t buf = uv_buf_init(w->bytes, (unsigned)len);
+    uv_buf_t bufs[2] = {uv_buf_init(w->bytes, (unsigned)len)};
+    unsigned bufs_len = 1;
 
     memcpy(w->bytes, bytes, len);
     w->conn = conn;
-    if (uv_write(&w->req, (uv_stream_t *)&conn->tcp, &buf, 1, write_cb) != 0) {
-        g_free(w);
+    w->body = body != NULL ? g_bytes_ref(body) : NULL;
+    if (body != NULL) {
+        gsize body_len;
+        gconstpointer data = g_bytes_get_data(body, &body_len);
+
+        bufs[bufs_len++] = uv_buf_init((char *)data, (unsigned)body_len);
+    }
+    if (uv_write(&w->req, (uv_stream_t *)&conn->tcp, bufs, bufs_len,
+                 write_cb) != 0) {
+        write_free(w);
         conn->write_failed = true;
         uv_timer_start(&conn->idle_timer, report_failure_cb, 0, 0);
         return;
--- a/http/conn.h
+++ b/http/conn.h
@@ -117,12 +117,13 @@
                                         void *user);
 
 /**
- * ggw_http_conn_write() - send a copy of the bytes
+ * ggw_http_conn_write() - send a copy of the bytes, and a body
+ * @body: sent behind the bytes without a copy; NULL for none
  *
  * A failed write is reported by ops->closed.
  */
 void ggw_http_conn_write(struct ggw_http_conn *conn, const char *bytes,
-                         size_t len);
+                         size_t len, GBytes *body);
 
 /**
  * ggw_http_conn_pause() - stop or resume reading
--- a/http/connection.c
+++ b/http/connection.c
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <glib.h>
+#include <malloc.h>
 #include <math.h>
 #include <poll.h>
 #include <string.h>
@@ -20,6 +21,12 @@
 /* The check of idle and slow connections runs once in this many ticks. */
 #define CONNECTION_CHECK_TICKS 5
 
+/* The free memory of the process is checked once in this many ticks. */
+#define HEAP_CHECK_TICKS 50
+
+/* Free memory that the process keeps for its next requests, bytes. */
+#define MAX_FREE_BYTES ((size_t)8 << 20)
+
 /* While draining, a connection is closed after this time without a request. */
 #define DRAIN_IDLE_MS 500
 
@@ -439,7 +446,8 @@
         conn->request_started_at = conn->last_read_at;
     }
     if (!conn->head_checked) {
-        verdict = ggw_head_check(sock->input->bytes, sock->input->size);
+        verdict = ggw_head_check(sock->input->bytes, sock->input->size,
+                                 conn->owner->body_max);
         conn->head_checked = verdict == GGW_HEAD_OK;
         status = refusal_status(verdict, &reason);
         if (status != 200) {
@@ -510,7 +518,8 @@
      * Checks a pipelined request here: its first bytes arrived together with
      * an earlier request, so read_cb() did not check its head.
      */
-    return refusal_status(ggw_head_check(input->bytes, input->size), reason);
+    return refusal_status(
+        ggw_head_check(input->bytes, input->size, c->body_max), reason);
 }
 
 void
@@ -656,6 +665,19 @@
     g_ptr_array_free(exchanges, TRUE);
 }
 
+/*
+ * Gives free memory back to the system. The C library keeps what lies between
+ * blocks that are in use.
+ */
+static void
+give_back_memory(void)
+{
+    if (mallinfo2().fordblks > MAX_FREE_BYTES) {
+        malloc_trim(0);
+        ggw_count("ggw_heap_trims_total");
+    }
+}
+
 static void
 timer_cb(uv_timer_t *timer)
 {
@@ -666,6 +688,9 @@
         check_connections(c);
     }
     check_limits(c);
+    if (c->ticks % HEAP_CHECK_TICKS == 0 || c->len == 0) {
+        give_back_memory();
+    }
     if (c->len == 0 && !c->stopped) {
         uv_timer_stop(&c->timer);
     }
--- a/http/connection.h
+++ b/http/connection.h
@@ -40,6 +40,7 @@
  *                    disconnected, because its request holds a slot without
  *                    making progress
  * @limits: limits for all connections together
+ * @body_max: largest body of a request, bytes
  * @busy: number of connections with a request in progress
  * @bytes: bytes of requests that have not been answered yet
  * @at_limit: by enum ggw_client_limit, whether it was reached and the log says
@@ -64,6 +65,7 @@
     ggw_ms head_timeout;
     ggw_ms progress_timeout;
     struct ggw_client_limits limits;
+    size_t body_max;
     unsigned busy;
     size_t bytes;
     bool at_limit[GGW_CLIENT_LIMITS];
--- a/http/listener.c
+++ b/http/listener.c
@@ -10,6 +10,7 @@
 #include "common/error.h"
 #include "common/metrics.h"
 #include "decide/clients.h"
+#include "decide/memory.h"
 #include "http/connection.h"
 #include "http/request_check.h"
 
@@ -34,6 +35,7 @@
     h2o_accept_ctx_t accept;
 
     struct ggw_connections connections;
+    struct ggw_memory_limits memory;
 };
 
 struct handler {
@@ -100,14 +102,50 @@
     g_hash_table_add(existing, handle);
 }
 
-static struct ggw_client_limits
-find_limits(bool pages_only)
+/* Descriptors that the process may open; @max is 0 if the machine sets none.
+ */
+static uint64_t
+count_descriptors(uint64_t max)
 {
     struct rlimit descriptors = {.rlim_cur = 0};
 
     getrlimit(RLIMIT_NOFILE, &descriptors);
-    return pages_only ? ggw_page_client_limits(descriptors.rlim_cur)
-                      : ggw_client_limits(descriptors.rlim_cur);
+    return max > 0 ? MIN(max, descriptors.rlim_cur) : descriptors.rlim_cur;
+}
+
+static void
+set_limits(struct ggw_listener *l)
+{
+    const struct ggw_listener_options *o = &l->options;
+    uint64_t descriptors = count_descriptors(o->descriptors);
+    struct ggw_client_limits c = o->pages_only
+                                     ? ggw_page_client_limits(descriptors)
+                                     : ggw_client_limits(descriptors);
+
+    l->memory = o->pages_only ? ggw_page_memory_limits(o->memory, &c)
+                              : ggw_memory_limits(o->memory, &c);
+    c.requests = l->memory.requests;
+    c.bytes = l->memory.bytes;
+    l->connections.limits = c;
+    ggw_listener_limit_body(l, 0);
+}
+
+void
+ggw_listener_limit_body(struct ggw_listener *l, size_t max)
+{
+    size_t limit = MIN(GGW_BODY_MAX, l->memory.body);
+
+    if (max > 0) {
+        limit = MIN(max, l->memory.body);
+    }
+    l->connections.body_max = limit;
+    l->conf.max_request_entity_size = limit;
+}
+
+const struct ggw_memory_limits *
+ggw_listener_memory(const struct ggw_listener *l)
+{
+    return &l->memory;
 }
 
 struct ggw_listener *
@@ -129,7 +167,6 @@
     l->loop = loop;
     h2o_config_init(&l->conf);
     l->conf.server_name = h2o_iovec_init(H2O_STRLIT("greengageway"));
-    l->conf.max_request_entity_size = GGW_BODY_MAX;
     l->conf.http1.req_timeout = (uint64_t)l->options.idle_timeout;
     /* ggw_head_check() cannot check the raw head of an HTTP/2 request. */
     l->conf.http1.upgrade_to_http2 = 0;
@@ -149,7 +186,7 @@
     l->accept.hosts = l->conf.hosts;
     ggw_connections_init(&l->connections, loop, l->options.head_timeout,
                          l->options.progress_timeout);
-    l->connections.limits = find_limits(options->pages_only);
+    set_limits(l);
     l->connections.half_close_disconnects = options->half_close_disconnects;
     return l;
 }
@@ -218,6 +255,17 @@
     uv_timer_start(&l->room_timer, room_cb, ROOM_CHECK_MS, ROOM_CHECK_MS);
 }
 
+/* Connections that are accepted take over the buffer of the listener. */
+static void
+limit_receive_buffer(struct ggw_listener *l)
+{
+    int bytes = l->memory.receive_buffer;
+
+    if (bytes > 0) {
+        uv_recv_buffer_size((uv_handle_t *)&l->tcp, &bytes);
+    }
+}
+
 static int
 bind_and_listen(struct ggw_listener *l)
 {
@@ -235,6 +283,7 @@
     }
     rc = uv_tcp_bind(&l->tcp, (struct sockaddr *)&address, 0);
     if (rc == 0) {
+        limit_receive_buffer(l);
         rc = uv_listen((uv_stream_t *)&l->tcp, BACKLOG, connection_cb);
     }
     if (rc == 0) {
--- a/http/listener.h
+++ b/http/listener.h
@@ -5,6 +5,7 @@
 #include <h2o.h>
 #include <stdbool.h>
 
+#include "decide/memory.h"
 #include "http/exchange.h"
 #include "kernel/clock.h"
 
@@ -34,6 +35,8 @@
  *                          disconnected
  * @pages_only: no request is passed on to a backend server, so that few
  *              connections suffice
+ * @memory: memory of the machine, bytes; 0 if unknown
+ * @descriptors: descriptors that the machine leaves for sockets; 0 if unknown
  * @request: called for each complete request; has to respond, now or later
  * @data: first argument of @request
  */
@@ -45,6 +48,8 @@
     ggw_ms progress_timeout;
     bool half_close_disconnects;
     bool pages_only;
+    uint64_t memory;
+    uint64_t descriptors;
     void (*request)(void *data, struct ggw_exchange *x);
     void *data;
 };
@@ -78,6 +83,21 @@
  */
 h2o_multithread_receiver_t *ggw_listener_receiver(struct ggw_listener *l);
 
+/**
+ * ggw_listener_limit_body() - set the largest body of a request
+ * @max: bytes; 0 for GGW_BODY_MAX
+ *
+ * The memory of the machine may lower it. Where it is not known, no body above
+ * GGW_BODY_MAX is accepted.
+ */
+void ggw_listener_limit_body(struct ggw_listener *l, size_t max);
+
+/**
+ * ggw_listener_memory() - get the limits that follow from the memory
+ */
+const struct ggw_memory_limits *
+ggw_listener_memory(const struct ggw_listener *l);
+
 /**
  * ggw_listener_drain() - stop accepting connections
  *
--- a/http/pool.c
+++ b/http/pool.c
@@ -13,6 +13,9 @@
     uv_loop_t *loop;
     GHashTable *by_address; /* "IP:PORT" to struct ggw_pool */
     bool stopped;
+    size_t unread;     /* bytes of responses that wait for their client */
+    size_t max_unread; /* limit of @unread */
+    int receive_buffer;
 };
 
 static void
@@ -41,11 +44,37 @@
     struct ggw_pools *p = g_new0(struct ggw_pools, 1);
 
     p->loop = loop;
+    p->max_unread = SIZE_MAX;
     p->by_address =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pool_free);
     return p;
 }
 
+void
+ggw_pools_limit(struct ggw_pools *pools, size_t unread, int receive_buffer)
+{
+    pools->max_unread = unread;
+    pools->receive_buffer = receive_buffer;
+}
+
+void
+ggw_pools_count_unread(struct ggw_pools *pools, ssize_t bytes)
+{
+    pools->unread += (size_t)bytes;
+}
+
+bool
+ggw_pools_are_full(const struct ggw_pools *pools)
+{
+    return pools->unread > pools->max_unread;
+}
+
+int
+ggw_pools_receive_buffer(const struct ggw_pools *pools)
+{
+    return pools->receive_buffer;
+}
+
 struct ggw_pool *
 ggw_pools_get(struct ggw_pools *pools, const char *host, uint16_t port,
               ggw_ms now)
--- a/http/pool.h
+++ b/http/pool.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/types.h>
 #include <uv.h>
 
 #include "kernel/clock.h"
@@ -43,6 +44,31 @@
  */
 struct ggw_pools *ggw_pools_new(uv_loop_t *loop);
 
+/**
+ * ggw_pools_limit() - limit the memory of all responses together
+ * @unread: bytes that wait for their client; beyond it, each response waits
+ *          with one read
+ * @receive_buffer: receive buffer of a new connection, bytes; 0 leaves it to
+ *                  the system
+ */
+void ggw_pools_limit(struct ggw_pools *pools, size_t unread,
+                     int receive_buffer);
+
+/**
+ * ggw_pools_count_unread() - count bytes that wait, or no longer wait
+ */
+void ggw_pools_count_unread(struct ggw_pools *pools, ssize_t bytes);
+
+/**
+ * ggw_pools_are_full() - whether more bytes wait than the limit allows
+ */
+bool ggw_pools_are_full(const struct ggw_pools *pools);
+
+/**
+ * ggw_pools_receive_buffer() - get the receive buffer of a new connection
+ */
+int ggw_pools_receive_buffer(const struct ggw_pools *pools);
+
 /**
  * ggw_pools_get() - get the pool of a server, creating it on first use
  * @pools: the pools
--- a/http/request_check.c
+++ b/http/request_check.c
@@ -18,6 +18,7 @@
     int headers;
     bool bad;
     bool body_too_large;
+    size_t body_max;
 };
 
 static bool
@@ -86,7 +87,7 @@
             f->bad = true;
             return;
         }
-        f->body_too_large = g_ascii_strtoull(value, NULL, 10) > GGW_BODY_MAX;
+        f->body_too_large = g_ascii_strtoull(value, NULL, 10) > f->body_max;
     }
     else if (name_is(line, name_len, "transfer-encoding")) {
         f->transfer_codings++;
@@ -125,9 +126,9 @@
 }
 
 enum ggw_head_verdict
-ggw_head_check(const char *bytes, size_t len)
+ggw_head_check(const char *bytes, size_t len, size_t body_max)
 {
-    struct framing f = {0};
+    struct framing f = {.body_max = body_max};
     size_t limit = MIN(len, GGW_HEAD_MAX);
     size_t at = 0;
     int lines = 0;
--- a/http/request_check.h
+++ b/http/request_check.h
@@ -17,9 +17,6 @@
  */
 #define GGW_HEAD_MAX 16384
 
-/* Maximum size of a request body in bytes. */
-#define GGW_BODY_MAX 1048576
-
 /**
  * enum ggw_head_verdict - result of the check of a request head
  * @GGW_HEAD_OK: the head is complete and valid
@@ -27,7 +24,7 @@
  * @GGW_HEAD_BAD: malformed, or the framing of the body is ambiguous
  * @GGW_HEAD_TOO_LARGE: longer than GGW_HEAD_MAX, or more headers than h2o
  *                      accepts
- * @GGW_HEAD_BODY_TOO_LARGE: Content-Length is above GGW_BODY_MAX
+ * @GGW_HEAD_BODY_TOO_LARGE: Content-Length is above the limit
  */
 enum ggw_head_verdict {
     GGW_HEAD_OK,
@@ -41,6 +38,7 @@
  * ggw_head_check() - check the head of a request
  * @bytes: received bytes, from the first byte of the request on
  * @len: length of @bytes
+ * @body_max: largest body, bytes
  *
  * A head is bad if it contains a control character, a malformed request line
  * or header name, a folded line, a header line without a name or colon, more
@@ -49,6 +47,7 @@
  * or any transfer coding in HTTP/1.0. At most one empty line may precede the
  * request line.
  */
-enum ggw_head_verdict ggw_head_check(const char *bytes, size_t len);
+enum ggw_head_verdict ggw_head_check(const char *bytes, size_t len,
+                                     size_t body_max);
 
 #endif
--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -1,5 +1,6 @@
 #include "main/cmd_node.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 
@@ -33,6 +34,12 @@
  */
 #define DEADLINE_GRACE_MS 100.0
 
+/*
+ * Blocks from this size on are given back to the system as soon as they are
+ * freed, bytes. Without a fixed value, the C library raises it up to 32 MiB.
+ */
+#define MMAP_THRESHOLD (1 << 20)
+
 struct node_options {
     char *settings;
     char *log_level;
@@ -64,6 +71,7 @@
         .advertise_port = s->front.port,
         .seeds = s->seeds,
         .capacity = s->capacity,
+        .descriptors = ggw_node_settings_sockets(s),
     };
     const struct ggw_proxy_options proxy = {
         .name = s->name,
@@ -78,6 +86,8 @@
         .drain = plan.end - plan.listen,
         .dialect = &ggw_site_dialect,
         .half_close_disconnects = true,
+        .memory = ggw_node_settings_memory(s),
+        .descriptors = ggw_node_settings_sockets(s),
     };
 
     ggw_kernel_add(kernel, ggw_site_service_new(s));
@@ -152,6 +162,9 @@
         goto done;
     }
     reload_data = (struct reload_data){o.settings, s};
+    if (s->memory > 0) {
+        mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD);
+    }
     kernel = ggw_kernel_new(ggw_clock_system());
     incarnation = (uint64_t)ggw_clock_wall(ggw_clock_system());
     add_services(kernel, s, incarnation);
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -37,14 +37,6 @@
  */
 #define MAX_DISCARDED_BYTES ((size_t)1024 * 1024)
 
-/*
- * Maximum size of all responses together that are buffered until they are
- * complete. Beyond it, responses are passed on as they arrive, but for those
- * of at most SMALL_HELD_BYTES.
- */
-#define MAX_HELD_BYTES ((size_t)32 * 1024 * 1024)
-#define SMALL_HELD_BYTES ((size_t)64 * 1024)
-
 /*
  * Time in ms in which the body of a refusal may arrive after its head. The
  * request is tried elsewhere only afterwards.
@@ -384,14 +376,18 @@
     h2o_buffer_dispose(&buffer);
 }
 
-/* Whether the buffered response has to be passed on before it is complete. */
+/*
+ * Whether the buffered response has to be passed on before it is complete:
+ * it is too large, or all of them together are, but for small ones.
+ */
 static bool
 exceeds_buffer(const struct ggw_attempt *a)
 {
     const struct ggw_request *r = a->request;
+    const struct ggw_memory_limits *memory = r->proxy->memory;
     size_t len = a->buffered->body->len;
 
-    if (r->proxy->held_bytes > MAX_HELD_BYTES && len > SMALL_HELD_BYTES) {
+    if (r->proxy->held_bytes > memory->held && len > memory->held_small) {
         ggw_count("ggw_responses_unbuffered_total");
         return true;
     }
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -54,13 +54,17 @@
         .idle_timeout = p->options.client_idle_timeout,
         .progress_timeout = p->options.client_progress_timeout,
         .half_close_disconnects = p->options.half_close_disconnects,
+        .memory = p->options.memory,
+        .descriptors = p->options.descriptors,
         .request = on_request,
         .data = p,
     };
 
     signal(SIGPIPE, SIG_IGN); /* raised by a write to a closed connection */
     p->listener = ggw_listener_new(loop, &options);
+    p->memory = ggw_listener_memory(p->listener);
     p->pools = ggw_pools_new(loop);
+    ggw_pools_limit(p->pools, p->memory->passed, p->memory->receive_buffer);
     uv_timer_init(loop, &p->shutdown_timer);
     p->shutdown_timer.data = p;
     p->started = true;
@@ -88,6 +92,23 @@
     ggw_route_history_record(h, tree);
 }
 
+/* Follows the largest body that any team's settings allow. */
+static void
+update_body_limit(struct ggw_proxy *p)
+{
+    GHashTableIter iter;
+    gpointer value;
+    int max = 0;
+
+    g_hash_table_iter_init(&iter, p->teams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct ggw_tree *tree = value;
+
+        max = MAX(max, tree->body_max);
+    }
+    ggw_listener_limit_body(p->listener, (size_t)max);
+}
+
 static void
 on_config(struct ggw_proxy *p, struct ggw_config_in_force *m)
 {
@@ -99,6 +120,7 @@
     g_hash_table_replace(p->teams, g_strdup(m->tree->team),
                          ggw_tree_ref(m->tree));
     record_routes(p, m->tree);
+    update_body_limit(p);
 }
 
 static void
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -45,6 +45,8 @@
  * @dialect: header names to use; NULL for ggw_default_dialect
  * @half_close_disconnects: a client that closes its sending side counts as
  *                          disconnected
+ * @memory: memory of the machine, bytes; 0 if unknown
+ * @descriptors: descriptors that the machine leaves for sockets; 0 if unknown
  *
  * All durations are in ms. Strings are copied.
  */
@@ -68,6 +70,8 @@
     ggw_ms deadline_grace;
     const struct ggw_dialect *dialect;
     bool half_close_disconnects;
+    uint64_t memory;
+    uint64_t descriptors;
 };
 
 /**
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -38,7 +38,7 @@
     g_free(r->path);
     g_free(r->order);
     g_free(r->client_attempt_id);
-    g_free(r->body.base);
+    g_bytes_unref(r->body);
     if (r->headers != NULL) {
         g_string_free(r->headers, TRUE);
     }
@@ -776,8 +776,7 @@
     r->headers = ggw_headers_build_request(req, proxy->options.dialect);
     if (req->entity.len > 0) {
         /* A copy, since the request may outlive the client's connection. */
-        r->body.base = g_memdup2(req->entity.base, req->entity.len);
-        r->body.len = req->entity.len;
+        r->body = g_bytes_new(req->entity.base, req->entity.len);
     }
     r->tried = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(r->tried, NULL);
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -130,6 +130,7 @@
     ggw_ms drain_end;
     ggw_ms last_settle;
     size_t held_bytes;
+    const struct ggw_memory_limits *memory;
 
     struct ggw_histogram *added_latency;
     struct ggw_histogram *slot_wait;
@@ -251,7 +252,7 @@
     char *method;
     char *path;
     GString *headers;
-    h2o_iovec_t body;
+    GBytes *body;
     char *order;
     const struct ggw_route_rule *route;
     struct ggw_proxy_route_state *route_state;
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -407,11 +407,12 @@
 static void
 test_system_timeout(void)
 {
-    g_autofree char *body = g_strnfill(LONG_BODY_BYTES, 'x');
+    g_autoptr(GBytes) bytes =
+        g_bytes_new_take(g_strnfill(LONG_BODY_BYTES, 'x'), LONG_BODY_BYTES);
     ggw_ms started = ggw_clock_now(ggw_clock_system());
     struct ggw_call_spec spec = {
         .head = h2o_iovec_init(request, strlen(request)),
-        .body = h2o_iovec_init(body, LONG_BODY_BYTES),
+        .body = bytes,
         .connect_timeout = HEAD_TIMEOUT,
         .slow_timeout = LONG_HEAD_TIMEOUT,
         .head_timeout = LONG_HEAD_TIMEOUT,
--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -224,7 +224,7 @@
         user_start(&f, &u);
         u.closes_late = closes_late != 0;
         break_writes(&f, &u);
-        ggw_http_conn_write(u.conn, "GET", 3);
+        ggw_http_conn_write(u.conn, "GET", 3, NULL);
         CU_ASSERT_EQUAL(u.closed, 0);
         run_until(&f, &u.closed);
         run_quietly(&f);
@@ -252,7 +252,7 @@
     fixture_start(&f);
     user_start(&f, &u);
     break_writes(&f, &u);
-    ggw_http_conn_write(u.conn, "GET", 3);
+    ggw_http_conn_write(u.conn, "GET", 3, NULL);
     ggw_http_conn_release(u.conn, IDLE_MS);
     CU_ASSERT_EQUAL(f.pool->idle.length, 0);
     CU_ASSERT_TRUE(gets_new_connection(&f));
@@ -276,7 +276,7 @@
         fixture_start(&f);
         user_start(&f, &u);
         reset_peer(&u);
-        ggw_http_conn_write(u.conn, "GET", 3);
+        ggw_http_conn_write(u.conn, "GET", 3, NULL);
         if (released != 0) {
             ggw_http_conn_release(u.conn, IDLE_MS);
             CU_ASSERT_EQUAL(f.pool->idle.length, 0);
@@ -365,7 +365,7 @@
 
     fixture_start(&f);
     user_start(&f, &u);
-    ggw_http_conn_write(u.conn, "GET", 3);
+    ggw_http_conn_write(u.conn, "GET", 3, NULL);
     run_quietly(&f);
     ggw_http_conn_release(u.conn, IDLE_MS);
     next.conn = ggw_http_conn_get(f.pool, false, &ops, &next);
--- a/tests/test_http_input.c
+++ b/tests/test_http_input.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "decide/memory.h"
 #include "http/request_check.h"
 #include "tests/proxy_env.h"
 #include "tests/suite.h"
@@ -281,16 +282,20 @@
     };
 
     for (size_t i = 0; i < sizeof(good) - 1; i++) {
-        CU_ASSERT_EQUAL(ggw_head_check(good, i), GGW_HEAD_PARTIAL);
+        CU_ASSERT_EQUAL(ggw_head_check(good, i, GGW_BODY_MAX),
+                        GGW_HEAD_PARTIAL);
     }
-    CU_ASSERT_EQUAL(ggw_head_check(good, sizeof(good) - 1), GGW_HEAD_OK);
+    CU_ASSERT_EQUAL(ggw_head_check(good, sizeof(good) - 1, GGW_BODY_MAX),
+                    GGW_HEAD_OK);
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         size_t len = strlen(bad[i]);
 
         for (size_t j = 0; j < len; j++) {
-            CU_ASSERT_NOT_EQUAL(ggw_head_check(bad[i], j), GGW_HEAD_OK);
+            CU_ASSERT_NOT_EQUAL(ggw_head_check(bad[i], j, GGW_BODY_MAX),
+                                GGW_HEAD_OK);
         }
-        CU_ASSERT_EQUAL(ggw_head_check(bad[i], len), GGW_HEAD_BAD);
+        CU_ASSERT_EQUAL(ggw_head_check(bad[i], len, GGW_BODY_MAX),
+                        GGW_HEAD_BAD);
     }
 }
 
