decide: receive buffers of the connections to servers count, too

Cause: the sum had the unread bytes of clients only, and the buffers of connections to servers were as small as those of clients, which have many more connections. The crowd tests read /proc/net/tcp a line at a time: with the 28,000 lines of a busy machine, the sanitizer build spent its time in splitting the text.

--- a/decide/memory.c
+++ b/decide/memory.c
@@ -9,7 +9,8 @@
 #define PASSED_PART 64      /* of responses that wait for their client */
 #define SMALL_PART 64       /* for small responses beyond the limit */
 #define RECEIVE_PART 8      /* received by the system and not yet read */
-#define PAGE_BYTES_PART 128 /* of requests to one listener of pages */
+#define SERVER_PART 12      /* the same of connections to servers */
+#define PAGE_BYTES_PART 256 /* of requests to one listener of pages */
 
 /* Of the bytes of all requests, a body may have all but one in so many. */
 #define BODY_SPARE_PART 8
@@ -58,10 +59,10 @@
 };
 
 static int
-receive_buffer(uint64_t memory, unsigned connections)
+buffer_for(uint64_t bytes, unsigned connections)
 {
-    return (int)CLAMP(memory / RECEIVE_PART / RECEIVE_COST / connections,
-                      RECEIVE_MIN, RECEIVE_MAX);
+    return (int)CLAMP(bytes / RECEIVE_COST / connections, RECEIVE_MIN,
+                      RECEIVE_MAX);
 }
 
 struct ggw_memory_limits
@@ -80,7 +81,8 @@
     l.held = MIN(memory / HELD_PART, GGW_HELD_BYTES_MAX);
     l.held_small = MIN(memory / SMALL_PART / l.requests, GGW_HELD_SMALL_MAX);
     l.passed = memory / PASSED_PART;
-    l.receive_buffer = receive_buffer(memory, clients->connections);
+    l.receive_buffer = buffer_for(memory / RECEIVE_PART, clients->connections);
+    l.server_buffer = buffer_for(memory / SERVER_PART, l.requests);
     return l;
 }
 
@@ -116,7 +118,9 @@
     struct ggw_memory_limits p = ggw_page_memory_limits(memory, &pages);
 
     return worst_of(&c, &m) + PAGE_LISTENERS * worst_of(&pages, &p) +
-           (uint64_t)m.requests * (REQUEST_COST + m.held_small) +
+           (uint64_t)m.requests *
+               (REQUEST_COST + m.held_small +
+                (unsigned)(RECEIVE_COST * m.server_buffer)) +
            (uint64_t)(m.held + m.passed) * BUFFER_COST +
            (uint64_t)ggw_peer_link_limit(descriptors) * FRAME_COST;
 }
--- a/decide/memory.h
+++ b/decide/memory.h
@@ -31,8 +31,9 @@
  * @held_small: size in bytes up to which a response is held beyond @held
  * @passed: bytes of all responses that are passed on and wait for their
  *          client; beyond it, each waits with one read
- * @receive_buffer: receive buffer of a connection, bytes, as set with
- *                  SO_RCVBUF; 0 leaves it to the system
+ * @receive_buffer: receive buffer of a connection from a client, bytes, as set
+ *                  with SO_RCVBUF; 0 leaves it to the system
+ * @server_buffer: the same of a connection to a backend server
  */
 struct ggw_memory_limits {
     size_t bytes;
@@ -42,6 +43,7 @@
     size_t held_small;
     size_t passed;
     int receive_buffer;
+    int server_buffer;
 };
 
 /**
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -64,7 +64,7 @@
     p->listener = ggw_listener_new(loop, &options);
     p->memory = ggw_listener_memory(p->listener);
     p->pools = ggw_pools_new(loop);
-    ggw_pools_limit(p->pools, p->memory->passed, p->memory->receive_buffer);
+    ggw_pools_limit(p->pools, p->memory->passed, p->memory->server_buffer);
     uv_timer_init(loop, &p->shutdown_timer);
     p->shutdown_timer.data = p;
     p->started = true;
--- a/tests/node.c
+++ b/tests/node.c
@@ -28,6 +28,9 @@
 /* Longest head of a request that the backend server reads, bytes. */
 #define HEAD_MAX 32768
 
+/* State of a listening socket in /proc/net/tcp. */
+#define TCP_LISTENING 0x0a
+
 static const char settings_format[] =
     "{\"NodeName\":\"front-a-1\",\"Zone\":\"a\",\"Ip\":\"%s\","
     "\"InternalPorts\":[7720,7735],\"Seeds\":[\"%s:8286\"],"
@@ -374,26 +377,25 @@
 unread_bytes(const struct node *n)
 {
     struct in_addr address;
-    g_autofree char *text = NULL;
-    g_auto(GStrv) lines = NULL;
+    FILE *file = fopen("/proc/net/tcp", "r");
+    char line[256];
     double sum = 0;
 
     inet_pton(AF_INET, n->host, &address);
-    if (!g_file_get_contents("/proc/net/tcp", &text, NULL, NULL)) {
-        return 0;
-    }
-    lines = g_strsplit(text, "\n", -1);
-    for (char **l = lines; *l != NULL; l++) {
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
         unsigned local, remote_port, state;
         unsigned long received;
 
-        if (sscanf(*l, " %*d: %x:%*x %*x:%x %x %*x:%lx", &local, &remote_port,
-                   &state, &received) == 4 &&
+        if (sscanf(line, " %*d: %x:%*x %*x:%x %x %*x:%lx", &local,
+                   &remote_port, &state, &received) == 4 &&
             (local == address.s_addr || remote_port == n->backend_port) &&
-            state != 0x0a) {
+            state != TCP_LISTENING) {
             sum += (double)received;
         }
     }
+    if (file != NULL) {
+        fclose(file);
+    }
     return sum;
 }
 
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -7,7 +7,7 @@
 #define MIB ((uint64_t)1 << 20)
 
 /* Memory of a gateway without clients: one in so many bytes of the machine. */
-#define OWN_PART 5
+#define OWN_PART 6
 
 struct machine {
     uint64_t memory;
@@ -53,6 +53,7 @@
         CU_ASSERT_TRUE(l.requests >= MIN(c.requests, 300));
         CU_ASSERT_TRUE(l.held_small > 0 && l.passed > 0);
         CU_ASSERT_TRUE(l.receive_buffer >= 16 * 1024);
+        CU_ASSERT_TRUE(l.server_buffer >= 16 * 1024);
     }
 }
 
@@ -71,6 +72,7 @@
     CU_ASSERT_EQUAL(l.held_small, GGW_HELD_SMALL_MAX);
     CU_ASSERT_EQUAL(l.passed, SIZE_MAX);
     CU_ASSERT_EQUAL(l.receive_buffer, 0);
+    CU_ASSERT_EQUAL(l.server_buffer, 0);
     CU_ASSERT_EQUAL(p.bytes, GGW_CLIENT_BYTES_MAX);
 }
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -148,6 +148,53 @@
     ggw_tree_unref(tree);
 }
 
+/*
+ * Guards against a limit of the body that is not the configuration's, and
+ * against settings that change where it states none.
+ */
+static void
+test_body_limit(void)
+{
+    static const struct {
+        const char *limits;
+        int body_max;
+    } cases[] = {
+        {"", 0},
+        {"\"Limits\":{},", 0},
+        {"\"Limits\":{\"MaxBodyBytes\":67108864},", 67108864},
+        {"\"Limits\":{\"MaxBodyBytes\":9000000000},", G_MAXINT},
+        {"\"Limits\":{\"MaxBodyBytes\":-1},", 0},
+        {"\"Limits\":{\"MaxBodyBytes\":\"x\"},", 0},
+        {"\"Limits\":7,", 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autoptr(GError) error = NULL;
+        g_autofree char *text = g_strdup_printf(
+            "{%s%s", cases[i].limits, CONFIG(RULE("idempotent")) + 1);
+        struct ggw_tree *tree = translate_config(text, NULL, &error);
+
+        g_assert_nonnull(tree);
+        CU_ASSERT_EQUAL(tree->body_max, cases[i].body_max);
+        ggw_tree_unref(tree);
+    }
+}
+
+/* Guards against limits for another machine than that of the settings. */
+static void
+test_machine(void)
+{
+    struct ggw_node_settings s = {.memory = 160, .max_fds = 4100};
+
+    CU_ASSERT_EQUAL(ggw_node_settings_memory(&s), 160 * 1048576);
+    CU_ASSERT_EQUAL(ggw_node_settings_sockets(&s), 3900);
+    s = (struct ggw_node_settings){.max_fds = 100};
+    CU_ASSERT_EQUAL(ggw_node_settings_memory(&s), 0);
+    CU_ASSERT_EQUAL(ggw_node_settings_sockets(&s), 1);
+    s.max_fds = 0;
+    CU_ASSERT_EQUAL(ggw_node_settings_sockets(&s), 0);
+}
+
 /*
  * Guards against repeating requests that are not known to be idempotent: the
  * type of their route is new to the gateway.
@@ -541,6 +588,8 @@
         {"settings changed", test_settings_changed},
         {"settings refused", test_settings_refused},
         {"config", test_config},
+        {"body limit", test_body_limit},
+        {"machine", test_machine},
         {"unknown route type", test_unknown_type},
         {"config refused", test_config_refused},
         {"domain out while refused", test_domain_out_while_refused},
