--- a/decide/memory.c
+++ b/decide/memory.c
@@ -76,8 +76,8 @@
     }
     l.bytes = memory / BYTES_PART;
     l.body = l.bytes - l.bytes / BODY_SPARE_PART;
-    l.requests = (unsigned)MIN(l.requests,
-                               MAX(memory / REQUESTS_PART / REQUEST_COST, 1));
+    l.requests = (unsigned)CLAMP(memory / REQUESTS_PART / REQUEST_COST, 1,
+                                 MAX(clients->requests, 1));
     l.held = MIN(memory / HELD_PART, GGW_HELD_BYTES_MAX);
     l.held_small = MIN(memory / SMALL_PART / l.requests, GGW_HELD_SMALL_MAX);
     l.passed = memory / PASSED_PART;
--- a/peers/peers.c
+++ b/peers/peers.c
@@ -330,7 +330,7 @@
             oldest = c;
         }
     }
-    if (count >= p->max_strangers) {
+    if (oldest != NULL && count >= p->max_strangers) {
         ggw_log_event(&strangers_event, "count=%u max=%u", count,
                       p->max_strangers);
         ggw_link_close(oldest->link, "too-many-links");
--- a/tests/crowd_cases.c
+++ b/tests/crowd_cases.c
@@ -49,7 +49,9 @@
     }
     block = g_strdup(data);
     frame = g_strdup(data);
-    memcpy(frame, FRAME_LENGTH, FRAME_LENGTH_BYTES);
+    for (size_t i = 0; i < FRAME_LENGTH_BYTES; i++) {
+        frame[i] = FRAME_LENGTH[i];
+    }
     large_chunk = g_strdup_printf("10000\r\n%s\r\n", data);
     large_chunk_len = strlen(large_chunk);
     small_chunks_len = small->len;
--- a/tests/node.c
+++ b/tests/node.c
@@ -156,9 +156,8 @@
         "Response-Signature: i-1.%s.%zu\r\nContent-Length: %zu\r\n\r\n",
         id != NULL ? "Attempt-Id: " : "", id != NULL ? id : "",
         id != NULL ? "\r\n" : "", id != NULL ? id : "", len, len);
-    g_autofree char *body = g_malloc(len + 1);
+    g_autofree char *body = g_strnfill(len, 'b');
 
-    memset(body, 'b', len);
     return write_all(fd, line, strlen(line)) && write_all(fd, body, len);
 }
 
@@ -167,8 +166,8 @@
 serve(void *data)
 {
     int fd = GPOINTER_TO_INT(data);
-    g_autofree char *head = g_malloc(HEAD_MAX);
-    g_autofree char *rest = g_malloc(65536);
+    char head[HEAD_MAX];
+    char rest[16384];
     size_t head_len;
     ssize_t behind;
 
@@ -181,7 +180,7 @@
         left = text != NULL ? strtoul(text, NULL, 10) : 0;
         left -= MIN(left, (size_t)behind);
         while (left > 0) {
-            ssize_t r = read(fd, rest, MIN(left, 65536));
+            ssize_t r = read(fd, rest, MIN(left, sizeof(rest)));
 
             if (r <= 0) {
                 break;
