--- a/config/settings_tables.c
+++ b/config/settings_tables.c
@@ -680,6 +680,16 @@
             "public must name by a key; if this setting is absent, requests "
             "need no key, and if it is empty, every key is unknown",
     },
+    {
+        .name = "body_max",
+        .type = GGW_SETTING_INT,
+        .offset = offsetof(struct ggw_tree, body_max),
+        .min = 0,
+        .max = G_MAXINT,
+        .default_json = "0",
+        .help = "largest body of a request in bytes, as far as the memory of "
+                "the machine allows; 0 for 1 MiB",
+    },
     {0},
 };
 
--- a/config/tree.h
+++ b/config/tree.h
@@ -223,6 +223,7 @@
  * @needs_key: requests to routes that are not public need a customer's key,
  *             since the settings have a member "customers", even an empty one
  * @customer_keys: key to struct ggw_customer_rule in @customers
+ * @body_max: largest body of a request, bytes; 0 for the usual one
  */
 struct ggw_tree {
     int refs;
@@ -239,6 +240,7 @@
     size_t customers_len;
     bool needs_key;
     GHashTable *customer_keys;
+    int body_max;
 };
 
 /**
