--- a/ctl/change.c
+++ b/ctl/change.c
@@ -6,6 +6,7 @@
 
 #include "ctl/audit.h"
 #include "ctl/ctl.h"
+#include "ctl/keys.h"
 #include "ctl/path.h"
 #include "ctl/status.h"
 #include "ctl/table.h"
@@ -111,11 +112,17 @@
 static int
 report_success(const struct change *c)
 {
+    json_t *before = ggw_ctl_hide_keys(c->from.row.tree);
+    json_t *after = ggw_ctl_hide_keys(c->to.tree);
+    g_autoptr(GArray) shown = ggw_json_diff(before, after);
+
+    json_decref(before);
+    json_decref(after);
     printf("%s: revision %" G_GUINT64_FORMAT "\n", c->args->team,
            (guint64)c->to.revision);
-    for (guint i = 0; i < c->paths->len; i++) {
+    for (guint i = 0; i < shown->len; i++) {
         const struct ggw_difference *d =
-            &g_array_index(c->paths, struct ggw_difference, i);
+            &g_array_index(shown, struct ggw_difference, i);
 
         printf("%s: %s -> %s\n", d->path,
                d->before != NULL ? d->before : "unset",
--- a/customers/held.c
+++ b/customers/held.c
@@ -8,6 +8,9 @@
 /* Retry-After of a request that no owner answered in time, in ms. */
 #define UNANSWERED_RETRY_MS 500.0
 
+/* Greatest number of requests of one customer that wait for tokens. */
+#define MAX_WAITING 10000.0
+
 static void
 answer(struct ggw_allotments *p, struct ggw_allotments_customer *c,
        const struct ggw_allotment_waiter *w, bool permitted,
@@ -71,8 +74,11 @@
                         const struct ggw_allotment_reply *reply)
 {
     struct ggw_allotments_customer *c =
-        ggw_allotments_customer(p, reply->team, reply->customer);
+        ggw_allotments_find(p, reply->team, reply->customer);
 
+    if (c == NULL) {
+        return; /* no request has asked for it for long */
+    }
     ggw_allotment_holder_answered(&c->holder, reply->granted, reply->asked_at,
                                   reply->refused > 0 || reply->granted == 0,
                                   ggw_allotments_now(p));
@@ -132,6 +138,22 @@
     }
 }
 
+/*
+ * Requests that may wait at a time: as many as the customer may send in the
+ * longest wait. Further ones could get no token in time, and clients that
+ * leave must not fill the memory.
+ */
+static unsigned
+max_waiting(const struct ggw_allotments *p,
+            const struct ggw_allotments_customer *c)
+{
+    const struct ggw_customer_rule *rule =
+        ggw_allotments_rule(p, c->team, c->name);
+    double tokens = rule->rate * GGW_ALLOTMENT_MAX_WAIT / 1000 + rule->burst;
+
+    return (unsigned)CLAMP(tokens, 1, MAX_WAITING);
+}
+
 void
 ggw_allotments_request(struct ggw_allotments *p,
                        const struct ggw_allotment_request *m)
@@ -152,6 +174,9 @@
                               ggw_allotment_holder_use(&c->holder, now))) {
         answer(p, c, &w, true, 0);
     }
+    else if (c->waiting.length >= max_waiting(p, c)) {
+        answer(p, c, &w, false, UNANSWERED_RETRY_MS);
+    }
     else {
         p->waiting++;
         g_queue_push_tail(&c->waiting, g_memdup2(&w, sizeof(w)));
--- a/customers/internal.h
+++ b/customers/internal.h
@@ -66,7 +66,7 @@
  * @since: time from which on only this gateway may have granted tokens of the
  *         customers that it owns, monotonic ms
  * @ran_at: time of the last check, monotonic ms
- * @metrics: number of customers with metrics
+ * @with_metrics: set of "TEAM/CUSTOMER" that have metrics
  * @waiting: number of requests that wait
  * @checks: checks for pauses since the start
  */
@@ -85,7 +85,7 @@
     bool has_majority;
     ggw_ms since;
     ggw_ms ran_at;
-    unsigned metrics;
+    GHashTable *with_metrics;
     unsigned waiting;
     unsigned checks;
 };
@@ -123,6 +123,11 @@
 ggw_allotments_rule(const struct ggw_allotments *p, const char *team,
                     const char *customer);
 
+/* Returns the state of a customer, or NULL if it has none. */
+struct ggw_allotments_customer *ggw_allotments_find(struct ggw_allotments *p,
+                                                    const char *team,
+                                                    const char *customer);
+
 /* Returns the state of a customer; creates it if necessary. */
 struct ggw_allotments_customer *
 ggw_allotments_customer(struct ggw_allotments *p, const char *team,
--- a/customers/service.c
+++ b/customers/service.c
@@ -54,6 +54,26 @@
     return ggw_counter(name);
 }
 
+/* The first customers that are seen keep their metrics. */
+static bool
+may_have_metrics(struct ggw_allotments *p, const char *key)
+{
+    if (!g_hash_table_contains(p->with_metrics, key) &&
+        g_hash_table_size(p->with_metrics) < MAX_METRICS) {
+        g_hash_table_add(p->with_metrics, g_strdup(key));
+    }
+    return g_hash_table_contains(p->with_metrics, key);
+}
+
+struct ggw_allotments_customer *
+ggw_allotments_find(struct ggw_allotments *p, const char *team,
+                    const char *customer)
+{
+    g_autofree char *key = g_strconcat(team, "/", customer, NULL);
+
+    return g_hash_table_lookup(p->customers, key);
+}
+
 struct ggw_allotments_customer *
 ggw_allotments_customer(struct ggw_allotments *p, const char *team,
                         const char *customer)
@@ -66,8 +86,7 @@
         c->team = g_strdup(team);
         c->name = g_strdup(customer);
         g_queue_init(&c->waiting);
-        if (p->metrics < MAX_METRICS) {
-            p->metrics++;
+        if (may_have_metrics(p, key)) {
             c->permitted = customer_metric(c, "permitted");
             c->refused = customer_metric(c, "refused");
         }
@@ -246,6 +265,7 @@
     g_hash_table_destroy(p->customers);
     g_hash_table_destroy(p->trees);
     g_hash_table_destroy(p->lost);
+    g_hash_table_destroy(p->with_metrics);
     if (p->members != NULL) {
         p->members->base.ops->destroy(&p->members->base);
         p->changed->base.ops->destroy(&p->changed->base);
@@ -275,5 +295,7 @@
     p->trees = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                      (GDestroyNotify)ggw_tree_unref);
     p->lost = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    p->with_metrics =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return &p->base;
 }
--- a/customers/view.c
+++ b/customers/view.c
@@ -195,12 +195,37 @@
     }
 }
 
+static gboolean
+is_over(gpointer key, gpointer value, gpointer user_data)
+{
+    const ggw_ms *until = value;
+    const ggw_ms *now = user_data;
+
+    return *now >= *until;
+}
+
+/*
+ * A lost link that is back changes no state of its gateway, so the list of
+ * gateways is not published again. The gateway counts as an owner again here.
+ */
+static void
+end_lost(struct ggw_allotments *p, ggw_ms now)
+{
+    if (g_hash_table_size(p->lost) > 0 &&
+        g_hash_table_foreach_remove(p->lost, is_over, &now) > 0 &&
+        p->changed != NULL) {
+        update_members(p);
+    }
+}
+
 void
 ggw_allotments_check(struct ggw_allotments *p)
 {
     ggw_ms now = ggw_allotments_now(p);
     bool has_majority = now < p->majority_valid_until;
 
+    end_lost(p, now);
+
     if (now - p->ran_at > STALL_MS || has_majority != p->has_majority) {
         p->has_majority = has_majority;
         reset_buckets(p, now);
--- a/decide/allotment.c
+++ b/decide/allotment.c
@@ -137,7 +137,7 @@
 
     refill(b, now);
     answer.granted =
-        (unsigned)fmin(floor(b->level + EPSILON), (double)needed + ahead);
+        (unsigned)CLAMP(floor(b->level + EPSILON), 0, (double)needed + ahead);
     b->level -= answer.granted;
     if (answer.granted < needed && now >= b->since + GGW_ALLOTMENT_SETTLE) {
         answer.refused = needed - answer.granted;
--- a/decide/allotment.h
+++ b/decide/allotment.h
@@ -155,7 +155,7 @@
  * @grants: tokens to use, the one that expires first at the front
  * @len: number of @grants
  * @expired: tokens that expired and are given back with the next ask
- * @demand: requests per second of the last GGW_ALLOTMENT_DEMAND ms or so
+ * @demand: requests per second of the last half second or so
  * @demand_at: time of the last update of @demand, monotonic ms
  * @asked_at: time of the ask whose answer is awaited, monotonic ms; 0: none
  * @next_ask: earliest time of the next ask, monotonic ms
--- a/proxy/events.c
+++ b/proxy/events.c
@@ -202,7 +202,7 @@
                           const char *reason, uint64_t revision)
 {
     ggw_log_event(&key_refused,
-                  "id=%s kind=%s customer=unknown status=401 reason=%s "
+                  "id=%.63s kind=%s customer=unknown status=401 reason=%s "
                   "revision=%" G_GUINT64_FORMAT,
                   id != NULL ? id : "-", route, reason, (guint64)revision);
 }
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -610,6 +610,7 @@
         }
         break;
     }
+    return_permission(r);
     uv_timer_stop(&r->timer);
     ggw_request_free_if_unused(r);
 }
--- a/tests/readers/model.c
+++ b/tests/readers/model.c
@@ -402,13 +402,14 @@
     struct gateway *g = play->current;
     const struct ggw_config_given *m = (struct ggw_config_given *)message;
 
-    if (message->ops != &ggw_config_given_ops || m->revision <= g->revision) {
+    if (message->ops != &ggw_config_given_ops ||
+        m->tree->revision <= g->revision) {
         return;
     }
-    g->revision = m->revision;
+    g->revision = m->tree->revision;
     g->has_config = true;
-    g->has_withdrawn = strstr(m->json, "\"withdrawn\"") != NULL;
-    g->has_added = strstr(m->json, "\"added\"") != NULL;
+    g->has_withdrawn = ggw_tree_customer_by_key(m->tree, "withdrawn") != NULL;
+    g->has_added = ggw_tree_customer_by_key(m->tree, "added") != NULL;
 }
 
 static const struct ggw_service_ops config_ops = {.name = "config",
--- a/tests/test_allotments.c
+++ b/tests/test_allotments.c
@@ -278,6 +278,17 @@
 
 #define TOTAL(member) total(offsetof(struct gateway, member))
 
+/* Runs the gateways until each request has its answer, at most 10 s. */
+static void
+run_until_answered(void)
+{
+    for (int i = 0;
+         i < 1000 && TOTAL(permitted) + TOTAL(refused) < TOTAL(asked); i++) {
+        run(10);
+    }
+    CU_ASSERT_EQUAL(TOTAL(permitted) + TOTAL(refused), TOTAL(asked));
+}
+
 /* Returns the gateway that counts the customer, as all gateways say. */
 static int
 find_owner(void)
@@ -287,7 +298,7 @@
     for (int i = 0; i < GATEWAYS; i++) {
         ask(&gateways[i]);
     }
-    run(30);
+    run_until_answered();
     for (int i = 0; i < GATEWAYS; i++) {
         CU_ASSERT_PTR_NOT_NULL_FATAL(gateways[i].owner);
         CU_ASSERT_STRING_EQUAL(gateways[i].owner, gateways[0].owner);
@@ -463,6 +474,38 @@
     stop();
 }
 
+/*
+ * Guards against a gateway that counts the customers of another one for good
+ * after its link to it was lost for a moment: the list of gateways does not
+ * change, so it is not published again.
+ */
+static void
+test_link_back(void)
+{
+    const char *stray_owner;
+    int owner;
+
+    start();
+    owner = find_owner();
+    for (const char *other = others(owner); *other != '\0'; other++) {
+        struct ggw_peer_lost *lost = g_new0(struct ggw_peer_lost, 1);
+
+        lost->base.ops = &ggw_peer_lost_ops;
+        lost->peer = g_strdup(names[owner]);
+        ggw_kernel_send(gateways[*other - '0'].kernel, "allotments", NULL,
+                        &lost->base);
+    }
+    run(1500);
+    for (const char *other = others(owner); *other != '\0'; other++) {
+        ask(&gateways[*other - '0']);
+        run_until_answered();
+        stray_owner = gateways[*other - '0'].owner;
+        CU_ASSERT_STRING_EQUAL(stray_owner != NULL ? stray_owner : "",
+                               names[owner]);
+    }
+    stop();
+}
+
 /* Guards against requests that wait although the limit was removed. */
 static void
 test_limit_removed(void)
@@ -479,7 +522,7 @@
     for (int i = 0; i < 200; i++) {
         ask(&gateways[1]);
     }
-    run(20);
+    run_until_answered();
     CU_ASSERT_EQUAL(permitted_len, 200);
     stop();
 }
@@ -546,7 +589,7 @@
     }
     run(10);
     ask(&gateways[0]);
-    run(30);
+    run_until_answered();
     CU_ASSERT_EQUAL(permitted_len, 1);
     stop();
 }
@@ -561,6 +604,7 @@
         {"owner paused", test_owner_paused},
         {"partition", test_partition},
         {"views differ", test_views_differ},
+        {"link back", test_link_back},
         {"limit removed", test_limit_removed},
         {"status", test_status},
         {"no owner", test_no_owner},
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -566,9 +566,18 @@
         "apply --team keys --platform 127.0.0.1:PORT --who ops %s", path);
     const char *json;
 
-    expect("set --team keys --platform 127.0.0.1:PORT --who ops "
-           "customers.c.keys '[\"secret-1\"]'",
-           0, "revision 1");
+    {
+        g_autofree char *out = NULL;
+
+        CU_ASSERT_EQUAL(
+            run("set --team keys --platform 127.0.0.1:PORT --who ops "
+                "customers.c.keys '[\"secret-1\"]'",
+                &out),
+            0);
+        CU_ASSERT_PTR_NOT_NULL(strstr(out, "revision 1"));
+        CU_ASSERT_PTR_NOT_NULL(strstr(out, "customers.c.keys"));
+        CU_ASSERT_PTR_NULL(strstr(out, "secret"));
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(reads); i++) {
         g_autofree char *out = NULL;
 
@@ -590,6 +599,13 @@
         CU_ASSERT_PTR_NOT_NULL(strstr(out, "customers.c.keys"));
         CU_ASSERT_PTR_NULL(strstr(out, "secret"));
     }
+    {
+        g_autofree char *out = NULL;
+
+        CU_ASSERT_EQUAL(run(apply, &out), 0);
+        CU_ASSERT_PTR_NOT_NULL(strstr(out, "customers.c.keys"));
+        CU_ASSERT_PTR_NULL(strstr(out, "secret"));
+    }
     unlink(path);
 }
 
--- a/tests/test_proxy_allotment.c
+++ b/tests/test_proxy_allotment.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "common/metrics.h"
 #include "config/tree.h"
 #include "tests/proxy_env.h"
 #include "tests/suite.h"
@@ -118,18 +119,31 @@
     env_stop(env);
 }
 
+/* Waits until a counter of the proxy has reached a value, at most 10 s. */
+static void
+wait_for_counter(const char *name, uint64_t value)
+{
+    const volatile uint64_t *counter = ggw_counter(name);
+
+    for (int i = 0; i < 1000 && *counter < value; i++) {
+        g_usleep(10000);
+    }
+    CU_ASSERT_TRUE(*counter >= value);
+}
+
 /* Guards against a request that runs although its client has left. */
 static void
 test_client_left(void)
 {
     struct env *env = start();
+    uint64_t left = *ggw_counter("ggw_clients_left_total");
     int fd = env_connect(env);
 
     env->allotments_mode = ENV_PERMIT_HOLD;
     CU_ASSERT_TRUE(write(fd, REQUEST "\r\n", strlen(REQUEST "\r\n")) > 0);
     CU_ASSERT_TRUE(env_wait(env, &env->permissions_asked, 1));
     close(fd);
-    g_usleep(50000);
+    wait_for_counter("ggw_clients_left_total", left + 1);
     env_permit(env);
     CU_ASSERT_TRUE(env_wait(env, &env->permissions_returned, 1));
     CU_ASSERT_EQUAL(env->slot_requests, 0);
