rollouts: stages that could close every server, or go back

Cause (found in review): an order for the version in use had nothing to go back to, so that its removal or a bad judgement closed all servers; an order that came while a completion was being written could begin from the old versions, which have stopped; a decider without a majority rolled back for want of the results of the others.

Change: such a version stays allowed and is not rolled back; while a completion may take effect, no other stage and no order begins; a minority rolls back only a version that its own results show to be bad.

Result: test_rollouts (new: an order for the version in use is removed; the minority's stage) and test_rollout pass in the sanitizer build. The new tests were not run without the change.

--- a/rollouts/decider.c
+++ b/rollouts/decider.c
@@ -83,9 +83,8 @@
     if (may_act && !r->known && r->servers.target + r->servers.others > 0) {
         ggw_rollout_decide_baseline(p, r);
     }
-    /* A completion that is being written may still take effect. */
     if (may_act && r->known && r->order.number > r->state.order &&
-        !r->order.removed && !(r->completing && r->save_tag != 0)) {
+        !r->order.removed && !ggw_rollout_may_complete(r)) {
         ggw_rollout_begin_order(p, r);
     }
     if (r->known && (r->state.stage == GGW_ROLLOUT_TRIAL ||
--- a/rollouts/internal.h
+++ b/rollouts/internal.h
@@ -232,6 +232,9 @@
 /* Voids what was reported so far, and a completion that relied on it. */
 void ggw_rollout_void_reports(struct ggw_rollout *r);
 
+/* Whether most of the known gateways are alive in this gateway's view. */
+bool ggw_rollouts_has_majority(const struct ggw_rollouts *p);
+
 /* Whether no gateway has requests in progress on servers of old versions. */
 bool ggw_rollout_all_drained(const struct ggw_rollouts *p,
                              const struct ggw_rollout *r);
@@ -257,6 +260,12 @@
 
 /* saving.c: rows of record and state in the store */
 
+/*
+ * Whether a completion is being written, or was written with an unknown
+ * result. It may take effect, so no other stage and no new order begins.
+ */
+bool ggw_rollout_may_complete(const struct ggw_rollout *r);
+
 /* Writes the state to the store, or reads it, when it is time to. */
 void ggw_rollout_update_store(struct ggw_rollouts *p, struct ggw_rollout *r);
 
--- a/rollouts/reports.c
+++ b/rollouts/reports.c
@@ -77,8 +77,8 @@
     r->completing = false;
 }
 
-static bool
-has_majority(const struct ggw_rollouts *p)
+bool
+ggw_rollouts_has_majority(const struct ggw_rollouts *p)
 {
     int alive = 0;
 
@@ -120,7 +120,7 @@
 ggw_rollout_all_drained(const struct ggw_rollouts *p,
                         const struct ggw_rollout *r)
 {
-    if (p->members == NULL || !has_majority(p)) {
+    if (p->members == NULL || !ggw_rollouts_has_majority(p)) {
         return false;
     }
     for (guint i = 0; i < p->members->members->len; i++) {
--- a/rollouts/saving.c
+++ b/rollouts/saving.c
@@ -61,6 +61,13 @@
             ggw_rollout_is_active(r, now) && now >= r->verify_at);
 }
 
+bool
+ggw_rollout_may_complete(const struct ggw_rollout *r)
+{
+    return r->writing && r->save_state.stage == GGW_ROLLOUT_COMPLETED &&
+           (r->save_tag != 0 || r->reread);
+}
+
 /* Writes the state to the store, or reads it, when it is time to. */
 void
 ggw_rollout_update_store(struct ggw_rollouts *p, struct ggw_rollout *r)
--- a/rollouts/stages.c
+++ b/rollouts/stages.c
@@ -71,7 +71,10 @@
     ggw_rollout_send_state(p, r, NULL);
 }
 
-/* Versions that may get requests before an order, without its target. */
+/*
+ * Versions that may get requests before an order. The target of the order is
+ * among them only if it was in use already, which is stored in @proven.
+ */
 static char **
 allowed_before(const struct ggw_rollout *r, const char *target, bool *proven)
 {
@@ -83,16 +86,12 @@
         g_ptr_array_unref(list);
         return NULL;
     }
-    if (moved && !*proven) {
+    if (moved) {
         g_ptr_array_add(list, g_strdup(r->state.target));
     }
     for (int i = 0; !moved && r->state.allowed[i] != NULL; i++) {
-        if (g_strcmp0(r->state.allowed[i], target) == 0) {
-            *proven = true;
-        }
-        else {
-            g_ptr_array_add(list, g_strdup(r->state.allowed[i]));
-        }
+        *proven |= g_strcmp0(r->state.allowed[i], target) == 0;
+        g_ptr_array_add(list, g_strdup(r->state.allowed[i]));
     }
     g_ptr_array_add(list, NULL);
     return (char **)g_ptr_array_free(list, FALSE);
@@ -121,6 +120,15 @@
     r->sent_at = ggw_rollouts_now(p);
 }
 
+/* Whether the new version was in use before the order. */
+static bool
+is_proven(const struct ggw_rollout *r)
+{
+    return r->state.allowed != NULL && r->state.target != NULL &&
+           g_strv_contains((const char *const *)r->state.allowed,
+                           r->state.target);
+}
+
 /* Decides the next stage of the roll-out in progress. */
 void
 ggw_rollout_decide_next(struct ggw_rollouts *p, struct ggw_rollout *r)
@@ -133,10 +141,15 @@
         .stage = r->state.stage,
         .target_servers = r->servers.target,
         .others_gone_at = r->servers.others_gone_at,
+        .proven = is_proven(r),
     };
     struct ggw_rollout_step next;
 
-    if (r->order.number == r->state.order && r->order.removed) {
+    if (ggw_rollout_may_complete(r)) {
+        return;
+    }
+    /* A version that was in use before the order has nothing to go back to. */
+    if (r->order.number == r->state.order && r->order.removed && !v.proven) {
         decide(p, r, GGW_ROLLOUT_ROLLED_BACK, "the order was removed");
         return;
     }
@@ -148,6 +161,11 @@
                 ggw_rollout_all_drained(p, r);
     next = ggw_rollout_next(&v);
     r->completing = next.stage == GGW_ROLLOUT_COMPLETED;
+    /* A minority lacks the results of the others, which may be good. */
+    if (next.stage == GGW_ROLLOUT_ROLLED_BACK && !v.finding.bad &&
+        !ggw_rollouts_has_majority(p)) {
+        return;
+    }
     if (!r->completing && next.stage != r->state.stage) {
         decide(p, r, next.stage, next.reason);
     }
--- a/tests/test_rollouts.c
+++ b/tests/test_rollouts.c
@@ -1001,6 +1001,27 @@
     world_clear(&w);
 }
 
+/*
+ * Guards against a service without any open version after an order for the
+ * version that is in use was removed.
+ */
+static void
+test_removed_in_use(void)
+{
+    struct world w = {0};
+
+    world_init(&w);
+    run(&w, 1000);
+    order(&w, "v1");
+    run(&w, STEP);
+    send_order(&w, NULL);
+    run(&w, DURATION);
+    for (int i = 0; i < GATEWAYS; i++) {
+        CU_ASSERT_NOT_EQUAL(w.gateways[i].stage, GGW_ROLLOUT_ROLLED_BACK);
+    }
+    world_clear(&w);
+}
+
 /* Guards against malformed orders that end the process or a roll-out. */
 static void
 test_malformed(void)
@@ -1085,6 +1106,7 @@
     publish_members(&w);
     run(&w, 3 * DURATION);
     CU_ASSERT_TRUE(state_is(&w, "running", "v2"));
+    CU_ASSERT_NOT_EQUAL(w.gateways[decider].stage, GGW_ROLLOUT_ROLLED_BACK);
     world_clear(&w);
 }
 
@@ -1223,6 +1245,7 @@
         {"older copy of the store", test_older_copy},
         {"replaced order", test_replaced},
         {"removed order", test_removed},
+        {"removed order, version in use", test_removed_in_use},
         {"malformed orders", test_malformed},
         {"gateway cut off", test_cut_gateway},
         {"no majority", test_minority},
