decide: count slots of long runs less in the estimated wait

Slots that long runs hold count as coming back at the average rate, so that a request may wait for a slot that does not come back in time. Estimate the remaining time of a run of a known age from the service's own latencies and scale the estimated wait by it.

--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -5,6 +5,7 @@
 #include "decide/exposure.h"
 #include "decide/latency.h"
 #include "decide/policy.h"
+#include "decide/remaining.h"
 #include "decide/slots.h"
 
 /**
@@ -145,6 +146,7 @@
  * @queue: the other waiting requests
  * @queue_max: most requests in @queue and @blocked together
  * @latency: latency of successful attempts
+ * @remaining: distribution of the same latencies
  * @policy: policy that picks servers
  * @decisions: struct ggw_ledger_decision that the caller has not taken yet
  * @candidates: buffer of struct ggw_candidate, one for each server
@@ -169,6 +171,7 @@
     struct ggw_admission *queue;
     size_t queue_max;
     struct ggw_latency latency;
+    struct ggw_remaining remaining;
     struct ggw_policy policy;
     GQueue decisions;
     GArray *candidates;
