--- a/decide/admission.c
+++ b/decide/admission.c
@@ -37,8 +37,6 @@
  * @slots: sum of the limits of all servers
  * @mean_hold_time: moving average of the time for which an attempt holds a
  *                  slot, ms; 0: not known
- * @return_rate: rate at which slots come back now, as a multiple of the
- *               average rate
  * @classes: struct item in the order of their arrival, highest priority first
  * @by_deadline: struct item in the order of their deadlines
  * @by_id: identifier of a request to its struct item
@@ -49,7 +47,6 @@
     size_t len;
     int slots;
     ggw_ms mean_hold_time;
-    double return_rate;
     GQueue classes[CLASS_COUNT];
     GSequence *by_deadline;
     GHashTable *by_id;
@@ -64,7 +61,6 @@
     struct ggw_admission *a = g_new0(struct ggw_admission, 1);
 
     a->max = max;
-    a->return_rate = 1;
     a->by_deadline = g_sequence_new(NULL);
     a->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
     a->shares = ggw_fair_share_new();
@@ -118,12 +114,6 @@
     a->slots = slots;
 }
 
-void
-ggw_admission_set_return_rate(struct ggw_admission *a, double rate)
-{
-    a->return_rate = rate;
-}
-
 void
 ggw_admission_add_hold_time(struct ggw_admission *a, ggw_ms held)
 {
@@ -156,7 +146,7 @@
     for (int i = 0; i <= class_of(priority); i++) {
         ahead += a->classes[i].length;
     }
-    return (ahead + 1) * a->mean_hold_time / a->slots / a->return_rate;
+    return (ahead + 1) * a->mean_hold_time / a->slots;
 }
 
 /* Slot time that a request of the flow is expected to need. */
@@ -209,7 +199,7 @@
          i = i->next) {
         ahead += i->data != flow ? flow_ahead(a, i->data, class, start) : 0;
     }
-    return (ahead + 1) * a->mean_hold_time / a->slots / a->return_rate;
+    return (ahead + 1) * a->mean_hold_time / a->slots;
 }
 
 static int
--- a/decide/admission.h
+++ b/decide/admission.h
@@ -101,14 +101,6 @@
  */
 void ggw_admission_set_slots(struct ggw_admission *a, int slots);
 
-/**
- * ggw_admission_set_return_rate() - set how fast slots come back now
- * @rate: multiple of the rate that the mean hold time gives, above 0; lower
- *        than 1 while long runs hold more slots than usual, see
- *        ggw_remaining_return_rate(). 1 until the first call.
- */
-void ggw_admission_set_return_rate(struct ggw_admission *a, double rate);
-
 /**
  * ggw_admission_add_hold_time() - add the hold time of a slot to the moving
  *                                 average
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -448,41 +448,6 @@
     ggw_admission_set_max(l->queue, l->queue_max - MIN(blocked, l->queue_max));
 }
 
-/* Takes O(grants); only services with long runs pay for it. */
-static void
-update_return_rate(struct ggw_ledger *l, ggw_ms now)
-{
-    const struct ggw_remaining *r = &l->remaining;
-    GHashTableIter iter;
-    gpointer value;
-    int slots = 0;
-    int long_runs = 0;
-    double long_rate = 0;
-
-    if (r->long_age <= 0) {
-        ggw_admission_set_return_rate(l->queue, 1);
-        return;
-    }
-    for (guint i = 0; i < l->servers->len; i++) {
-        const struct ggw_ledger_server_entry *s =
-            g_ptr_array_index(l->servers, i);
-
-        slots += s->closed ? 0 : ggw_limit_slots(&s->limit);
-    }
-    g_hash_table_iter_init(&iter, l->grants);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct ggw_ledger_grant *g = value;
-        ggw_ms age = now - g->started;
-
-        if (!g->released && !g->server->closed && age >= r->long_age) {
-            long_runs++;
-            long_rate += 1 / ggw_remaining_time(r, age);
-        }
-    }
-    ggw_admission_set_return_rate(
-        l->queue, ggw_remaining_return_rate(r, slots, long_runs, long_rate));
-}
-
 static void
 enqueue(struct ggw_ledger *l, const struct ggw_ledger_request *request,
         ggw_ms now)
@@ -516,7 +481,6 @@
     w->route = g_strdup(request->route);
     w->hedge = request->hedge;
     update_queue_max(l);
-    update_return_rate(l, now);
     switch (ggw_admission_push(l->queue, &waiter, now, &displaced)) {
     case GGW_ADMISSION_DISPLACED:
         refuse_waiter(l, displaced.data, GGW_SLOT_DISPLACED, now);
