decide: requests that may not be repeated avoid servers that may be full

Some servers reset or ignore a request when they are full, and its outcome is unknown. Learn from the attempts of a service what its full servers do. Count cancelled attempts that a server may still run, and requests of others in its load report, against the slots that a request which may not be repeated may use.

--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include "decide/ledger.h"
 
 /**
@@ -13,6 +15,8 @@
 
     s->name = g_strdup(config->name);
     s->out = config->out;
+    s->ok_at = -INFINITY;
+    s->miscounted_at = -INFINITY;
     ggw_limit_init(&s->limit, &l->rule, !config->warm, now);
     if (config->reports_cold) {
         ggw_limit_set_cold_until(&s->limit, config->cold_until, now);
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -3,6 +3,7 @@
 
 #include "decide/admission.h"
 #include "decide/exposure.h"
+#include "decide/full_server.h"
 #include "decide/latency.h"
 #include "decide/policy.h"
 #include "decide/remaining.h"
@@ -38,6 +39,14 @@
  * @version: version that the server runs; NULL: unknown
  * @exposure: whether the stage of a roll-out lets it take requests
  * @target: it runs the new version of a roll-out
+ * @abandoned: cancelled attempts that the server may still run
+ * @foreign: requests in the last load report beyond @in_flight
+ * @resets: resets of connections, without and with the last slot taken, that
+ *          are not known yet to come from a running process
+ * @reset_at: time of the last of @resets, monotonic ms
+ * @ok_at: end of the last successful attempt, monotonic ms
+ * @miscounted_at: time at which a running process was last seen to reset or
+ *                 ignore a request, monotonic ms
  */
 struct ggw_ledger_server_entry {
     char *name;
@@ -60,6 +69,12 @@
     char *version;
     enum ggw_exposure_class exposure;
     bool target;
+    int abandoned;
+    int foreign;
+    int resets[2];
+    ggw_ms reset_at;
+    ggw_ms ok_at;
+    ggw_ms miscounted_at;
 };
 
 /**
@@ -83,6 +98,10 @@
  * @customer: name of the customer that sent the request, or NULL
  * @released: the attempt has failed, but the grant occupies its slot until
  *            @expires, so that a server that fails fast does not look idle
+ * @last_slot: the grant took the last slot of the server
+ * @abandoned: the attempt was cancelled; the server may run it until @expires,
+ *             but its slot counts as free except for requests that may not be
+ *             repeated
  * @order: order of the roll-out that counts the grant; 0: none
  * @first: it is the first attempt of its request
  * @route: route of the request if @order is set, or NULL
@@ -95,6 +114,8 @@
     GSequenceIter *iter;
     char *customer;
     bool released;
+    bool last_slot;
+    bool abandoned;
     uint64_t order;
     bool first;
     char *route;
@@ -115,6 +136,7 @@
  * @customer: name of the customer that sent the request, or NULL
  * @route: name of the route of the request, or NULL
  * @hedge: the slot is for a second attempt beside one that is in progress
+ * @once: the request may not be sent again after it may have run
  */
 struct ggw_ledger_waiter {
     struct ggw_ledger_key key;
@@ -128,6 +150,7 @@
     char *customer;
     char *route;
     bool hedge;
+    bool once;
 };
 
 /**
@@ -147,6 +170,8 @@
  * @queue_max: most requests in @queue and @blocked together
  * @latency: latency of successful attempts
  * @remaining: distribution of the same latencies
+ * @full: what full servers of the service do
+ * @once_seen: a request that may not be repeated has asked for a slot
  * @policy: policy that picks servers
  * @decisions: struct ggw_ledger_decision that the caller has not taken yet
  * @candidates: buffer of struct ggw_candidate, one for each server
@@ -172,6 +197,8 @@
     size_t queue_max;
     struct ggw_latency latency;
     struct ggw_remaining remaining;
+    struct ggw_full_server full;
+    bool once_seen;
     struct ggw_policy policy;
     GQueue decisions;
     GArray *candidates;
@@ -193,6 +220,7 @@
  *                     multiple of the usual latency of the request
  * @route: name of the route of the request, or NULL
  * @hedge: the slot is for a second attempt beside one that is in progress
+ * @once: the request may not be sent again after it may have run
  */
 struct ggw_ledger_pick_params {
     int priority;
@@ -201,6 +229,7 @@
     double cross_domain_cost;
     const char *route;
     bool hedge;
+    bool once;
 };
 
 /* decide/ledger_exposure.c */
--- a/decide/place.c
+++ b/decide/place.c
@@ -116,6 +116,46 @@
     return trial;
 }
 
+static bool
+has_room(const struct ggw_ledger_server_entry *s, ggw_ms now)
+{
+    struct ggw_full_load load = {
+        .slots = ggw_limit_slots(&s->limit),
+        .in_flight = s->in_flight,
+        .abandoned = s->abandoned,
+        .foreign = s->foreign,
+        .report_age = s->reported ? now - s->reported_at : INFINITY,
+        .event_age = now - s->miscounted_at,
+    };
+
+    return ggw_full_server_has_room(&load);
+}
+
+/*
+ * Leaves only candidates with a slot that is free by all that is known. While
+ * it is not known that full servers cut requests off, the others stay if
+ * there is no such candidate.
+ */
+static void
+keep_candidates_with_room(struct ggw_ledger *l, ggw_ms now)
+{
+    struct ggw_candidate *c = (struct ggw_candidate *)l->candidates->data;
+    bool any = false;
+
+    for (guint i = 0; i < l->servers->len; i++) {
+        any |= c[i].limit > 0 && !c[i].avoid &&
+               has_room(g_ptr_array_index(l->servers, i), now);
+    }
+    if (!any && l->full.behaviour == GGW_FULL_UNKNOWN) {
+        return;
+    }
+    for (guint i = 0; i < l->servers->len; i++) {
+        if (!has_room(g_ptr_array_index(l->servers, i), now)) {
+            c[i].limit = 0;
+        }
+    }
+}
+
 struct ggw_ledger_server_entry *
 ggw_ledger_pick(struct ggw_ledger *l,
                 const struct ggw_ledger_pick_params *params, ggw_ms now)
@@ -123,6 +163,9 @@
     struct ggw_ledger_server_entry *trial = fill_candidates(l, params, now);
     size_t i;
 
+    if (params->once && l->full.behaviour != GGW_FULL_ANSWERS) {
+        keep_candidates_with_room(l, now);
+    }
     if (trial != NULL && params->priority > 0) {
         return trial;
     }
@@ -140,9 +183,13 @@
                             ggw_ms max_age, const char **names, size_t max,
                             ggw_ms now)
 {
-    struct ggw_ledger_pick_params params = {
-        request->priority,          request->avoid, request->failure_domain,
-        request->cross_domain_cost, request->route, request->hedge};
+    struct ggw_ledger_pick_params params = {request->priority,
+                                            request->avoid,
+                                            request->failure_domain,
+                                            request->cross_domain_cost,
+                                            request->route,
+                                            request->hedge,
+                                            request->once};
     size_t found = 0;
 
     if (g_hash_table_size(l->waiting) > 0) {
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -244,7 +244,7 @@
 void
 ggw_ledger_drop_grant(struct ggw_ledger *l, struct ggw_ledger_grant *g)
 {
-    g->server->in_flight--;
+    (*(g->abandoned ? &g->server->abandoned : &g->server->in_flight))--;
     g_sequence_remove(g->iter);
     g_hash_table_remove(l->grants, &g->key);
 }
@@ -264,6 +264,7 @@
     g = ggw_ledger_add_grant(l, key, s, deadline + GGW_LEDGER_EXPIRY_MARGIN,
                              now);
     g->customer = g_strdup(customer);
+    g->last_slot = s->in_flight >= s->limit.rule.slots + s->limit.rule.ahead;
     ggw_ledger_count_grant(l, g, params);
     push_decision(l, key, GGW_LEDGER_GRANTED, s->name, GGW_SLOT_NO_SERVER, 0);
     return true;
@@ -366,9 +367,13 @@
 grant_waiter(struct ggw_ledger *l, const struct ggw_ledger_waiter *w,
              ggw_ms now)
 {
-    struct ggw_ledger_pick_params params = {
-        w->priority,          w->avoid, w->failure_domain,
-        w->cross_domain_cost, w->route, w->hedge};
+    struct ggw_ledger_pick_params params = {w->priority,
+                                            w->avoid,
+                                            w->failure_domain,
+                                            w->cross_domain_cost,
+                                            w->route,
+                                            w->hedge,
+                                            w->once};
 
     return try_grant(l, &w->key, &params, w->customer, w->deadline, now);
 }
@@ -480,6 +485,7 @@
     w->cross_domain_cost = request->cross_domain_cost;
     w->route = g_strdup(request->route);
     w->hedge = request->hedge;
+    w->once = request->once;
     update_queue_max(l);
     switch (ggw_admission_push(l->queue, &waiter, now, &displaced)) {
     case GGW_ADMISSION_DISPLACED:
@@ -506,11 +512,16 @@
 {
     struct ggw_ledger_key key = {(char *)request->holder, request->id};
     const struct ggw_ledger_grant *g = g_hash_table_lookup(l->grants, &key);
-    struct ggw_ledger_pick_params params = {
-        request->priority,          request->avoid, request->failure_domain,
-        request->cross_domain_cost, request->route, request->hedge};
+    struct ggw_ledger_pick_params params = {request->priority,
+                                            request->avoid,
+                                            request->failure_domain,
+                                            request->cross_domain_cost,
+                                            request->route,
+                                            request->hedge,
+                                            request->once};
     bool others_waiting = g_hash_table_size(l->waiting) > 0;
 
+    l->once_seen |= request->once;
     if (g != NULL && g->released) {
         return; /* repeated before the holder had received the grant */
     }
@@ -653,11 +664,79 @@
     s->observed = true;
     s->reported = true;
     s->load = report->busy + report->queue;
+    s->foreign = MAX(s->load - s->in_flight, 0);
     s->slow_percent = report->slow_percent;
     s->reported_at = now;
     ggw_limit_report(&s->limit, report, now);
 }
 
+/*
+ * Learns from the end of an attempt what full servers do. A reset counts when
+ * a request that started before it succeeds: the process was alive.
+ */
+static void
+learn_full(struct ggw_ledger *l, const struct ggw_ledger_grant *g,
+           enum ggw_attempt_result result, ggw_ms latency, ggw_ms now)
+{
+    struct ggw_ledger_server_entry *s = g->server;
+    enum ggw_full_behaviour event =
+        ggw_full_server_event(result, latency, l->latency.p50);
+
+    if (result == GGW_ATTEMPT_UNUSED || result == GGW_ATTEMPT_REFUSED) {
+        return;
+    }
+    ggw_full_server_add_attempt(&l->full, g->last_slot);
+    if (event == GGW_FULL_RESETS) {
+        s->resets[g->last_slot ? 1 : 0]++;
+        s->reset_at = now;
+    }
+    else if (event == GGW_FULL_ANSWERS ||
+             (event == GGW_FULL_HANGS && s->ok_at > g->started)) {
+        ggw_full_server_add_event(&l->full, event, g->last_slot);
+    }
+    if (event == GGW_FULL_HANGS && s->ok_at > g->started) {
+        s->miscounted_at = now;
+    }
+    if (result != GGW_ATTEMPT_OK) {
+        return;
+    }
+    s->ok_at = now;
+    for (int i = 0; i < 2 && g->started < s->reset_at; i++) {
+        while (s->resets[i] > 0) {
+            s->resets[i]--;
+            s->miscounted_at = s->reset_at;
+            ggw_full_server_add_event(&l->full, GGW_FULL_RESETS, i == 1);
+        }
+    }
+    if (g->started >= s->reset_at) {
+        s->resets[0] = s->resets[1] = 0; /* perhaps another process */
+    }
+}
+
+/*
+ * Keeps a cancelled attempt for requests that may not be repeated: the server
+ * may run it for as long as such a run usually takes. Returns false if the
+ * grant is of no further use.
+ */
+static bool
+keep_abandoned(struct ggw_ledger *l, struct ggw_ledger_grant *g,
+               enum ggw_attempt_result result, ggw_ms now)
+{
+    ggw_ms left = ggw_remaining_time(&l->remaining, now - g->started);
+
+    if (!l->once_seen || l->full.behaviour == GGW_FULL_ANSWERS || left <= 0 ||
+        (result != GGW_ATTEMPT_CANCELLED && result != GGW_ATTEMPT_SILENT)) {
+        return false;
+    }
+    g->released = true;
+    g->abandoned = true;
+    g->server->in_flight--;
+    g->server->abandoned++;
+    g->expires = MIN(g->expires, now + left);
+    g_sequence_sort_changed(g->iter, by_expiry, NULL);
+    return true;
+}
+
 /*
  * Records the end of a grant, so that a report that another gateway sent
  * before the end does not add the grant again when it arrives later. Gateways
@@ -714,6 +793,7 @@
         ggw_ledger_dispatch(l, now);
         return;
     }
+    learn_full(l, g, result, latency, now);
     apply_result(l, s, result, g->started, latency, now);
     if (result != GGW_ATTEMPT_UNUSED) {
         ggw_admission_add_hold_time(l->queue, now - g->started);
@@ -726,7 +806,7 @@
         g->expires = MIN(g->expires, g->started + hold_time);
         g_sequence_sort_changed(g->iter, by_expiry, NULL);
     }
-    else {
+    else if (!keep_abandoned(l, g, result, now)) {
         ggw_ledger_drop_grant(l, g);
     }
     ggw_ledger_dispatch(l, now);
--- a/decide/slots.h
+++ b/decide/slots.h
@@ -107,6 +107,7 @@
  *                 not limited
  * @route: name of the route or kind of the request, or NULL
  * @hedge: the slot is for a second attempt beside one that is in progress
+ * @once: the request may not be sent again after it may have run
  */
 struct ggw_ledger_request {
     const char *holder;
@@ -123,6 +124,7 @@
     double customer_rate;
     const char *route;
     bool hedge;
+    bool once;
 };
 
 /**
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -310,6 +310,7 @@
 
     slot->cross_domain_cost = ggw_request_cross_domain_cost(r);
     slot->target = r->target_at;
+    slot->once = r->kind->idempotency != GGW_IDEMPOTENT;
     slot->median_latency = r->kind_state->latency_estimate.p50;
     slot->customer = r->customer != NULL ? g_strdup(r->customer->name) : NULL;
     slot->route = g_strdup(r->kind->name);
--- a/slots/acquire.c
+++ b/slots/acquire.c
@@ -139,7 +139,7 @@
     uint32_t avoid = r->avoid != NULL ? g_strv_length(r->avoid) : 0;
     struct ggw_payload_writer w;
 
-    ggw_payload_begin(&w, 14);
+    ggw_payload_begin(&w, 15);
     ggw_payload_put_string(&w, r->team);
     ggw_payload_put_string(&w, r->service);
     ggw_payload_put_string(&w, a->domain->name);
@@ -158,6 +158,7 @@
     ggw_payload_put_string(&w, r->customer != NULL ? r->customer : "");
     ggw_payload_put_string(&w, route_to_send(a));
     ggw_payload_put_bool(&w, r->hedge);
+    ggw_payload_put_bool(&w, r->once);
     ggw_slots_send_frame(p, a->owner, GGW_PEER_SLOT_ACQUIRE, a->id, &w);
 }
 
@@ -181,6 +182,7 @@
         .customer_rate = ggw_slots_customer_rate(d, r->customer),
         .route = r->route,
         .hedge = r->hedge,
+        .once = r->once,
     };
 
     if (d->ledger == NULL) {
--- a/slots/owned.c
+++ b/slots/owned.c
@@ -303,6 +303,10 @@
         request.route = empty_to_null(ggw_payload_string(r));
         request.hedge = ggw_payload_bool(r);
     }
+    /* Nor whether the request may be repeated. */
+    if (!ggw_payload_at_end(r)) {
+        request.once = ggw_payload_bool(r);
+    }
     if (!r->ok || request.median_latency < 0) {
         ggw_count("ggw_slots_frames_malformed_total");
         return;
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -267,6 +267,7 @@
     copy->customer = g_strdup(r->customer);
     copy->route = g_strdup(r->route);
     copy->hedge = r->hedge;
+    copy->once = r->once;
     copy->base.from = r->base.from;
     copy->base.tag = r->base.tag;
     return copy;
--- a/slots/slots.h
+++ b/slots/slots.h
@@ -34,6 +34,7 @@
  * @customer: name of the customer that sent the request, or NULL
  * @route: name of the route or kind of the request, or NULL
  * @hedge: the slot is for a second attempt beside one that is in progress
+ * @once: the request may not be sent again after it may have run
  *
  * The service answers each request with exactly one ggw_slot_grant or
  * ggw_slot_refuse that has the same tag.
@@ -51,6 +52,7 @@
     char *customer;
     char *route;
     bool hedge;
+    bool once;
 };
 
 extern const struct ggw_message_ops ggw_slot_request_ops;
