--- a/decide/full_server.c
+++ b/decide/full_server.c
@@ -63,6 +63,8 @@
     f->attempts[last_slot ? 1 : 0] += 1;
     if (f->attempts[0] + f->attempts[1] >= MAX_ATTEMPTS) {
         halve(f);
+    }
+    if (f->behaviour != GGW_FULL_UNKNOWN) {
         update(f);
     }
 }
--- a/decide/remaining.c
+++ b/decide/remaining.c
@@ -22,6 +22,12 @@
     return exp2((bucket + 0.5) / GGW_REMAINING_SUBBUCKETS);
 }
 
+static ggw_ms
+upper_limit(int bucket)
+{
+    return exp2((bucket + 1.0) / GGW_REMAINING_SUBBUCKETS);
+}
+
 void
 ggw_remaining_init(struct ggw_remaining *r)
 {
@@ -60,7 +66,7 @@
 }
 
 ggw_ms
-ggw_remaining_time(const struct ggw_remaining *r, ggw_ms age)
+ggw_remaining_time(const struct ggw_remaining *r, ggw_ms age, double q)
 {
     double above = weight_above(r, age);
     double sum = 0;
@@ -68,11 +74,11 @@
     if (r->total <= 0) {
         return 0;
     }
-    if (above <= 0) {
-        return age;
-    }
     for (int i = 0; i < GGW_REMAINING_LEN; i++) {
-        sum += middle(i) > age ? r->weights[i] * (middle(i) - age) : 0;
+        sum += middle(i) > age ? r->weights[i] : 0;
+        if (sum > 0 && sum >= q * above) {
+            return upper_limit(i) - age;
+        }
     }
-    return sum / above;
+    return age;
 }
--- a/decide/remaining.h
+++ b/decide/remaining.h
@@ -43,11 +43,13 @@
 void ggw_remaining_add(struct ggw_remaining *r, ggw_ms latency);
 
 /**
- * ggw_remaining_time() - expected remaining time of a run
+ * ggw_remaining_time() - remaining time of a run
  * @age: time since the start of the run, ms
+ * @q: fraction of the runs that have reached @age and end within the result, 0
+ *     to 1
  *
  * Return: ms; @age if no response took longer than @age, 0 without responses.
  */
-ggw_ms ggw_remaining_time(const struct ggw_remaining *r, ggw_ms age);
+ggw_ms ggw_remaining_time(const struct ggw_remaining *r, ggw_ms age, double q);
 
 #endif
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -713,6 +713,12 @@
     }
 }
 
+/*
+ * Fraction of the cancelled attempts that have ended on their server when they
+ * no longer count. With the mean remaining time, half of them still ran.
+ */
+#define ABANDONED_QUANTILE 0.95
+
 /*
  * Keeps a cancelled attempt for requests that may not be repeated: the server
  * may run it for as long as such a run usually takes. Returns false if the
@@ -722,7 +728,8 @@
 keep_abandoned(struct ggw_ledger *l, struct ggw_ledger_grant *g,
                enum ggw_attempt_result result, ggw_ms now)
 {
-    ggw_ms left = ggw_remaining_time(&l->remaining, now - g->started);
+    ggw_ms left = ggw_remaining_time(&l->remaining, now - g->started,
+                                     ABANDONED_QUANTILE);
 
     if (!l->once_seen || l->full.behaviour == GGW_FULL_ANSWERS || left <= 0 ||
         (result != GGW_ATTEMPT_CANCELLED && result != GGW_ATTEMPT_SILENT)) {
