--- a/tests/test_full_server.c
+++ b/tests/test_full_server.c
@@ -257,7 +257,9 @@
         servers[i].warm = true;
     }
     ggw_ledger_configure(l->ledger, &rule, 100, servers, SERVERS, 0);
-    for (ggw_ms now = 1; now < DURATION_MS; now++) {
+    for (int ms = 1; ms < DURATION_MS; ms++) {
+        ggw_ms now = ms;
+
         if (now < DURATION_MS - 2000 && g_rand_double(l->rand) < 0.075) {
             arrive(l, now);
         }
