--- a/config/settings_tables.c
+++ b/config/settings_tables.c
@@ -413,6 +413,18 @@
         .default_json = "5",
         .help = "budget for hedged requests, in percent of calls",
     },
+    {
+        .name = "hedge_work_percent",
+        .type = GGW_SETTING_NUMBER,
+        .offset = offsetof(struct ggw_service_rule, hedge_work_percent),
+        .min = 0,
+        .max = 50,
+        .default_json = "0",
+        .help = "slot time that hedged requests may take over all gateways, "
+                "in percent of the slot time of the other requests; hedged "
+                "requests then get only spare slots of fast backend servers; "
+                "0: not limited",
+    },
     {
         .name = "queue",
         .type = GGW_SETTING_INT,
--- a/config/tree.h
+++ b/config/tree.h
@@ -163,6 +163,8 @@
  * @measure_percent: budget for probes, in percent of slot time
  * @retry_percent: budget for retries, in percent of calls
  * @hedge_percent: budget for hedged requests, in percent of calls
+ * @hedge_work_percent: slot time of hedged requests over all gateways, in
+ *                      percent of that of other requests; 0: not limited
  * @queue: requests that may wait for a slot in one failure domain
  * @scope: backend servers whose slots one gateway grants
  * @cold_rate: requests per second for a backend server that has just started;
@@ -193,6 +195,7 @@
     double measure_percent;
     double retry_percent;
     double hedge_percent;
+    double hedge_work_percent;
     int queue;
     enum ggw_owner_scope scope;
     double cold_rate;
--- a/decide/ledger.c
+++ b/decide/ledger.c
@@ -34,6 +34,7 @@
 
         next = g_sequence_iter_next(i);
         if (g->server == s) {
+            ggw_ledger_count_work_end(l, g, g->hedge_cost);
             ggw_ledger_drop_grant(l, g);
         }
     }
--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -3,6 +3,7 @@
 
 #include "decide/admission.h"
 #include "decide/exposure.h"
+#include "decide/hedge.h"
 #include "decide/latency.h"
 #include "decide/policy.h"
 #include "decide/slots.h"
@@ -10,8 +11,8 @@
 /**
  * DOC: Internals of the slot ledger
  *
- * Structures and functions that decide/slots.c, decide/ledger.c and
- * decide/place.c share.
+ * Structures and functions that decide/slots.c, decide/ledger.c,
+ * decide/ledger_exposure.c, decide/ledger_hedge.c and decide/place.c share.
  */
 
 /**
@@ -85,6 +86,8 @@
  * @order: order of the roll-out that counts the grant; 0: none
  * @first: it is the first attempt of its request
  * @route: route of the request if @order is set, or NULL
+ * @work: its slot time counts for ggw_ledger.hedge_work
+ * @hedge_cost: slot time reserved for it if it is a hedge, ms; 0 otherwise
  */
 struct ggw_ledger_grant {
     struct ggw_ledger_key key;
@@ -97,6 +100,8 @@
     uint64_t order;
     bool first;
     char *route;
+    bool work;
+    ggw_ms hedge_cost;
 };
 
 /**
@@ -155,6 +160,9 @@
  *              monotonic ms
  * @exposure: stage of a roll-out of the service; NULL for none
  * @exposure_counter: grants since the order of the roll-out
+ * @hedge_percent: slot time that hedges may take, in percent of that of other
+ *                 grants; 0: not limited
+ * @hedge_work: slot time of hedges
  */
 struct ggw_ledger {
     const struct ggw_ledger_grant_limits *grant_limits;
@@ -177,6 +185,8 @@
     ggw_ms hold_until;
     const struct ggw_exposure_limits *exposure;
     struct ggw_exposure_counter exposure_counter;
+    double hedge_percent;
+    struct ggw_hedge_work hedge_work;
 };
 
 /**
@@ -240,6 +250,39 @@
                           const struct ggw_ledger_grant *g,
                           enum ggw_attempt_result result, ggw_ms latency);
 
+/* decide/ledger_hedge.c */
+
+/* Returns whether a request is a hedge and the slot time of these is limited.
+ */
+bool ggw_ledger_limits_hedge(const struct ggw_ledger *l,
+                             const struct ggw_ledger_pick_params *params);
+
+/* Returns whether a server is open, warm and has proved itself. */
+bool ggw_ledger_suits_hedge(const struct ggw_ledger_server_entry *s);
+
+/*
+ * Returns whether a hedge may get a slot now. @reason becomes the reason of a
+ * refusal, also of one because no server is picked.
+ */
+bool ggw_ledger_may_hedge(const struct ggw_ledger *l,
+                          enum ggw_slot_refusal *reason);
+
+/* Closes those of l->candidates that are too slow or busy for a hedge. */
+void ggw_ledger_close_slow(struct ggw_ledger *l,
+                           const struct ggw_ledger_pick_params *params,
+                           ggw_ms now);
+
+/* Counts the start of a grant for the limit of hedges. */
+void ggw_ledger_count_work(struct ggw_ledger *l, struct ggw_ledger_grant *g,
+                           const struct ggw_ledger_pick_params *params);
+
+/*
+ * Counts the end of a grant that held its slot for @held ms; the second call
+ * for a grant has no effect.
+ */
+void ggw_ledger_count_work_end(struct ggw_ledger *l,
+                               struct ggw_ledger_grant *g, ggw_ms held);
+
 /* decide/place.c */
 
 /**
--- a/decide/place.c
+++ b/decide/place.c
@@ -81,10 +81,11 @@
                 const struct ggw_ledger_pick_params *params, ggw_ms now)
 {
     char *const *avoid = params->avoid;
+    bool limits_hedge = ggw_ledger_limits_hedge(l, params);
     struct ggw_ledger_server_entry *trial = NULL;
     size_t i;
 
-    if (avoid != NULL && all_avoided(l, avoid)) {
+    if (avoid != NULL && !limits_hedge && all_avoided(l, avoid)) {
         avoid = NULL;
     }
     g_array_set_size(l->candidates, l->servers->len);
@@ -95,6 +96,10 @@
             ggw_ledger_can_grant(l, s, now) &&
             ggw_limit_may_start(&s->limit, s->in_flight, now);
 
+        if (limits_hedge) {
+            startable = startable && ggw_ledger_suits_hedge(s) &&
+                        !is_avoided(avoid, s->name);
+        }
         if (startable && s->limit.state == GGW_LIMIT_EJECTED &&
             !is_avoided(avoid, s->name)) {
             trial = s;
@@ -123,6 +128,9 @@
     struct ggw_ledger_server_entry *trial = fill_candidates(l, params, now);
     size_t i;
 
+    if (ggw_ledger_limits_hedge(l, params)) {
+        ggw_ledger_close_slow(l, params, now);
+    }
     if (trial != NULL && params->priority > 0) {
         return trial;
     }
@@ -144,8 +152,11 @@
         request->priority,          request->avoid, request->failure_domain,
         request->cross_domain_cost, request->route, request->hedge};
     size_t found = 0;
+    enum ggw_slot_refusal reason;
 
-    if (g_hash_table_size(l->waiting) > 0) {
+    if (g_hash_table_size(l->waiting) > 0 ||
+        (ggw_ledger_limits_hedge(l, &params) &&
+         !ggw_ledger_may_hedge(l, &reason))) {
         return 0;
     }
     fill_candidates(l, &params, now);
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -15,14 +15,6 @@
 /* Window in which the spare repeats are counted, ms. */
 #define SPARE_WINDOW 10000.0
 
-/*
- * A hedge is sent early enough to meet the target if its response takes
- * HEDGE_LEAD_MEDIANS times the median latency, but not before the first
- * attempt has run for HEDGE_MIN_MEDIANS times the median.
- */
-#define HEDGE_LEAD_MEDIANS 1.2
-#define HEDGE_MIN_MEDIANS 1.1
-
 void
 ggw_retry_budget_init(struct ggw_retry_budget *b, double percent, ggw_ms now)
 {
@@ -154,10 +146,9 @@
     }
 }
 
-/* Checks the conditions common to retries and hedges; charges the budget. */
-static enum ggw_retry_verdict
-decide_repeat(struct ggw_retry_budget *b, const struct ggw_retry_request *r,
-              const struct ggw_latency *latency, ggw_ms now)
+enum ggw_retry_verdict
+ggw_retry_repeat(struct ggw_retry_budget *b, const struct ggw_retry_request *r,
+                 const struct ggw_latency *latency, ggw_ms now)
 {
     if (r->prior_retries > 0) {
         return GGW_RETRY_PRIOR_RETRIES;
@@ -179,32 +170,7 @@
     if (!may_repeat(r->idempotency, result, outcome)) {
         return GGW_RETRY_FINAL;
     }
-    return decide_repeat(b, r, latency, now);
-}
-
-ggw_ms
-ggw_hedge_delay(const struct ggw_retry_request *r,
-                const struct ggw_latency *latency)
-{
-    if (r->idempotency != GGW_IDEMPOTENT || r->prior_retries > 0 ||
-        r->attempts >= MIN(r->max_attempts, 2)) {
-        return INFINITY;
-    }
-    if (r->target_in > 0 && latency->p50 > 0) {
-        return MAX(r->target_in - HEDGE_LEAD_MEDIANS * latency->p50,
-                   HEDGE_MIN_MEDIANS * latency->p50);
-    }
-    return latency->p95 > 0 ? latency->p95 : INFINITY;
-}
-
-enum ggw_retry_verdict
-ggw_hedge_decide(struct ggw_retry_budget *b, const struct ggw_retry_request *r,
-                 ggw_ms elapsed, const struct ggw_latency *latency, ggw_ms now)
-{
-    if (elapsed < ggw_hedge_delay(r, latency)) {
-        return GGW_RETRY_FINAL;
-    }
-    return decide_repeat(b, r, latency, now);
+    return ggw_retry_repeat(b, r, latency, now);
 }
 
 int
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -11,11 +11,11 @@
 #include "slots/slots.h"
 
 /**
- * DOC: Decisions on retries and hedges (design 5.6 and 5.7)
+ * DOC: Decisions on retries and budgets of repeats (design 5.6)
  *
- * Decides whether a request may be sent again after a failed attempt, or to a
- * second server next to a slow attempt. The code does no I/O and reads no
- * clock: results, latencies and the time are arguments.
+ * Decides whether a request may be sent again after a failed attempt. The code
+ * does no I/O and reads no clock: results, latencies and the time are
+ * arguments.
  */
 
 /**
@@ -141,26 +141,15 @@
                  const struct ggw_latency *latency, ggw_ms now);
 
 /**
- * ggw_hedge_delay() - get the time after which a request may be hedged
- *
- * Return: ms from sending the first attempt to calling ggw_hedge_decide();
- * INFINITY if the request may not be hedged or the latency is not known yet.
- */
-ggw_ms ggw_hedge_delay(const struct ggw_retry_request *r,
-                       const struct ggw_latency *latency);
-
-/**
- * ggw_hedge_decide() - decide whether to send a second attempt in parallel
- * @b: hedge budget of the service
- * @elapsed: time since the first attempt was sent, ms
+ * ggw_retry_repeat() - check the conditions common to retries and hedges
+ * @b: budget of the repeat
  * @latency: latency estimate of the request's kind
  * @now: monotonic ms
  *
  * Charges the budget only if it returns GGW_RETRY.
  */
-enum ggw_retry_verdict ggw_hedge_decide(struct ggw_retry_budget *b,
+enum ggw_retry_verdict ggw_retry_repeat(struct ggw_retry_budget *b,
                                         const struct ggw_retry_request *r,
-                                        ggw_ms elapsed,
                                         const struct ggw_latency *latency,
                                         ggw_ms now);
 
--- a/decide/slots.c
+++ b/decide/slots.c
@@ -264,6 +264,7 @@
                              now);
     g->customer = g_strdup(customer);
     ggw_ledger_count_grant(l, g, params);
+    ggw_ledger_count_work(l, g, params);
     push_decision(l, key, GGW_LEDGER_GRANTED, s->name, GGW_SLOT_NO_SERVER, 0);
     return true;
 }
@@ -281,6 +282,8 @@
             slots[s->exposure] += ggw_limit_slots(&s->limit);
         }
     }
+    ggw_hedge_work_configure(&l->hedge_work, l->hedge_percent,
+                             slots[GGW_EXPOSURE_OPEN]);
     ggw_admission_set_slots(
         l->queue, slots[GGW_EXPOSURE_OPEN] +
                       ggw_ledger_share_exposed(l, slots[GGW_EXPOSURE_OPEN],
@@ -499,6 +502,21 @@
     push_decision(l, &key, GGW_LEDGER_QUEUED, NULL, GGW_SLOT_NO_SERVER, 0);
 }
 
+/* Grants a slot to a hedge or refuses it: a hedge does not wait. */
+static void
+request_hedge(struct ggw_ledger *l, const struct ggw_ledger_key *key,
+              const struct ggw_ledger_request *request,
+              const struct ggw_ledger_pick_params *params, ggw_ms now)
+{
+    enum ggw_slot_refusal reason;
+
+    if (!ggw_ledger_may_hedge(l, &reason) ||
+        !try_grant(l, key, params, request->customer, request->deadline,
+                   now)) {
+        refuse(l, key, request->priority, reason, now);
+    }
+}
+
 void
 ggw_ledger_request(struct ggw_ledger *l,
                    const struct ggw_ledger_request *request, ggw_ms now)
@@ -526,6 +544,9 @@
     else if (now >= latest_start(request)) {
         refuse(l, &key, request->priority, GGW_SLOT_TOO_LATE, now);
     }
+    else if (ggw_ledger_limits_hedge(l, &params)) {
+        request_hedge(l, &key, request, &params, now);
+    }
     else if (!others_waiting && try_grant(l, &key, &params, request->customer,
                                           request->deadline, now)) {
         return;
@@ -702,6 +723,8 @@
     update_failure_rate(s, result, now);
     if (g != NULL) {
         ggw_ledger_count_end(l, g, result, latency);
+        ggw_ledger_count_work_end(
+            l, g, result != GGW_ATTEMPT_UNUSED ? now - g->started : 0);
     }
     if (is_shed_with_free_slot(s, result, report)) {
         result = GGW_ATTEMPT_UNUSED;
@@ -792,6 +815,7 @@
         if (!g->released) {
             apply_result(l, g->server, GGW_ATTEMPT_CANCELLED, g->started,
                          now - g->started, now);
+            ggw_ledger_count_work_end(l, g, now - g->started);
         }
         ggw_ledger_drop_grant(l, g);
         first = g_sequence_get_begin_iter(l->by_expiry);
--- a/decide/slots.h
+++ b/decide/slots.h
@@ -234,6 +234,17 @@
                              const struct ggw_exposure_limits *limits,
                              int owners, ggw_ms now);
 
+/**
+ * ggw_ledger_set_hedge_work() - limit the slot time of hedges
+ * @percent: slot time of hedges in percent of that of other grants; 0: hedges
+ *           get slots like other requests
+ *
+ * With a limit, a hedge never waits for a slot. It gets one only while no
+ * request waits and enough slots are free, on a warm server that the request
+ * has not tried and that a recent load report shows to be fast.
+ */
+void ggw_ledger_set_hedge_work(struct ggw_ledger *l, double percent);
+
 /**
  * ggw_ledger_granted_old() - number of grants in use on servers that do not
  *                            run the new version of a roll-out
--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -40,6 +40,7 @@
 struct node_options {
     char *settings;
     char *log_level;
+    double hedge_work_percent;
 };
 
 #define FIELD(field) offsetof(struct node_options, field)
@@ -49,6 +50,10 @@
      "settings file written by the platform"},
     {"log-level", GGW_OPTION_TEXT, "LEVEL", "info", 0, 0, FIELD(log_level),
      "error, warn, info or debug"},
+    {"hedge-work-percent", GGW_OPTION_NUMBER, "PERCENT", "0", 0, 50,
+     FIELD(hedge_work_percent),
+     "slot time that hedged requests may take over all gateways, in percent "
+     "of that of other requests; 0: not limited"},
     {.name = NULL},
 };
 
@@ -176,6 +181,7 @@
         ggw_log_error("main", "%s", error->message);
         goto done;
     }
+    s->hedge_work_percent = o.hedge_work_percent;
     reload_data = (struct reload_data){o.settings, s};
     kernel = ggw_kernel_new(ggw_clock_system());
     incarnation = (uint64_t)ggw_clock_wall(ggw_clock_system());
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -274,8 +274,15 @@
     }
     r->winner = a;
     uv_timer_stop(&r->timer);
+    if (a->hedge) {
+        ggw_count("ggw_hedges_won_total");
+        ggw_proxy_log_hedge_won(r, a->vm);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(r->attempts); i++) {
         if (r->attempts[i] != NULL && r->attempts[i] != a) {
+            if (r->attempts[i]->hedge) {
+                ggw_count("ggw_hedges_cancelled_total");
+            }
             ggw_attempt_cancel(r->attempts[i]);
         }
     }
@@ -746,6 +753,7 @@
     a->pool = ggw_pools_get(proxy->pools, grant->host, grant->port, now);
     new_connection = needs_new_connection(r, grant->vm, a->pool);
     a->head = build_head(r, a->id, grant->vm, new_connection);
+    a->hedge = hedge;
     r->attempts[hedge ? 1 : 0] = a;
     r->retry.attempts++;
     g_ptr_array_insert(r->tried, (int)r->tried->len - 1, g_strdup(grant->vm));
--- a/proxy/events.c
+++ b/proxy/events.c
@@ -29,6 +29,7 @@
 static struct ggw_log_event over_allotment = IMPORTANT("over_allotment");
 static struct ggw_log_event attempt = ROUTINE("attempt");
 static struct ggw_log_event hedge = ROUTINE("hedge");
+static struct ggw_log_event hedge_won = ROUTINE("hedge_won");
 static struct ggw_log_event retry = IMPORTANT("retry");
 static struct ggw_log_event response = ROUTINE("response");
 static struct ggw_log_event refused = IMPORTANT("refused");
@@ -85,6 +86,9 @@
         [GGW_SLOT_QUEUE_FULL] = "queue-full",
         [GGW_SLOT_TOO_LATE] = "too-late",
         [GGW_SLOT_DISPLACED] = "displaced",
+        [GGW_SLOT_HEDGE_BUSY] = "hedge-busy",
+        [GGW_SLOT_HEDGE_WORK] = "hedge-work",
+        [GGW_SLOT_HEDGE_SERVER] = "hedge-server",
     };
 
     ggw_log_event(&no_slot,
@@ -138,6 +142,14 @@
                   r->kind_state->latency_estimate.p50);
 }
 
+void
+ggw_proxy_log_hedge_won(const struct ggw_request *r, const char *vm)
+{
+    ggw_log_event(&hedge_won, "id=%s service=%s server=%s age=%.1f",
+                  request_id(r).text, r->rule->name, vm,
+                  request_now(r) - r->received);
+}
+
 void
 ggw_proxy_log_retry(const struct ggw_request *r,
                     enum ggw_attempt_result result,
--- a/proxy/events.h
+++ b/proxy/events.h
@@ -24,6 +24,8 @@
 void ggw_proxy_log_attempt(const struct ggw_attempt *a, const char *result,
                            ggw_ms latency);
 
+/* The client gets the response of the second attempt, on server @vm. */
+void ggw_proxy_log_hedge_won(const struct ggw_request *r, const char *vm);
 /* A hedge is requested; @after: time since the request was received. */
 void ggw_proxy_log_hedge(const struct ggw_request *r, ggw_ms after);
 
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "common/metrics.h"
 #include "decide/drain.h"
+#include "decide/hedge.h"
 #include "decide/promise.h"
 #include "proxy/events.h"
 #include "proxy/headers.h"
@@ -298,9 +299,13 @@
                : r->kind->priority;
 }
 
-/* Asks "slots" for a slot on a server that the request has not tried yet. */
+/*
+ * Asks "slots" for a slot on a server that the request has not tried yet. The
+ * owner of the slots treats a hedge differently only where the settings limit
+ * the slot time of hedges.
+ */
 static void
-request_slot(struct ggw_request *r)
+request_slot(struct ggw_request *r, bool hedge)
 {
     struct ggw_proxy *proxy = r->proxy;
     struct ggw_message *m = ggw_slot_request_new(
@@ -313,6 +318,8 @@
     slot->median_latency = r->kind_state->latency_estimate.p50;
     slot->customer = r->customer != NULL ? g_strdup(r->customer->name) : NULL;
     slot->route = g_strdup(r->kind->name);
+    slot->hedge = hedge && r->rule->hedge_work_percent > 0;
+    r->awaits_hedge = slot->hedge;
     r->slot_tag = ++proxy->next_id;
     r->slot_requested = ggw_kernel_now(proxy->base.kernel);
     m->tag = r->slot_tag;
@@ -338,7 +345,7 @@
     r->charged = &r->service_state->hedges;
     ggw_count("ggw_hedges_total");
     ggw_proxy_log_hedge(r, now - r->received);
-    request_slot(r);
+    request_slot(r, true);
 }
 
 /* Gives back a slot that came too late for the request. */
@@ -405,12 +412,27 @@
         [GGW_SLOT_QUEUE_FULL] = "queue-full",
         [GGW_SLOT_TOO_LATE] = "too-late",
         [GGW_SLOT_DISPLACED] = "displaced",
+        [GGW_SLOT_HEDGE_BUSY] = "hedge-busy",
+        [GGW_SLOT_HEDGE_WORK] = "hedge-work",
+        [GGW_SLOT_HEDGE_SERVER] = "hedge-server",
+    };
+    static const char *const hedge_counters[] = {
+        [GGW_SLOT_NO_SERVER] = "ggw_hedges_refused_other_total",
+        [GGW_SLOT_QUEUE_FULL] = "ggw_hedges_refused_other_total",
+        [GGW_SLOT_TOO_LATE] = "ggw_hedges_refused_other_total",
+        [GGW_SLOT_DISPLACED] = "ggw_hedges_refused_other_total",
+        [GGW_SLOT_HEDGE_BUSY] = "ggw_hedges_refused_busy_total",
+        [GGW_SLOT_HEDGE_WORK] = "ggw_hedges_refused_work_total",
+        [GGW_SLOT_HEDGE_SERVER] = "ggw_hedges_refused_server_total",
     };
 
     g_hash_table_remove(r->proxy->slot_waits, &r->slot_tag);
     r->slot_tag = 0;
     ggw_proxy_log_no_slot(r, refuse);
     refund_repeat(r);
+    if (r->awaits_hedge) {
+        ggw_count(hedge_counters[refuse->reason]);
+    }
     if (r->attempts[0] != NULL || r->attempts[1] != NULL) {
         return; /* no slot for a hedge; the first attempt continues */
     }
@@ -477,9 +499,10 @@
     if (r->attempts[0] != NULL) {
         return;
     }
-    if (r->slot_tag != 0 && now < r->retry.deadline) {
+    if (r->slot_tag != 0 && !r->awaits_hedge && now < r->retry.deadline) {
         return; /* the hedge that awaits a slot takes over */
     }
+    /* A hedge that may be refused for want of spare slots becomes a retry. */
     ggw_request_stop_waiting(r);
     if (r->exchange == NULL) {
         finish(r, 503, "client-left", 0);
@@ -490,7 +513,7 @@
     ggw_proxy_log_retry(r, result, verdict);
     if (verdict == GGW_RETRY) {
         ggw_count("ggw_retries_total");
-        request_slot(r);
+        request_slot(r, false);
         return;
     }
     finish(r, 503, "shed", SHED_RETRY_MS);
@@ -533,7 +556,7 @@
     if (r->kind->hold_bytes > 0) {
         if (decide_second_attempt(r, GGW_ATTEMPT_SILENT,
                                   GGW_OUTCOME_UNKNOWN) == GGW_RETRY) {
-            request_slot(r);
+            request_slot(r, false);
         }
         return false;
     }
@@ -584,7 +607,7 @@
             finish(r, 503, "client-left", 0);
             return;
         }
-        request_slot(r);
+        request_slot(r, false);
         return;
     case GGW_CLAIM_DONE:
         if (x != NULL) {
@@ -854,7 +877,7 @@
         claim_order(r);
     }
     else {
-        request_slot(r);
+        request_slot(r, false);
     }
 }
 
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -173,6 +173,7 @@
     GString *head;
     struct ggw_load_report report;
     int status;
+    bool hedge;
     bool has_head;
     bool shed;
     bool misdirected;
@@ -232,6 +233,8 @@
  *                                        awaited, or 0
  * @permitted_at: time at which "allotments" permitted the request, monotonic
  *                ms; 0: not, or the permission was returned
+ * @awaits_hedge: the slot requested last is for a hedge whose slot time is
+ *                limited
  * @claim: identifies the claim, if @claimed
  * @claimed: a claim was won and has not been settled
  * @retry_granted: the budget has already been charged for the next retry
@@ -282,6 +285,7 @@
     uint64_t claim_tag;
     uint64_t allotment_tag;
     ggw_ms permitted_at;
+    bool awaits_hedge;
     uint64_t claim;
     bool claimed;
     bool retry_granted;
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -293,6 +293,7 @@
         rule.cold_limit = g->rule->cold_limit;
         rule.cold_time = g->rule->cold_time;
         rule.cold_rate = g->rule->cold_rate;
+        ggw_ledger_set_hedge_work(d->ledger, g->rule->hedge_work_percent);
         rule.max_trial_interval = g->rule->max_trial_interval;
         if (g->policy.ops != NULL && g->policy.ops->needs_owner) {
             ggw_ledger_set_policy(d->ledger, g->policy.ops,
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -187,6 +187,10 @@
 static void
 queue_locally(struct ggw_slots *p, struct ggw_slots_pending *pd)
 {
+    if (pd->request->hedge) {
+        refuse(p, pd, GGW_SLOT_HEDGE_BUSY, RETRY_AFTER);
+        return;
+    }
     if (!pd->queued_locally && p->local_queue_len >= pd->group->rule->queue) {
         refuse(p, pd, GGW_SLOT_QUEUE_FULL, RETRY_AFTER);
         return;
@@ -200,7 +204,9 @@
 static void
 grant_fallback(struct ggw_slots *p, struct ggw_slots_pending *pd)
 {
-    struct ggw_slots_server *s = ggw_slots_pick_fallback(p, pd);
+    /* Nobody counts the slot time of a hedge that no owner has granted. */
+    struct ggw_slots_server *s =
+        pd->request->hedge ? NULL : ggw_slots_pick_fallback(p, pd);
 
     if (s != NULL) {
         struct ggw_slots_domain *home = ggw_slots_home_domain(p, pd->group);
@@ -295,7 +301,7 @@
         place_pending(p, pd);
         return;
     }
-    s = ggw_slots_pick_by_policy(p, g, request);
+    s = request->hedge ? NULL : ggw_slots_pick_by_policy(p, g, request);
     if (s != NULL) {
         grant(p, pd, ++p->next_id, s, NULL);
     }
@@ -476,7 +482,7 @@
         retry_after = ggw_slots_read_time(&r);
     }
     if (!r.ok ||
-        (reason > GGW_SLOT_DISPLACED && reason != GGW_SLOTS_NOT_OWNER)) {
+        (reason > GGW_SLOT_HEDGE_SERVER && reason != GGW_SLOTS_NOT_OWNER)) {
         ggw_count("ggw_slots_frames_malformed_total");
     }
     else {
--- a/slots/slots.h
+++ b/slots/slots.h
@@ -91,6 +91,11 @@
  * @GGW_SLOT_TOO_LATE: the request cannot start before its deadline
  * @GGW_SLOT_DISPLACED: a request of higher priority took its place in the
  *                      queue
+ * @GGW_SLOT_HEDGE_BUSY: a hedge was refused because too few slots are free
+ * @GGW_SLOT_HEDGE_WORK: a hedge was refused because hedges have taken their
+ *                       share of the slot time
+ * @GGW_SLOT_HEDGE_SERVER: a hedge was refused because no server is known to be
+ *                         fast enough
  *
  * The values are sent between gateways in SLOT_REFUSE frames.
  */
@@ -99,6 +104,9 @@
     GGW_SLOT_QUEUE_FULL,
     GGW_SLOT_TOO_LATE,
     GGW_SLOT_DISPLACED,
+    GGW_SLOT_HEDGE_BUSY,
+    GGW_SLOT_HEDGE_WORK,
+    GGW_SLOT_HEDGE_SERVER,
 };
 
 /**
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -1,6 +1,7 @@
 #include <CUnit/Basic.h>
 #include <math.h>
 
+#include "decide/hedge.h"
 #include "decide/retry.h"
 
 #define SEED 17
