--- a/decide/hedge.c
+++ b/decide/hedge.c
@@ -11,6 +11,14 @@
 #define HEDGE_LEAD_MEDIANS 1.2
 #define HEDGE_MIN_MEDIANS 1.1
 
+/*
+ * A hedge is asked for at most MAX_ASKS times, so that refusals under load
+ * cost few messages. AGAIN_MEDIANS is the time between them in multiples of
+ * the median latency.
+ */
+#define MAX_ASKS 4
+#define AGAIN_MEDIANS 0.5
+
 /* Time in ms whose share of the slot time may be saved up for later hedges. */
 #define WORK_WINDOW 1000.0
 
@@ -51,6 +59,14 @@
     return ggw_retry_repeat(b, r, latency, now);
 }
 
+ggw_ms
+ggw_hedge_ask_again(int refusals, const struct ggw_latency *latency)
+{
+    return refusals < MAX_ASKS && latency->p50 > 0
+               ? AGAIN_MEDIANS * latency->p50
+               : INFINITY;
+}
+
 void
 ggw_hedge_work_configure(struct ggw_hedge_work *w, double percent, int slots)
 {
--- a/decide/hedge.h
+++ b/decide/hedge.h
@@ -39,6 +39,16 @@
                                         const struct ggw_latency *latency,
                                         ggw_ms now);
 
+/**
+ * ggw_hedge_ask_again() - get the time after which a refused hedge is asked
+ *                         for again
+ * @refusals: number of refusals of hedges of the request
+ * @latency: latency estimate of the request's kind
+ *
+ * Return: ms from the refusal; INFINITY: not again.
+ */
+ggw_ms ggw_hedge_ask_again(int refusals, const struct ggw_latency *latency);
+
 /**
  * struct ggw_hedge_work - limit of the slot time that hedges take in a ledger
  * @share: slot time of hedges per slot time of other grants; 0: the limit is
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -348,6 +348,17 @@
     request_slot(r, true);
 }
 
+/* Calls hedge_cb() after @delay ms; INFINITY: never. */
+static void
+schedule_hedge(struct ggw_request *r, ggw_ms delay)
+{
+    if (isfinite(delay)) {
+        /* uv timers have a resolution of 1 ms and must not fire early. */
+        uv_timer_start(&r->hedge_timer, hedge_cb, (uint64_t)ceil(delay) + 1,
+                       0);
+    }
+}
+
 /* Gives back a slot that came too late for the request. */
 static void
 return_slot(struct ggw_request *r, const struct ggw_slot_grant *grant)
@@ -375,7 +386,6 @@
 {
     struct ggw_proxy *proxy = r->proxy;
     ggw_ms now = ggw_kernel_now(proxy->base.kernel);
-    ggw_ms delay;
 
     g_hash_table_remove(proxy->slot_waits, &r->slot_tag);
     r->slot_tag = 0;
@@ -394,12 +404,8 @@
     if (r->attempts[0] == NULL || r->attempts[1] != NULL) {
         return;
     }
-    delay = ggw_hedge_delay(&r->retry, &r->kind_state->latency_estimate);
-    if (isfinite(delay)) {
-        /* uv timers have a resolution of 1 ms and must not fire early. */
-        uv_timer_start(&r->hedge_timer, hedge_cb, (uint64_t)ceil(delay) + 1,
-                       0);
-    }
+    schedule_hedge(
+        r, ggw_hedge_delay(&r->retry, &r->kind_state->latency_estimate));
 }
 
 /* Handles SLOT_REFUSE: ends the request unless an attempt is in progress. */
@@ -432,6 +438,9 @@
     refund_repeat(r);
     if (r->awaits_hedge) {
         ggw_count(hedge_counters[refuse->reason]);
+        schedule_hedge(r,
+                       ggw_hedge_ask_again(++r->hedge_refusals,
+                                           &r->kind_state->latency_estimate));
     }
     if (r->attempts[0] != NULL || r->attempts[1] != NULL) {
         return; /* no slot for a hedge; the first attempt continues */
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -151,6 +151,7 @@
  * @head: request line and headers, as sent
  * @report: load report of the response
  * @status: HTTP status; 0 before the response head has arrived
+ * @hedge: it started beside another attempt
  * @has_head: the response head has arrived
  * @shed: the response says that the request did not run
  * @misdirected: another server responded at the address
@@ -233,6 +234,7 @@
  *                                        awaited, or 0
  * @permitted_at: time at which "allotments" permitted the request, monotonic
  *                ms; 0: not, or the permission was returned
+ * @hedge_refusals: number of refused requests for the slot of a hedge
  * @awaits_hedge: the slot requested last is for a hedge whose slot time is
  *                limited
  * @claim: identifies the claim, if @claimed
@@ -285,6 +287,7 @@
     uint64_t claim_tag;
     uint64_t allotment_tag;
     ggw_ms permitted_at;
+    int hedge_refusals;
     bool awaits_hedge;
     uint64_t claim;
     bool claimed;
--- a/tests/test_hedge.c
+++ b/tests/test_hedge.c
@@ -29,9 +29,9 @@
 static struct ggw_ledger_grant_limits gate;
 
 enum load {
-    LOAD_NOISE,    /* each server is 4 times slower a quarter of the time */
-    LOAD_LONG,     /* 3 in 100 runs take 7 times as long */
-    LOAD_DOMAIN,   /* half of the servers are 4 times slower */
+    LOAD_NOISE,  /* each server is 4 times slower a quarter of the time */
+    LOAD_LONG,   /* 3 in 100 runs take 7 times as long */
+    LOAD_DOMAIN, /* half of the servers are 4 times slower, half of the time */
     LOAD_OVERLOAD, /* 1.3 times the capacity */
 };
 
@@ -58,14 +58,16 @@
  * @arrived: time of its arrival, ms
  * @first: time of the first grant, ms; 0: none
  * @server: server of the first attempt
- * @hedged: a hedge has been asked for
+ * @ask_at: time at which a hedge is asked for, ms
+ * @refusals: refused hedges
  * @latency: time until its response, ms; 0: none yet; INFINITY: refused
  */
 struct caller {
     ggw_ms arrived;
     ggw_ms first;
     int server;
-    bool hedged;
+    ggw_ms ask_at;
+    int refusals;
     ggw_ms latency;
 };
 
@@ -85,7 +87,8 @@
  * struct model - callers, gateway and servers in virtual time
  * @percent: limit of the slot time of hedges; 0: no hedges are asked for
  * @slow_until, @fast_until: current spell of each server, ms
- * @refused: refused hedges, by reason
+ * @hedged_servers: bit mask of the servers that ran hedges
+ * @refused: refused requests, by reason
  * @refused_first: requests that got no slot
  */
 struct model {
@@ -101,6 +104,7 @@
     ggw_ms slow_until[SERVERS];
     ggw_ms next_spell[SERVERS];
     int hedges;
+    unsigned hedged_servers;
     int refused[GGW_SLOT_HEDGE_SERVER + 1];
     int refused_first;
 };
@@ -147,7 +151,8 @@
 is_slow(struct model *m, int server)
 {
     if (m->load == LOAD_DOMAIN) {
-        return server < SERVERS / 2;
+        /* Spells start between two probes. */
+        return server < SERVERS / 2 && fmod(m->now + 50, 1000) < 500;
     }
     return m->load == LOAD_NOISE && m->now < m->slow_until[server];
 }
@@ -223,15 +228,32 @@
     a->ends = m->now + draw_time(m, a->server);
     if (a->hedge) {
         m->hedges++;
+        m->hedged_servers |= 1U << a->server;
         CU_ASSERT_NOT_EQUAL(a->server, c->server);
         CU_ASSERT_EQUAL(ggw_ledger_waiting_count(m->l), 0);
     }
     else {
         c->first = m->now;
+        c->ask_at = m->now + 1.5 * SERVICE_TIME;
         c->server = a->server;
     }
 }
 
+static void
+on_refused(struct model *m, const struct attempt *a)
+{
+    static const struct ggw_latency latency = {.p50 = SERVICE_TIME};
+    struct caller *c = &g_array_index(m->callers, struct caller, a->request);
+
+    if (a->hedge) {
+        c->ask_at = m->now + ggw_hedge_ask_again(++c->refusals, &latency);
+    }
+    else {
+        m->refused_first++;
+        c->latency = INFINITY;
+    }
+}
+
 static void
 take_decisions(struct model *m)
 {
@@ -249,11 +271,7 @@
         }
         if (d.answer == GGW_LEDGER_REFUSED) {
             m->refused[d.reason]++;
-            if (!a->hedge) {
-                m->refused_first++;
-                g_array_index(m->callers, struct caller, a->request).latency =
-                    INFINITY;
-            }
+            on_refused(m, a);
             g_array_remove_index_fast(m->attempts, i);
         }
         g_free(d.holder);
@@ -341,9 +359,8 @@
         struct caller *c =
             &g_array_index(m->callers, struct caller, a.request);
 
-        if (a.server >= 0 && !a.hedge && !c->hedged &&
-            m->now - a.started >= 1.5 * SERVICE_TIME) {
-            c->hedged = true;
+        if (a.server >= 0 && !a.hedge && m->now >= c->ask_at) {
+            c->ask_at = INFINITY;
             ask(m, a.request, true);
         }
     }
@@ -511,6 +528,7 @@
 
     compare_load(LOAD_DOMAIN, "slow domain", &without, &with);
     CU_ASSERT_TRUE(with.p99 <= without.p99);
+    CU_ASSERT_TRUE(with.p999 < without.p999);
     CU_ASSERT_TRUE(with.p50 <= without.p50 + 1);
 }
 
@@ -595,12 +613,114 @@
     CU_ASSERT_TRUE(ggw_hedge_leaves_spare(2, 10));
 }
 
+/* Fills the ledger's credit for hedges with requests that take one slot. */
+static void
+earn_credit(struct model *m)
+{
+    for (int i = 0; i < 100; i++) {
+        struct caller c = {.arrived = m->now};
+        struct attempt a;
+
+        g_array_append_val(m->callers, c);
+        ask(m, m->callers->len - 1, false);
+        a = g_array_index(m->attempts, struct attempt, 0);
+        m->now += SERVICE_TIME;
+        g_array_remove_index_fast(m->attempts, 0);
+        release(m, &a, GGW_ATTEMPT_OK);
+    }
+    probe(m);
+}
+
+/* Starts a request and asks for a hedge of it; returns the hedges granted. */
+static int
+ask_hedge(struct model *m)
+{
+    struct caller c = {.arrived = m->now};
+    int before = m->hedges;
+
+    g_array_append_val(m->callers, c);
+    ask(m, m->callers->len - 1, false);
+    ask(m, m->callers->len - 1, true);
+    return m->hedges - before;
+}
+
+/* Guards against hedges that wait, or take the last free slots. */
+static void
+test_spare(void)
+{
+    struct model m;
+
+    model_init(&m, LOAD_LONG, WORK_PERCENT);
+    CU_ASSERT_EQUAL(ask_hedge(&m), 0);
+    CU_ASSERT_EQUAL(m.refused[GGW_SLOT_HEDGE_WORK], 1);
+    earn_credit(&m);
+    CU_ASSERT_EQUAL(ask_hedge(&m), 1);
+    for (int i = 0; i < 2 * SERVERS * SLOTS; i++) {
+        int waiting = (int)ggw_ledger_waiting_count(m.l);
+
+        if (ask_hedge(&m) > 0) {
+            CU_ASSERT_EQUAL(waiting, 0);
+        }
+    }
+    CU_ASSERT_TRUE(m.refused[GGW_SLOT_HEDGE_BUSY] > SERVERS * SLOTS);
+    CU_ASSERT_EQUAL(m.refused_first, 0);
+    model_clear(&m);
+}
+
+/* Guards against hedges on servers that start, leave, pause or are unproved.
+ */
+static void
+test_unproved(void)
+{
+    for (int kind = 0; kind < 4; kind++) {
+        struct ggw_ledger_server_config s[SERVERS] = {0};
+        struct ggw_exposure_limits limits = {.order = 1,
+                                             .stage = GGW_ROLLOUT_TRIAL,
+                                             .target = "v2",
+                                             .percent = 0,
+                                             .tally =
+                                                 ggw_exposure_tally_new()};
+        struct model m;
+
+        model_init(&m, LOAD_LONG, WORK_PERCENT);
+        earn_credit(&m);
+        for (int i = 0; i < SERVERS; i++) {
+            s[i] = (struct ggw_ledger_server_config){.name = names[i],
+                                                     .incarnation = 1,
+                                                     .warm = true,
+                                                     .slots = SLOTS,
+                                                     .version = "v1"};
+            if (i > 0) {
+                s[i].incarnation = kind == 0 ? 2 : 1;
+                s[i].closed = kind == 1 || kind == 2;
+                s[i].paused_until = kind == 2 ? m.now + 1000 : 0;
+                s[i].version = kind == 3 ? "v2" : "v1";
+            }
+        }
+        if (kind == 3) {
+            ggw_ledger_set_exposure(m.l, &limits, 1, m.now);
+        }
+        ggw_ledger_configure(m.l, &rule, QUEUE, s, SERVERS, m.now);
+        m.hedged_servers = 0;
+        for (int i = 0; i < SLOTS; i++) {
+            ask_hedge(&m);
+        }
+        /* A hedge of a request that runs on another server may use s0. */
+        CU_ASSERT_EQUAL(m.hedged_servers & ~1U, 0);
+        CU_ASSERT_TRUE(m.refused[GGW_SLOT_HEDGE_SERVER] > 0);
+        model_clear(&m);
+        ggw_exposure_tally_free(limits.tally);
+    }
+}
+
 int
 main(void)
 {
     static CU_TestInfo tests[] = {
         {"work", test_work},
         {"server", test_server},
+        {"spare", test_spare},
+        {"unproved", test_unproved},
         {"noise", test_noise},
         {"long runs", test_long_runs},
         {"slow domain", test_slow_domain},
