--- a/tests/proxy_env.c
+++ b/tests/proxy_env.c
@@ -65,12 +65,19 @@
     if (m->ops == &ggw_slot_request_ops) {
         const struct env_server *s =
             pick(env, ((struct ggw_slot_request *)m)->avoid);
+        bool hedge = ((struct ggw_slot_request *)m)->hedge;
 
         env->slot_requests++;
+        env->hedge_requests += hedge;
         env->slot_tag = m->tag;
         if (env->slots_mode == ENV_HOLD) {
             /* No answer is sent. */
         }
+        else if (hedge && env->refused_hedges > 0) {
+            env->refused_hedges--;
+            ggw_kernel_reply(service, m,
+                             ggw_slot_refuse_new(GGW_SLOT_HEDGE_BUSY, 0));
+        }
         else if (s == NULL || env->slots_mode == ENV_REFUSE) {
             ggw_kernel_reply(service, m,
                              ggw_slot_refuse_new(s == NULL ? GGW_SLOT_NO_SERVER
--- a/tests/proxy_env.h
+++ b/tests/proxy_env.h
@@ -123,6 +123,8 @@
  * @refuse_repeats: "slots" refuses requests that have tried a server
  * @only_first_server: "slots" grants server s0 even if it is to be avoided
  * @slot_requests: number of SLOT_REQUEST messages
+ * @hedge_requests: number of those that state that they are for a hedge
+ * @refused_hedges: number of further such requests that "slots" refuses
  * @cancels: number of SLOT_CANCEL messages
  * @claims_mode: "claims" answers with @claim_state, or does not answer
  * @claims_asked: number of CLAIM_REQUEST messages
@@ -167,6 +169,8 @@
     uint64_t next_grant;
     GArray *releases;
     int slot_requests;
+    int hedge_requests;
+    int refused_hedges;
     int cancels;
 
     enum {
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -391,6 +391,57 @@
     env_stop(env);
 }
 
+/* Applies a limit of the slot time of hedges. */
+static void
+limit_hedges(struct env *env)
+{
+    struct ggw_tree *tree = env_tree(8, 3000, "fd-out");
+    bool in_force = false;
+
+    tree->services[0].hedge_work_percent = 5;
+    env_publish(env, ggw_config_in_force_new(tree));
+    ggw_tree_unref(tree);
+    for (int i = 0; i < 1000 && !in_force; i++) {
+        GString *r = env_ask(env, "GET /-/status HTTP/1.1\r\nHost: x\r\n\r\n");
+
+        in_force = strstr(r->str, "\"team\":8") != NULL;
+        g_string_free(r, TRUE);
+    }
+    CU_ASSERT_TRUE(in_force);
+}
+
+/*
+ * Guards against a hedge that the owner of the slots takes for a usual
+ * request, and one that is not asked for again after a refusal, or again and
+ * again.
+ */
+static void
+test_limited_hedge(void)
+{
+    struct env *env = env_start(3000, 100, 1000);
+    GString *r;
+
+    for (int i = 0; i < 30; i++) {
+        CU_ASSERT_TRUE(env_expect(env, READ, 200, "done", ""));
+    }
+    env->servers[0].script = SCRIPT_SLOW;
+    env->servers[0].delay_ms = 500;
+    CU_ASSERT_EQUAL(env->hedge_requests, 0);
+    limit_hedges(env);
+    env->refused_hedges = 2;
+    r = env_ask(env, READ);
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "x-server"), "s1");
+    g_string_free(r, TRUE);
+    CU_ASSERT_EQUAL(env->hedge_requests, 3);
+    CU_ASSERT_TRUE(env_wait(env, &env->servers[0].closed, 1));
+    env->refused_hedges = 100;
+    r = env_ask(env, READ);
+    CU_ASSERT_STRING_EQUAL(env_header_or(r, "x-server"), "s0");
+    g_string_free(r, TRUE);
+    CU_ASSERT_EQUAL(env->hedge_requests, 7);
+    env_stop(env);
+}
+
 /*
  * Guards against a probe without a result: its load report is lost, or its
  * timeout is not reported.
@@ -437,6 +488,7 @@
         {"headers", test_headers},
         {"no body", test_no_body},
         {"hedge", test_hedge},
+        {"limited hedge", test_limited_hedge},
         {"probe", test_probe},
         CU_TEST_INFO_NULL,
     };
