rollouts: send no counts before the state of their order is known

A gateway that starts during a roll-out may read the operator's order before it hears the stage. "slots" then counts for this order, and the counts went to the decider with the time to a deadline that was not set, which is negative. The decider took it as its own deadline and ended the trial at once.

Counts are sent only for the order whose state the gateway knows. "slots" reports again as soon as the state has come, because its term differs.

The new test "order read before the state" failed without the change (1 of 145 asserts: 3 s after the order a gateway was not in TRIAL) and passes with it. test_rollouts (19 tests), test_rollout, test_slots_rollout and test_rollout_nodes pass with sanitizers; the release build succeeds.

--- a/rollouts/internal.h
+++ b/rollouts/internal.h
@@ -210,7 +210,8 @@
 void ggw_rollout_send_state(struct ggw_rollouts *p, struct ggw_rollout *r,
                             const char *peer);
 
-/* Sends the last counts of this gateway, which must be set, to @decider. */
+/* Sends the last counts of this gateway, which must be set, to @decider if
+ * they are for the order whose state this gateway knows. */
 void ggw_rollout_send_counts(struct ggw_rollouts *p, struct ggw_rollout *r,
                              const char *decider);
 
--- a/rollouts/outputs.c
+++ b/rollouts/outputs.c
@@ -103,9 +103,18 @@
 ggw_rollout_send_counts(struct ggw_rollouts *p, struct ggw_rollout *r,
                         const char *decider)
 {
-    g_autoptr(GBytes) payload = ggw_rollout_pack_counts(
-        r->own, r->state.deadline - ggw_rollouts_now(p));
-
+    g_autoptr(GBytes) payload = NULL;
+
+    /*
+     * The frame carries the time to the deadline of the order of the counts.
+     * It is not known before the state of that order; "slots" reports again
+     * when the state has come.
+     */
+    if (!r->known || r->own->order != r->state.order) {
+        return;
+    }
+    payload = ggw_rollout_pack_counts(r->own,
+                                      r->state.deadline - ggw_rollouts_now(p));
     ggw_kernel_send(p->base.kernel, "peers", &p->base,
                     ggw_peer_send_new(decider, GGW_PEER_ROLLOUT, 0, payload));
 }
--- a/tests/test_rollouts.c
+++ b/tests/test_rollouts.c
@@ -1165,6 +1165,42 @@
     world_clear(&w);
 }
 
+/* Guards against a gateway that has read the order, but does not know its
+ * stage yet, and ends the trial early: its counts moved the deadline of the
+ * decider to the present. */
+static void
+test_order_before_state(void)
+{
+    struct world w = {0};
+    int64_t number;
+    int restarted;
+
+    world_init(&w);
+    order(&w, "v2");
+    number = w.version;
+    run(&w, 1000);
+    restarted = (find_decider(&w) + 1) % GATEWAYS;
+    /* Restarts at each point of the interval at which states are repeated. */
+    for (int i = 0; i < 5; i++) {
+        int64_t version = w.version;
+
+        kill_gateway(&w, restarted);
+        start_gateway(&w, restarted);
+        publish_members(&w);
+        publish_vms(&w);
+        w.version = number - 1;
+        order(&w, "v2");
+        w.version = version;
+        run(&w, 2 * STEP);
+    }
+    run(&w, 1000);
+    CU_ASSERT_TRUE(all_in(&w, GGW_ROLLOUT_TRIAL));
+    run(&w, DURATION - 3000);
+    CU_ASSERT_TRUE(all_in(&w, GGW_ROLLOUT_COMPLETED));
+    CU_ASSERT_STRING_EQUAL(w.states->str, "running completed ");
+    world_clear(&w);
+}
+
 /* Guards against frames with odd values that end the process. */
 static void
 test_odd_frames(void)
@@ -1229,6 +1265,7 @@
         {"version without an order", test_without_order},
         {"no server of the version", test_no_server},
         {"restart of all gateways", test_restart},
+        {"order read before the state", test_order_before_state},
         {"odd frames", test_odd_frames},
         CU_TEST_INFO_NULL,
     };
