--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -148,6 +148,38 @@
     ggw_tree_unref(tree);
 }
 
+/*
+ * Guards against a limit of the slot time of hedges that does not reach the
+ * services, and against one that nobody has set.
+ */
+static void
+test_hedge_work(void)
+{
+    static const double percents[] = {0, 5};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+        struct ggw_node_settings *s = parse_settings();
+        g_autoptr(GBytes) text = bytes(CONFIG(RULE("idempotent")));
+        g_autoptr(GHashTable) domains_out =
+            g_hash_table_new(g_str_hash, g_str_equal);
+        g_autofree char *version = NULL;
+        g_autofree char *json = NULL;
+        struct ggw_tree *tree;
+
+        s->hedge_work_percent = percents[i];
+        json = ggw_site_translate(text, domains_out, s, &version, NULL);
+        g_assert_nonnull(json);
+        CU_ASSERT_EQUAL(strstr(json, "hedge_work_percent") != NULL,
+                        percents[i] > 0);
+        tree = ggw_tree_parse(GGW_SITE_TEAM, 1, json, NULL);
+        g_assert_nonnull(tree);
+        CU_ASSERT_EQUAL(ggw_tree_service(tree, "s")->hedge_work_percent,
+                        percents[i]);
+        ggw_tree_unref(tree);
+        ggw_node_settings_free(s);
+    }
+}
+
 /*
  * Guards against repeating requests that are not known to be idempotent: the
  * type of their route is new to the gateway.
@@ -667,6 +699,7 @@
         {"settings changed", test_settings_changed},
         {"settings refused", test_settings_refused},
         {"config", test_config},
+        {"hedge work", test_hedge_work},
         {"unknown route type", test_unknown_type},
         {"config refused", test_config_refused},
         {"customers", test_tenants},
