--- a/tests/test_hedge.c
+++ b/tests/test_hedge.c
@@ -393,11 +393,13 @@
         if (m->percent > 0) {
             send_hedges(m);
         }
-        for (due += rate; due >= 1; due--) {
+        due += rate;
+        while (due >= 1) {
             struct caller c = {.arrived = m->now};
 
             g_array_append_val(m->callers, c);
             ask(m, m->callers->len - 1, false);
+            due--;
         }
         ggw_ledger_tick(m->l, m->now);
         take_decisions(m);
@@ -454,8 +456,9 @@
 }
 
 /*
- * Checks the limit in each window of at least 1 s that ends with an attempt:
- * the share of the window, and of what one second of all slots may save up.
+ * Checks the limit in each window between the ends of attempts: the share of
+ * the window and of what one second of all slots may save up, and one run on
+ * each slot for the hedges in progress.
  */
 static void
 check_windows(const struct model *m)
