--- a/tests/test_hedge.c
+++ b/tests/test_hedge.c
@@ -676,6 +676,8 @@
 test_unproved(void)
 {
     for (int kind = 0; kind < 4; kind++) {
+        /* Cold servers have slots to spare. */
+        struct ggw_limit_rule cold_rule = rule;
         struct ggw_ledger_server_config s[SERVERS] = {0};
         struct ggw_exposure_limits limits = {.order = 1,
                                              .stage = GGW_ROLLOUT_TRIAL,
@@ -703,7 +705,8 @@
         if (kind == 3) {
             ggw_ledger_set_exposure(m.l, &limits, 1, m.now);
         }
-        ggw_ledger_configure(m.l, &rule, QUEUE, s, SERVERS, m.now);
+        cold_rule.cold_limit = SLOTS - 1;
+        ggw_ledger_configure(m.l, &cold_rule, QUEUE, s, SERVERS, m.now);
         m.hedged_servers = 0;
         for (int i = 0; i < 2 * SERVERS; i++) {
             ask_hedge(&m);
