--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -744,9 +744,10 @@
     static CU_TestInfo tests[] = {
         {"settings", test_settings},
         {"settings changed", test_settings_changed},
-        {"settings refused", test_settings_refused}, {"config", test_config},
-        {"body limit", test_body_limit}, {"machine", test_machine},
-/*
+        {"settings refused", test_settings_refused},
+        {"config", test_config},
+        {"body limit", test_body_limit},
+        {"machine", test_machine},
         {"hedge work", test_hedge_work},
         {"unknown route type", test_unknown_type},
         {"config refused", test_config_refused},
