--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -206,12 +206,30 @@
     s->pause_until = MAX(s->pause_until, now + pause);
 }
 
+/* Forgets that responses on their way to clients say that a server leaves. */
+static void
+void_leaves(struct soak_record *r, const char *server)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, r->attempts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct soak_attempt *a = value;
+
+        if (!a->ended && g_strcmp0(a->leaving, server) == 0) {
+            a->leaving = NULL;
+        }
+    }
+}
+
 void
 soak_record_server_restarted(struct soak_record *r, const char *server)
 {
     for (int i = 0; i < SOAK_GATEWAYS; i++) {
         g_hash_table_remove(r->said[i], server);
     }
+    void_leaves(r, server);
 }
 
 /* Checks that a gateway respects what a server has said to it. */
--- a/tests/test_soak_record.c
+++ b/tests/test_soak_record.c
@@ -336,6 +336,32 @@
     }
 }
 
+/*
+ * A response that was on its way when its server was restarted says nothing of
+ * the server's new process; one of another server still does.
+ */
+static void
+test_restart_after_leave(void)
+{
+    static const char *const servers[] = {"i-01", "i-02"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        struct soak_attempt *a;
+
+        begin_record();
+        a = send("a", SOAK_STATUS, STABLE_AT);
+        arrive("a", SOAK_STATUS, SOAK_STATUS, STABLE_AT + 1);
+        soak_record_ran(record, a, STABLE_AT + 1);
+        a->response_sent = true;
+        a->leaving = "i-01";
+        soak_record_server_restarted(record, servers[i]);
+        soak_record_answered(record, a, 200, true, STABLE_AT + 50);
+        send("b", SOAK_STATUS, STABLE_AT + 51 + SOAK_DRAIN_MS);
+        arrive("b", SOAK_STATUS, SOAK_STATUS, STABLE_AT + 60 + SOAK_DRAIN_MS);
+        expect_violation(i == 0 ? NULL : "DRAIN");
+    }
+}
+
 /*
  * More than two requests in a pause are a violation; those shortly after the
  * refusal and after the end of the pause do not count.
@@ -486,6 +512,8 @@
         {"cold server overloaded", test_cold_server_overloaded},
         {"request after a server said that it leaves",
          test_request_after_leave},
+        {"restart after a server said that it leaves",
+         test_restart_after_leave},
         {"requests in a pause", test_requests_in_pause},
         {"deadline missing or extended", test_deadline},
         {"retry budget exceeded", test_retry_budget},
