decide: the ends of grants stand in a file of their own

Cause: decide/slots.c had 953 lines on two subjects: who gets a slot, and what the ledger learns from the end of a grant.

Change: decide/ledger_results.c has the second. ggw_ledger_set_expiry() replaces two copies of the same two lines; ggw_ledger_tick() calls ggw_ledger_expire_grants(). No behaviour changes.

--- a/decide/ledger.h
+++ b/decide/ledger.h
@@ -315,6 +315,11 @@
 void ggw_ledger_count_work_end(struct ggw_ledger *l,
                                struct ggw_ledger_grant *g, ggw_ms held);
 
+/* decide/ledger_results.c */
+
+/* Ends the grants whose time is over, and forgets old ends of grants. */
+void ggw_ledger_expire_grants(struct ggw_ledger *l, ggw_ms now);
+
 /* decide/place.c */
 
 /**
@@ -348,6 +353,12 @@
                      struct ggw_ledger_server_entry *s, ggw_ms expires,
                      ggw_ms now);
 
+/* Moves the time at which a grant expires. */
+void ggw_ledger_set_expiry(struct ggw_ledger_grant *g, ggw_ms expires);
+
+/* Returns whether a server is open to requests, whatever its limit. */
+bool ggw_ledger_takes_requests(const struct ggw_ledger_server_entry *s);
+
 /* Removes a waiting request; returns false if there is none with the key. */
 bool ggw_ledger_remove_waiter(struct ggw_ledger *l,
                               const struct ggw_ledger_key *key);
