ctl: the verbs that print status pages share one run function

Cause: status, customers and rollouts each had the same eleven lines that read the pages and report a gateway that does not answer, and two the same lookup of a page's member.

Change: ggw_ctl_print_status() and ggw_gateway_page_member(). No output changes.

Result: test_ctl (556 assertions) and test_session_operator pass with sanitizers.

--- a/ctl/status.c
+++ b/ctl/status.c
@@ -153,6 +153,32 @@
     return gateways;
 }
 
+int
+ggw_ctl_print_status(const struct ggw_ctl_usage *usage, int argc, char **argv,
+                     void (*print)(const GArray *gateways, const char *team))
+{
+    struct ggw_ctl_args args;
+    GArray *gateways;
+
+    ggw_ctl_parse(usage, argc, argv, &args);
+    gateways = ggw_ctl_collect_status(&args);
+    if (gateways == NULL) {
+        return ggw_ctl_fail(&args, GGW_CTL_UNREACHABLE,
+                            "gateway %s:%u gives no answer", args.gateway.host,
+                            args.gateway.port);
+    }
+    print(gateways, args.team);
+    g_array_unref(gateways);
+    return GGW_CTL_DONE;
+}
+
+json_t *
+ggw_gateway_page_member(const GArray *gateways, guint i, const char *name)
+{
+    return json_object_get(
+        g_array_index(gateways, struct ggw_gateway_status, i).page, name);
+}
+
 uint64_t
 ggw_gateway_revision(const struct ggw_gateway_status *gateway,
                      const char *team)
--- a/ctl/status.h
+++ b/ctl/status.h
@@ -37,6 +37,23 @@
  */
 GArray *ggw_ctl_collect_status(const struct ggw_ctl_args *args);
 
+/**
+ * ggw_ctl_print_status() - run a verb that prints status pages
+ * @usage: usage of the verb; has the option group GGW_CTL_GATEWAY
+ * @print: prints the array of struct ggw_gateway_status; @team is the team of
+ *         the command line, or NULL
+ *
+ * Return: GGW_CTL_DONE, or GGW_CTL_UNREACHABLE with a printed error message
+ * when the gateway of the command line gave no usable response.
+ */
+int
+ggw_ctl_print_status(const struct ggw_ctl_usage *usage, int argc, char **argv,
+                     void (*print)(const GArray *gateways, const char *team));
+
+/* Returns a member of a gateway's status page; NULL when it has none. */
+json_t *ggw_gateway_page_member(const GArray *gateways, guint i,
+                                const char *name);
+
 /* Returns the revision of a team on a status page; 0 when it has none. */
 uint64_t ggw_gateway_revision(const struct ggw_gateway_status *gateway,
                               const char *team);
--- a/ctl/verbs_customers.c
+++ b/ctl/verbs_customers.c
@@ -63,12 +63,12 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 
     for (guint i = 0; i < gateways->len; i++) {
-        const json_t *page =
-            g_array_index(gateways, struct ggw_gateway_status, i).page;
+        const json_t *customers =
+            ggw_gateway_page_member(gateways, i, "customers");
         const json_t *customer;
         size_t j;
 
-        json_array_foreach(json_object_get(page, "customers"), j, customer)
+        json_array_foreach(customers, j, customer)
         {
             if (team == NULL ||
                 strcmp(ggw_ctl_string_member(customer, "team"), team) == 0) {
@@ -100,6 +100,14 @@
     }
 }
 
+static void
+print_customers(const GArray *gateways, const char *team)
+{
+    g_autoptr(GHashTable) sums = add_up(gateways, team);
+
+    print_sums(sums);
+}
+
 int
 ggw_ctl_customers(int argc, char **argv)
 {
@@ -109,20 +117,6 @@
                "the last minute, over all gateways.",
         .option_groups = GGW_CTL_GATEWAY | GGW_CTL_TEAM_FILTER,
     };
-    struct ggw_ctl_args args;
-    GHashTable *sums;
-    GArray *gateways;
-
-    ggw_ctl_parse(&usage, argc, argv, &args);
-    gateways = ggw_ctl_collect_status(&args);
-    if (gateways == NULL) {
-        return ggw_ctl_fail(&args, GGW_CTL_UNREACHABLE,
-                            "gateway %s:%u gives no answer", args.gateway.host,
-                            args.gateway.port);
-    }
-    sums = add_up(gateways, args.team);
-    print_sums(sums);
-    g_hash_table_destroy(sums);
-    g_array_unref(gateways);
-    return GGW_CTL_DONE;
+
+    return ggw_ctl_print_status(&usage, argc, argv, print_customers);
 }
--- a/ctl/verbs_rollouts.c
+++ b/ctl/verbs_rollouts.c
@@ -6,14 +6,6 @@
 #include "ctl/status.h"
 #include "ctl/verbs.h"
 
-static json_t *
-page_rollouts(const GArray *gateways, guint i)
-{
-    return json_object_get(
-        g_array_index(gateways, struct ggw_gateway_status, i).page,
-        "rollouts");
-}
-
 /*
  * Collects each service's roll-out: as the gateway that decides on it shows
  * it, which alone has the counts of all gateways; otherwise as any other one.
@@ -27,7 +19,8 @@
         json_t *rollout;
         size_t j;
 
-        json_array_foreach(page_rollouts(gateways, i), j, rollout)
+        json_array_foreach(ggw_gateway_page_member(gateways, i, "rollouts"), j,
+                           rollout)
         {
             const char *service = ggw_ctl_string_member(rollout, "service");
 
@@ -65,7 +58,7 @@
 }
 
 static void
-print_rollouts(const GArray *gateways)
+print_rollouts(const GArray *gateways, const char *team)
 {
     g_autoptr(GHashTable) rollouts = collect(gateways);
     g_autoptr(GList) services =
@@ -88,17 +81,6 @@
                "version has done, and why the stage was reached.",
         .option_groups = GGW_CTL_GATEWAY,
     };
-    struct ggw_ctl_args args;
-    GArray *gateways;
 
-    ggw_ctl_parse(&usage, argc, argv, &args);
-    gateways = ggw_ctl_collect_status(&args);
-    if (gateways == NULL) {
-        return ggw_ctl_fail(&args, GGW_CTL_UNREACHABLE,
-                            "gateway %s:%u gives no answer", args.gateway.host,
-                            args.gateway.port);
-    }
-    print_rollouts(gateways);
-    g_array_unref(gateways);
-    return GGW_CTL_DONE;
+    return ggw_ctl_print_status(&usage, argc, argv, print_rollouts);
 }
--- a/ctl/verbs_status.c
+++ b/ctl/verbs_status.c
@@ -26,7 +26,7 @@
 }
 
 static void
-print_gateways(GArray *gateways, const char *team)
+print_gateways(const GArray *gateways, const char *team)
 {
     printf("%-20s %-16s %-21s %-10s %s\n", "GATEWAY", "FAILURE-DOMAIN",
            "ADDRESS", "STATE", "REVISIONS");
@@ -45,14 +45,6 @@
     }
 }
 
-static const json_t *
-page_servers(const GArray *gateways, guint i)
-{
-    return json_object_get(
-        g_array_index(gateways, struct ggw_gateway_status, i).page,
-        "backend_servers");
-}
-
 /* Whether the server itself has said that it wants no requests. */
 static bool
 has_backed_off(const json_t *server)
@@ -76,7 +68,8 @@
         json_t *server;
         size_t j;
 
-        json_array_foreach(page_servers(gateways, i), j, server)
+        json_array_foreach(
+            ggw_gateway_page_member(gateways, i, "backend_servers"), j, server)
         {
             if (has_backed_off(server)) {
                 g_hash_table_replace(
@@ -93,14 +86,14 @@
  * a server has said to another gateway goes before.
  */
 static void
-print_servers(GArray *gateways, const char *team)
+print_servers(const GArray *gateways, const char *team)
 {
     g_autoptr(GHashTable) backed_off = collect_backed_off(gateways);
     const json_t *servers = NULL, *server;
     size_t i;
 
     for (guint j = 0; j < gateways->len && servers == NULL; j++) {
-        servers = page_servers(gateways, j);
+        servers = ggw_gateway_page_member(gateways, j, "backend_servers");
     }
     puts("");
     ggw_ctl_print_server_titles();
@@ -116,6 +109,13 @@
     }
 }
 
+static void
+print_status(const GArray *gateways, const char *team)
+{
+    print_gateways(gateways, team);
+    print_servers(gateways, team);
+}
+
 int
 ggw_ctl_status(int argc, char **argv)
 {
@@ -125,20 +125,8 @@
                "backend servers.",
         .option_groups = GGW_CTL_GATEWAY | GGW_CTL_TEAM_FILTER,
     };
-    struct ggw_ctl_args args;
-    GArray *gateways;
 
-    ggw_ctl_parse(&usage, argc, argv, &args);
-    gateways = ggw_ctl_collect_status(&args);
-    if (gateways == NULL) {
-        return ggw_ctl_fail(&args, GGW_CTL_UNREACHABLE,
-                            "gateway %s:%u gives no answer", args.gateway.host,
-                            args.gateway.port);
-    }
-    print_gateways(gateways, args.team);
-    print_servers(gateways, args.team);
-    g_array_unref(gateways);
-    return GGW_CTL_DONE;
+    return ggw_ctl_print_status(&usage, argc, argv, print_status);
 }
 
 int
