platform: order store versions by era

What callers saw: after the store had returned from an older copy, a new configuration was not in force and a server that had said it leaves was used, on all gateways, until the store's counter had passed the old one; rows written at a version that had been given out before were missed for ever.

Cause: versions were compared by the counter alone. An answer below the copy's version was ignored, a row at or below the known version was skipped, and the feed was resumed after a version that others now have.

Change: a version is its era and counter, packed into one number that orders by era first (decide/store_version.h). The header Store-Era is read with every answer. An answer of a higher era makes the copy read all rows and counts as the store's return, so that rows which are merely missing are kept for the usual time; it is logged with both versions and counted, and other gateways are told at once by a change that no copy can apply. Pages of two eras are not mixed. An answer of a lower era, or of none or a malformed one once an era was known, fails the call and changes nothing. A row that the copy had before is no change. The revision of the settings and the number of a roll-out's order are those of the packed version.

Gateways of the version before: counters stay where they were in the frames, the era follows at the end. A frame without an era is taken to be of the known era until this gateway has seen a return. Until the first return (era 0 or 1) revisions stay the bare counters, so that such gateways don't take over a number that they can't follow. The frame of rows and the request for rows are the only ones that change.

--- a/standins/platform.c
+++ b/standins/platform.c
@@ -17,8 +17,9 @@
  * Serves the platform's published calls for table rows with a change feed and
  * for objects. All data is kept in memory. POST /-/fault injects faults; its
  * modes "copy" and "return" take a copy of the rows and return to it, as a
- * store that has lost its last changes. GET /-/stats returns the number of
- * requests handled by kind.
+ * store that has lost its last changes, and "era" with "text" sends that text
+ * in place of the era, or none if it is empty. GET /-/stats returns the number
+ * of requests handled by kind.
  */
 
 #define BLOB_GET "/v1/blob-get/"
@@ -63,6 +64,7 @@
     h2o_context_t ctx;
     h2o_accept_ctx_t accept_ctx;
     struct store_rows *rows;
+    char *era_text;      /* sent in place of the era; NULL: the era */
     GQueue feeds;        /* struct feed */
     GHashTable *objects; /* key to GPtrArray of struct object */
     uint64_t last_etag;
@@ -113,12 +115,15 @@
     g_autofree char *path = request_path(req);
     char *era;
 
-    if (!g_str_has_prefix(path, "/v1/")) {
+    if (!g_str_has_prefix(path, "/v1/") || g_strcmp0(srv.era_text, "") == 0) {
         return;
     }
     era = h2o_mem_alloc_pool(&req->pool, ERA_TEXT_SIZE);
     g_snprintf(era, ERA_TEXT_SIZE, "%" G_GINT64_FORMAT,
                (gint64)store_rows_era(srv.rows));
+    if (srv.era_text != NULL) {
+        g_strlcpy(era, srv.era_text, ERA_TEXT_SIZE);
+    }
     h2o_add_header_by_str(&req->pool, &req->res.headers,
                           H2O_STRLIT("store-era"), 0, NULL, era, strlen(era));
 }
@@ -617,8 +622,10 @@
  * Returns the status of the response; 0 for any other mode.
  */
 static int
-apply_event(const char *mode)
+apply_event(const char *mode, const json_t *body)
 {
+    const char *text = json_string_value(json_object_get(body, "text"));
+
     if (g_strcmp0(mode, "compact") == 0) {
         store_rows_compact(srv.rows);
         return 200;
@@ -634,6 +641,11 @@
         refuse_feeds();
         return 200;
     }
+    if (g_strcmp0(mode, "era") == 0) {
+        g_free(srv.era_text);
+        srv.era_text = g_strdup(text);
+        return 200;
+    }
     return 0;
 }
 
@@ -644,7 +656,7 @@
     const char *mode = json_string_value(json_object_get(body, "mode"));
     const char *prefix = json_string_value(json_object_get(body, "prefix"));
     const json_t *count = json_object_get(body, "count");
-    int event_status = apply_event(mode);
+    int event_status = apply_event(mode, body);
     int mode_index = -1;
 
     for (size_t i = 0; i < G_N_ELEMENTS(fault_names); i++) {
--- a/tests/test_store_return.c
+++ b/tests/test_store_return.c
@@ -2,8 +2,10 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "common/metrics.h"
 #include "config/config.h"
 #include "config/vms.h"
+#include "decide/store_version.h"
 #include "peers/peers.h"
 #include "platform/relay.h"
 #include "platform/site.h"
@@ -20,11 +22,16 @@
 /* Changes that the store loses. */
 #define LOST_CHANGES 4
 
+/* Time in which a return is noticed and all rows are read, ms. */
+#define NOTICED_MS 1000
+
 /**
  * struct node - the service "site" with fakes of "config" and "peers"
  * @prefix: route prefix of the last settings, or NULL
  * @revision: revision of the last settings
  * @list: last published list of VMs, or NULL
+ * @sent: of GBytes; payloads of the ROWS frames sent to other gateways
+ * @requested: payload of the last request for rows, or NULL
  */
 struct node {
     struct ggw_kernel *kernel;
@@ -35,6 +42,8 @@
     char *prefix;
     uint64_t revision;
     struct ggw_vm_list *list;
+    GPtrArray *sent;
+    GBytes *requested;
 };
 
 static struct platform_process store;
@@ -76,6 +85,18 @@
 static void
 peers_receive(struct ggw_service *service, struct ggw_message *message)
 {
+    const struct ggw_peer_send *m = (struct ggw_peer_send *)message;
+
+    if (message->ops != &ggw_peer_send_ops) {
+        return;
+    }
+    if (m->type == GGW_PEER_ROWS) {
+        g_ptr_array_add(node.sent, g_bytes_ref(m->payload));
+    }
+    else if (m->type == GGW_PEER_ROWS_GET) {
+        g_clear_pointer(&node.requested, g_bytes_unref);
+        node.requested = g_bytes_ref(m->payload);
+    }
 }
 
 static const struct ggw_service_ops config_ops = {.name = "config",
@@ -84,10 +105,11 @@
                                                  .receive = peers_receive};
 
 static void
-node_start(void)
+node_start(uint16_t port)
 {
     memset(&node, 0, sizeof(node));
     node.kernel = ggw_kernel_new(ggw_clock_system());
+    node.sent = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
     node.config.ops = &config_ops;
     node.peers.ops = &peers_ops;
     node.settings.name = (char *)"n1";
@@ -95,7 +117,7 @@
     node.settings.max_change_delay = MAX_CHANGE_DELAY_MS;
     g_strlcpy(node.settings.store.host, "127.0.0.1",
               sizeof(node.settings.store.host));
-    node.settings.store.port = store.port;
+    node.settings.store.port = port;
     node.site = ggw_site_service_new(&node.settings);
     ggw_kernel_add(node.kernel, &node.config);
     ggw_kernel_add(node.kernel, &node.peers);
@@ -111,6 +133,8 @@
     ggw_kernel_destroy(node.kernel);
     ggw_vm_list_unref(node.list);
     g_free(node.prefix);
+    g_ptr_array_unref(node.sent);
+    g_clear_pointer(&node.requested, g_bytes_unref);
 }
 
 /* Runs the node until a condition holds, at most for @limit ms. */
@@ -248,7 +272,7 @@
     write_config(1);
     write_entry("i-1", 2, "ready");
     platform_process_fault(&store, "{\"mode\":\"copy\"}");
-    node_start();
+    node_start(store.port);
     write_config(2);
     write_entry("i-1", 3, "ready");
     write_entry("i-2", 2, "ready");
@@ -391,6 +415,190 @@
     node_stop();
 }
 
+static void
+publish_members(void)
+{
+    static const char *const names[] = {"n1", "n2", "n3", "n4"};
+    struct ggw_message *message = ggw_members_changed_new();
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        struct ggw_member member = {.name = (char *)names[i],
+                                    .failure_domain = (char *)"a",
+                                    .host = (char *)"h",
+                                    .incarnation = 1};
+
+        member.capacity.link_mbps = i == 0 ? 10 : 200;
+        ggw_members_add((struct ggw_members_changed *)message, &member);
+    }
+    ggw_kernel_publish(node.kernel, &node.peers, message);
+}
+
+/* Delivers one entry of i-1, which replaces all rows if it is a snapshot. */
+static void
+deliver_entry(bool snapshot, uint64_t base, uint64_t version,
+              const char *state)
+{
+    g_autofree char *text = entry_text(2, state);
+    struct ggw_store_row *row = g_new0(struct ggw_store_row, 1);
+    struct ggw_relay_frame frame = {.delta = {.table = "servers",
+                                              .base_version = base,
+                                              .version = version},
+                                    .snapshot = snapshot,
+                                    .last = snapshot};
+
+    row->key = g_strdup("i-1");
+    row->version = version;
+    row->value = g_bytes_new(text, strlen(text));
+    frame.delta.rows = g_ptr_array_new_with_free_func(ggw_store_row_free);
+    g_ptr_array_add(frame.delta.rows, row);
+    deliver(&frame);
+    g_ptr_array_unref(frame.delta.rows);
+}
+
+static void
+deliver_report(uint64_t version)
+{
+    g_autoptr(GPtrArray) no_rows = g_ptr_array_new();
+    struct ggw_relay_frame frame = {.delta = {.table = "servers",
+                                              .base_version = version,
+                                              .version = version,
+                                              .rows = no_rows}};
+
+    deliver(&frame);
+}
+
+/* Lowest version of the table of servers that the node has requested. */
+static uint64_t
+requested_version(void)
+{
+    g_autoptr(GArray) requests = node.requested != NULL
+                                     ? ggw_relay_unpack_request(node.requested)
+                                     : NULL;
+
+    for (guint i = 0; requests != NULL && i < requests->len; i++) {
+        const struct ggw_rows_request *r =
+            &g_array_index(requests, struct ggw_rows_request, i);
+
+        if (strcmp(r->table, "servers") == 0) {
+            return r->min_version;
+        }
+    }
+    return 0;
+}
+
+static bool
+uses_first(void)
+{
+    return uses("i-1");
+}
+
+static bool
+has_requested_new_era(void)
+{
+    return requested_version() == ggw_store_version(2, 5);
+}
+
+/* A gateway that does not read the store learns of the return from another. */
+static void
+test_learned_from_gateway(void)
+{
+    node_start(unused_port());
+    publish_members();
+    deliver_entry(true, 0, ggw_store_version(1, 9), "ready");
+    CU_ASSERT_TRUE(run_until(uses_first, SETUP_LIMIT_MS));
+    deliver_report(ggw_store_version(2, 5));
+    CU_ASSERT_TRUE(run_until(has_requested_new_era, MAX_CHANGE_DELAY_MS));
+    deliver_entry(true, 0, ggw_store_version(1, 20), "ready");
+    deliver_entry(true, 0, ggw_store_version(2, 5), "draining");
+    CU_ASSERT_TRUE(run_until(leaves, MAX_CHANGE_DELAY_MS));
+    deliver_entry(false, 1, ggw_store_version(1, 30), "ready");
+    run_until(never, NOTICED_MS / 4);
+    CU_ASSERT_TRUE(leaves());
+    node_stop();
+}
+
+/* Gateways of earlier versions send no era, which is the same as era 0. */
+static void
+test_gateway_without_era(void)
+{
+    node_start(unused_port());
+    deliver_entry(true, 0, 9, "ready");
+    CU_ASSERT_TRUE(run_until(uses_first, SETUP_LIMIT_MS));
+    deliver_entry(false, ggw_store_version(1, 9), ggw_store_version(1, 10),
+                  "draining");
+    CU_ASSERT_TRUE(run_until(leaves, SETUP_LIMIT_MS));
+    deliver_entry(false, 10, 11, "ready");
+    CU_ASSERT_TRUE(run_until(uses_first, SETUP_LIMIT_MS));
+    node_stop();
+}
+
+/* Whether the node has told that a copy of the era before has to be read. */
+static bool
+has_announced(void)
+{
+    bool announced = false;
+
+    for (guint i = 0; i < node.sent->len; i++) {
+        struct ggw_relay_frame frame;
+
+        if (ggw_relay_unpack(g_ptr_array_index(node.sent, i), &frame)) {
+            announced =
+                announced || (strcmp(frame.delta.table, "servers") == 0 &&
+                              ggw_store_version_era(frame.delta.version) > 1 &&
+                              frame.delta.base_version == frame.delta.version);
+        }
+        ggw_relay_clear(&frame);
+    }
+    return announced;
+}
+
+static void
+test_return_told(void)
+{
+    start_before_return();
+    platform_process_fault(&store, "{\"mode\":\"return\"}");
+    g_ptr_array_set_size(node.sent, 0);
+    CU_ASSERT_TRUE(run_until(has_announced, NOTICED_MS));
+    clear_rows();
+    node_stop();
+}
+
+static bool
+has_one_slot(void)
+{
+    const struct ggw_vm *vm = find_vm("i-1");
+
+    return vm != NULL && vm->slots == 1;
+}
+
+/* Bad eras end the calls and change nothing; a good one is followed again. */
+static void
+test_bad_eras(void)
+{
+    static const char *const bad[] = {"", "0", "-1", "x2", "99999999999"};
+
+    write_entry("i-1", 2, "ready");
+    node_start(store.port);
+    CU_ASSERT_TRUE(run_until(uses_first, SETUP_LIMIT_MS));
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        uint64_t *impaired = ggw_counter("ggw_store_answers_impaired_total");
+        uint64_t before = *impaired;
+        g_autofree char *fault =
+            g_strdup_printf("{\"mode\":\"era\",\"text\":\"%s\"}", bad[i]);
+
+        platform_process_fault(&store, fault);
+        write_entry("i-1", 4, "ready");
+        run_until(never, NOTICED_MS);
+        CU_ASSERT_TRUE(*impaired > before);
+        CU_ASSERT_TRUE(uses_first());
+    }
+    platform_process_fault(&store, "{\"mode\":\"era\"}");
+    write_entry("i-1", 1, "ready");
+    CU_ASSERT_TRUE(run_until(has_one_slot, MAX_CHANGE_DELAY_MS));
+    clear_rows();
+    node_stop();
+}
+
 int
 main(void)
 {
@@ -410,6 +618,11 @@
         {"lost server kept for ever after the store returned",
          test_lost_entry},
         {"old delta of another gateway after the return", test_old_delta},
+        {"return not learned from another gateway", test_learned_from_gateway},
+        {"rows of a gateway of an earlier version ignored",
+         test_gateway_without_era},
+        {"return not told to other gateways", test_return_told},
+        {"rows lost by a bad era", test_bad_eras},
         CU_TEST_INFO_NULL,
     };
     int status;
