--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -898,9 +898,10 @@
 
 /* Tells the node that a reader's store responds, or no longer does. */
 static void
-deliver_progress(struct node *n, const char *peer, bool lost)
+deliver_progress(struct node *n, const char *peer, const char *table,
+                 bool lost)
 {
-    struct ggw_relay_frame frame = {.delta = {.table = "op"},
+    struct ggw_relay_frame frame = {.delta = {.table = table},
                                     .lost = lost,
                                     .store_uptime = WAIT_LIMIT_S * 1000};
 
@@ -951,18 +952,46 @@
     publish_members(n);
     CU_ASSERT_TRUE(run_until(n, has_config));
     for (int i = 0; i < 5; i++) {
-        deliver_progress(n, "n2", false);
-        deliver_progress(n, "n3", false);
+        deliver_progress(n, "n2", "op", false);
+        deliver_progress(n, "n3", "op", false);
         run_for(n, 300);
     }
-    deliver_progress(n, "n2", true);
-    deliver_progress(n, "n3", true);
+    deliver_progress(n, "n2", "op", true);
+    deliver_progress(n, "n3", "op", true);
     g_ptr_array_set_size(n->sent, 0);
     time_until_read = measure_until(n, sends_progress);
     node_stop(n);
     CU_ASSERT_TRUE(time_until_lost + time_until_read < MAX_CHANGE_DELAY_MS);
 }
 
+/*
+ * Guards against a new reader that takes the end of its own failures, long
+ * past, for the store's return, and keeps entries of servers that have left.
+ */
+static void
+test_old_failure_is_no_return(void)
+{
+    struct node *n;
+
+    write_row("servers/i-1", ENTRY);
+    n = node_start(store.port);
+    publish_members(n);
+    CU_ASSERT_TRUE(run_until(n, has_one_server));
+    platform_process_fault(&store, "{\"mode\":\"down\"}");
+    run_for(n, 2 * CHANGE_MS);
+    deliver_progress(n, "n2", "servers", false);
+    run_for(n, 500);
+    platform_process_fault(&store, "{\"mode\":\"none\"}");
+    for (int i = 0; i < 8; i++) {
+        deliver_progress(n, "n2", "servers", false);
+        run_for(n, 300);
+    }
+    write_row("servers/i-1", NULL);
+    deliver_progress(n, "n2", "servers", true);
+    CU_ASSERT_TRUE(measure_until(n, has_no_server) < CHANGE_MS);
+    node_stop(n);
+}
+
 int
 main(void)
 {
@@ -971,6 +1000,7 @@
         {"odd entries", test_odd_entries},
         {"first answer is no return", test_first_answer_is_no_return},
         {"kept after return", test_kept_after_return},
+        {"old failure is no return", test_old_failure_is_no_return},
         {"history lost", test_history_lost},
         {"start without store", test_store_unavailable},
         {"outage", test_outage},
