proxy: metrics of charged, sent, refunded and denied repeats

Whether repeats beyond the budget of a service were charged could not be told from the metrics: ggw_retries_total and ggw_hedges_total count requests for a slot. Every charge, refund and denial is counted now. The division of the spare repeats among the gateways moves to decide/retry.c, where it can be tested. No change of behavior.

--- a/decide/retry.c
+++ b/decide/retry.c
@@ -31,6 +31,12 @@
     b->spare = spare;
 }
 
+double
+ggw_retry_spare_part(int spare, int gateways)
+{
+    return (double)spare / MAX(gateways, 1);
+}
+
 void
 ggw_retry_budget_set_percent(struct ggw_retry_budget *b, double percent)
 {
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -59,6 +59,13 @@
  */
 void ggw_retry_budget_set_spare(struct ggw_retry_budget *b, double spare);
 
+/**
+ * ggw_retry_spare_part() - get the spare repeats that one gateway may send
+ * @spare: number of spare repeats of all gateways in any 10 s
+ * @gateways: number of gateways that this one knows, including itself
+ */
+double ggw_retry_spare_part(int spare, int gateways);
+
 /**
  * ggw_retry_budget_count_call() - count one call for the budget
  * @prior_retries: value of Greengageway-Attempt in the request; 0 without the
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -183,6 +183,7 @@
 refund_repeat(struct ggw_request *r)
 {
     if (r->charged != NULL) {
+        ggw_count("ggw_repeats_refunded_total");
         ggw_retry_budget_refund(r->charged);
         r->charged = NULL;
     }
@@ -299,6 +300,26 @@
                : r->kind->priority;
 }
 
+/*
+ * Counts a decision on a repeat and remembers the budget that it has charged.
+ */
+static void
+note_verdict(struct ggw_request *r, struct ggw_retry_budget *budget,
+             enum ggw_retry_verdict verdict)
+{
+    bool hedges = budget == &r->service_state->hedges;
+
+    if (verdict == GGW_RETRY) {
+        r->charged = budget;
+        ggw_count(hedges ? "ggw_repeats_charged_total{budget=\"hedges\"}"
+                         : "ggw_repeats_charged_total{budget=\"retries\"}");
+    }
+    else if (verdict == GGW_RETRY_BUDGET) {
+        ggw_count(hedges ? "ggw_repeats_denied_total{budget=\"hedges\"}"
+                         : "ggw_repeats_denied_total{budget=\"retries\"}");
+    }
+}
+
 /*
  * Asks "slots" for a slot on a server that the request has not tried yet. The
  * owner of the slots treats a hedge differently only where the settings limit
@@ -335,15 +356,19 @@
     struct ggw_request *r = timer->data;
     ggw_ms now = ggw_kernel_now(r->proxy->base.kernel);
     struct ggw_attempt *first = r->attempts[0];
+    enum ggw_retry_verdict verdict;
 
     if (first == NULL || first->has_head || r->attempts[1] != NULL ||
-        r->slot_tag != 0 ||
-        ggw_hedge_decide(&r->service_state->hedges, &r->retry,
-                         ggw_call_latency(first->call),
-                         &r->kind_state->latency_estimate, now) != GGW_RETRY) {
+        r->slot_tag != 0) {
+        return;
+    }
+    verdict = ggw_hedge_decide(&r->service_state->hedges, &r->retry,
+                               ggw_call_latency(first->call),
+                               &r->kind_state->latency_estimate, now);
+    note_verdict(r, &r->service_state->hedges, verdict);
+    if (verdict != GGW_RETRY) {
         return;
     }
-    r->charged = &r->service_state->hedges;
     ggw_count("ggw_hedges_total");
     ggw_proxy_log_hedge(r, now - r->received);
     request_slot(r, true);
@@ -400,7 +425,10 @@
     if (r->retry.attempts == 0 && r->target_at > now) {
         r->retry.target_in = r->target_at - now;
     }
-    r->charged = NULL;
+    if (r->charged != NULL) {
+        ggw_count("ggw_repeats_sent_total");
+        r->charged = NULL;
+    }
     ggw_attempt_start(r, grant);
     if (r->attempts[0] == NULL || r->attempts[1] != NULL) {
         return;
@@ -472,9 +500,7 @@
         verdict = ggw_retry_decide(budget, &r->retry, result, outcome,
                                    &r->kind_state->latency_estimate, now);
     }
-    if (verdict == GGW_RETRY) {
-        r->charged = budget;
-    }
+    note_verdict(r, budget, verdict);
     return verdict;
 }
 
@@ -780,7 +806,7 @@
     }
     ggw_retry_budget_set_percent(&t->retries, rule->retry_percent);
     ggw_retry_budget_set_percent(&t->hedges, rule->hedge_percent);
-    spare = (double)rule->spare_retries / gateway_count(proxy);
+    spare = ggw_retry_spare_part(rule->spare_retries, gateway_count(proxy));
     ggw_retry_budget_set_spare(&t->retries, RETRY_SHARE * spare);
     ggw_retry_budget_set_spare(&t->hedges, (1 - RETRY_SHARE) * spare);
     return t;
