decide: a budget counts the calls and repeats of the last 10 s

Callers' repeats piled up at a service beyond its bound where many gateways served it. Each gateway saved up to 10 tokens for retries and 10 for hedges of each service, however many gateways there were and however few calls each had: 189 gateways could send 3,780 repeats at once beside their share.

With spare repeats a budget now also counts calls and repeats of the last 10 s, in periods of 250 ms, and grants a repeat only while they are within the share of the calls and the own part of the spare repeats. In any 10 s the repeats of a gateway are at most that at the last of them, so the sum is bounded for any number of gateways. The tokens remain and pace the repeats. A repeat that waits for a slot counts when it is sent, not when it was charged.

--- a/decide/retry.c
+++ b/decide/retry.c
@@ -15,6 +15,9 @@
 /* Window in which the spare repeats are counted, ms. */
 #define SPARE_WINDOW 10000.0
 
+/* Length of a struct ggw_retry_period, ms. */
+#define PERIOD (SPARE_WINDOW / (GGW_RETRY_PERIODS - 1))
+
 void
 ggw_retry_budget_init(struct ggw_retry_budget *b, double percent, ggw_ms now)
 {
@@ -43,6 +46,64 @@
     b->share = percent / 100;
 }
 
+static int64_t
+period_number(ggw_ms time)
+{
+    return (int64_t)floor(time / PERIOD);
+}
+
+static struct ggw_retry_period *
+period_slot(struct ggw_retry_budget *b, int64_t number)
+{
+    int64_t i = number % GGW_RETRY_PERIODS;
+
+    return &b->periods[i < 0 ? i + GGW_RETRY_PERIODS : i];
+}
+
+static struct ggw_retry_period *
+current_period(struct ggw_retry_budget *b, ggw_ms now)
+{
+    int64_t number = period_number(now);
+    struct ggw_retry_period *p = period_slot(b, number);
+
+    if (p->number != number) {
+        *p = (struct ggw_retry_period){.number = number};
+    }
+    return p;
+}
+
+static void
+uncount_repeat(struct ggw_retry_budget *b, ggw_ms charged_at)
+{
+    int64_t number = period_number(charged_at);
+    struct ggw_retry_period *p = period_slot(b, number);
+
+    if (p->number == number && p->repeats > 0) {
+        p->repeats--;
+    }
+}
+
+/*
+ * The current period is not complete. So that the bound holds for any 10 s,
+ * repeats are counted in slightly more and calls in slightly less than 10 s.
+ */
+static bool
+window_allows(const struct ggw_retry_budget *b, ggw_ms now)
+{
+    int64_t current = period_number(now);
+    int calls = 0;
+    int repeats = 0;
+
+    for (size_t i = 0; i < GGW_RETRY_PERIODS; i++) {
+        const struct ggw_retry_period *p = &b->periods[i];
+        int64_t age = current - p->number;
+
+        calls += age < GGW_RETRY_PERIODS - 1 ? p->calls : 0;
+        repeats += age < GGW_RETRY_PERIODS ? p->repeats : 0;
+    }
+    return repeats + 1 <= b->share * calls + b->spare;
+}
+
 /*
  * Capacity of the bucket for calls. A busy service may save up the share of
  * one second's calls, so that a server that fails with all its requests at
@@ -93,6 +154,7 @@
         return;
     }
     b->calls++;
+    current_period(b, now)->calls++;
     b->call_tokens = MIN(b->call_tokens + b->share, call_burst(b));
     /* The minimum replaces the share of the calls and does not add to it. */
     b->time_tokens =
@@ -105,19 +167,30 @@
     double from_time;
 
     refill(b, now);
-    if (b->share <= 0 || b->call_tokens + b->time_tokens < 1) {
+    if (b->share <= 0 || b->call_tokens + b->time_tokens < 1 ||
+        (b->spare > 0 && !window_allows(b, now))) {
         return false;
     }
     from_time = MIN(b->time_tokens, 1);
     b->time_tokens -= from_time;
     b->call_tokens -= 1 - from_time;
+    current_period(b, now)->repeats++;
     return true;
 }
 
 void
-ggw_retry_budget_refund(struct ggw_retry_budget *b)
+ggw_retry_budget_refund(struct ggw_retry_budget *b, ggw_ms charged_at)
 {
     b->call_tokens = MIN(b->call_tokens + 1, call_burst(b));
+    uncount_repeat(b, charged_at);
+}
+
+void
+ggw_retry_budget_sent(struct ggw_retry_budget *b, ggw_ms charged_at,
+                      ggw_ms now)
+{
+    uncount_repeat(b, charged_at);
+    current_period(b, now)->repeats++;
 }
 
 const char *
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -18,13 +18,32 @@
  * arguments.
  */
 
+/* Periods in which a budget counts: those of 10 s and the current one. */
+#define GGW_RETRY_PERIODS 41
+
+/**
+ * struct ggw_retry_period - counts of a period of 250 ms
+ * @number: start of the period, in periods of the monotonic clock
+ * @calls: calls that may earn tokens
+ * @repeats: repeats sent in the period, and those charged in it that are not
+ *           sent yet
+ */
+struct ggw_retry_period {
+    int64_t number;
+    int calls;
+    int repeats;
+};
+
 /**
- * struct ggw_retry_budget - token bucket that limits repeated calls of a
- *                           service
+ * struct ggw_retry_budget - limit of the repeated calls of a service
  *
  * Each gateway has one for retries and one for hedges per service. Every call
  * adds its share of a token and every repeat takes one token. A service with
  * too few calls to earn one token in 10 s gets one in 10 s instead.
+ *
+ * With spare repeats, saved tokens only pace the repeats: in any 10 s there
+ * are at most as many as the share of the calls in the 10 s before one of them
+ * and the spare repeats. So the sum over any number of gateways is bounded.
  * All fields are private to decide/retry.c.
  */
 struct ggw_retry_budget {
@@ -36,6 +55,7 @@
     int calls;           /* in the current second */
     int calls_before;    /* in the second before */
     double spare; /* repeats per 10 s beside the share; 0: minimum applies */
+    struct ggw_retry_period periods[GGW_RETRY_PERIODS];
 };
 
 /**
@@ -82,9 +102,21 @@
 
 /**
  * ggw_retry_budget_refund() - give back the token of a repeat that was not
- * sent
+ *                             sent
+ * @charged_at: time of its charge, monotonic ms
  */
-void ggw_retry_budget_refund(struct ggw_retry_budget *b);
+void ggw_retry_budget_refund(struct ggw_retry_budget *b, ggw_ms charged_at);
+
+/**
+ * ggw_retry_budget_sent() - record that a charged repeat is sent
+ * @charged_at: time of its charge, monotonic ms
+ * @now: monotonic ms
+ *
+ * Repeats that were charged over some time may be sent together. They count
+ * when they are sent.
+ */
+void ggw_retry_budget_sent(struct ggw_retry_budget *b, ggw_ms charged_at,
+                           ggw_ms now);
 
 /**
  * struct ggw_retry_request - properties of a request that the rules depend on
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -184,7 +184,7 @@
 {
     if (r->charged != NULL) {
         ggw_count("ggw_repeats_refunded_total");
-        ggw_retry_budget_refund(r->charged);
+        ggw_retry_budget_refund(r->charged, r->charged_at);
         r->charged = NULL;
     }
 }
@@ -311,6 +311,7 @@
 
     if (verdict == GGW_RETRY) {
         r->charged = budget;
+        r->charged_at = ggw_kernel_now(r->proxy->base.kernel);
         ggw_count(hedges ? "ggw_repeats_charged_total{budget=\"hedges\"}"
                          : "ggw_repeats_charged_total{budget=\"retries\"}");
     }
@@ -427,6 +428,7 @@
     }
     if (r->charged != NULL) {
         ggw_count("ggw_repeats_sent_total");
+        ggw_retry_budget_sent(r->charged, r->charged_at, now);
         r->charged = NULL;
     }
     ggw_attempt_start(r, grant);
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -243,6 +243,7 @@
  * @retry_granted: the budget has already been charged for the next retry
  * @charged: budget that was charged for a repeat which is not sent yet, or
  *           NULL
+ * @charged_at: time of that charge, monotonic ms
  * @response_mixed: a response may have been mixed with an earlier one of its
  *                  connection
  * @attempts: attempts in progress; the second is a hedge
@@ -294,6 +295,7 @@
     bool claimed;
     bool retry_granted;
     struct ggw_retry_budget *charged;
+    ggw_ms charged_at;
     bool response_mixed;
     struct ggw_attempt *attempts[2];
     struct ggw_attempt *winner;
--- a/tests/test_retry_budget_sum.c
+++ b/tests/test_retry_budget_sum.c
@@ -221,6 +221,40 @@
     }
 }
 
+/* Guards against two budgets of one window when waiting repeats are sent. */
+static void
+test_sent_later(void)
+{
+    const struct scenario s = {
+        .gateways = 1,
+        .slack = 58,
+        .call_interval = STEP,
+    };
+    struct ggw_retry_budget *b = &gateways[0].hedges;
+    const int charged_at = 30000;
+    const int sent_at = 36000;
+    int sent = 0;
+
+    ggw_retry_budget_init(b, HEDGE_PERCENT, 0);
+    ggw_retry_budget_init(&gateways[0].retries, RETRY_PERCENT, 0);
+    set_spare(&gateways[0], &s, 0);
+    for (int now = 0; now < sent_at + WINDOW; now += STEP) {
+        ggw_retry_budget_count_call(b, 0, now);
+        if (now == charged_at) {
+            sent = take_all(b, now);
+        }
+        for (int i = 0; now == sent_at && i < sent; i++) {
+            ggw_retry_budget_sent(b, charged_at, now);
+        }
+        if (now > sent_at) {
+            sent += take_all(b, now);
+        }
+    }
+    printf("%d repeats ", sent);
+    CU_ASSERT_TRUE(sent <= HEDGE_PERCENT / 100 * WINDOW / STEP +
+                               (1 - RETRY_SHARE) * 0.85 * s.slack);
+}
+
 int
 main(void)
 {
@@ -229,6 +263,7 @@
         {"saved tokens of many gateways with few calls",
          test_saved_tokens_few_calls},
         {"spare repeats before gateways know each other", test_spare_at_start},
+        {"repeats that are sent later than charged", test_sent_later},
         CU_TEST_INFO_NULL,
     };
 
