proxy: no spare repeats in the first 10 s after a start

Callers' repeats piled up at a service beyond its bound after a loss of power of many machines. A gateway that has just started knows few others and divided the spare repeats by the number of those it knew, so that each of them sent nearly all of them; it also left out those that it knows from the list of VMs only.

A gateway now sends none of them in its first 10 s, and divides by all gateways that it knows, heard or not. So one that joins also adds no part to those which the others have sent in the same 10 s. The share of the calls stays usable from the first call on. GGW_RETRY_MINIMUM tells no spare repeats from the minimum of the product's own interface, which does not change.

--- a/decide/retry.c
+++ b/decide/retry.c
@@ -25,6 +25,7 @@
         .share = percent / 100,
         .refilled = now,
         .window_start = now,
+        .spare = GGW_RETRY_MINIMUM,
     };
 }
 
@@ -35,9 +36,12 @@
 }
 
 double
-ggw_retry_spare_part(int spare, int gateways)
+ggw_retry_spare_part(int spare, int gateways, ggw_ms uptime)
 {
-    return (double)spare / MAX(gateways, 1);
+    if (spare == 0) {
+        return GGW_RETRY_MINIMUM;
+    }
+    return uptime < SPARE_WINDOW ? 0 : (double)spare / MAX(gateways, 1);
 }
 
 void
@@ -122,13 +126,13 @@
 static double
 time_refill_rate(const struct ggw_retry_budget *b)
 {
-    return b->spare > 0 ? b->spare / 2 / SPARE_WINDOW : MIN_REFILL;
+    return b->spare >= 0 ? b->spare / 2 / SPARE_WINDOW : MIN_REFILL;
 }
 
 static double
 time_burst(const struct ggw_retry_budget *b)
 {
-    return b->spare > 0 ? b->spare / 2 : MIN_BURST;
+    return b->spare >= 0 ? b->spare / 2 : MIN_BURST;
 }
 
 static void
@@ -158,7 +162,7 @@
     b->call_tokens = MIN(b->call_tokens + b->share, call_burst(b));
     /* The minimum replaces the share of the calls and does not add to it. */
     b->time_tokens =
-        b->spare > 0 ? b->time_tokens : MAX(b->time_tokens - b->share, 0);
+        b->spare >= 0 ? b->time_tokens : MAX(b->time_tokens - b->share, 0);
 }
 
 static bool
@@ -168,7 +172,7 @@
 
     refill(b, now);
     if (b->share <= 0 || b->call_tokens + b->time_tokens < 1 ||
-        (b->spare > 0 && !window_allows(b, now))) {
+        (b->spare >= 0 && !window_allows(b, now))) {
         return false;
     }
     from_time = MIN(b->time_tokens, 1);
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -41,10 +41,10 @@
  * adds its share of a token and every repeat takes one token. A service with
  * too few calls to earn one token in 10 s gets one in 10 s instead.
  *
- * With spare repeats, saved tokens only pace the repeats: in any 10 s there
- * are at most as many as the share of the calls in the 10 s before one of them
- * and the spare repeats. So the sum over any number of gateways is bounded.
- * All fields are private to decide/retry.c.
+ * Unless the minimum applies, saved tokens only pace the repeats: in any 10 s
+ * there are at most as many as the share of the calls in the 10 s before one
+ * of them and the spare repeats. So the sum over any number of gateways is
+ * bounded. All fields are private to decide/retry.c.
  */
 struct ggw_retry_budget {
     double share;        /* tokens earned per call */
@@ -54,7 +54,7 @@
     ggw_ms window_start; /* start of the current second */
     int calls;           /* in the current second */
     int calls_before;    /* in the second before */
-    double spare; /* repeats per 10 s beside the share; 0: minimum applies */
+    double spare;        /* repeats per 10 s beside the share */
     struct ggw_retry_period periods[GGW_RETRY_PERIODS];
 };
 
@@ -73,18 +73,30 @@
  */
 void ggw_retry_budget_set_percent(struct ggw_retry_budget *b, double percent);
 
+/* In place of a number of spare repeats: one repeat in 10 s if calls are few
+ */
+#define GGW_RETRY_MINIMUM (-1.0)
+
 /**
  * ggw_retry_budget_set_spare() - allow repeats beyond the share of the calls
- * @spare: number of these repeats in any 10 s
+ * @spare: number of these repeats in any 10 s, or GGW_RETRY_MINIMUM or any
+ *         other negative number, which is what a new budget has
  */
 void ggw_retry_budget_set_spare(struct ggw_retry_budget *b, double spare);
 
 /**
  * ggw_retry_spare_part() - get the spare repeats that one gateway may send
- * @spare: number of spare repeats of all gateways in any 10 s
+ * @spare: number of spare repeats of all gateways in any 10 s; 0: the minimum
+ *         applies
  * @gateways: number of gateways that this one knows, including itself
+ * @uptime: time since this gateway started, ms
+ *
+ * There is none in the first 10 s: the gateways do not know each other yet,
+ * and the others have divided the spare repeats among fewer.
+ *
+ * Return: argument for ggw_retry_budget_set_spare().
  */
-double ggw_retry_spare_part(int spare, int gateways);
+double ggw_retry_spare_part(int spare, int gateways, ggw_ms uptime);
 
 /**
  * ggw_retry_budget_count_call() - count one call for the budget
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -781,13 +781,14 @@
 
 /*
  * Number of gateways that share spare_retries. Dead members that are still
- * listed count as well.
+ * listed count as well, and so do those that never said hello to this one.
  */
 static int
 gateway_count(const struct ggw_proxy *proxy)
 {
-    return proxy->members != NULL ? MAX((int)proxy->members->members->len, 1)
-                                  : 1;
+    const struct ggw_members_changed *m = proxy->members;
+
+    return m != NULL ? MAX((int)m->members->len, m->known_gateways) : 1;
 }
 
 static struct ggw_proxy_service_state *
@@ -808,7 +809,8 @@
     }
     ggw_retry_budget_set_percent(&t->retries, rule->retry_percent);
     ggw_retry_budget_set_percent(&t->hedges, rule->hedge_percent);
-    spare = ggw_retry_spare_part(rule->spare_retries, gateway_count(proxy));
+    spare = ggw_retry_spare_part(rule->spare_retries, gateway_count(proxy),
+                                 now - proxy->started_at);
     ggw_retry_budget_set_spare(&t->retries, RETRY_SHARE * spare);
     ggw_retry_budget_set_spare(&t->hedges, (1 - RETRY_SHARE) * spare);
     return t;
--- a/tests/test_retry_budget_sum.c
+++ b/tests/test_retry_budget_sum.c
@@ -63,8 +63,8 @@
 static void
 set_spare(struct gateway *g, const struct scenario *s, int now)
 {
-    double spare = ggw_retry_spare_part((int)(0.85 * s->slack),
-                                        now < s->met_at ? 1 : s->gateways);
+    double spare = ggw_retry_spare_part(
+        (int)(0.85 * s->slack), now < s->met_at ? 1 : s->gateways, now);
 
     ggw_retry_budget_set_spare(&g->retries, RETRY_SHARE * spare);
     ggw_retry_budget_set_spare(&g->hedges, (1 - RETRY_SHARE) * spare);
@@ -237,8 +237,8 @@
 
     ggw_retry_budget_init(b, HEDGE_PERCENT, 0);
     ggw_retry_budget_init(&gateways[0].retries, RETRY_PERCENT, 0);
-    set_spare(&gateways[0], &s, 0);
     for (int now = 0; now < sent_at + WINDOW; now += STEP) {
+        set_spare(&gateways[0], &s, now);
         ggw_retry_budget_count_call(b, 0, now);
         if (now == charged_at) {
             sent = take_all(b, now);
