--- a/decide/retry.h
+++ b/decide/retry.h
@@ -18,14 +18,33 @@
  * arguments.
  */
 
+/* Periods in which a budget counts: those of 10 s and the current one. */
+#define GGW_RETRY_PERIODS 41
+
+/**
+ * struct ggw_retry_period - counts of a period of 250 ms
+ * @number: start of the period, in periods of the monotonic clock
+ * @calls: calls that may earn tokens
+ * @repeats: repeats sent in the period, and those charged in it that are not
+ *           sent yet
+ */
+struct ggw_retry_period {
+    int64_t number;
+    int calls;
+    int repeats;
+};
+
 /**
- * struct ggw_retry_budget - token bucket that limits repeated calls of a
- *                           service
+ * struct ggw_retry_budget - limit of the repeated calls of a service
  *
  * Each gateway has one for retries and one for hedges per service. Every call
  * adds its share of a token and every repeat takes one token. A service with
  * too few calls to earn one token in 10 s gets one in 10 s instead.
- * All fields are private to decide/retry.c.
+ *
+ * Unless the minimum applies, saved tokens only pace the repeats: in any 10 s
+ * there are at most as many as the share of the calls in the 10 s before one
+ * of them and the spare repeats. So the sum over any number of gateways is
+ * bounded. All fields are private to decide/retry.c.
  */
 struct ggw_retry_budget {
     double share;        /* tokens earned per call */
@@ -35,7 +54,8 @@
     ggw_ms window_start; /* start of the current second */
     int calls;           /* in the current second */
     int calls_before;    /* in the second before */
-    double spare; /* repeats per 10 s beside the share; 0: minimum applies */
+    double spare;        /* repeats per 10 s beside the share */
+    struct ggw_retry_period periods[GGW_RETRY_PERIODS];
 };
 
 /**
@@ -53,12 +73,31 @@
  */
 void ggw_retry_budget_set_percent(struct ggw_retry_budget *b, double percent);
 
+/* In place of a number of spare repeats: one repeat in 10 s if calls are few
+ */
+#define GGW_RETRY_MINIMUM (-1.0)
+
 /**
  * ggw_retry_budget_set_spare() - allow repeats beyond the share of the calls
- * @spare: number of these repeats in any 10 s
+ * @spare: number of these repeats in any 10 s, or GGW_RETRY_MINIMUM or any
+ *         other negative number, which is what a new budget has
  */
 void ggw_retry_budget_set_spare(struct ggw_retry_budget *b, double spare);
 
+/**
+ * ggw_retry_spare_part() - get the spare repeats that one gateway may send
+ * @spare: number of spare repeats of all gateways in any 10 s; 0: the minimum
+ *         applies
+ * @gateways: number of gateways that this one knows, including itself
+ * @uptime: time since this gateway started, ms
+ *
+ * There is none in the first 10 s: the gateways do not know each other yet,
+ * and the others have divided the spare repeats among fewer.
+ *
+ * Return: argument for ggw_retry_budget_set_spare().
+ */
+double ggw_retry_spare_part(int spare, int gateways, ggw_ms uptime);
+
 /**
  * ggw_retry_budget_count_call() - count one call for the budget
  * @prior_retries: value of Greengageway-Attempt in the request; 0 without the
@@ -75,9 +114,21 @@
 
 /**
  * ggw_retry_budget_refund() - give back the token of a repeat that was not
- * sent
+ *                             sent
+ * @charged_at: time of its charge, monotonic ms
  */
-void ggw_retry_budget_refund(struct ggw_retry_budget *b);
+void ggw_retry_budget_refund(struct ggw_retry_budget *b, ggw_ms charged_at);
+
+/**
+ * ggw_retry_budget_sent() - record that a charged repeat is sent
+ * @charged_at: time of its charge, monotonic ms
+ * @now: monotonic ms
+ *
+ * Repeats that were charged over some time may be sent together. They count
+ * when they are sent.
+ */
+void ggw_retry_budget_sent(struct ggw_retry_budget *b, ggw_ms charged_at,
+                           ggw_ms now);
 
 /**
  * struct ggw_retry_request - properties of a request that the rules depend on
