site: failure domains keep their state while the operator writes again

What callers saw: after the store had returned from an older copy, a failure domain that was out of service was used again as its row was missing, and one that was back in service was taken out again as its old row had reappeared, until the operator had written the rows again.

A row that is written or removed in the new era counts at once; afterwards the rows of the store count, so that none stays for ever. Settings need a later revision, so the change waits for the next store version too.

--- a/tests/test_store_return.c
+++ b/tests/test_store_return.c
@@ -5,6 +5,7 @@
 #include "common/metrics.h"
 #include "config/config.h"
 #include "config/vms.h"
+#include "decide/domain_holds.h"
 #include "decide/store_version.h"
 #include "peers/peers.h"
 #include "platform/relay.h"
@@ -28,6 +29,7 @@
 /**
  * struct node - the service "site" with fakes of "config" and "peers"
  * @prefix: route prefix of the last settings, or NULL
+ * @domain_out: the last settings take failure domain "a" out of service
  * @revision: revision of the last settings
  * @list: last published list of VMs, or NULL
  * @sent: of GBytes; payloads of the ROWS frames sent to other gateways
@@ -40,6 +42,7 @@
     struct ggw_service *site;
     struct ggw_node_settings settings;
     char *prefix;
+    bool domain_out;
     uint64_t revision;
     struct ggw_vm_list *list;
     GPtrArray *sent;
@@ -73,6 +76,9 @@
         if (m->tree->revision > node.revision) {
             g_free(node.prefix);
             node.prefix = find_prefix(m->root);
+            node.domain_out =
+                json_object_get(json_object_get(m->root, "failure_domains"),
+                                "a") != NULL;
             node.revision = m->tree->revision;
         }
     }
@@ -563,6 +569,83 @@
     node_stop();
 }
 
+static bool
+is_domain_out(void)
+{
+    return node.domain_out;
+}
+
+static bool
+is_domain_in(void)
+{
+    return !node.domain_out && node.prefix != NULL;
+}
+
+/*
+ * Starts a node with failure domain "a" out of service, or not, that follows a
+ * store whose copy has it the other way.
+ */
+static void
+start_with_domain(bool out)
+{
+    write_config(1);
+    write_row("op/evacuate/a", out ? NULL : "{}");
+    platform_process_fault(&store, "{\"mode\":\"copy\"}");
+    node_start(store.port);
+    write_config(2);
+    write_row("op/evacuate/a", out ? "{}" : NULL);
+    CU_ASSERT_TRUE(run_until(has_v2, SETUP_LIMIT_MS));
+    CU_ASSERT_TRUE(
+        run_until(out ? is_domain_out : is_domain_in, SETUP_LIMIT_MS));
+    run_until(never, MAX_CHANGE_DELAY_MS);
+    platform_process_fault(&store, "{\"mode\":\"return\"}");
+    run_until(never, NOTICED_MS / 4);
+}
+
+/* The row is not written again, so that the store's rows count in the end. */
+static void
+check_domain_kept(bool out)
+{
+    bool (*kept)(void) = out ? is_domain_out : is_domain_in;
+    bool (*changed)(void) = out ? is_domain_in : is_domain_out;
+
+    start_with_domain(out);
+    CU_ASSERT_FALSE(run_until(changed, NOTICED_MS));
+    CU_ASSERT_TRUE(kept());
+    write_config(3);
+    CU_ASSERT_TRUE(run_until(has_v3, MAX_CHANGE_DELAY_MS));
+    run_until(never, (int)GGW_DOMAIN_HOLD_MS);
+    write_entry("i-1", 2, "ready");
+    CU_ASSERT_TRUE(run_until(changed, MAX_CHANGE_DELAY_MS));
+    write_row("op/evacuate/a", NULL);
+    clear_rows();
+    node_stop();
+}
+
+static void
+test_domain_out_kept(void)
+{
+    check_domain_kept(true);
+}
+
+static void
+test_domain_in_kept(void)
+{
+    check_domain_kept(false);
+}
+
+/* What the operator writes after the return counts at once. */
+static void
+test_domain_written_again(void)
+{
+    start_with_domain(true);
+    write_row("op/evacuate/a", "{}");
+    CU_ASSERT_FALSE(run_until(is_domain_in, 2 * MAX_CHANGE_DELAY_MS));
+    write_row("op/evacuate/a", NULL);
+    CU_ASSERT_TRUE(run_until(is_domain_in, MAX_CHANGE_DELAY_MS));
+    node_stop();
+}
+
 static bool
 has_one_slot(void)
 {
@@ -623,6 +706,11 @@
          test_gateway_without_era},
         {"return not told to other gateways", test_return_told},
         {"rows lost by a bad era", test_bad_eras},
+        {"failure domain back in service after the store returned",
+         test_domain_out_kept},
+        {"failure domain out again after the store returned",
+         test_domain_in_kept},
+        {"domain out of service not written again", test_domain_written_again},
         CU_TEST_INFO_NULL,
     };
     int status;
