site: a server that has left isn't used when the store returns

What callers saw: after the store had returned from an older copy, a server whose entry had been removed since the copy got requests again, as its old entry, ready, had reappeared, until the entry was removed anew.

--- a/tests/test_store_return.c
+++ b/tests/test_store_return.c
@@ -569,6 +569,56 @@
     node_stop();
 }
 
+static bool
+lacks_first(void)
+{
+    return find_vm("i-1") == NULL;
+}
+
+/*
+ * Returns a store whose copy still has i-1, which has left since, to @node.
+ */
+static void
+return_after_leave(void)
+{
+    write_entry("i-1", 2, "ready");
+    write_entry("i-2", 2, "ready");
+    platform_process_fault(&store, "{\"mode\":\"copy\"}");
+    node_start(store.port);
+    CU_ASSERT_TRUE(run_until(uses_first, SETUP_LIMIT_MS));
+    write_entry("i-1", 2, "draining");
+    CU_ASSERT_TRUE(run_until(leaves, SETUP_LIMIT_MS));
+    write_row("servers/i-1", NULL);
+    CU_ASSERT_TRUE(run_until(lacks_first, SETUP_LIMIT_MS));
+    platform_process_fault(&store, "{\"mode\":\"return\"}");
+}
+
+/* An entry that no one removes again counts in the end. */
+static void
+test_left_server(void)
+{
+    return_after_leave();
+    CU_ASSERT_FALSE(run_until(uses_first, NOTICED_MS));
+    CU_ASSERT_TRUE(run_until(uses_first, 2 * MAX_CHANGE_DELAY_MS));
+    clear_rows();
+    node_stop();
+}
+
+/* A server that has left and started again needs not wait. */
+static void
+test_left_server_starts_again(void)
+{
+    return_after_leave();
+    run_until(never, NOTICED_MS / 4);
+    write_entry("i-1", 1, "ready");
+    CU_ASSERT_TRUE(run_until(uses_first, NOTICED_MS));
+    write_row("servers/i-1", NULL);
+    CU_ASSERT_TRUE(run_until(lacks_first, 2 * MAX_CHANGE_DELAY_MS));
+    CU_ASSERT_FALSE(run_until(uses_first, 2 * MAX_CHANGE_DELAY_MS));
+    clear_rows();
+    node_stop();
+}
+
 static bool
 is_domain_out(void)
 {
@@ -711,6 +761,10 @@
         {"failure domain out again after the store returned",
          test_domain_in_kept},
         {"domain out of service not written again", test_domain_written_again},
+        {"server that has left used after the store returned",
+         test_left_server},
+        {"server that has left not used when it starts again",
+         test_left_server_starts_again},
         CU_TEST_INFO_NULL,
     };
     int status;
