--- a/tests/test_retry_budget_sum.c
+++ b/tests/test_retry_budget_sum.c
@@ -157,12 +157,12 @@
 test_saved_tokens(void)
 {
     static const struct {
-        int gateways;
         double slack;
+        int gateways;
         int call_interval;
     } sizes[] = {
-        {1, 58, 20},     {6, 58, 20},     {30, 192, 60},
-        {189, 630, 200}, {378, 630, 400},
+        {58, 1, 20},     {58, 6, 20},     {192, 30, 60},
+        {630, 189, 200}, {630, 378, 400},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
