--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -34,7 +34,7 @@
 #define REUSE_RATIO 0.8
 
 /* Time limit of a request with its retries, by enum soak_kind, ms. */
-static const double timeouts_ms[SOAK_KINDS] = {1500, 2500, 2500, 1500};
+static const double timeouts_ms[SOAK_KINDS] = {1500, 2500, 2500, 1500, 1500};
 
 /* Each request gets a random entry as its kind. */
 static const enum soak_kind kind_mix[] = {
@@ -137,9 +137,9 @@
     r->next_at = now + delay;
 }
 
-/* Whether headers and body are those that a server generates for @a. */
-static bool
-is_genuine(const struct soak_wire *w, const struct soak_attempt *a)
+bool
+soak_response_is_genuine(const struct soak_wire *w,
+                         const struct soak_attempt *a)
 {
     const char *id = soak_wire_header(w, "attempt-id");
     const char *signature = soak_wire_header(w, "response-signature");
@@ -196,12 +196,12 @@
     }
     c->request = NULL;
     soak_wire_set_paced(w, false);
-    if (!is_genuine(w, r->attempt) && status / 100 == 2) {
+    if (!soak_response_is_genuine(w, r->attempt) && status / 100 == 2) {
         log_difference(w, r->attempt, c->gateway);
     }
     soak_record_named(record, r->attempt, id, status, soak_now());
-    soak_record_answered(record, r->attempt, status, is_genuine(w, r->attempt),
-                         soak_now());
+    soak_record_answered(record, r->attempt, status,
+                         soak_response_is_genuine(w, r->attempt), soak_now());
     if (status / 100 == 2) {
         request_end(r);
     }
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -13,6 +13,11 @@
  */
 
 struct soak_clients;
+struct soak_wire;
+
+/* Whether headers and body are those that a server generates for @a. */
+bool soak_response_is_genuine(const struct soak_wire *w,
+                              const struct soak_attempt *a);
 
 /**
  * soak_clients_new() - start the directory lookups; the request rate is 0
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -37,6 +37,7 @@
     [SOAK_REPEATED_RESPONSES] = "repeated responses",
     [SOAK_ENDLESS_RESPONSES] = "endless responses",
     [SOAK_MALFORMED_RESPONSES] = "malformed responses",
+    [SOAK_REMOVE_ENTRY] = "remove entry of server",
 };
 
 const char *const soak_link_faults[SOAK_LINK_FAULTS] = {
@@ -65,6 +66,7 @@
     case SOAK_REPEATED_RESPONSES:
     case SOAK_ENDLESS_RESPONSES:
     case SOAK_MALFORMED_RESPONSES:
+    case SOAK_REMOVE_ENTRY:
         return g_rand_int_range(rand, 0, SOAK_SERVERS);
     default:
         return g_rand_int_range(rand, 0, SOAK_GATEWAYS);
@@ -161,12 +163,117 @@
     }
 }
 
-GArray *
-soak_plan(guint32 seed, ggw_ms span)
+/* Bursts of versions, the versions of each, and the time between them, ms. */
+#define BURSTS 4
+#define MIN_BURST 2
+#define MAX_BURST 7
+#define MIN_BURST_GAP_MS 10.0
+#define MAX_BURST_GAP_MS 600.0
+
+/* Servers that leave in a series, and for how long before their end, ms. */
+#define LEAVING_STEPS 6
+#define MIN_LEAVING_MS 3500.0
+#define MAX_LEAVING_MS 6000.0
+
+/* Faults of a series, their durations and the time between them, ms. */
+#define MIN_SERIES 2
+#define MAX_SERIES 6
+#define MIN_SERIES_MS 800.0
+#define MAX_SERIES_MS 4000.0
+#define MAX_SERIES_GAP_MS 1600.0
+
+static const enum soak_fault series_faults[] = {
+    SOAK_STORE_LINK, SOAK_STORE_LINK, SOAK_PEER_LINK, SOAK_PAUSE_GATEWAY,
+    SOAK_KILL_GATEWAY};
+
+static void
+add_burst(GArray *steps, GRand *rand, ggw_ms span)
 {
-    GRand *rand = g_rand_new_with_seed(seed);
-    GArray *steps = g_array_new(FALSE, FALSE, sizeof(struct soak_step));
-    int end = seed % 3 == 0 ? SOAK_FIRST_UNPLANNED : SOAK_FIRST_SAID;
+    int len = g_rand_int_range(rand, MIN_BURST, MAX_BURST + 1);
+    struct soak_step step = {
+        .at = g_rand_double_range(rand, FAULT_FREE_MS,
+                                  span - MAX_BURST * MAX_BURST_GAP_MS),
+        .fault = SOAK_CHANGE_CONFIG,
+    };
+
+    for (int i = 0; i < len; i++) {
+        step.variant = g_rand_boolean(rand) ? SOAK_LARGE_CONFIG : 0;
+        g_array_append_val(steps, step);
+        step.at +=
+            g_rand_double_range(rand, MIN_BURST_GAP_MS, MAX_BURST_GAP_MS);
+    }
+}
+
+/* Faults of one kind on gateways one after another; they may overlap. */
+static void
+add_series(GArray *steps, GRand *rand, ggw_ms span)
+{
+    int len = g_rand_int_range(rand, MIN_SERIES, MAX_SERIES + 1);
+    int kind = g_rand_int_range(rand, 0, G_N_ELEMENTS(series_faults));
+    struct soak_step step = {
+        .at = g_rand_double_range(rand, FAULT_FREE_MS,
+                                  span - MAX_SERIES * MAX_SERIES_GAP_MS -
+                                      MAX_SERIES_MS),
+        .fault = series_faults[kind],
+        .target = g_rand_int_range(rand, 0, SOAK_GATEWAYS),
+        .variant = g_rand_int_range(rand, 0, SOAK_LINK_FAULTS),
+    };
+    ggw_ms gap = g_rand_double_range(rand, 0, MAX_SERIES_GAP_MS);
+
+    for (int i = 0; i < len; i++) {
+        step.duration =
+            g_rand_double_range(rand, MIN_SERIES_MS, MAX_SERIES_MS);
+        g_array_append_val(steps, step);
+        step.at += gap;
+        step.target = (step.target + 1) % SOAK_GATEWAYS;
+    }
+}
+
+static void
+add_all_series(GArray *steps, GRand *rand, bool with_faults, ggw_ms span)
+{
+    for (int i = 0; i < BURSTS; i++) {
+        add_burst(steps, rand, span);
+    }
+    for (int i = 0; i < LEAVING_STEPS; i++) {
+        enum soak_fault fault =
+            g_rand_boolean(rand) ? SOAK_DRAIN_SERVER : SOAK_REMOVE_ENTRY;
+
+        add_step(steps, rand, fault, fault + 1, MIN_LEAVING_MS, MAX_LEAVING_MS,
+                 span);
+    }
+    if (with_faults) {
+        add_series(steps, rand, span);
+        add_series(steps, rand, span);
+    }
+}
+
+/* Whether one in @n seeds is drawn. */
+static bool
+draw_one_in(GRand *rand, int n)
+{
+    return g_rand_int_range(rand, 0, n) == 0;
+}
+
+/* Series, and at times a fault of the store or the end of all gateways. */
+static void
+add_series_only(GArray *steps, GRand *rand, ggw_ms span)
+{
+    add_all_series(steps, rand, true, span);
+    if (draw_one_in(rand, 3)) {
+        add_step(steps, rand, SOAK_KILL_ALL, SOAK_KILL_ALL + 1, MIN_FAULT_MS,
+                 MAX_FAULT_MS, span);
+    }
+    if (draw_one_in(rand, 3)) {
+        add_step(steps, rand, SOAK_STORE_FAULT, SOAK_STORE_FAULT + 1,
+                 MIN_FAULT_MS, MAX_FAULT_MS, span);
+    }
+}
+
+static void
+add_mixed(GArray *steps, GRand *rand, bool with_faults, ggw_ms span)
+{
+    int end = with_faults ? SOAK_FIRST_SAID : SOAK_FIRST_UNPLANNED;
     int len = g_rand_int_range(rand, MIN_STEPS, MAX_STEPS + 1);
 
     for (int i = 0; i < len; i++) {
@@ -177,12 +284,27 @@
         add_step(steps, rand, SOAK_FIRST_SAID, SOAK_FIRST_SENT, MIN_SAID_MS,
                  MAX_SAID_MS, span);
     }
-    add_sent_steps(steps, rand, end != SOAK_FIRST_UNPLANNED, span);
-    if (end != SOAK_FIRST_UNPLANNED) {
+    add_sent_steps(steps, rand, with_faults, span);
+    if (with_faults) {
         add_pauses(steps, rand, span);
-        add_step(steps, rand, SOAK_MALFORMED_RESPONSES, SOAK_FAULTS,
+        add_step(steps, rand, SOAK_MALFORMED_RESPONSES, SOAK_REMOVE_ENTRY,
                  MIN_MALFORMED_MS, MAX_MALFORMED_MS, span);
     }
+    add_all_series(steps, rand, with_faults, span);
+}
+
+GArray *
+soak_plan(guint32 seed, ggw_ms span)
+{
+    GRand *rand = g_rand_new_with_seed(seed);
+    GArray *steps = g_array_new(FALSE, FALSE, sizeof(struct soak_step));
+
+    if (seed >= SOAK_FIRST_SERIES) {
+        add_series_only(steps, rand, span);
+    }
+    else {
+        add_mixed(steps, rand, seed % 3 != 0, span);
+    }
     g_array_sort(steps, by_time);
     g_rand_free(rand);
     return steps;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -39,6 +39,7 @@
     SOAK_REPEATED_RESPONSES,
     SOAK_ENDLESS_RESPONSES,
     SOAK_MALFORMED_RESPONSES,
+    SOAK_REMOVE_ENTRY, /* of a server that leaves; not drawn with the others */
     SOAK_FAULTS,
 };
 
@@ -70,9 +71,20 @@
  */
 #define SOAK_LINK_FAULTS 5
 #define SOAK_STORE_FAULTS 5
+#define SOAK_SILENT_LINK 1
+#define SOAK_COMPACT 4
 extern const char *const soak_link_faults[SOAK_LINK_FAULTS];
 extern const char *const soak_store_faults[SOAK_STORE_FAULTS];
 
+/*
+ * Seeds from this one on have only series of changes of the configuration, of
+ * servers that leave and of faults of one kind on one gateway after another.
+ */
+#define SOAK_FIRST_SERIES 100000
+
+/* Variant of SOAK_CHANGE_CONFIG with many more routes. */
+#define SOAK_LARGE_CONFIG SOAK_LINK_FAULTS
+
 /**
  * soak_plan() - generate the steps of a seed
  * @span: time in which all of them begin and end, ms
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -7,6 +7,13 @@
 /* Ratio of the requests after the recovery that must be served. */
 #define MIN_SERVED_RATIO 0.9
 
+/*
+ * Of at least MIN_ADDED_SENT requests on an added route, this share of the
+ * ratio on the first routes must be served.
+ */
+#define MIN_ADDED_SENT 20
+#define MIN_ADDED_RATIO 0.25
+
 /* The forwarded deadline may exceed the client's by this much, ms. */
 #define DEADLINE_SLACK_MS 500.0
 
@@ -57,6 +64,7 @@
     GPtrArray *violations;
     ggw_ms fault_until[SOAK_GATEWAYS];
     ggw_ms store_fault_until;
+    ggw_ms history_fault_until;
     ggw_ms any_fault_until;
     struct known_version known[SOAK_GATEWAYS];
     GArray *versions;
@@ -104,6 +112,7 @@
         r->fault_until[i] = -INFINITY;
     }
     r->store_fault_until = -INFINITY;
+    r->history_fault_until = -INFINITY;
     r->any_fault_until = -INFINITY;
     return r;
 }
@@ -158,6 +167,9 @@
     if (scope == SOAK_SCOPE_STORE) {
         extend_until(&r->store_fault_until, until);
     }
+    else if (scope == SOAK_SCOPE_HISTORY) {
+        extend_until(&r->history_fault_until, until);
+    }
     else if (scope >= 0) {
         extend_until(&r->fault_until[scope], until);
         g_hash_table_remove_all(r->said[scope]);
@@ -298,35 +310,68 @@
     }
 }
 
+/* By how much an unstable store extends bounds at @now, ms. */
+static ggw_ms
+outer_ms(const struct soak_record *r, ggw_ms now)
+{
+    return now < r->history_fault_until + SOAK_STABLE_MS ? SOAK_OUTER_MS : 0;
+}
+
 /* The newest version that the gateways must have applied at @now. */
 static int
 required_version(const struct soak_record *r, ggw_ms now)
 {
+    ggw_ms bound = SOAK_CONFIG_MS + outer_ms(r, now);
     int newest = 0;
 
     for (guint i = 0; i < r->versions->len; i++) {
         const struct version *v =
             &g_array_index(r->versions, struct version, i);
 
-        if (v->acked + SOAK_CONFIG_MS < now) {
+        if (v->acked + bound < now) {
             newest = MAX(newest, v->number);
         }
     }
     return newest;
 }
 
+/**
+ * struct handling - how a gateway has handled a request
+ * @kind: SOAK_MOVED or SOAK_ADDED
+ * @service: the service that the request has reached; -1: no route matched
+ * @route: of SOAK_ADDED
+ */
+struct handling {
+    enum soak_kind kind;
+    int service;
+    int route;
+};
+
+static bool
+version_allows(const struct version *v, const struct handling *h)
+{
+    bool has_route =
+        v->number >= h->route && v->number < h->route + SOAK_ADDED_VERSIONS;
+
+    if (h->kind == SOAK_ADDED) {
+        return has_route == (h->service >= 0);
+    }
+    return v->service == h->service;
+}
+
 /*
- * The oldest version not older than @least that routes SOAK_MOVED to @service,
- * of those sent until @now; 0 if there is none.
+ * The oldest version not older than @least that allows to handle a request as
+ * in @h, of those sent until @now; 0 if there is none.
  */
 static int
-find_version(const struct soak_record *r, int service, int least, ggw_ms now)
+find_version(const struct soak_record *r, const struct handling *h, int least,
+             ggw_ms now)
 {
     for (guint i = 0; i < r->versions->len; i++) {
         const struct version *v =
             &g_array_index(r->versions, struct version, i);
 
-        if (v->service == service && v->number >= least && v->sent <= now) {
+        if (v->number >= least && v->sent <= now && version_allows(v, h)) {
             return v->number;
         }
     }
@@ -335,32 +380,33 @@
 
 /* Checks that a gateway applies new versions in time and never goes back. */
 static void
-check_version(struct soak_record *r, const struct soak_attempt *a, int service,
-              ggw_ms now)
+check_version(struct soak_record *r, const struct soak_attempt *a,
+              const struct handling *h, ggw_ms now)
 {
     struct known_version *known = &r->known[a->gateway];
     int required = required_version(r, a->sent);
     int version;
 
-    if (find_version(r, service, 0, now) == 0) {
+    if (h->service >= 0 && find_version(r, h, 0, now) == 0) {
         soak_record_add_violation(r, now, "ROUTE",
                                   "attempt %s reached service %d, to which no "
                                   "version routes it",
-                                  a->id, service);
+                                  a->id, h->service);
         return;
     }
     if (soak_record_is_stable(r, a->gateway, a->sent) &&
-        find_version(r, service, required, now) == 0) {
+        find_version(r, h, required, now) == 0) {
         soak_record_add_violation(
             r, now, "CONFIG",
-            "attempt %s sent at %.0f reached service %d, "
-            "although version %d had to be applied",
-            a->id, a->sent, service, required);
+            "attempt %s of kind %d and route %d, sent at %.0f to gateway %d, "
+            "reached service %d, although version %d had to be applied",
+            a->id, (int)h->kind, h->route, a->sent, a->gateway, h->service,
+            required);
     }
-    if (a->sent <= known->seen_at + SOAK_REVERT_SLOWDOWN * SOAK_REVERT_MS) {
+    if (a->sent <= known->seen_at + SOAK_REVERT_MS) {
         return;
     }
-    version = find_version(r, service, known->number, now);
+    version = find_version(r, h, known->number, now);
     if (version == 0) {
         soak_record_add_violation(
             r, now, "CONFIG",
@@ -368,7 +414,7 @@
             "attempt %s",
             a->gateway, known->number, a->id);
     }
-    else if (version > known->number) {
+    else if (version > known->number && h->service >= 0) {
         *known = (struct known_version){version, now};
     }
 }
@@ -400,12 +446,17 @@
 check_route(struct soak_record *r, const struct soak_attempt *a,
             const struct soak_arrival *arrival, ggw_ms now)
 {
-    if (arrival->path_kind != (int)a->kind) {
+    struct handling h = {a->kind, arrival->service, a->route};
+
+    if (arrival->path_kind != (int)a->kind ||
+        (a->kind == SOAK_ADDED && arrival->route != a->route)) {
         soak_record_add_violation(
             r, now, "UNASKED", "attempt %s arrived with another path", a->id);
     }
-    else if (a->kind == SOAK_MOVED) {
-        check_version(r, a, arrival->service, now);
+    else if (a->kind == SOAK_MOVED ||
+             (a->kind == SOAK_ADDED &&
+              arrival->service == a->route % SOAK_SERVICES)) {
+        check_version(r, a, &h, now);
     }
     else if (arrival->service != (int)a->kind) {
         soak_record_add_violation(r, now, "ROUTE",
@@ -414,6 +465,17 @@
     }
 }
 
+/* The bound of a drain; it holds only if its ack is of a stable store. */
+static ggw_ms
+drain_bound(const struct soak_record *r, const struct soak_arrival *arrival,
+            ggw_ms now)
+{
+    if (arrival->drain_bound == SOAK_EVACUATE_MS) {
+        return arrival->drain_bound + outer_ms(r, now);
+    }
+    return outer_ms(r, now) > 0 ? INFINITY : arrival->drain_bound;
+}
+
 struct soak_attempt *
 soak_record_arrived(struct soak_record *r, const struct soak_arrival *arrival,
                     ggw_ms now)
@@ -439,11 +501,12 @@
             r, now, "BUDGET", "attempt %s arrived with a deadline of %.0f ms",
             a->id, arrival->deadline);
     }
-    if (now > arrival->drain_acked_at + arrival->drain_bound &&
+    if (now > arrival->drain_acked_at + drain_bound(r, arrival, now) &&
         soak_record_is_stable(r, a->gateway, now)) {
         soak_record_add_violation(
-            r, now, "DRAIN", "attempt %s reached %s, draining since %.0f",
-            a->id, arrival->server, arrival->drain_acked_at);
+            r, now, "DRAIN",
+            "attempt %s of gateway %d reached %s, draining since %.0f", a->id,
+            a->gateway, arrival->server, arrival->drain_acked_at);
     }
     if (arrival->cold) {
         check_cold_rate(r, arrival, now);
@@ -500,7 +563,10 @@
                                   "attempt %s got status %d although it ran",
                                   a->id, status);
     }
-    if (status == 401 || status == 403 || status == 404) {
+    if (status == 404 && a->kind == SOAK_ADDED) {
+        check_version(r, a, &(struct handling){a->kind, -1, a->route}, now);
+    }
+    else if (status == 401 || status == 403 || status == 404) {
         soak_record_add_violation(r, now, "DENIED",
                                   "attempt %s got status %d from gateway %d",
                                   a->id, status, a->gateway);
@@ -616,8 +682,8 @@
     for (guint i = 0; i < r->order->len; i++) {
         const struct soak_attempt *a = g_ptr_array_index(r->order, i);
 
-        sent += a->sent >= from;
-        served += a->sent >= from && a->served;
+        sent += a->sent >= from && a->kind != SOAK_ADDED;
+        served += a->sent >= from && a->kind != SOAK_ADDED && a->served;
     }
     if (sent == 0 || served < MIN_SERVED_RATIO * sent) {
         soak_record_add_violation(r, now, "RECOVER",
@@ -626,6 +692,41 @@
     }
 }
 
+/* Counts requests on a route sent since @from, and those that are served. */
+static void
+count_served(const struct soak_record *r, enum soak_kind kind, int route,
+             ggw_ms from, int *sent, int *served)
+{
+    *sent = 0;
+    *served = 0;
+    for (guint i = 0; i < r->order->len; i++) {
+        const struct soak_attempt *a = g_ptr_array_index(r->order, i);
+        bool counts = a->kind == kind && a->route == route && a->sent >= from;
+
+        *sent += counts;
+        *served += counts && a->served;
+    }
+}
+
+/* Checks that the route added last is served as well as the first ones. */
+static void
+check_added_served(struct soak_record *r, ggw_ms from, ggw_ms now)
+{
+    int route = required_version(r, now);
+    int sent[2];
+    int served[2];
+
+    count_served(r, SOAK_STATUS, 0, from, &sent[0], &served[0]);
+    count_served(r, SOAK_ADDED, route, from, &sent[1], &served[1]);
+    if (sent[1] >= MIN_ADDED_SENT && sent[0] > 0 &&
+        served[1] * sent[0] < MIN_ADDED_RATIO * served[0] * sent[1]) {
+        soak_record_add_violation(
+            r, now, "CONFIG",
+            "%d of %d requests served on the route added by version %d",
+            served[1], sent[1], route);
+    }
+}
+
 void
 soak_record_finish(struct soak_record *r, ggw_ms recovered_from, ggw_ms now)
 {
@@ -642,6 +743,7 @@
         check_retry_budget(r, i, now);
     }
     check_recovery(r, recovered_from, now);
+    check_added_served(r, recovered_from, now);
 }
 
 char *
--- a/tests/soak/record.h
+++ b/tests/soak/record.h
@@ -26,8 +26,14 @@
 #define SOAK_GRACE_MS 6000.0
 #define SOAK_REVERT_MS 250.0
 
-/* SOAK_REVERT_MS is multiplied by this, as builds with sanitizers are slow. */
-#define SOAK_REVERT_SLOWDOWN 8
+/*
+ * SOAK_CONFIG_MS and SOAK_EVACUATE_MS are longer by this while the store has
+ * lost its history, and SOAK_STABLE_MS after that.
+ */
+#define SOAK_OUTER_MS 5000.0
+
+/* Each version adds a route, and drops the one added this many before it. */
+#define SOAK_ADDED_VERSIONS 3
 
 /*
  * Within a window, a service may get SOAK_RETRY_RATIO times its requests plus
@@ -50,6 +56,7 @@
     SOAK_ORDER,  /* not idempotent, must not run twice */
     SOAK_FILE,   /* idempotent, with a large response */
     SOAK_MOVED,  /* idempotent; each version routes it to another service */
+    SOAK_ADDED,  /* idempotent, on a route that only some versions have */
     SOAK_KINDS,
 };
 
@@ -68,6 +75,7 @@
  * struct soak_attempt - one attempt of a client at a request
  * @id: attempt-id header, unique in the run
  * @gateway: index of the gateway that it was sent to
+ * @route: of SOAK_ADDED: version that added its route
  * @sent: when the client sent it, ms
  * @deadline: how long the client waits for the response, ms
  * @runs: how many times a server started to process it
@@ -85,6 +93,7 @@
     char *id;
     enum soak_kind kind;
     int gateway;
+    int route;
     ggw_ms sent;
     ggw_ms deadline;
     int runs;
@@ -117,6 +126,7 @@
 /* Scopes of a fault, besides the index of a gateway. */
 #define SOAK_SCOPE_STORE (-1)
 #define SOAK_SCOPE_SERVERS (-2) /* backend servers and the links to them */
+#define SOAK_SCOPE_HISTORY (-3) /* the store loses its history */
 
 /**
  * soak_record_add_fault() - record an unplanned fault
@@ -158,6 +168,7 @@
  * @id: attempt-id header, or NULL
  * @server: instance id of the server
  * @path_kind: the kind that its path belongs to; -1 for another path
+ * @route: of SOAK_ADDED: version that added the route of its path
  * @service: index of the server's service
  * @deadline: request-deadline header, the time that the client still waits,
  *            ms; -1 if missing
@@ -170,6 +181,7 @@
     const char *id;
     const char *server;
     int path_kind;
+    int route;
     int service;
     ggw_ms deadline;
     ggw_ms drain_acked_at;
@@ -187,8 +199,9 @@
                      ggw_ms now);
 
 /*
- * A configuration that routes SOAK_MOVED to @service was written to the store
- * at @sent; later, the store acknowledged it.
+ * A configuration that routes SOAK_MOVED to @service, and has the routes of
+ * SOAK_ADDED of the last SOAK_ADDED_VERSIONS versions, was written to the
+ * store at @sent; later, the store acknowledged it.
  */
 void soak_record_version(struct soak_record *r, int version, int service,
                          ggw_ms sent);
--- a/tests/soak/servers.c
+++ b/tests/soak/servers.c
@@ -26,8 +26,8 @@
 
 const char *const soak_zones[SOAK_ZONES] = {"zone-a", "zone-b", "zone-c"};
 const char *const soak_services[SOAK_SERVICES] = {"status", "orders", "files"};
-const char *const soak_prefixes[SOAK_KINDS] = {"/status/", "/orders/",
-                                               "/files/", "/moved/"};
+const char *const soak_prefixes[SOAK_KINDS] = {
+    "/status/", "/orders/", "/files/", "/moved/", "/added-"};
 
 struct soak_servers {
     uv_loop_t *loop;
@@ -245,6 +245,21 @@
     return -1;
 }
 
+char *
+soak_added_prefix(int version)
+{
+    return g_strdup_printf("%s%d/", soak_prefixes[SOAK_ADDED], version);
+}
+
+/* Number in the prefix of SOAK_ADDED; 0 in other paths. */
+static int
+route_of_path(const char *url)
+{
+    int route = 0;
+
+    return sscanf(url, "/added-%d/", &route) == 1 ? route : 0;
+}
+
 static struct work *
 work_new(struct soak_server *s, struct soak_wire *w, struct soak_attempt *a,
          ggw_ms deadline)
@@ -270,6 +285,7 @@
         .id = soak_wire_header(w, "attempt-id"),
         .server = s->id,
         .path_kind = kind_of_path(w->url->str),
+        .route = route_of_path(w->url->str),
         .service = s->service,
         .deadline = deadline != NULL ? g_ascii_strtod(deadline, NULL) : -1,
         .drain_acked_at = s->drain_acked_at,
--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -21,6 +21,9 @@
 extern const char *const soak_services[SOAK_SERVICES];
 extern const char *const soak_prefixes[SOAK_KINDS]; /* of paths */
 
+/* Prefix of the route that @version adds; the caller frees it. */
+char *soak_added_prefix(int version);
+
 struct soak_servers;
 
 /**
@@ -33,6 +36,7 @@
  * @queue: accepted requests that wait for a free slot, struct work
  * @wires: open connections, struct soak_wire
  * @drain_acked_at, @drain_bound: see struct soak_arrival
+ * @drained_born: @born when its drain was last written to the store
  * @cold_until: end of the cold start, ms; 0 if there is none
  * @slowdown: factor on the processing time
  * @lose_ratio: ratio of responses replaced by a connection reset
@@ -59,6 +63,7 @@
 
     ggw_ms drain_acked_at;
     ggw_ms drain_bound;
+    guint64 drained_born;
     ggw_ms cold_until;
     double slowdown;
     double lose_ratio;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -6,6 +6,7 @@
 
 #include "tests/soak/clients.h"
 #include "tests/soak/plan.h"
+#include "tests/soak/probes.h"
 
 /*
  * Randomized soak test: runs real gateway processes under client traffic,
@@ -24,12 +25,21 @@
 #define RECOVERY_MS 15000.0
 #define CHECK_MS 4000.0
 
+/*
+ * Routes without requests in a large configuration, which is about as long as
+ * the platform allows.
+ */
+#define FILLER_ROUTES 210
+
 /* Interval of the timer that runs the plan, ms. */
 #define TICK_MS 20
 
-/* Start-up time of a gateway, during which it is not checked, ms. */
+/* Time in which a gateway starts at the beginning of a run, ms. */
 #define STARTUP_MS 1500.0
 
+/* Time from the end of a step until the relay has ended its effect, ms. */
+#define REVERT_LAG_MS 50.0
+
 /* Cold start that a restarted server reports, ms. */
 #define COLD_START_MS 3000.0
 
@@ -59,6 +69,7 @@
     struct soak_world world;
     struct soak_servers *servers;
     struct soak_clients *clients;
+    struct soak_probes *probes;
     GArray *plan;
     guint next;
     GQueue active;          /* struct active_step */
@@ -79,29 +90,49 @@
     }
 }
 
-/* Configuration of a version; each routes SOAK_MOVED to the next service. */
+static void
+add_rule(GString *s, const char *prefix, int kind, int service)
+{
+    static const char *const types[SOAK_KINDS] = {"idempotent",
+                                                  "non_idempotent", "download",
+                                                  "idempotent", "idempotent"};
+
+    g_string_append_printf(
+        s,
+        "%s{\"Name\":\"r%u\",\"RouteType\":\"%s\",\"Priority\":%d,"
+        "\"TargetLatencyMs\":400,\"Match\":{\"Prefix\":\"%s\"},"
+        "\"Action\":{\"Service\":\"%s\",\"TimeoutMs\":3000,"
+        "\"MaxAttempts\":3}}",
+        kind > 0 ? "," : "", g_str_hash(prefix), types[kind], kind, prefix,
+        soak_services[service % SOAK_SERVICES]);
+}
+
+/*
+ * Configuration of a version; each routes SOAK_MOVED to the next service, and
+ * adds and drops a route.
+ */
 static char *
-config_text(int version)
+config_text(int version, bool large)
 {
-    static const char *const types[SOAK_KINDS] = {
-        "idempotent", "non_idempotent", "download", "idempotent"};
     GString *s = g_string_new(NULL);
 
     g_string_append_printf(s,
                            "{\"Version\":\"%08x\",\"Listeners\":[{\"Host\":"
                            "\"soak.example\",\"Rules\":[",
                            version);
-    for (int i = 0; i < SOAK_KINDS; i++) {
-        int service = i == SOAK_MOVED ? version % SOAK_SERVICES : i;
+    for (int i = 0; i < SOAK_ADDED; i++) {
+        add_rule(s, soak_prefixes[i], i, i == SOAK_MOVED ? version : i);
+    }
+    for (int i = MAX(version - SOAK_ADDED_VERSIONS + 1, 1); i <= version;
+         i++) {
+        g_autofree char *prefix = soak_added_prefix(i);
 
-        g_string_append_printf(
-            s,
-            "%s{\"Name\":\"r%d\",\"RouteType\":\"%s\",\"Priority\":%d,"
-            "\"TargetLatencyMs\":400,\"Match\":{\"Prefix\":\"%s\"},"
-            "\"Action\":{\"Service\":\"%s\",\"TimeoutMs\":3000,"
-            "\"MaxAttempts\":3}}",
-            i > 0 ? "," : "", i, types[i], i, soak_prefixes[i],
-            soak_services[service]);
+        add_rule(s, prefix, SOAK_ADDED, i);
+    }
+    for (int i = 0; large && i < FILLER_ROUTES; i++) {
+        g_autofree char *prefix = g_strdup_printf("/filler-%d/", i);
+
+        add_rule(s, prefix, SOAK_ADDED, i);
     }
     g_string_append(s, "]}],\"Clusters\":[");
     for (int i = 0; i < SOAK_SERVICES; i++) {
@@ -131,14 +162,14 @@
 }
 
 static void
-change_config(struct soak *s)
+change_config(struct soak *s, bool large)
 {
     struct version_ack *ack = g_new0(struct version_ack, 1);
     g_autofree char *text = NULL;
 
     ack->soak = s;
     ack->version = ++s->version;
-    text = config_text(s->version);
+    text = config_text(s->version, large);
     soak_record_version(s->record, s->version, s->version % SOAK_SERVICES,
                         soak_now());
     soak_world_write_row(&s->world, "op", "config", text, version_acked, ack);
@@ -172,12 +203,13 @@
     }
 }
 
+/* The server was not restarted since the write that was acknowledged. */
 static void
 drain_acked(void *data)
 {
     struct soak_server *server = data;
 
-    if (server->running) {
+    if (server->running && server->drained_born == server->born) {
         mark_drained(server, SOAK_DRAIN_MS);
     }
 }
@@ -277,8 +309,8 @@
     case SOAK_STORE_LINK:
         return step->target;
     case SOAK_STORE_FAULT:
-    case SOAK_KILL_ALL:
-        return SOAK_SCOPE_STORE;
+        return step->variant == SOAK_COMPACT ? SOAK_SCOPE_HISTORY
+                                             : SOAK_SCOPE_STORE;
     case SOAK_SERVER_LINK:
     case SOAK_CRASH_SERVER:
     case SOAK_SLOW_SERVER:
@@ -325,7 +357,7 @@
     switch (step->fault) {
     case SOAK_CHANGE_CONFIG:
         if (on) {
-            change_config(s);
+            change_config(s, step->variant == SOAK_LARGE_CONFIG);
         }
         break;
     case SOAK_EVACUATE_ZONE:
@@ -343,6 +375,7 @@
         break;
     case SOAK_DRAIN_SERVER:
         if (on) {
+            server->drained_born = server->born;
             write_entry(s, server, "draining", drain_acked);
         }
         else {
@@ -415,6 +448,17 @@
     case SOAK_MALFORMED_RESPONSES:
         set_sent(s, step, on);
         break;
+    case SOAK_REMOVE_ENTRY:
+        if (on) {
+            server->drained_born = server->born;
+            soak_world_write_row(w, "servers", server->id, NULL, drain_acked,
+                                 server);
+        }
+        else {
+            soak_server_crash(server);
+            restart_server(s, server);
+        }
+        break;
     case SOAK_FAULTS:
         break;
     }
@@ -439,11 +483,43 @@
     return false;
 }
 
+/* Whether a step has its effect at its beginning only. */
+static bool
+is_instant(const struct soak_step *step)
+{
+    switch (step->fault) {
+    case SOAK_KILL_GATEWAY:
+        return true;
+    case SOAK_PEER_LINK:
+    case SOAK_FRONT_LINK:
+    case SOAK_STORE_LINK:
+        return step->variant == SOAK_SILENT_LINK;
+    case SOAK_STORE_FAULT:
+        return step->variant == SOAK_COMPACT;
+    default:
+        return false;
+    }
+}
+
+static void
+record_fault(struct soak *s, const struct soak_step *step, ggw_ms until)
+{
+    int scope = fault_scope(step);
+
+    if (scope != G_MAXINT) {
+        soak_record_add_fault(
+            s->record, scope,
+            until + (scope == SOAK_SCOPE_SERVERS ? 0 : REVERT_LAG_MS));
+    }
+    for (int i = 0; step->fault == SOAK_KILL_ALL && i < SOAK_GATEWAYS; i++) {
+        soak_record_add_fault(s->record, i, soak_now());
+    }
+}
+
 static void
 begin_step(struct soak *s, const struct soak_step *step, ggw_ms now)
 {
     struct active_step *a;
-    int scope = fault_scope(step);
 
     if (is_active(s, step)) {
         return;
@@ -453,11 +529,7 @@
     a->step = *step;
     a->until = now + step->duration;
     g_queue_push_tail(&s->active, a);
-    if (scope != G_MAXINT) {
-        soak_record_add_fault(
-            s->record, scope,
-            a->until + (scope == SOAK_SCOPE_SERVERS ? 0 : STARTUP_MS));
-    }
+    record_fault(s, step, is_instant(step) ? now : a->until);
     log_step(s, "begin", step);
     apply(s, step, true);
 }
@@ -475,6 +547,9 @@
             g_queue_delete_link(&s->active, i);
             log_step(s, "end", &a->step);
             apply(s, &a->step, false);
+            if (!is_instant(&a->step) && a->step.fault != SOAK_KILL_ALL) {
+                record_fault(s, &a->step, now);
+            }
             g_free(a);
         }
     }
@@ -491,6 +566,7 @@
     if (now > s->created_at + 2 * STARTUP_MS) {
         s->traffic_started = now;
         soak_clients_set_rate(s->clients, RATE_PER_S);
+        soak_probes_set_active(s->probes, true);
     }
 }
 
@@ -515,6 +591,7 @@
     }
     if (at > FAULTS_MS + RECOVERY_MS + CHECK_MS) {
         soak_clients_set_rate(s->clients, 0);
+        soak_probes_set_active(s->probes, false);
         if (soak_clients_pending(s->clients) == 0) {
             uv_stop(&s->loop);
         }
@@ -534,7 +611,7 @@
     servers = g_strdup_printf("%s.%d", s->world.prefix, SOAK_NET_SERVERS);
     s->servers = soak_servers_new(&s->loop, s->record, s->rand, servers,
                                   SOAK_SERVER_PORT);
-    change_config(s);
+    change_config(s, false);
     for (int i = 0; i < SOAK_SERVERS; i++) {
         write_entry(s, soak_servers_get(s->servers, i), "ready", NULL);
     }
@@ -542,6 +619,7 @@
         soak_world_start_gateway(&s->world, i);
     }
     s->clients = soak_clients_new(&s->world, s->rand);
+    s->probes = soak_probes_new(&s->world, s->rand, &s->version);
     s->created_at = soak_now();
     uv_timer_init(&s->loop, &s->tick);
     s->tick.data = s;
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -16,7 +16,7 @@
 #include "platform/txn.h"
 
 /* Time limit of a call to the store or the relay, ms. */
-#define CALL_TIMEOUT_MS 20000
+#define CALL_TIMEOUT_MS 5000
 
 /* Delay before a failed call is sent again, ms. */
 #define CALL_RETRY_MS 100
@@ -184,6 +184,9 @@
     char *argv[] = {path, (char *)"node", (char *)"--settings", settings,
                     NULL};
 
+    if (g->killed) {
+        soak_record_add_fault(w->record, i, soak_now());
+    }
     g->pid = spawn(w, argv, log);
     g->state = SOAK_RUNNING;
     g->started_at = soak_now();
@@ -348,6 +351,7 @@
     w->record = r;
     w->build = g_strdup(build);
     w->dir = g_strdup(dir);
+    w->rows = g_hash_table_new(g_str_hash, g_str_equal);
     reserve_prefix(w);
     store = g_strdup_printf("%s.9.1", w->prefix);
     relay = g_strdup_printf("%s.9.2", w->prefix);
@@ -407,7 +411,10 @@
     close(w->prefix_socket);
 }
 
-/* A POST to the store or the relay, repeated until it succeeds. */
+/**
+ * struct call - a POST to the store or the relay, repeated until it succeeds
+ * @row: calls for the same row in their order, this one first; NULL if none
+ */
 struct call {
     struct soak_world *world;
     struct ggw_http_client *http;
@@ -415,6 +422,7 @@
     char *body;
     void (*acked)(void *data);
     void *data;
+    GQueue *row;
     uv_timer_t retry_timer;
 };
 
@@ -448,6 +456,12 @@
     if (c->acked != NULL) {
         c->acked(c->data);
     }
+    if (c->row != NULL) {
+        g_queue_pop_head(c->row);
+        if (c->row->length > 0) {
+            call_send(g_queue_peek_head(c->row));
+        }
+    }
     uv_close((uv_handle_t *)&c->retry_timer, call_close_cb);
 }
 
@@ -467,9 +481,10 @@
     ggw_http_send(c->http, &request);
 }
 
+/* A write of a row begins when the writes of it before have ended. */
 static void
 call_new(struct soak_world *w, struct ggw_http_client *http, const char *path,
-         char *body, void (*acked)(void *), void *data)
+         char *body, GQueue *row, void (*acked)(void *), void *data)
 {
     struct call *c = g_new0(struct call, 1);
 
@@ -479,21 +494,27 @@
     c->body = body;
     c->acked = acked;
     c->data = data;
+    c->row = row;
     uv_timer_init(w->loop, &c->retry_timer);
     c->retry_timer.data = c;
-    call_send(c);
+    if (row != NULL) {
+        g_queue_push_tail(row, c);
+    }
+    if (row == NULL || row->length == 1) {
+        call_send(c);
+    }
 }
 
 void
 soak_world_configure_relay(struct soak_world *w, const char *json)
 {
-    call_new(w, w->relay_http, "/-/set", g_strdup(json), NULL, NULL);
+    call_new(w, w->relay_http, "/-/set", g_strdup(json), NULL, NULL, NULL);
 }
 
 void
 soak_world_store_fault(struct soak_world *w, const char *json)
 {
-    call_new(w, w->store_http, "/-/fault", g_strdup(json), NULL, NULL);
+    call_new(w, w->store_http, "/-/fault", g_strdup(json), NULL, NULL, NULL);
 }
 
 void
@@ -502,9 +523,14 @@
 {
     g_autofree char *path = g_strdup_printf("%s/%s", table, key);
     struct ggw_txn *txn = ggw_txn_new(0);
+    GQueue *row = g_hash_table_lookup(w->rows, path);
 
+    if (row == NULL) {
+        row = g_queue_new();
+        g_hash_table_insert(w->rows, g_strdup(path), row);
+    }
     ggw_txn_put(txn, path, value);
-    call_new(w, w->store_http, "/v1/rows-tx", ggw_txn_encode(txn), acked,
+    call_new(w, w->store_http, "/v1/rows-tx", ggw_txn_encode(txn), row, acked,
              data);
     txn->base.ops->destroy(&txn->base);
 }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -75,6 +75,7 @@
     GPid store, relay;
     struct ggw_http_client *store_http;
     struct ggw_http_client *relay_http;
+    GHashTable *rows; /* path of a row -> GQueue of writes in progress */
     struct soak_gateway gateways[SOAK_GATEWAYS];
     size_t most_memory; /* that a gateway has used so far, bytes */
 };
@@ -117,7 +118,8 @@
  * @value: JSON, or NULL to remove the row
  * @acked: called with @data after the store acknowledged it; may be NULL
  *
- * The write is repeated until it succeeds.
+ * The write is repeated until it succeeds. Writes of the same row succeed in
+ * their order.
  */
 void soak_world_write_row(struct soak_world *w, const char *table,
                           const char *key, const char *value,
--- a/tests/test_soak_record.c
+++ b/tests/test_soak_record.c
@@ -252,7 +252,7 @@
 static void
 test_back_to_older_version(void)
 {
-    ggw_ms later = STABLE_AT + SOAK_REVERT_SLOWDOWN * SOAK_REVERT_MS + 10;
+    ggw_ms later = STABLE_AT + SOAK_REVERT_MS + 10;
 
     for (int restarted = 0; restarted < 2; restarted++) {
         begin_record();
@@ -269,6 +269,108 @@
     }
 }
 
+static void
+set_versions(int len, ggw_ms at)
+{
+    for (int i = 2; i <= len; i++) {
+        soak_record_version(record, i, i % SOAK_SERVICES, at);
+        soak_record_version_acked(record, i, at);
+    }
+}
+
+/* A gateway has handled a request on the route that version @route added. */
+static void
+handle_added(const char *id, int route, bool found, ggw_ms sent)
+{
+    struct soak_attempt *a = send(id, SOAK_ADDED, sent);
+    struct soak_arrival seen = arrival(id, SOAK_ADDED, route % SOAK_SERVICES);
+
+    a->route = route;
+    seen.route = route;
+    if (found) {
+        soak_record_arrived(record, &seen, sent + 1);
+    }
+    else {
+        soak_record_answered(record, a, 404, false, sent + 1);
+    }
+}
+
+/*
+ * Of versions 1 to 5, the last one has the routes 3 to 5: a gateway must serve
+ * them, and not the others, SOAK_CONFIG_MS after the ack.
+ */
+static void
+test_added_and_dropped_routes(void)
+{
+    for (int route = 1; route <= 5; route++) {
+        for (int late = 0; late < 2; late++) {
+            for (int found = 0; found < 2; found++) {
+                bool right = found == (route > 2);
+
+                begin_record();
+                set_versions(5, STABLE_AT);
+                handle_added("a", route, found,
+                             STABLE_AT + SOAK_CONFIG_MS + (late ? 1 : -1));
+                expect_violation(late && !right ? "CONFIG" : NULL);
+            }
+        }
+    }
+}
+
+/* A gateway that has served the route of version 4 no longer finds it. */
+static void
+test_added_route_gone_again(void)
+{
+    for (int late = 0; late < 2; late++) {
+        begin_record();
+        set_versions(5, STABLE_AT);
+        handle_added("a", 4, true, STABLE_AT);
+        handle_added("b", 4, false,
+                     STABLE_AT + 1 + SOAK_REVERT_MS + (late ? 1 : 0));
+        expect_violation(late ? "CONFIG" : NULL);
+    }
+}
+
+/* A store without its history extends the bound, and nothing else. */
+static void
+test_history_lost(void)
+{
+    for (int late = 0; late < 2; late++) {
+        begin_record();
+        set_versions(5, STABLE_AT);
+        soak_record_add_fault(record, SOAK_SCOPE_HISTORY,
+                              STABLE_AT + SOAK_OUTER_MS);
+        handle_added("a", 1, true,
+                     STABLE_AT + SOAK_CONFIG_MS + SOAK_OUTER_MS +
+                         (late ? 1 : -1));
+        expect_violation(late ? "CONFIG" : NULL);
+    }
+}
+
+/* The route that was added last is refused by gateways in use. */
+static void
+test_added_route_not_served(void)
+{
+    for (int served = 0; served < 2; served++) {
+        begin_record();
+        for (int i = 0; i < 20; i++) {
+            g_autofree char *id = g_strdup_printf("a%d", i);
+            g_autofree char *other = g_strdup_printf("b%d", i);
+            struct soak_attempt *a = send(id, SOAK_ADDED, STABLE_AT);
+
+            a->route = 1;
+            a->response_sent = true;
+            soak_record_answered(record, a, served ? 200 : 503, true,
+                                 STABLE_AT + 1);
+            a = send(other, SOAK_STATUS, STABLE_AT);
+            a->response_sent = true;
+            soak_record_answered(record, a, 200, true, STABLE_AT + 1);
+        }
+        soak_record_finish(record, STABLE_AT, STABLE_AT + 60);
+        expect_violation(served ? NULL : "CONFIG");
+    }
+}
+
 /*
  * A request reaches a server after the time limit of its drain. The limit
  * isn't checked if the gateway had a fault.
@@ -508,6 +610,10 @@
         {"wrong service", test_wrong_service},
         {"old version in use", test_old_version},
         {"back to older version", test_back_to_older_version},
+        {"added and dropped routes", test_added_and_dropped_routes},
+        {"added route gone again", test_added_route_gone_again},
+        {"history of the store lost", test_history_lost},
+        {"added route not served", test_added_route_not_served},
         {"request after drain", test_request_after_drain},
         {"cold server overloaded", test_cold_server_overloaded},
         {"request after a server said that it leaves",
