--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -896,6 +896,49 @@
     node_stop(n);
 }
 
+/* Delivers the removal of server "i-1" as a delta of gateway "n2". */
+static void
+deliver_removal(struct node *n, uint64_t base_version, uint64_t version)
+{
+    struct ggw_relay_frame frame = {.delta = {.table = "servers",
+                                              .base_version = base_version,
+                                              .version = version},
+                                    .store_uptime = WAIT_LIMIT_S * 1000};
+    struct ggw_store_row *row = entry_row("i-1", version);
+
+    row->removed = true;
+    frame.delta.rows = g_ptr_array_new_with_free_func(ggw_store_row_free);
+    g_ptr_array_add(frame.delta.rows, row);
+    deliver_rows(n, &frame);
+    g_ptr_array_unref(frame.delta.rows);
+}
+
+/*
+ * Guards against a server that has left and is used again, because the store's
+ * response with an earlier change of its entry arrives after its removal.
+ */
+static void
+test_removal_before_response(void)
+{
+    struct node *n;
+    uint64_t version;
+
+    write_row("servers/i-1", ENTRY);
+    n = node_start(store.port);
+    CU_ASSERT_TRUE(run_until(n, has_one_server));
+    CU_ASSERT_TRUE(run_until(n, has_reported_servers));
+    run_for(n, 500);
+    version = reported_version(n, "servers");
+
+    write_row("servers/i-1", ENTRY);
+    write_row("servers/i-1", NULL);
+    deliver_removal(n, version, version + 2);
+    CU_ASSERT_TRUE(run_until(n, has_no_server));
+    run_for(n, 500);
+    CU_ASSERT_EQUAL(server_count(n), 0);
+    node_stop(n);
+}
+
 /* Tells the node that a reader's store responds, or no longer does. */
 static void
 deliver_progress(struct node *n, const char *peer, bool lost)
@@ -983,6 +1026,7 @@
         {"readers", test_readers},
         {"takeover", test_takeover},
         {"backup reader", test_backup_reader},
+        {"removal before response", test_removal_before_response},
         {"store silent for readers", test_store_silent_for_readers},
         CU_TEST_INFO_NULL,
     };
