soak: series of faults take the gateways in a drawn order

The readers of the six gateways are gw-1 and gw-4, as ranks follow names, so that faults on neighbours one after another met both only in long series.

--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -204,6 +204,18 @@
     }
 }
 
+/* Draws an order of the gateways. */
+static void
+draw_order(int *gateways, GRand *rand)
+{
+    for (int i = 0; i < SOAK_GATEWAYS; i++) {
+        int other = g_rand_int_range(rand, 0, i + 1);
+
+        gateways[i] = gateways[other];
+        gateways[other] = i;
+    }
+}
+
 /* Faults of one kind on gateways one after another; they may overlap. */
 static void
 add_series(GArray *steps, GRand *rand, ggw_ms span)
@@ -215,17 +227,19 @@
                                   span - MAX_SERIES * MAX_SERIES_GAP_MS -
                                       MAX_SERIES_MS),
         .fault = series_faults[kind],
-        .target = g_rand_int_range(rand, 0, SOAK_GATEWAYS),
         .variant = g_rand_int_range(rand, 0, SOAK_LINK_FAULTS),
     };
     ggw_ms gap = g_rand_double_range(rand, 0, MAX_SERIES_GAP_MS);
+    int gateways[SOAK_GATEWAYS];
+
+    draw_order(gateways, rand);
 
     for (int i = 0; i < len; i++) {
+        step.target = gateways[i];
         step.duration =
             g_rand_double_range(rand, MIN_SERIES_MS, MAX_SERIES_MS);
         g_array_append_val(steps, step);
         step.at += gap;
-        step.target = (step.target + 1) % SOAK_GATEWAYS;
     }
 }
 
