standins: the store returns from an older copy

POST /-/fault takes "copy" and "return": the rows and versions go back to those of the copy, Store-Era (a header of all responses of published calls) rises by one, waiting feeds end with 410, and a feed from a version that the store lacks gets 410.

--- a/standins/platform.c
+++ b/standins/platform.c
@@ -15,8 +15,10 @@
  * DOC: stand-in for the platform
  *
  * Serves the platform's published calls for table rows with a change feed and
- * for objects. All data is kept in memory. POST /-/fault injects faults;
- * GET /-/stats returns the number of requests handled by kind.
+ * for objects. All data is kept in memory. POST /-/fault injects faults; its
+ * modes "copy" and "return" take a copy of the rows and return to it, as a
+ * store that has lost its last changes. GET /-/stats returns the number of
+ * requests handled by kind.
  */
 
 #define BLOB_GET "/v1/blob-get/"
@@ -25,6 +27,9 @@
 /* New versions of this object become visible after the time in --lag. */
 #define VM_LIST "platform/vms.json"
 
+/* Longest decimal number of 64 bits, with the NUL byte. */
+#define ERA_TEXT_SIZE 21
+
 enum fault_mode {
     FAULT_NONE,
     FAULT_DOWN,
@@ -88,6 +93,36 @@
     return (int64_t)uv_now(&srv.loop);
 }
 
+static char *
+request_path(const h2o_req_t *req)
+{
+    return g_strndup(req->path_normalized.base, req->path_normalized.len);
+}
+
+static bool
+method_is(const h2o_req_t *req, const char *method)
+{
+    return h2o_memis(req->method.base, req->method.len, method,
+                     strlen(method));
+}
+
+/* Adds the header Store-Era, which all responses of published calls have. */
+static void
+add_era(h2o_req_t *req)
+{
+    g_autofree char *path = request_path(req);
+    char *era;
+
+    if (!g_str_has_prefix(path, "/v1/")) {
+        return;
+    }
+    era = h2o_mem_alloc_pool(&req->pool, ERA_TEXT_SIZE);
+    g_snprintf(era, ERA_TEXT_SIZE, "%" G_GINT64_FORMAT,
+               (gint64)store_rows_era(srv.rows));
+    h2o_add_header_by_str(&req->pool, &req->res.headers,
+                          H2O_STRLIT("store-era"), 0, NULL, era, strlen(era));
+}
+
 static void
 send_json(h2o_req_t *req, int status, json_t *body)
 {
@@ -95,6 +130,7 @@
 
     req->res.status = status;
     req->res.reason = status == 200 ? "OK" : "Error";
+    add_era(req);
     h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
                    H2O_STRLIT("application/json"));
     req->res.content_length = strlen(text);
@@ -183,12 +219,14 @@
         h2o_memis(req->headers.entries[if_none_match].value.base,
                   req->headers.entries[if_none_match].value.len, etag,
                   strlen(etag))) {
+        add_era(req);
         req->res.status = 304;
         req->res.reason = "Not Modified";
         h2o_send_inline(req, "", 0);
         return;
     }
     body = g_bytes_get_data(o->body, &len);
+    add_era(req);
     req->res.status = 200;
     req->res.reason = "OK";
     req->res.content_length = len;
@@ -213,19 +251,6 @@
     g_ptr_array_add(versions, o);
 }
 
-static char *
-request_path(const h2o_req_t *req)
-{
-    return g_strndup(req->path_normalized.base, req->path_normalized.len);
-}
-
-static bool
-method_is(const h2o_req_t *req, const char *method)
-{
-    return h2o_memis(req->method.base, req->method.len, method,
-                     strlen(method));
-}
-
 /**
  * struct feed - a feed request that waits for a change; freed with @req
  * @timer: ends the wait with an empty response
@@ -271,6 +296,19 @@
     send_json(req, 200, response);
 }
 
+/* Ends all waiting feeds: the store has returned from an older copy. */
+static void
+refuse_feeds(void)
+{
+    while (!g_queue_is_empty(&srv.feeds)) {
+        struct feed *f = g_queue_peek_head(&srv.feeds);
+        h2o_req_t *req = f->req;
+
+        feed_dispose(f);
+        send_error(req, 410, "history is lost");
+    }
+}
+
 static void
 feed_timer_cb(uv_timer_t *timer)
 {
@@ -574,6 +612,31 @@
     }
 }
 
+/*
+ * Handles a mode that takes effect once and leaves the present fault in force.
+ * Returns the status of the response; 0 for any other mode.
+ */
+static int
+apply_event(const char *mode)
+{
+    if (g_strcmp0(mode, "compact") == 0) {
+        store_rows_compact(srv.rows);
+        return 200;
+    }
+    if (g_strcmp0(mode, "copy") == 0) {
+        store_rows_keep_copy(srv.rows);
+        return 200;
+    }
+    if (g_strcmp0(mode, "return") == 0) {
+        if (!store_rows_return(srv.rows)) {
+            return 409;
+        }
+        refuse_feeds();
+        return 200;
+    }
+    return 0;
+}
+
 static void
 set_fault(h2o_req_t *req)
 {
@@ -581,6 +644,7 @@
     const char *mode = json_string_value(json_object_get(body, "mode"));
     const char *prefix = json_string_value(json_object_get(body, "prefix"));
     const json_t *count = json_object_get(body, "count");
+    int event_status = apply_event(mode);
     int mode_index = -1;
 
     for (size_t i = 0; i < G_N_ELEMENTS(fault_names); i++) {
@@ -588,9 +652,8 @@
             mode_index = (int)i;
         }
     }
-    if (g_strcmp0(mode, "compact") == 0) {
-        store_rows_compact(srv.rows);
-        send_json(req, 200, json_object());
+    if (event_status != 0) {
+        send_json(req, event_status, json_object());
         json_decref(body);
         return;
     }
--- a/standins/store/rows.c
+++ b/standins/store/rows.c
@@ -14,10 +14,17 @@
     bool removed;
 };
 
-struct store_rows {
+/* Rows and versions, as they are now or were when a copy was taken. */
+struct state {
     GTree *table;              /* "TABLE/KEY" to struct kv */
     int64_t version;           /* incremented by each transaction */
     int64_t compacted_version; /* changes up to it are discarded */
+};
+
+struct store_rows {
+    struct state now;
+    struct state copy; /* its table is NULL before the first copy */
+    int64_t era;       /* incremented by each return to the copy */
     int64_t writes;
 };
 
@@ -66,7 +73,8 @@
                     int64_t now)
 {
     return json_pack("{s:o,s:b,s:I,s:I}", "Rows", rows, "HasMore", (int)more,
-                     "Ver", (json_int_t)s->version, "NowMs", (json_int_t)now);
+                     "Ver", (json_int_t)s->now.version, "NowMs",
+                     (json_int_t)now);
 }
 
 static bool
@@ -89,7 +97,7 @@
     end = target != NULL ? store_row_key(table, target)
                          : g_strconcat(table, "0", NULL);
     rows = json_array();
-    for (GTreeNode *n = g_tree_lower_bound(s->table, first); n != NULL;
+    for (GTreeNode *n = g_tree_lower_bound(s->now.table, first); n != NULL;
          n = g_tree_node_next(n)) {
         const char *key = g_tree_node_key(n);
 
@@ -153,7 +161,7 @@
     json_array_foreach(list, i, entry)
     {
         g_autofree char *key = store_entry_key(entry);
-        const struct kv *kv = g_tree_lookup(s->table, key);
+        const struct kv *kv = g_tree_lookup(s->now.table, key);
         json_int_t current = is_present(kv) ? kv->version : 0;
 
         match = match &&
@@ -172,8 +180,8 @@
 
     kv->value = g_strdup(value);
     kv->removed = value == NULL;
-    kv->version = s->version;
-    g_tree_replace(s->table, g_strdup(key), kv);
+    kv->version = s->now.version;
+    g_tree_replace(s->now.table, g_strdup(key), kv);
 }
 
 static void
@@ -221,12 +229,12 @@
         return store_rows_response(s, rows, false, now);
     }
     json_decref(rows);
-    s->version++;
+    s->now.version++;
     s->writes++;
     apply_entries(s, put, true);
     apply_entries(s, remove, false);
     *status = 200;
-    return json_pack("{s:I,s:I}", "Ver", (json_int_t)s->version, "NowMs",
+    return json_pack("{s:I,s:I}", "Ver", (json_int_t)s->now.version, "NowMs",
                      (json_int_t)now);
 }
 
@@ -234,8 +242,8 @@
 compare_versions(gconstpointer a, gconstpointer b, gpointer data)
 {
     const struct store_rows *s = data;
-    const struct kv *x = g_tree_lookup(s->table, *(char *const *)a);
-    const struct kv *y = g_tree_lookup(s->table, *(char *const *)b);
+    const struct kv *x = g_tree_lookup(s->now.table, *(char *const *)a);
+    const struct kv *y = g_tree_lookup(s->now.table, *(char *const *)b);
 
     return (x->version > y->version) - (x->version < y->version);
 }
@@ -249,7 +257,7 @@
     g_autoptr(GPtrArray) keys = g_ptr_array_new();
     json_t *rows = json_array();
 
-    for (GTreeNode *n = g_tree_lower_bound(s->table, first);
+    for (GTreeNode *n = g_tree_lower_bound(s->now.table, first);
          n != NULL && strcmp(g_tree_node_key(n), end) < 0;
          n = g_tree_node_next(n)) {
         const struct kv *kv = g_tree_node_value(n);
@@ -263,7 +271,7 @@
         const char *key = g_ptr_array_index(keys, i);
 
         json_array_append_new(rows,
-                              row_json(key, g_tree_lookup(s->table, key)));
+                              row_json(key, g_tree_lookup(s->now.table, key)));
     }
     return rows;
 }
@@ -271,13 +279,64 @@
 bool
 store_rows_has_history(const struct store_rows *s, int64_t after)
 {
-    return after >= s->compacted_version;
+    return after >= s->now.compacted_version && after <= s->now.version;
 }
 
 void
 store_rows_compact(struct store_rows *s)
 {
-    s->compacted_version = s->version;
+    s->now.compacted_version = s->now.version;
+}
+
+static GTree *
+table_new(void)
+{
+    return g_tree_new_full(compare_keys, NULL, g_free, kv_free);
+}
+
+static gboolean
+copy_row(gpointer key, gpointer value, gpointer data)
+{
+    struct kv *kv = g_memdup2(value, sizeof(*kv));
+
+    kv->value = g_strdup(kv->value);
+    g_tree_insert(data, g_strdup(key), kv);
+    return FALSE;
+}
+
+static struct state
+state_copy(const struct state *from)
+{
+    struct state copy = *from;
+
+    copy.table = table_new();
+    g_tree_foreach(from->table, copy_row, copy.table);
+    return copy;
+}
+
+void
+store_rows_keep_copy(struct store_rows *s)
+{
+    g_clear_pointer(&s->copy.table, g_tree_unref);
+    s->copy = state_copy(&s->now);
+}
+
+bool
+store_rows_return(struct store_rows *s)
+{
+    if (s->copy.table == NULL) {
+        return false;
+    }
+    g_tree_unref(s->now.table);
+    s->now = state_copy(&s->copy);
+    s->era++;
+    return true;
+}
+
+int64_t
+store_rows_era(const struct store_rows *s)
+{
+    return s->era;
 }
 
 int64_t
@@ -291,13 +350,15 @@
 {
     struct store_rows *s = g_new0(struct store_rows, 1);
 
-    s->table = g_tree_new_full(compare_keys, NULL, g_free, kv_free);
+    s->now.table = table_new();
+    s->era = 1;
     return s;
 }
 
 void
 store_rows_free(struct store_rows *s)
 {
-    g_tree_unref(s->table);
+    g_tree_unref(s->now.table);
+    g_clear_pointer(&s->copy.table, g_tree_unref);
     g_free(s);
 }
--- a/standins/store/rows.h
+++ b/standins/store/rows.h
@@ -80,8 +80,8 @@
                             bool more, int64_t now);
 
 /**
- * store_rows_has_history() - check that no change after a version was
- *                            compacted away
+ * store_rows_has_history() - check that the store has had a version, and that
+ *                            no change after it was compacted away
  */
 bool store_rows_has_history(const struct store_rows *s, int64_t after);
 
@@ -90,6 +90,26 @@
  */
 void store_rows_compact(struct store_rows *s);
 
+/**
+ * store_rows_keep_copy() - remember the current state, in place of an earlier
+ *                          copy
+ */
+void store_rows_keep_copy(struct store_rows *s);
+
+/**
+ * store_rows_return() - lose all changes since store_rows_keep_copy()
+ *
+ * Versions go back to that of the copy, and the era rises by one.
+ *
+ * Return: false when there is no copy.
+ */
+bool store_rows_return(struct store_rows *s);
+
+/**
+ * store_rows_era() - number of returns, from 1 at the start
+ */
+int64_t store_rows_era(const struct store_rows *s);
+
 /**
  * store_rows_writes() - number of transactions applied
  */
