proxy: the shares of a split route outlast changes of other settings

Callers saw all requests of a split route at its largest part, although the weights give it two thirds, while versions of the configuration followed each other and a gateway got few requests between them.

Cause: the counts that keep the shares were reset with each revision of the settings, whatever it had changed, an evacuation included, and the first request after a reset goes to the largest part.

Change: the counts start anew only if the services or weights of the route itself have changed.

--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -304,6 +304,7 @@
     struct ggw_proxy_route_state *route = data;
 
     g_free(route->sent);
+    g_free(route->split);
     g_free(route);
 }
 
--- a/proxy/routed.c
+++ b/proxy/routed.c
@@ -44,7 +44,36 @@
     return NULL;
 }
 
-/* Returns the state of a route; resets it if the settings changed. */
+/* Returns the services of a route with their weights as text. */
+static char *
+describe_split(const struct ggw_route_rule *route)
+{
+    GString *text = g_string_new(NULL);
+
+    for (size_t i = 0; i < route->split_len; i++) {
+        g_string_append_printf(text, "%s=%d ", route->split[i].service,
+                               route->split[i].weight);
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* Starts the counts of a route anew if its split has changed. */
+static void
+update_split(struct ggw_proxy_route_state *state,
+             const struct ggw_route_rule *route)
+{
+    g_autofree char *split = describe_split(route);
+
+    if (g_strcmp0(split, state->split) == 0) {
+        return;
+    }
+    g_free(state->split);
+    state->split = g_steal_pointer(&split);
+    g_free(state->sent);
+    state->sent = g_new0(double, route->split_len);
+}
+
+/* Returns the state of a route, for the settings in force. */
 static struct ggw_proxy_route_state *
 get_route_state(struct ggw_proxy *proxy, const struct ggw_tree *tree,
                 const struct ggw_route_rule *route)
@@ -57,10 +86,7 @@
         g_hash_table_insert(proxy->routes, g_strdup(route->name), state);
     }
     if (state->revision != tree->revision) {
-        /* The weights may have changed, so the old counts do not apply. */
-        g_free(state->sent);
-        state->sent = g_new0(double, route->split_len);
-        state->sent_len = route->split_len;
+        update_split(state, route);
         state->revision = tree->revision;
     }
     return state;
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -53,13 +53,13 @@
 /**
  * struct ggw_proxy_route_state - state kept for one route
  * @sent: number of requests sent to each part of the route's traffic split
- * @sent_len: number of parts
- * @revision: revision of the settings that @sent was counted under
+ * @split: the services and weights that @sent is counted for
+ * @revision: revision of the settings that @split was compared with
  * @bytes: moving average of the size of a response body, in bytes
  */
 struct ggw_proxy_route_state {
     double *sent;
-    size_t sent_len;
+    char *split;
     uint64_t revision;
     double bytes;
 };
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -3,6 +3,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "common/metrics.h"
+#include "config/tree.h"
 #include "tests/proxy_env.h"
 #include "tests/suite.h"
 
@@ -471,6 +473,73 @@
     env_stop(env);
 }
 
+/* Puts settings with a route of weights 2 and 1 into force. */
+static void
+apply_split(struct env *env, uint64_t revision)
+{
+    static const char json[] =
+        "{\"services\":{\"a\":{},\"b\":{}},\"routes\":{\"r\":{"
+        "\"host\":\"split.example\",\"services\":{\"a\":2,\"b\":1},"
+        "\"timeout_ms\":1000}}}";
+    struct ggw_tree *tree = ggw_tree_parse("team", revision, json, NULL);
+    g_autofree char *expected =
+        g_strdup_printf("\"team\":%" G_GUINT64_FORMAT, (guint64)revision);
+    bool in_force = false;
+
+    env_publish(env, ggw_config_in_force_new(tree));
+    ggw_tree_unref(tree);
+    for (int i = 0; i < 1000 && !in_force; i++) {
+        GString *r = env_ask(env, "GET /-/status HTTP/1.1\r\nHost: x\r\n\r\n");
+
+        in_force = strstr(r->str, expected) != NULL;
+        g_string_free(r, TRUE);
+    }
+    CU_ASSERT_TRUE_FATAL(in_force);
+}
+
+/* Number of requests that were answered for a service. */
+static int
+count_answered(const char *service)
+{
+    g_autofree char *name = g_strdup_printf("service=\"%s\"", service);
+    g_autoptr(GString) text = g_string_new(NULL);
+    g_auto(GStrv) lines = NULL;
+    int n = 0;
+
+    ggw_metrics_print(text);
+    lines = g_strsplit(text->str, "\n", -1);
+    for (char **l = lines; *l != NULL; l++) {
+        if (g_str_has_prefix(*l, "ggw_requests_total{") &&
+            strstr(*l, name) != NULL) {
+            n += atoi(strrchr(*l, ' '));
+        }
+    }
+    return n;
+}
+
+/*
+ * Guards against a split that sends all to its largest part because each new
+ * revision of the settings, whatever it changes, starts its shares anew.
+ */
+static void
+test_split_kept_over_revisions(void)
+{
+    struct env *env = env_start(1000, 100, 1000);
+    const int requests = 30;
+
+    for (int i = 0; i < requests; i++) {
+        GString *r;
+
+        apply_split(env, 100 + (uint64_t)i);
+        r = env_ask(env, "GET /x HTTP/1.1\r\nHost: split.example\r\n\r\n");
+        CU_ASSERT_EQUAL(env_status(r), 200);
+        g_string_free(r, TRUE);
+    }
+    env_stop(env);
+    CU_ASSERT_EQUAL(count_answered("a") + count_answered("b"), requests);
+    CU_ASSERT_TRUE(abs(count_answered("b") - requests / 3) <= 1);
+}
+
 int
 main(void)
 {
@@ -490,6 +559,7 @@
         {"hedge", test_hedge},
         {"limited hedge", test_limited_hedge},
         {"probe", test_probe},
+        {"split kept over revisions", test_split_kept_over_revisions},
         CU_TEST_INFO_NULL,
     };
 
