servers: an older report of a server is not used

Callers saw requests at a server that had said it leaves: a report that its server wrote before ("ready", delayed, or from an older copy of the store) lay in the store under a newer version and made the server ready again, or brought it back after its entry was removed.

Cause: entries were ordered by the store's version alone, which says when a row was written into the store, not when its writer stated it.

Now the server's own numbers decide (decide/report_order): with the same "born", a lower "Sequence" than that of the last report that was read is older and is not used. The last reports of removed servers are known for 10 minutes, those of at most 10,000 servers. An entry of an earlier start is not used, either; it is if it is still the newest row after 5 s, in which a living server would have written another: its machine's clock has gone back. Entries without a start or a readable count are used as before.

--- a/tests/node.c
+++ b/tests/node.c
@@ -59,8 +59,8 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
-static void
-write_row(struct node *n, const char *key, const char *value)
+void
+node_write_row(const struct node *n, const char *key, const char *value)
 {
     struct ggw_txn *txn = ggw_txn_new(0);
     g_autofree char *body = NULL;
@@ -71,6 +71,17 @@
     txn->base.ops->destroy(&txn->base);
 }
 
+void
+node_remove_row(const struct node *n, const char *table, const char *key)
+{
+    g_autofree char *body =
+        g_strdup_printf("{\"Expected\":[],\"Put\":[],\"Remove\":[{\"Table\":"
+                        "\"%s\",\"part\":\"\",\"Key\":\"%s\"}]}",
+                        table, key);
+
+    g_free(http_exchange(n->platform.port, "POST", "/v1/rows-tx", body));
+}
+
 static void *
 beat(void *data)
 {
@@ -83,7 +94,9 @@
             "\"ColdLeftMs\":0,\"Sequence\":%d}",
             n->backend_port, i);
 
-        write_row(n, "servers/i-1", text);
+        if (!g_atomic_int_get(&n->quiet)) {
+            node_write_row(n, "servers/" NODE_SERVER, text);
+        }
         g_usleep(BEAT_MS * 1000);
     }
     return NULL;
@@ -271,6 +284,13 @@
     close(fd);
 }
 
+void
+node_end_reports(struct node *n)
+{
+    g_atomic_int_set(&n->quiet, 1);
+    g_usleep(BEAT_MS * 1000); /* a report may be on its way */
+}
+
 static bool
 answers(void *data)
 {
@@ -296,7 +316,7 @@
     platform_process_start(&n->platform, NULL);
     start_backend(n);
     write_settings(n);
-    write_row(n, "op/config", config);
+    node_write_row(n, "op/config", config);
     pthread_create(&n->beat_thread, NULL, beat, n);
     start_process(n);
     if (!client_await(answers, n, START_LIMIT_MS)) {
@@ -423,35 +443,45 @@
 
 /* Sends one request on a connection of its own. */
 static struct reply *
-request(const struct node *n, const char *method, const char *headers,
-        const char *body)
+request(const struct node *n, const char *method, const char *path,
+        const char *headers, const char *body)
 {
     g_autoptr(GString) text = g_string_new(NULL);
 
     g_string_append_printf(text,
-                           "%s " NODE_PATH "10 HTTP/1.1\r\nHost: " NODE_HOST
+                           "%s %s10 HTTP/1.1\r\nHost: " NODE_HOST
                            "\r\nAttempt-Id: a1\r\nRequest-Deadline: 8000\r\n"
                            "Connection: close\r\n%s\r\n%s",
-                           method, headers, body);
+                           method, path, headers, body);
     return client_raw(n->front, text->str, text->len);
 }
 
 bool
 node_answers(struct node *n)
 {
-    struct reply *r = request(n, "GET", "", "");
+    struct reply *r = request(n, "GET", NODE_PATH, "", "");
     bool ok = r->status == 200 && r->complete && r->body->len == 10;
 
     reply_free(r);
     return ok;
 }
 
+int
+node_get(const struct node *n, const char *path)
+{
+    struct reply *r = request(n, "GET", path, "", "");
+    int status = r->complete ? r->status : 0;
+
+    reply_free(r);
+    return status;
+}
+
 int
 node_post(struct node *n, size_t len)
 {
     g_autofree char *headers = g_strdup_printf("Content-Length: %zu\r\n", len);
     g_autofree char *body = g_strnfill(len, 'x');
-    struct reply *r = request(n, "POST", headers, body);
+    struct reply *r = request(n, "POST", NODE_PATH, headers, body);
     int status = r->complete ? r->status : 0;
 
     reply_free(r);
--- a/tests/node.h
+++ b/tests/node.h
@@ -19,6 +19,9 @@
 #define NODE_HOST "crowd.example"
 #define NODE_PATH "/read/"
 
+/* Id of its backend server. */
+#define NODE_SERVER "i-1"
+
 /**
  * struct node_options - settings of the node
  * @memory: memory of the machine, MiB
@@ -39,6 +42,7 @@
  *              the kernel and not yet read
  * @peak_descriptors: most descriptors seen by node_sample()
  * @backend_fd: listening socket of the backend server
+ * @quiet: set to 1, atomically, to end the reports of the backend server
  * @ended: set to 1, atomically, to end the threads
  */
 struct node {
@@ -54,6 +58,7 @@
     uint16_t backend_port;
     pthread_t backend_thread;
     pthread_t beat_thread;
+    int quiet;
     int ended;
 };
 
@@ -73,6 +78,18 @@
 double node_resident(const struct node *n);
 double node_resident_peak(const struct node *n);
 
+/* Ends the reports of the backend server, so that a test can write them. */
+void node_end_reports(struct node *n);
+
+/* Writes a row "TABLE/KEY" of the store. */
+void node_write_row(const struct node *n, const char *key, const char *value);
+
+/* Removes a row of the store. */
+void node_remove_row(const struct node *n, const char *table, const char *key);
+
+/* Status of a GET request to a path; 0 without a response. */
+int node_get(const struct node *n, const char *path);
+
 /* Whether a GET request to a route gets a complete response of 200. */
 bool node_answers(struct node *n);
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -547,12 +547,126 @@
     ggw_servers_remove(s, "i-2", 2700, 1000);
     ggw_servers_remove(s, "i-3", 1000, 1000);
     CU_ASSERT_EQUAL(count_servers(s), 2);
-    next = ggw_servers_drop_expired(s, 1000);
+    next = ggw_servers_update(s, 1000);
     CU_ASSERT_EQUAL(next, 2700);
     put_entry(s, "i-1", ENTRY("ready", "0"), 2500);
-    ggw_servers_drop_expired(s, next);
+    ggw_servers_update(s, next);
     CU_ASSERT_EQUAL(count_servers(s), 1);
-    CU_ASSERT_EQUAL(ggw_servers_drop_expired(s, 1e6), INFINITY);
+    CU_ASSERT_EQUAL(ggw_servers_update(s, 1e6), INFINITY);
+    ggw_servers_free(s);
+}
+
+#define REPORT(state, sequence, born)                                         \
+    "{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","      \
+    "\"Version\":\"v1\",\"Slots\":4,\"State\":\"" state                       \
+    "\",\"ColdLeftMs\":0,\"Sequence\":" sequence ",\"born\":" born "}"
+
+/* Number of servers that take new requests. */
+static guint
+count_ready(struct ggw_servers *s)
+{
+    struct ggw_vm_list *list = ggw_servers_list(s);
+    guint n = 0;
+
+    for (size_t i = 0; i < list->len; i++) {
+        n += list->vms[i].leaving ? 0 : 1;
+    }
+    ggw_vm_list_unref(list);
+    return n;
+}
+
+/*
+ * Guards against an older report of a draining server that makes it ready, and
+ * against one that is removed and comes back.
+ */
+static void
+test_older_report_of_draining_server(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+
+    put_entry(s, "i-1", REPORT("ready", "7", "1700"), 0);
+    put_entry(s, "i-1", REPORT("draining", "9", "1700"), 10);
+    put_entry(s, "i-1", REPORT("ready", "8", "1700"), 20);
+    CU_ASSERT_EQUAL(count_ready(s), 0);
+    CU_ASSERT_EQUAL(count_servers(s), 1);
+    ggw_servers_remove(s, "i-1", 30, 30);
+    put_entry(s, "i-1", REPORT("ready", "8", "1700"), 599000);
+    CU_ASSERT_EQUAL(count_servers(s), 0);
+    put_entry(s, "i-1", REPORT("ready", "1", "1701"), 599010);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    put_entry(s, "i-1", REPORT("draining", "99", "1700"), 599020);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    ggw_servers_free(s);
+}
+
+/*
+ * Guards against a server that lives and is not used: it reports again after
+ * its entry expired, its clock went back before its start, or its reports
+ * carry no count.
+ */
+static void
+test_report_of_living_server(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+    ggw_ms next;
+
+    put_entry(s, "i-1", REPORT("ready", "7", "1700"), 0);
+    ggw_servers_remove(s, "i-1", 10, 10);
+    put_entry(s, "i-1", REPORT("ready", "30", "1700"), 20);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    put_entry(s, "i-1", REPORT("draining", "31", "1700"), 30);
+    put_entry(s, "i-1", REPORT("ready", "1", "1600"), 40);
+    CU_ASSERT_EQUAL(count_ready(s), 0);
+    next = ggw_servers_update(s, 40);
+    CU_ASSERT_EQUAL(next, 5040);
+    CU_ASSERT_EQUAL(ggw_servers_update(s, next), INFINITY);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    put_entry(s, "i-1", REPORT("draining", "2", "1600"), 5050);
+    CU_ASSERT_EQUAL(count_ready(s), 0);
+    put_entry(s, "i-1", REPORT("ready", "\"x\"", "1600"), 5060);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    ggw_servers_free(s);
+}
+
+/*
+ * Guards against a report of an earlier start that is used although the server
+ * has reported since, or its entry was removed.
+ */
+static void
+test_report_of_earlier_start(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+
+    put_entry(s, "i-1", REPORT("draining", "7", "1700"), 0);
+    put_entry(s, "i-1", REPORT("ready", "9", "1600"), 10);
+    put_entry(s, "i-1", REPORT("draining", "8", "1700"), 20);
+    CU_ASSERT_EQUAL(ggw_servers_update(s, 6000), INFINITY);
+    CU_ASSERT_EQUAL(count_ready(s), 0);
+    put_entry(s, "i-1", REPORT("ready", "9", "1600"), 6000);
+    ggw_servers_remove(s, "i-1", 6010, 6010);
+    CU_ASSERT_EQUAL(ggw_servers_update(s, 12000), INFINITY);
+    CU_ASSERT_EQUAL(count_servers(s), 0);
+    ggw_servers_free(s);
+}
+
+/* Guards against a memory of removed servers that grows without bound. */
+static void
+test_reports_of_many_servers(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+
+    for (int i = 0; i < 10100; i++) {
+        g_autofree char *id = g_strdup_printf("i-%d", i);
+
+        put_entry(s, id, REPORT("ready", "7", "1700"), i);
+        ggw_servers_remove(s, id, i, i);
+    }
+    put_entry(s, "i-0", REPORT("ready", "6", "1700"), 10100);
+    CU_ASSERT_EQUAL(count_servers(s), 1);
+    put_entry(s, "i-10099", REPORT("ready", "6", "1700"), 10100);
+    CU_ASSERT_EQUAL(count_servers(s), 1);
+    put_entry(s, "i-10099", REPORT("ready", "6", "1700"), 620000);
+    CU_ASSERT_EQUAL(count_servers(s), 2);
     ggw_servers_free(s);
 }
 
@@ -758,6 +872,11 @@
         {"entry", test_entry},
         {"malformed entries", test_malformed_entries},
         {"expired entries", test_expired},
+        {"older report of a draining server",
+         test_older_report_of_draining_server},
+        {"report of a living server", test_report_of_living_server},
+        {"report of an earlier start", test_report_of_earlier_start},
+        {"reports of many servers", test_reports_of_many_servers},
         {"store responses", test_store_responses},
         {"dialect", test_dialect},
         {"malformed load", test_malformed_load},
