config: a lower version of the operator does not replace a newer one

Callers saw a confirmed configuration go back on all gateways at once: an older one that was written later, by a delayed write or by a store that returned from an older copy, was put into force.

Cause: settings were ordered by the store's version alone, within one gateway and between gateways, and the operator's "Version" was only logged.

Now the operator's number decides first, and the revision among settings of the same number (decide/report_order, ggw_settings_decide()): - The reader of the rows keeps the newer configuration, logs and counts the older one once a text, and still takes failure domains out and in. - CONFIG_PUT states the number as "written_version"; gateways of the version before ignore the key, and theirs count by revision as before. A gateway that has a newer configuration from a peer is not set back by rows or peers that know only the older one. - Older settings under a revision that is not lower make the settings in force get the next revision, so that a gateway which knows only the older ones (it started after they were written) gets the newer ones.

--- a/common/error.h
+++ b/common/error.h
@@ -13,6 +13,7 @@
  * @GGW_ERROR_TIMEOUT: no response arrived in time
  * @GGW_ERROR_CONFLICT: a concurrent change was written first
  * @GGW_ERROR_PROTOCOL: the peer sent malformed data
+ * @GGW_ERROR_OLDER: the same writer has stated something newer
  */
 enum ggw_error {
     GGW_ERROR_INVALID,
@@ -20,6 +21,7 @@
     GGW_ERROR_TIMEOUT,
     GGW_ERROR_CONFLICT,
     GGW_ERROR_PROTOCOL,
+    GGW_ERROR_OLDER,
 };
 
 /**
--- a/config/config.c
+++ b/config/config.c
@@ -45,6 +45,9 @@
 /* Time in ms to wait for a peer's response before another peer is queried. */
 #define PULL_RETRY_MS 2000.0
 
+/* Member of the settings that lists failure domains. */
+#define DOMAINS "failure_domains"
+
 /* Bounds the memory that a faulty peer can make a gateway allocate. */
 #define MAX_TEAMS 1000
 
@@ -198,6 +201,7 @@
         .team = t->name,
         .revision = t->tree->revision,
         .json = team_json(t),
+        .written_version = t->tree->written_version,
     };
     g_autoptr(GBytes) payload = ggw_config_update_pack(&update);
 
@@ -219,25 +223,35 @@
 }
 
 /*
- * Returns the team if settings of this revision are to be applied, otherwise
- * NULL.
+ * Returns the team if settings are to be applied, or are outdated as the peer
+ * or the store that offers them must learn; otherwise NULL.
  */
 static struct team *
-find_older_team(struct priv *p, const char *team, uint64_t revision)
+find_older_team(struct priv *p, const char *team, uint64_t revision,
+                uint64_t written_version, bool *outdated)
 {
+    const struct ggw_settings_position offered = {written_version, revision};
+    struct ggw_settings_position in_force = {0};
     struct team *t = find_or_add_team(p, team);
 
     if (t == NULL) {
         ggw_count("ggw_config_teams_exceeded_total");
         return NULL;
     }
-    switch (ggw_revision_decide(t->tree != NULL ? t->tree->revision : 0,
-                                revision)) {
+    if (t->tree != NULL) {
+        in_force.written_version = t->tree->written_version;
+        in_force.revision = t->tree->revision;
+    }
+    *outdated = false;
+    switch (ggw_settings_decide(&in_force, &offered)) {
     case GGW_REVISION_OLDER:
         ggw_count("ggw_config_older_total");
         return NULL;
     case GGW_REVISION_SAME:
         return NULL;
+    case GGW_REVISION_OUTDATED:
+        *outdated = true;
+        return t;
     case GGW_REVISION_APPLY:
         break;
     }
@@ -271,12 +285,61 @@
     }
 }
 
+/*
+ * Handles settings that were written before those in force: of them, only the
+ * failure domains are applied, which have no part in the writer's number. The
+ * revision becomes higher, so that the gateways that know only those settings
+ * get the ones in force.
+ */
+static void
+apply_outdated(struct priv *p, struct team *t, const struct ggw_tree *offered,
+               const json_t *domains, const char *source)
+{
+    json_t *root = json_loads(team_json(t), 0, NULL);
+    struct ggw_tree *tree;
+
+    ggw_count("ggw_config_older_version_total");
+    ggw_log_warn(
+        PART,
+        "team %s: version %08" G_GINT64_MODIFIER
+        "x of revision %" G_GUINT64_FORMAT
+        " from %s is older than version %08" G_GINT64_MODIFIER "x in force",
+        t->name, (guint64)offered->written_version, (guint64)offered->revision,
+        source, (guint64)t->tree->written_version);
+    if (domains != NULL) {
+        json_object_set(root, DOMAINS, (json_t *)domains);
+    }
+    tree = ggw_tree_build(t->name, offered->revision + 1, root, NULL);
+    if (tree == NULL) {
+        json_decref(root);
+        return;
+    }
+    tree->written_version = t->tree->written_version;
+    apply(p, t, tree, NULL, root, source);
+}
+
+/*
+ * Applies settings. Their revision does not become lower, so that no peer
+ * takes them for older ones.
+ */
+static void
+apply_newer(struct priv *p, struct team *t, struct ggw_tree *tree, char *json,
+            json_t *root, const char *source)
+{
+    if (t->tree != NULL) {
+        tree->revision = MAX(tree->revision, t->tree->revision);
+    }
+    apply(p, t, tree, json, root, source);
+}
+
 /* Checks settings that are newer than those in force and applies them. */
 static void
 apply_if_newer(struct priv *p, const char *team, uint64_t revision,
-               const char *json, const char *source)
+               const char *json, uint64_t written_version, const char *source)
 {
-    struct team *t = find_older_team(p, team, revision);
+    bool outdated;
+    struct team *t =
+        find_older_team(p, team, revision, written_version, &outdated);
     g_autoptr(GError) error = NULL;
     struct ggw_tree *tree;
 
@@ -288,19 +351,36 @@
         reject_settings(t, revision, source, error);
         return;
     }
-    apply(p, t, tree, g_strdup(json), NULL, source);
+    tree->written_version = written_version;
+    if (outdated) {
+        json_t *root = json_loads(json, 0, NULL);
+
+        apply_outdated(p, t, tree, json_object_get(root, DOMAINS), source);
+        json_decref(root);
+        ggw_tree_unref(tree);
+        return;
+    }
+    apply_newer(p, t, tree, g_strdup(json), NULL, source);
 }
 
 /* Applies settings that another service of this gateway has checked. */
 static void
 receive_given(struct priv *p, const struct ggw_config_given *m)
 {
-    struct team *t = find_older_team(p, m->tree->team, m->tree->revision);
+    bool outdated;
+    struct team *t = find_older_team(p, m->tree->team, m->tree->revision,
+                                     m->tree->written_version, &outdated);
 
-    if (t != NULL) {
-        apply(p, t, ggw_tree_ref(m->tree), NULL, json_incref(m->root),
-              "the platform");
+    if (t == NULL) {
+        return;
+    }
+    if (outdated) {
+        apply_outdated(p, t, m->tree, json_object_get(m->root, DOMAINS),
+                       "the platform");
+        return;
     }
+    apply_newer(p, t, ggw_tree_ref(m->tree), NULL, json_incref(m->root),
+                "the platform");
 }
 
 static void
@@ -353,7 +433,7 @@
 
     if (ggw_config_row_parse(row->value, &parsed, &error)) {
         json = json_dumps(parsed.tree, JSON_COMPACT);
-        apply_if_newer(p, team, parsed.revision, json, "the platform");
+        apply_if_newer(p, team, parsed.revision, json, 0, "the platform");
         free(json);
     }
     else {
@@ -442,7 +522,7 @@
 
     if (ggw_config_update_unpack(frame->payload, &update)) {
         apply_if_newer(p, update.team, update.revision, update.json,
-                       frame->peer);
+                       update.written_version, frame->peer);
     }
     else {
         ggw_count("ggw_config_malformed_frames_total");
--- a/config/exchange.c
+++ b/config/exchange.c
@@ -166,7 +166,7 @@
 
     msgpack_sbuffer_init(&buffer);
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_map(&packer, 4);
+    msgpack_pack_map(&packer, update->written_version > 0 ? 5 : 4);
     pack_text(&packer, "team");
     pack_text(&packer, update->team);
     pack_text(&packer, "revision");
@@ -176,6 +176,10 @@
     pack_text(&packer, "deflated");
     msgpack_pack_bin(&packer, size);
     msgpack_pack_bin_body(&packer, data, size);
+    if (update->written_version > 0) {
+        pack_text(&packer, "written_version");
+        msgpack_pack_uint64(&packer, update->written_version);
+    }
     return buffer_to_bytes(&buffer);
 }
 
@@ -192,11 +196,13 @@
  * @team: name of the team
  * @revision: revision of the settings
  * @size: length of the uncompressed JSON text in bytes
+ * @written_version: number that the writer of the settings gave them
  * @deflated: compressed JSON text
  */
 struct packed_update {
     char *team;
     uint64_t revision;
+    uint64_t written_version;
     uint64_t size;
     const msgpack_object_bin *deflated;
 };
@@ -219,6 +225,10 @@
              kv->val.type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
         update->revision = kv->val.via.u64;
     }
+    else if (key_equals(&kv->key, "written_version") &&
+             kv->val.type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        update->written_version = kv->val.via.u64;
+    }
 }
 
 bool
@@ -236,6 +246,7 @@
     }
     update->team = packed.team;
     update->revision = packed.revision;
+    update->written_version = packed.written_version;
     if (packed.deflated != NULL) {
         update->json = ggw_inflate(packed.deflated->ptr, packed.deflated->size,
                                    packed.size, GGW_TREE_JSON_MAX);
--- a/config/exchange.h
+++ b/config/exchange.h
@@ -16,8 +16,9 @@
  * teams that are absent from the map or have a higher revision than in it.
  *
  * CONFIG_PUT carries the settings of one team as a map with the keys "team",
- * "revision", "deflated" (the compressed JSON text) and "size" (the length of
- * the uncompressed text in bytes).
+ * "revision", "deflated" (the compressed JSON text), "size" (the length of
+ * the uncompressed text in bytes) and, if it is known, "written_version" (the
+ * number that the writer of the settings gave them). Unknown keys are ignored.
  */
 
 /**
@@ -81,11 +82,13 @@
  * @team: name of the team
  * @revision: revision of the settings, at least 1
  * @json: JSON text of the settings
+ * @written_version: as in struct ggw_tree
  */
 struct ggw_config_update {
     char *team;
     uint64_t revision;
     char *json;
+    uint64_t written_version;
 };
 
 /**
--- a/config/tree.h
+++ b/config/tree.h
@@ -213,6 +213,9 @@
  * @refs: reference count
  * @team: name of the team
  * @revision: revision of the settings
+ * @written_version: number that the writer of the settings gave them; 0 if it
+ *                   is unknown. Settings with a lower one are older even if
+ *                   their revision is higher.
  * @domains_out: set of names of failure domains that are out of service
  * @servers_draining: set of names of backend servers that are draining
  * @services: services, sorted by name
@@ -232,6 +235,7 @@
     int refs;
     char *team;
     uint64_t revision;
+    uint64_t written_version;
     GHashTable *domains_out;
     GHashTable *servers_draining;
     struct ggw_service_rule *services;
--- a/decide/report_order.h
+++ b/decide/report_order.h
@@ -5,7 +5,8 @@
 #include <stdint.h>
 
 /**
- * DOC: Order of the reports of one backend server
+ * DOC: Order of the reports of one backend server and of the versions of a
+ *      configuration
  *
  * A write that was delayed, or a store that returned from an older copy, puts
  * an older statement behind a newer one. The store's versions do not show
@@ -45,4 +46,20 @@
 enum ggw_report_verdict ggw_report_decide(const struct ggw_report *known,
                                           const struct ggw_report *offered);
 
+/**
+ * ggw_config_version_parse() - read an operator's version
+ * @text: hexadecimal digits, at most 16; or NULL
+ *
+ * Return: false when @text is not a version.
+ */
+bool ggw_config_version_parse(const char *text, uint64_t *version);
+
+/**
+ * ggw_config_version_decide() - whether a configuration replaces the one in
+ *                               force
+ * @in_force: version in force, or NULL if there is none
+ * @offered: its own version; an equal one replaces it
+ */
+bool ggw_config_version_decide(const uint64_t *in_force, uint64_t offered);
+
 #endif
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -202,7 +202,8 @@
 static void
 add_put(struct fixture *fx, uint64_t revision, const char *json)
 {
-    struct ggw_config_update update = {(char *)"team", revision, (char *)json};
+    struct ggw_config_update update = {(char *)"team", revision, (char *)json,
+                                       0};
 
     add_frame(fx, GGW_PEER_CONFIG_PUT, ggw_config_update_pack(&update));
 }
@@ -251,6 +252,29 @@
     CU_ASSERT_EQUAL(ggw_revision_decide(0, 0), GGW_REVISION_OLDER);
 }
 
+/* Guards against a revision that counts more than what the writer says. */
+static void
+test_written_order(void)
+{
+    static const struct ggw_settings_position in_force = {10, 5};
+    static const struct {
+        struct ggw_settings_position offered;
+        enum ggw_revision_verdict verdict;
+    } cases[] = {
+        {{10, 6}, GGW_REVISION_APPLY},   {{10, 5}, GGW_REVISION_SAME},
+        {{10, 4}, GGW_REVISION_OLDER},   {{11, 6}, GGW_REVISION_APPLY},
+        {{11, 4}, GGW_REVISION_APPLY},   {{11, 0}, GGW_REVISION_OLDER},
+        {{9, 6}, GGW_REVISION_OUTDATED}, {{9, 5}, GGW_REVISION_OUTDATED},
+        {{9, 4}, GGW_REVISION_OLDER},    {{0, 6}, GGW_REVISION_APPLY},
+        {{0, 5}, GGW_REVISION_SAME},     {{0, 4}, GGW_REVISION_OLDER},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(ggw_settings_decide(&in_force, &cases[i].offered),
+                        cases[i].verdict);
+    }
+}
+
 /*
  * Guards against reverting to older settings when the store returns rows of an
  * outdated copy of the table.
@@ -369,6 +393,144 @@
     fixture_clear(&second);
 }
 
+static void
+add_written(struct fixture *fx, uint64_t revision, uint64_t written_version)
+{
+    struct ggw_config_update update = {(char *)"team", revision, (char *)TREE,
+                                       written_version};
+
+    add_frame(fx, GGW_PEER_CONFIG_PUT, ggw_config_update_pack(&update));
+}
+
+static uint64_t
+sent_written_version(const struct fixture *fx, size_t i)
+{
+    struct ggw_config_update update;
+    uint64_t version = 0;
+
+    if (ggw_config_update_unpack(fx->sent[i], &update)) {
+        version = update.written_version;
+    }
+    ggw_config_update_clear(&update);
+    return version;
+}
+
+/*
+ * Guards against settings of a peer that were written before those in force
+ * and go back to them by a higher revision, and against refusing those of a
+ * gateway that does not tell when they were written.
+ */
+static void
+test_older_version_of_a_peer(void)
+{
+    static const struct response responses[] = {
+        {GGW_PLATFORM_NOT_SENT, false, 0, NULL},
+        {GGW_PLATFORM_NOT_SENT, false, 0, NULL},
+    };
+    static const struct ggw_settings_position expected[] = {
+        {10, 3}, {10, 5}, {10, 6}, {0, 7}, {2, 8}, {3, 8},
+    };
+    struct fixture fx = {
+        .responses = responses,
+        .responses_len = G_N_ELEMENTS(responses),
+    };
+
+    add_written(&fx, 3, 10);
+    add_written(&fx, 2, 9);
+    add_written(&fx, 4, 9);
+    add_written(&fx, 6, 10);
+    add_written(&fx, 7, 0);
+    add_written(&fx, 8, 2);
+    add_written(&fx, 8, 3);
+    run_service(&fx);
+    CU_ASSERT_EQUAL_FATAL(fx.in_force_len, G_N_ELEMENTS(expected));
+    for (size_t i = 0; i < fx.in_force_len; i++) {
+        CU_ASSERT_EQUAL(fx.in_force[i], expected[i].revision);
+        CU_ASSERT_EQUAL(sent_written_version(&fx, i),
+                        expected[i].written_version);
+    }
+    fixture_clear(&fx);
+}
+
+/**
+ * struct reader - fake service that reads settings and records those in force
+ * @domain_out: whether the last settings in force take domain "a" out
+ * @written_version: of the last settings in force
+ */
+struct reader {
+    struct ggw_service base;
+    bool domain_out;
+    uint64_t written_version;
+};
+
+/* Gives settings that another service would have read from the platform. */
+static void
+give(struct reader *r, uint64_t revision, uint64_t written_version,
+     const char *json)
+{
+    json_t *root = json_loads(json, 0, NULL);
+    struct ggw_tree *tree = ggw_tree_build("team", revision, root, NULL);
+
+    tree->written_version = written_version;
+    ggw_kernel_send(r->base.kernel, "config", &r->base,
+                    ggw_config_given_new(tree, root));
+    ggw_tree_unref(tree);
+    json_decref(root);
+}
+
+static bool
+reader_start(struct ggw_service *service, GError **error)
+{
+    struct reader *r = (struct reader *)service;
+
+    give(r, 3, 10, TREE);
+    give(r, 4, 9, "{\"failure_domains\":{\"a\":{\"state\":\"out\"}}}");
+    return true;
+}
+
+static void
+reader_receive(struct ggw_service *service, struct ggw_message *message)
+{
+    struct reader *r = (struct reader *)service;
+
+    if (message->ops == &ggw_config_in_force_ops) {
+        const struct ggw_tree *tree =
+            ((struct ggw_config_in_force *)message)->tree;
+
+        r->domain_out = ggw_tree_domain_out(tree, "a");
+        r->written_version = tree->written_version;
+        if (tree->revision == 5) {
+            ggw_kernel_stop(service->kernel);
+        }
+    }
+}
+
+/*
+ * Guards against rows that go back to an older configuration which a gateway
+ * never had itself, and against a failure domain that then stays in service.
+ */
+static void
+test_older_version_of_the_platform(void)
+{
+    static const struct ggw_service_ops reader_ops = {
+        .name = "platform",
+        .start = reader_start,
+        .receive = reader_receive,
+    };
+    struct ggw_kernel *k = ggw_kernel_new(ggw_clock_system());
+    struct reader reader = {.base.ops = &reader_ops};
+    struct fixture fx = {0};
+    struct fake peers = {.base.ops = &peers_ops, .fx = &fx};
+
+    ggw_kernel_add(k, &peers.base);
+    ggw_kernel_add(k, ggw_config_service_new(0));
+    ggw_kernel_add(k, &reader.base);
+    CU_ASSERT_TRUE(ggw_kernel_run(k, NULL));
+    ggw_kernel_destroy(k);
+    CU_ASSERT_TRUE(reader.domain_out);
+    CU_ASSERT_EQUAL(reader.written_version, 10);
+}
+
 /* Returns the JSON text of settings with @len routes. */
 static char *
 settings_with_routes(int len)
@@ -395,7 +557,7 @@
 test_many_routes(void)
 {
     g_autofree char *json = settings_with_routes(10000);
-    struct ggw_config_update update = {(char *)"team", 3, json};
+    struct ggw_config_update update = {(char *)"team", 3, json, 0};
     struct ggw_config_update unpacked;
     g_autoptr(GBytes) payload = ggw_config_update_pack(&update);
     g_autoptr(GByteArray) frame = g_byte_array_new();
@@ -420,7 +582,7 @@
 static void
 test_corrupted_update(void)
 {
-    struct ggw_config_update update = {(char *)"team", 3, (char *)TREE};
+    struct ggw_config_update update = {(char *)"team", 3, (char *)TREE, 7};
     g_autoptr(GBytes) payload = ggw_config_update_pack(&update);
     gsize len;
     const char *data = g_bytes_get_data(payload, &len);
@@ -523,6 +685,11 @@
     CU_add_test(suite, "change spreads during platform outage",
                 test_spreads_during_outage);
     CU_add_test(suite, "many routes", test_many_routes);
+    CU_add_test(suite, "order of writing", test_written_order);
+    CU_add_test(suite, "older version of a peer",
+                test_older_version_of_a_peer);
+    CU_add_test(suite, "older version of the platform",
+                test_older_version_of_the_platform);
     CU_add_test(suite, "corrupted update", test_corrupted_update);
     CU_add_test(suite, "unanswered reads", test_unanswered_reads);
     CU_add_test(suite, "malformed rows", test_malformed_rows);
--- a/tests/test_mutated_texts.c
+++ b/tests/test_mutated_texts.c
@@ -402,7 +402,7 @@
 static void
 test_settings_frames(void)
 {
-    struct ggw_config_update out = {(char *)"t", 7, (char *)TREE};
+    struct ggw_config_update out = {(char *)"t", 7, (char *)TREE, 7};
     struct ggw_config_query asked;
     GRand *rand = g_rand_new_with_seed(SEED);
     g_autoptr(GBytes) put = ggw_config_update_pack(&out);
--- a/tests/test_older_statements.c
+++ b/tests/test_older_statements.c
@@ -7,6 +7,23 @@
 /* A change in the store is in force at a gateway within this time, ms. */
 #define APPLY_MS 2000
 
+#define LATE_PATH "/late/"
+
+#define RULE(name, path)                                                      \
+    "{\"Name\":\"" name "\",\"RouteType\":\"idempotent\",\"Priority\":0,"     \
+    "\"TargetLatencyMs\":500,\"Match\":{\"Prefix\":\"" path "\"},"            \
+    "\"Action\":{\"Service\":\"s\",\"TimeoutMs\":8000,\"MaxAttempts\":2}}"
+#define LISTENERS(rules)                                                      \
+    "\"Listeners\":[{\"Host\":\"" NODE_HOST "\",\"Rules\":[" rules "]}]"
+#define CLUSTERS                                                              \
+    "\"Clusters\":[{\"Name\":\"s\",\"HealthPath\":\"/health\","               \
+    "\"MaxConns\":1000,\"ColdStartS\":1,\"ColdPerS\":100}]"
+#define CONFIG(version, rules)                                                \
+    "{\"Version\":\"" version "\"," LISTENERS(rules) "," CLUSTERS "}"
+#define WITH_LATE(version)                                                    \
+    CONFIG(version, RULE("read", NODE_PATH) "," RULE("late", LATE_PATH))
+#define WITHOUT_LATE(version) CONFIG(version, RULE("read", NODE_PATH))
+
 #define REPORT(state, sequence, born)                                         \
     "{\"Service\":\"s\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"a\","         \
     "\"Version\":\"v1\",\"Slots\":64,\"State\":\"" state                      \
@@ -15,6 +32,12 @@
 static const struct node_options options = {
     .memory = 650, .descriptors = 4000, .body_max = 1048576};
 
+static void
+write_config(const struct node *n, const char *text)
+{
+    node_write_row(n, "op/config", text);
+}
+
 G_GNUC_PRINTF(2, 0)
 static void
 write_report(const struct node *n, const char *format)
@@ -63,6 +86,21 @@
     return !client_await(has_other_status, &e, APPLY_MS);
 }
 
+/* Guards against a configuration that goes back. */
+static void
+test_older_configuration_written_later(void)
+{
+    struct node *n = node_start(&options);
+
+    write_config(n, WITH_LATE("0000000a"));
+    CU_ASSERT_TRUE(becomes(n, LATE_PATH, 200));
+    write_config(n, WITHOUT_LATE("00000009"));
+    CU_ASSERT_TRUE(stays(n, LATE_PATH, 200));
+    write_config(n, WITHOUT_LATE("0000000b"));
+    CU_ASSERT_TRUE(becomes(n, LATE_PATH, 404));
+    CU_ASSERT_TRUE(node_stop(n));
+}
+
 /* Guards against a draining server that gets requests again. */
 static void
 test_older_report_of_draining_server(void)
@@ -86,6 +124,8 @@
 main(void)
 {
     static CU_TestInfo tests[] = {
+        {"older configuration written later",
+         test_older_configuration_written_later},
         {"older report of a draining server",
          test_older_report_of_draining_server},
         CU_TEST_INFO_NULL,
--- a/tests/test_report_order.c
+++ b/tests/test_report_order.c
@@ -32,11 +32,57 @@
     CU_ASSERT_EQUAL(ggw_report_decide(NULL, &first), GGW_REPORT_TAKE);
 }
 
+/* Guards against a version that is read as another one. */
+static void
+test_version_texts(void)
+{
+    static const struct {
+        const char *text;
+        bool ok;
+        uint64_t version;
+    } cases[] = {
+        {"0000000c", true, 12},
+        {"0000000C", true, 12},
+        {"ffffffff", true, UINT32_MAX},
+        {"ffffffffffffffff", true, UINT64_MAX},
+        {"7", true, 7},
+        {"", false, 0},
+        {"0x000007", false, 0},
+        {" 0000007", false, 0},
+        {"0000000g", false, 0},
+        {"-0000007", false, 0},
+        {"00000000000000007", false, 0},
+        {NULL, false, 0},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        uint64_t version = 0;
+        bool ok = ggw_config_version_parse(cases[i].text, &version);
+
+        CU_ASSERT_EQUAL(ok, cases[i].ok);
+        CU_ASSERT_TRUE(!ok || version == cases[i].version);
+    }
+}
+
+/* Guards against a configuration that goes back, and one that stays. */
+static void
+test_versions(void)
+{
+    const uint64_t in_force = 12;
+
+    CU_ASSERT_TRUE(ggw_config_version_decide(NULL, 0));
+    CU_ASSERT_TRUE(ggw_config_version_decide(&in_force, 13));
+    CU_ASSERT_TRUE(ggw_config_version_decide(&in_force, 12));
+    CU_ASSERT_FALSE(ggw_config_version_decide(&in_force, 11));
+}
+
 int
 main(void)
 {
     static CU_TestInfo tests[] = {
         {"reports", test_reports},
+        {"texts of versions", test_version_texts},
+        {"versions", test_versions},
         CU_TEST_INFO_NULL,
     };
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -2,6 +2,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "common/error.h"
 #include "config/tree.h"
 #include "platform/config.h"
 #include "platform/dialect.h"
@@ -454,6 +455,65 @@
     }
 }
 
+/* A route, and a configuration with the routes of one host. */
+#define ROUTE(name, prefix, target, timeout, to)                              \
+    "{\"Name\":\"" name "\",\"TargetLatencyMs\":" target                      \
+    ",\"Match\":{\"Prefix\":\"/" prefix "\"},\"Action\":{" to                 \
+    ",\"TimeoutMs\":" timeout "}}"
+#define TO_S "\"Service\":\"s\""
+#define CLUSTERS "\"Clusters\":[{\"Name\":\"s\"}]"
+#define VERSIONED(version, rules)                                             \
+    "{\"Version\":" version ",\"Listeners\":[{\"Host\":\"h.example\","        \
+    "\"Rules\":[" rules "]}]," CLUSTERS "}"
+#define ROUTED(version, prefix)                                               \
+    VERSIONED("\"" version "\"", ROUTE("a", prefix, "300", "1200", TO_S))
+
+/* Whether the settings of a configuration have a route; unreferences them. */
+static bool
+has_route(struct ggw_tree *tree, const char *path)
+{
+    bool found = tree != NULL && ggw_tree_route(tree, "h.example", path);
+
+    ggw_tree_unref(tree);
+    return found;
+}
+
+/*
+ * Guards against an older configuration written later that replaces a newer
+ * one, is reported again and again, or leaves a gateway behind that knows only
+ * the older one.
+ */
+static void
+test_older_configuration_written_later(void)
+{
+    struct ggw_site_config site = {
+        .domains_out = g_hash_table_new(g_str_hash, g_str_equal),
+    };
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GError) again = NULL;
+    struct ggw_tree *tree;
+
+    CU_ASSERT_TRUE(has_route(
+        resolve(&site, ROUTED("0000000a", "new/"), &again), "/new/"));
+    tree = resolve(&site, ROUTED("00000009", "old/"), &error);
+    CU_ASSERT_TRUE(g_error_matches(error, GGW_ERROR, GGW_ERROR_OLDER));
+    g_assert_nonnull(tree);
+    CU_ASSERT_EQUAL(tree->revision, 2);
+    CU_ASSERT_TRUE(has_route(tree, "/new/"));
+    g_hash_table_add(site.domains_out, (gpointer) "zone-b");
+    tree = resolve(&site, ROUTED("00000009", "old/"), &again);
+    CU_ASSERT_PTR_NULL(again);
+    g_assert_nonnull(tree);
+    CU_ASSERT_TRUE(ggw_tree_domain_out(tree, "zone-b"));
+    CU_ASSERT_TRUE(tree->revision > 2);
+    CU_ASSERT_TRUE(has_route(tree, "/new/"));
+    CU_ASSERT_TRUE(has_route(resolve(&site, ROUTED("0000000a", "same/"), NULL),
+                             "/same/"));
+    CU_ASSERT_TRUE(has_route(resolve(&site, ROUTED("0000000B", "next/"), NULL),
+                             "/next/"));
+    ggw_site_config_clear(&site);
+}
+
 #define ENTRY(state, cold)                                                    \
     "{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","      \
     "\"Version\":\"v1\",\"Slots\":4,\"State\":\"" state                       \
@@ -869,6 +929,8 @@
         {"customers absent", test_tenants_absent},
         {"customers refused", test_tenants_refused},
         {"domain out while refused", test_domain_out_while_refused},
+        {"older configuration written later",
+         test_older_configuration_written_later},
         {"entry", test_entry},
         {"malformed entries", test_malformed_entries},
         {"expired entries", test_expired},
