--- a/tests/test_older_statements.c
+++ b/tests/test_older_statements.c
@@ -120,6 +120,31 @@
     CU_ASSERT_TRUE(node_stop(n));
 }
 
+/* Guards against an invalid configuration that is taken. */
+static void
+test_invalid_configuration(void)
+{
+    static const char *const invalid[] = {
+        "{\"Version\":\"0000000b\"," LISTENERS("") "," CLUSTERS,
+        "{" LISTENERS(RULE("late", LATE_PATH)) "," CLUSTERS "}",
+        "{\"Version\":\"0000000b\"," CLUSTERS "}",
+        "{\"Version\":\"0000000b\"," LISTENERS(
+            RULE("late", LATE_PATH)) ",\"Clusters\":[]}",
+        CONFIG("0000000b", RULE("late", LATE_PATH) "," RULE("a", "/a")),
+        CONFIG("0000000b", RULE("late", LATE_PATH) "," RULE("a", LATE_PATH)),
+    };
+    struct node *n = node_start(&options);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        write_config(n, invalid[i]);
+        CU_ASSERT_TRUE(stays(n, NODE_PATH, 200));
+        CU_ASSERT_EQUAL(node_get(n, LATE_PATH), 404);
+    }
+    write_config(n, WITH_LATE("0000000c"));
+    CU_ASSERT_TRUE(becomes(n, LATE_PATH, 200));
+    CU_ASSERT_TRUE(node_stop(n));
+}
+
 int
 main(void)
 {
@@ -128,6 +153,7 @@
          test_older_configuration_written_later},
         {"older report of a draining server",
          test_older_report_of_draining_server},
+        {"invalid configuration", test_invalid_configuration},
         CU_TEST_INFO_NULL,
     };
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -286,7 +286,7 @@
     ",\"Listeners\":[{\"Host\":\"H.example\",\"Rules\":[" rule                \
     "]}],\"Clusters\":[{\"Name\":\"s\"},{\"Name\":\"t\"}]}"
 #define PUBLIC_RULE                                                           \
-    "{\"Name\":\"p\",\"Public\":true,\"Match\":{\"Prefix\":\"/p/\"},"         \
+    "{\"Name\":\"p\",\"Public\":true,\"Match\":{\"Prefix\":\"/o/\"},"         \
     "\"Action\":{\"Service\":\"s\"}}"
 #define KEYED_RULE                                                            \
     "{\"Name\":\"k\",\"Public\":false,\"Match\":{\"Prefix\":\"/k/\"},"        \
@@ -514,6 +514,100 @@
     ggw_site_config_clear(&site);
 }
 
+/* Guards against an invalid configuration that is taken, even in part. */
+static void
+test_invalid_configuration(void)
+{
+    static const struct {
+        const char *text;
+        const char *field;
+    } cases[] = {
+        {"{\"Listeners\":[]," CLUSTERS "}", "Version"},
+        {VERSIONED("7", ""), "Version"},
+        {VERSIONED("\"\"", ""), "Version"},
+        {VERSIONED("\"0000000x\"", ""), "Version"},
+        {"{\"Version\":\"0000000b\"," CLUSTERS "}", "Listeners"},
+        {"{\"Version\":\"0000000b\",\"Listeners\":[]}", "Clusters"},
+        {VERSIONED("\"0000000b\"",
+                   ROUTE("b", "x/", "300", "1200", "\"Service\":\"lost\"")),
+         "Service"},
+        {VERSIONED("\"0000000b\"",
+                   ROUTE("c", "x/", "300", "1200",
+                         "\"TrafficSplit\":[{\"Service\":\"s\",\"Weight\":1},"
+                         "{\"Service\":\"lost\",\"Weight\":1}]")),
+         "Service"},
+        {ROUTED("0000000b", "x"), "Prefix"},
+        {VERSIONED("\"0000000b\"",
+                   ROUTE("d", "x/", "300", "1200",
+                         TO_S) "," ROUTE("e", "x/", "200", "900", TO_S)),
+         "Prefix"},
+        {VERSIONED("\"0000000b\"", ROUTE("g", "x/", "0", "0", TO_S)),
+         "TimeoutMs"},
+        {VERSIONED("\"0000000b\"", ROUTE("h", "x/", "0", "-1", TO_S)),
+         "TimeoutMs"},
+        {VERSIONED("\"0000000b\"", ROUTE("i", "x/", "300", "3600001", TO_S)),
+         "TimeoutMs"},
+        {"{\"Version\":\"0000000b\",\"Listeners\":[],\"Clusters\":[", "JSON"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ggw_site_config site = {
+            .domains_out = g_hash_table_new(g_str_hash, g_str_equal),
+        };
+        g_autoptr(GError) error = NULL;
+        struct ggw_tree *tree;
+
+        ggw_tree_unref(resolve(&site, ROUTED("0000000a", "good/"), NULL));
+        tree = resolve(&site, cases[i].text, &error);
+        CU_ASSERT_TRUE(has_route(tree, "/good/"));
+        CU_ASSERT_TRUE(error != NULL &&
+                       strstr(error->message, cases[i].field) != NULL);
+        ggw_site_config_clear(&site);
+    }
+}
+
+/* Guards against a configuration that is refused though no page rules it out.
+ */
+static void
+test_unusual_configuration(void)
+{
+    static const char *const cases[] = {
+        VERSIONED("\"0000000b\"", ""),
+        VERSIONED("\"0000000b\"", ROUTE("j", "x/", "1200", "1200", TO_S)),
+        VERSIONED("\"0000000b\"", ROUTE("j", "x/", "1200", "800", TO_S)),
+        VERSIONED("\"0000000b\"", ROUTE("k", "x/", "300", "3600000", TO_S)),
+        VERSIONED("\"0000000b\"", ROUTE("l", "x/", "null", "null", TO_S)),
+        VERSIONED("\"0000000b\"", ROUTE("m", "", "300", "1200", TO_S)),
+        VERSIONED("\"0000000b\"",
+                  ROUTE("n", "x/", "300", "1200",
+                        TO_S) "," ROUTE("o", "x/y/", "300", "1200", TO_S)),
+        VERSIONED("\"0000000b\"",
+                  ROUTE("p", "x/", "300", "1200",
+                        "\"TrafficSplit\":[{\"Service\":\"s\",\"Weight\":1},"
+                        "{\"Service\":\"lost\",\"Weight\":0}]")),
+        VERSIONED("\"0000000b\"",
+                  "{\"Name\":\"r\",\"Match\":{\"Prefix\":\"/x/\"},"
+                  "\"Action\":{" TO_S "},\"Added\":7}"),
+        ("{\"Version\":\"0000000b\",\"Listeners\":[{\"Host\":\"a.example\","
+         "\"Rules\":[" ROUTE(
+             "q", "x/", "300", "1200",
+             TO_S) "]},{\"Host\":\"b.example\",\"Rules\":["
+                   "{\"Name\":\"r\",\"Match\":{\"Prefix\":\"/x/\"},"
+                   "\"Action\":{" TO_S "}}]}]," CLUSTERS "}"),
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autoptr(GError) error = NULL;
+        struct ggw_tree *tree = translate_config(cases[i], NULL, &error);
+
+        if (tree == NULL) {
+            printf("%s ", error->message);
+        }
+        CU_ASSERT_PTR_NOT_NULL(tree);
+        ggw_tree_unref(tree);
+    }
+}
+
 #define ENTRY(state, cold)                                                    \
     "{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","      \
     "\"Version\":\"v1\",\"Slots\":4,\"State\":\"" state                       \
@@ -931,6 +1025,8 @@
         {"domain out while refused", test_domain_out_while_refused},
         {"older configuration written later",
          test_older_configuration_written_later},
+        {"invalid configuration", test_invalid_configuration},
+        {"unusual configuration", test_unusual_configuration},
         {"entry", test_entry},
         {"malformed entries", test_malformed_entries},
         {"expired entries", test_expired},
