--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -2,6 +2,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "common/error.h"
 #include "config/tree.h"
 #include "platform/config.h"
 #include "platform/dialect.h"
@@ -285,7 +286,7 @@
     ",\"Listeners\":[{\"Host\":\"H.example\",\"Rules\":[" rule                \
     "]}],\"Clusters\":[{\"Name\":\"s\"},{\"Name\":\"t\"}]}"
 #define PUBLIC_RULE                                                           \
-    "{\"Name\":\"p\",\"Public\":true,\"Match\":{\"Prefix\":\"/p/\"},"         \
+    "{\"Name\":\"p\",\"Public\":true,\"Match\":{\"Prefix\":\"/o/\"},"         \
     "\"Action\":{\"Service\":\"s\"}}"
 #define KEYED_RULE                                                            \
     "{\"Name\":\"k\",\"Public\":false,\"Match\":{\"Prefix\":\"/k/\"},"        \
@@ -454,6 +455,159 @@
     }
 }
 
+/* A route, and a configuration with the routes of one host. */
+#define ROUTE(name, prefix, target, timeout, to)                              \
+    "{\"Name\":\"" name "\",\"TargetLatencyMs\":" target                      \
+    ",\"Match\":{\"Prefix\":\"/" prefix "\"},\"Action\":{" to                 \
+    ",\"TimeoutMs\":" timeout "}}"
+#define TO_S "\"Service\":\"s\""
+#define CLUSTERS "\"Clusters\":[{\"Name\":\"s\"}]"
+#define VERSIONED(version, rules)                                             \
+    "{\"Version\":" version ",\"Listeners\":[{\"Host\":\"h.example\","        \
+    "\"Rules\":[" rules "]}]," CLUSTERS "}"
+#define ROUTED(version, prefix)                                               \
+    VERSIONED("\"" version "\"", ROUTE("a", prefix, "300", "1200", TO_S))
+
+/* Whether the settings of a configuration have a route; unreferences them. */
+static bool
+has_route(struct ggw_tree *tree, const char *path)
+{
+    bool found = tree != NULL && ggw_tree_route(tree, "h.example", path);
+
+    ggw_tree_unref(tree);
+    return found;
+}
+
+/*
+ * Guards against an older configuration written later that replaces a newer
+ * one, is reported again and again, or leaves a gateway behind that knows only
+ * the older one.
+ */
+static void
+test_older_configuration_written_later(void)
+{
+    struct ggw_site_config site = {
+        .domains_out = g_hash_table_new(g_str_hash, g_str_equal),
+    };
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GError) again = NULL;
+    struct ggw_tree *tree;
+
+    CU_ASSERT_TRUE(has_route(
+        resolve(&site, ROUTED("0000000a", "new/"), &again), "/new/"));
+    tree = resolve(&site, ROUTED("00000009", "old/"), &error);
+    CU_ASSERT_TRUE(g_error_matches(error, GGW_ERROR, GGW_ERROR_OLDER));
+    g_assert_nonnull(tree);
+    CU_ASSERT_EQUAL(tree->revision, 2);
+    CU_ASSERT_TRUE(has_route(tree, "/new/"));
+    g_hash_table_add(site.domains_out, (gpointer) "zone-b");
+    tree = resolve(&site, ROUTED("00000009", "old/"), &again);
+    CU_ASSERT_PTR_NULL(again);
+    g_assert_nonnull(tree);
+    CU_ASSERT_TRUE(ggw_tree_domain_out(tree, "zone-b"));
+    CU_ASSERT_TRUE(tree->revision > 2);
+    CU_ASSERT_TRUE(has_route(tree, "/new/"));
+    CU_ASSERT_TRUE(has_route(resolve(&site, ROUTED("0000000a", "same/"), NULL),
+                             "/same/"));
+    CU_ASSERT_TRUE(has_route(resolve(&site, ROUTED("0000000B", "next/"), NULL),
+                             "/next/"));
+    ggw_site_config_clear(&site);
+}
+
+/* Guards against an invalid configuration that is taken, even in part. */
+static void
+test_invalid_configuration(void)
+{
+    static const struct {
+        const char *text;
+        const char *field;
+    } cases[] = {
+        {"{\"Listeners\":[]," CLUSTERS "}", "Version"},
+        {VERSIONED("7", ""), "Version"},
+        {VERSIONED("\"\"", ""), "Version"},
+        {VERSIONED("\"0000000x\"", ""), "Version"},
+        {"{\"Version\":\"0000000b\"," CLUSTERS "}", "Listeners"},
+        {"{\"Version\":\"0000000b\",\"Listeners\":[]}", "Clusters"},
+        {VERSIONED("\"0000000b\"",
+                   ROUTE("b", "x/", "300", "1200", "\"Service\":\"lost\"")),
+         "Service"},
+        {VERSIONED("\"0000000b\"",
+                   ROUTE("c", "x/", "300", "1200",
+                         "\"TrafficSplit\":[{\"Service\":\"s\",\"Weight\":1},"
+                         "{\"Service\":\"lost\",\"Weight\":1}]")),
+         "Service"},
+        {ROUTED("0000000b", "x"), "Prefix"},
+        {VERSIONED("\"0000000b\"",
+                   ROUTE("d", "x/", "300", "1200",
+                         TO_S) "," ROUTE("e", "x/", "200", "900", TO_S)),
+         "Prefix"},
+        {VERSIONED("\"0000000b\"", ROUTE("g", "x/", "0", "0", TO_S)),
+         "TimeoutMs"},
+        {VERSIONED("\"0000000b\"", ROUTE("h", "x/", "0", "-1", TO_S)),
+         "TimeoutMs"},
+        {VERSIONED("\"0000000b\"", ROUTE("i", "x/", "300", "3600001", TO_S)),
+         "TimeoutMs"},
+        {"{\"Version\":\"0000000b\",\"Listeners\":[],\"Clusters\":[", "JSON"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct ggw_site_config site = {
+            .domains_out = g_hash_table_new(g_str_hash, g_str_equal),
+        };
+        g_autoptr(GError) error = NULL;
+        struct ggw_tree *tree;
+
+        ggw_tree_unref(resolve(&site, ROUTED("0000000a", "good/"), NULL));
+        tree = resolve(&site, cases[i].text, &error);
+        CU_ASSERT_TRUE(has_route(tree, "/good/"));
+        CU_ASSERT_TRUE(error != NULL &&
+                       strstr(error->message, cases[i].field) != NULL);
+        ggw_site_config_clear(&site);
+    }
+}
+
+/* Guards against a configuration that is refused though no page rules it out.
+ */
+static void
+test_unusual_configuration(void)
+{
+    static const char *const cases[] = {
+        VERSIONED("\"0000000b\"", ""),
+        VERSIONED("\"0000000b\"", ROUTE("j", "x/", "1200", "1200", TO_S)),
+        VERSIONED("\"0000000b\"", ROUTE("j", "x/", "1200", "800", TO_S)),
+        VERSIONED("\"0000000b\"", ROUTE("k", "x/", "300", "3600000", TO_S)),
+        VERSIONED("\"0000000b\"", ROUTE("l", "x/", "null", "null", TO_S)),
+        VERSIONED("\"0000000b\"", ROUTE("m", "", "300", "1200", TO_S)),
+        VERSIONED("\"0000000b\"",
+                  ROUTE("n", "x/", "300", "1200",
+                        TO_S) "," ROUTE("o", "x/y/", "300", "1200", TO_S)),
+        VERSIONED("\"0000000b\"",
+                  ROUTE("p", "x/", "300", "1200",
+                        "\"TrafficSplit\":[{\"Service\":\"s\",\"Weight\":1},"
+                        "{\"Service\":\"lost\",\"Weight\":0}]")),
+        VERSIONED("\"0000000b\"",
+                  "{\"Name\":\"r\",\"Match\":{\"Prefix\":\"/x/\"},"
+                  "\"Action\":{" TO_S "},\"Added\":7}"),
+        ("{\"Version\":\"0000000b\",\"Listeners\":[{\"Host\":\"a.example\","
+         "\"Rules\":[" ROUTE(
+             "q", "x/", "300", "1200",
+             TO_S) "]},{\"Host\":\"b.example\",\"Rules\":["
+                   "{\"Name\":\"r\",\"Match\":{\"Prefix\":\"/x/\"},"
+                   "\"Action\":{" TO_S "}}]}]," CLUSTERS "}"),
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autoptr(GError) error = NULL;
+        struct ggw_tree *tree = translate_config(cases[i], NULL, &error);
+
+        if (tree == NULL) {
+            printf("%s ", error->message);
+        }
+        CU_ASSERT_PTR_NOT_NULL(tree);
+        ggw_tree_unref(tree);
+    }
+}
+
 #define ENTRY(state, cold)                                                    \
     "{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","      \
     "\"Version\":\"v1\",\"Slots\":4,\"State\":\"" state                       \
@@ -547,12 +701,126 @@
     ggw_servers_remove(s, "i-2", 2700, 1000);
     ggw_servers_remove(s, "i-3", 1000, 1000);
     CU_ASSERT_EQUAL(count_servers(s), 2);
-    next = ggw_servers_drop_expired(s, 1000);
+    next = ggw_servers_update(s, 1000);
     CU_ASSERT_EQUAL(next, 2700);
     put_entry(s, "i-1", ENTRY("ready", "0"), 2500);
-    ggw_servers_drop_expired(s, next);
+    ggw_servers_update(s, next);
     CU_ASSERT_EQUAL(count_servers(s), 1);
-    CU_ASSERT_EQUAL(ggw_servers_drop_expired(s, 1e6), INFINITY);
+    CU_ASSERT_EQUAL(ggw_servers_update(s, 1e6), INFINITY);
+    ggw_servers_free(s);
+}
+
+#define REPORT(state, sequence, born)                                         \
+    "{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","      \
+    "\"Version\":\"v1\",\"Slots\":4,\"State\":\"" state                       \
+    "\",\"ColdLeftMs\":0,\"Sequence\":" sequence ",\"born\":" born "}"
+
+/* Number of servers that take new requests. */
+static guint
+count_ready(struct ggw_servers *s)
+{
+    struct ggw_vm_list *list = ggw_servers_list(s);
+    guint n = 0;
+
+    for (size_t i = 0; i < list->len; i++) {
+        n += list->vms[i].leaving ? 0 : 1;
+    }
+    ggw_vm_list_unref(list);
+    return n;
+}
+
+/*
+ * Guards against an older report of a draining server that makes it ready, and
+ * against one that is removed and comes back.
+ */
+static void
+test_older_report_of_draining_server(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+
+    put_entry(s, "i-1", REPORT("ready", "7", "1700"), 0);
+    put_entry(s, "i-1", REPORT("draining", "9", "1700"), 10);
+    put_entry(s, "i-1", REPORT("ready", "8", "1700"), 20);
+    CU_ASSERT_EQUAL(count_ready(s), 0);
+    CU_ASSERT_EQUAL(count_servers(s), 1);
+    ggw_servers_remove(s, "i-1", 30, 30);
+    put_entry(s, "i-1", REPORT("ready", "8", "1700"), 599000);
+    CU_ASSERT_EQUAL(count_servers(s), 0);
+    put_entry(s, "i-1", REPORT("ready", "1", "1701"), 599010);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    put_entry(s, "i-1", REPORT("draining", "99", "1700"), 599020);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    ggw_servers_free(s);
+}
+
+/*
+ * Guards against a server that lives and is not used: it reports again after
+ * its entry expired, its clock went back before its start, or its reports
+ * carry no count.
+ */
+static void
+test_report_of_living_server(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+    ggw_ms next;
+
+    put_entry(s, "i-1", REPORT("ready", "7", "1700"), 0);
+    ggw_servers_remove(s, "i-1", 10, 10);
+    put_entry(s, "i-1", REPORT("ready", "30", "1700"), 20);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    put_entry(s, "i-1", REPORT("draining", "31", "1700"), 30);
+    put_entry(s, "i-1", REPORT("ready", "1", "1600"), 40);
+    CU_ASSERT_EQUAL(count_ready(s), 0);
+    next = ggw_servers_update(s, 40);
+    CU_ASSERT_EQUAL(next, 5040);
+    CU_ASSERT_EQUAL(ggw_servers_update(s, next), INFINITY);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    put_entry(s, "i-1", REPORT("draining", "2", "1600"), 5050);
+    CU_ASSERT_EQUAL(count_ready(s), 0);
+    put_entry(s, "i-1", REPORT("ready", "\"x\"", "1600"), 5060);
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    ggw_servers_free(s);
+}
+
+/*
+ * Guards against a report of an earlier start that is used although the server
+ * has reported since, or its entry was removed.
+ */
+static void
+test_report_of_earlier_start(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+
+    put_entry(s, "i-1", REPORT("draining", "7", "1700"), 0);
+    put_entry(s, "i-1", REPORT("ready", "9", "1600"), 10);
+    put_entry(s, "i-1", REPORT("draining", "8", "1700"), 20);
+    CU_ASSERT_EQUAL(ggw_servers_update(s, 6000), INFINITY);
+    CU_ASSERT_EQUAL(count_ready(s), 0);
+    put_entry(s, "i-1", REPORT("ready", "9", "1600"), 6000);
+    ggw_servers_remove(s, "i-1", 6010, 6010);
+    CU_ASSERT_EQUAL(ggw_servers_update(s, 12000), INFINITY);
+    CU_ASSERT_EQUAL(count_servers(s), 0);
+    ggw_servers_free(s);
+}
+
+/* Guards against a memory of removed servers that grows without bound. */
+static void
+test_reports_of_many_servers(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+
+    for (int i = 0; i < 10100; i++) {
+        g_autofree char *id = g_strdup_printf("i-%d", i);
+
+        put_entry(s, id, REPORT("ready", "7", "1700"), i);
+        ggw_servers_remove(s, id, i, i);
+    }
+    put_entry(s, "i-0", REPORT("ready", "6", "1700"), 10100);
+    CU_ASSERT_EQUAL(count_servers(s), 1);
+    put_entry(s, "i-10099", REPORT("ready", "6", "1700"), 10100);
+    CU_ASSERT_EQUAL(count_servers(s), 1);
+    put_entry(s, "i-10099", REPORT("ready", "6", "1700"), 620000);
+    CU_ASSERT_EQUAL(count_servers(s), 2);
     ggw_servers_free(s);
 }
 
@@ -755,9 +1023,18 @@
         {"customers absent", test_tenants_absent},
         {"customers refused", test_tenants_refused},
         {"domain out while refused", test_domain_out_while_refused},
+        {"older configuration written later",
+         test_older_configuration_written_later},
+        {"invalid configuration", test_invalid_configuration},
+        {"unusual configuration", test_unusual_configuration},
         {"entry", test_entry},
         {"malformed entries", test_malformed_entries},
         {"expired entries", test_expired},
+        {"older report of a draining server",
+         test_older_report_of_draining_server},
+        {"report of a living server", test_report_of_living_server},
+        {"report of an earlier start", test_report_of_earlier_start},
+        {"reports of many servers", test_reports_of_many_servers},
         {"store responses", test_store_responses},
         {"dialect", test_dialect},
         {"malformed load", test_malformed_load},
