--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -388,6 +388,41 @@
     deliver_rows_from(n, "n2", frame);
 }
 
+/* Another gateway reports that the store has always answered it. */
+static void
+report_sound_store(struct node *n)
+{
+    struct ggw_relay_frame frame = {.delta = {.table = "servers"},
+                                    .store_uptime = WAIT_LIMIT_S * 1000};
+
+    frame.delta.rows = g_ptr_array_new();
+    deliver_rows(n, &frame);
+    g_ptr_array_unref(frame.delta.rows);
+}
+
+/*
+ * Guards against a gateway whose own link to the store was cut and that takes
+ * its end for the store's return, so that all keep entries that were removed.
+ */
+static void
+test_own_link_is_no_return(void)
+{
+    struct node *n;
+
+    write_row("servers/i-1", ENTRY);
+    n = node_start(store.port);
+    CU_ASSERT_TRUE(run_until(n, has_one_server));
+    platform_process_fault(&store, "{\"mode\":\"down\"}");
+    for (int i = 0; i < 10; i++) {
+        report_sound_store(n);
+        run_for(n, 300);
+    }
+    platform_process_fault(&store, "{\"mode\":\"none\"}");
+    write_row("servers/i-1", NULL);
+    CU_ASSERT_TRUE(measure_until(n, has_no_server) < CHANGE_MS);
+    node_stop(n);
+}
+
 static struct ggw_store_row *
 entry_row(const char *id, uint64_t version)
 {
@@ -1014,6 +1049,7 @@
         {"odd entries", test_odd_entries},
         {"first answer is no return", test_first_answer_is_no_return},
         {"kept after return", test_kept_after_return},
+        {"own link is no return", test_own_link_is_no_return},
         {"history lost", test_history_lost},
         {"start without store", test_store_unavailable},
         {"outage", test_outage},
