soak: the store returns from an older copy

In seeds from 200000 on, which have the series too, the store takes a copy and returns to it 1 to 6 s later. In between, each server writes its entry every 1.5 s; after the return, the operator writes the newest configuration and the evacuations again and each server its entry within 2 s. The return excuses all gateways for SOAK_STABLE_MS.

No seed of this range is in tests/soak/seeds.txt.

--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -38,6 +38,7 @@
     [SOAK_ENDLESS_RESPONSES] = "endless responses",
     [SOAK_MALFORMED_RESPONSES] = "malformed responses",
     [SOAK_REMOVE_ENTRY] = "remove entry of server",
+    [SOAK_STORE_RETURNS] = "store returns from a copy",
 };
 
 const char *const soak_link_faults[SOAK_LINK_FAULTS] = {
@@ -262,6 +263,10 @@
     }
 }
 
+/* Age of the copy from which the store returns, ms. */
+#define MIN_COPY_AGE_MS 1000.0
+#define MAX_COPY_AGE_MS 6000.0
+
 /* Whether one in @n seeds is drawn. */
 static bool
 draw_one_in(GRand *rand, int n)
@@ -319,6 +324,10 @@
     else {
         add_mixed(steps, rand, seed % 3 != 0, span);
     }
+    if (seed >= SOAK_FIRST_RETURN) {
+        add_step(steps, rand, SOAK_STORE_RETURNS, SOAK_STORE_RETURNS + 1,
+                 MIN_COPY_AGE_MS, MAX_COPY_AGE_MS, span);
+    }
     g_array_sort(steps, by_time);
     g_rand_free(rand);
     return steps;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -40,6 +40,8 @@
     SOAK_ENDLESS_RESPONSES,
     SOAK_MALFORMED_RESPONSES,
     SOAK_REMOVE_ENTRY, /* of a server that leaves; not drawn with the others */
+    /* the store takes a copy, and returns to it; not drawn with the others */
+    SOAK_STORE_RETURNS,
     SOAK_FAULTS,
 };
 
@@ -82,6 +84,9 @@
  */
 #define SOAK_FIRST_SERIES 100000
 
+/* In seeds from this one on, the store also returns from an older copy. */
+#define SOAK_FIRST_RETURN 200000
+
 /* Variant of SOAK_CHANGE_CONFIG with many more routes. */
 #define SOAK_LARGE_CONFIG SOAK_LINK_FAULTS
 
--- a/tests/soak/servers.c
+++ b/tests/soak/servers.c
@@ -423,6 +423,7 @@
     s->service = index % SOAK_SERVICES;
     s->zone = index / SOAK_SERVICES % SOAK_ZONES;
     s->slowdown = 1;
+    s->rewrite_at = INFINITY;
     uv_ip4_addr(address, port, &sa);
     uv_tcp_init(pool->loop, &s->listener);
     s->listener.data = s;
--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -36,6 +36,8 @@
  * @queue: accepted requests that wait for a free slot, struct work
  * @wires: open connections, struct soak_wire
  * @drain_acked_at, @drain_bound: see struct soak_arrival
+ * @state: of its entry in the store, as last written; NULL: it has none
+ * @rewrite_at: when it writes its entry again, ms; INFINITY if it does not
  * @drained_born: @born when its drain was last written to the store
  * @cold_until: end of the cold start, ms; 0 if there is none
  * @slowdown: factor on the processing time
@@ -63,6 +65,8 @@
 
     ggw_ms drain_acked_at;
     ggw_ms drain_bound;
+    const char *state;
+    ggw_ms rewrite_at;
     guint64 drained_born;
     ggw_ms cold_until;
     double slowdown;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -46,6 +46,13 @@
 /* Pause that a server asks for, ms. */
 #define PAUSE_MS 6000.0
 
+/*
+ * Time between two reports of a server after the store has taken a copy, and
+ * longest time until it writes its entry after the return, ms.
+ */
+#define REPORT_INTERVAL_MS 1500.0
+#define MAX_REWRITE_MS 2000.0
+
 /* Ratios of unusual responses while a step lasts. */
 #define UNFRAMED_RATIO 0.4
 #define REPEAT_RATIO 0.2
@@ -76,7 +83,9 @@
     ggw_ms traffic_started; /* 0 before it starts */
     ggw_ms created_at;
     int version;
+    bool large; /* the newest configuration is */
     bool verbose;
+    bool copy_taken; /* from which the store returns later */
 };
 
 static void
@@ -169,6 +178,7 @@
 
     ack->soak = s;
     ack->version = ++s->version;
+    s->large = large;
     text = config_text(s->version, large);
     soak_record_version(s->record, s->version, s->version % SOAK_SERVICES,
                         soak_now());
@@ -189,10 +199,20 @@
         soak_zones[server->zone], state,
         MAX(server->cold_until - soak_now(), 0), server->born);
 
+    server->state = state;
     soak_world_write_row(&s->world, "servers", server->id, text, acked,
                          server);
 }
 
+static void
+remove_entry(struct soak *s, struct soak_server *server,
+             void (*acked)(void *data))
+{
+    server->state = NULL;
+    soak_world_write_row(&s->world, "servers", server->id, NULL, acked,
+                         server);
+}
+
 /* Sets the start of a drain, unless the server already has one. */
 static void
 mark_drained(struct soak_server *server, ggw_ms bound)
@@ -297,6 +317,51 @@
     }
 }
 
+/*
+ * The store has returned from an older copy: the operator writes all that it
+ * has stated again, and each server its entry some time later.
+ */
+static void
+store_returned(void *data)
+{
+    struct soak *s = data;
+    g_autofree char *text = config_text(s->version, s->large);
+
+    soak_record_add_fault(s->record, SOAK_SCOPE_STORE, soak_now());
+    soak_world_write_row(&s->world, "op", "config", text, NULL, NULL);
+    for (int i = 0; i < SOAK_ZONES; i++) {
+        g_autofree char *key = g_strdup_printf("evacuate/%s", soak_zones[i]);
+
+        soak_world_write_row(&s->world, "op", key,
+                             zone_is_evacuated(s, i) ? "{}" : NULL, NULL,
+                             NULL);
+    }
+    for (int i = 0; i < SOAK_SERVERS; i++) {
+        soak_servers_get(s->servers, i)->rewrite_at =
+            soak_now() + g_rand_double_range(s->rand, 0, MAX_REWRITE_MS);
+    }
+}
+
+static void
+rewrite_entries(struct soak *s, ggw_ms now)
+{
+    for (int i = 0; i < SOAK_SERVERS; i++) {
+        struct soak_server *server = soak_servers_get(s->servers, i);
+
+        if (now < server->rewrite_at || !server->running) {
+            continue;
+        }
+        server->rewrite_at =
+            s->copy_taken ? now + REPORT_INTERVAL_MS : INFINITY;
+        if (server->state != NULL) {
+            write_entry(s, server, server->state, NULL);
+        }
+        else {
+            remove_entry(s, server, NULL);
+        }
+    }
+}
+
 /* Gateway index or SOAK_SCOPE_* of a fault; G_MAXINT for maintenance. */
 static int
 fault_scope(const struct soak_step *step)
@@ -410,8 +475,9 @@
         set_link(s, "server", step, on);
         break;
     case SOAK_STORE_FAULT:
-        soak_world_store_fault(w, on ? soak_store_faults[step->variant]
-                                     : "{\"mode\":\"none\"}");
+        soak_world_store_fault(
+            w, on ? soak_store_faults[step->variant] : "{\"mode\":\"none\"}",
+            NULL, NULL);
         break;
     case SOAK_CRASH_SERVER:
         if (on) {
@@ -451,14 +517,26 @@
     case SOAK_REMOVE_ENTRY:
         if (on) {
             server->drained_born = server->born;
-            soak_world_write_row(w, "servers", server->id, NULL, drain_acked,
-                                 server);
+            remove_entry(s, server, drain_acked);
         }
         else {
             soak_server_crash(server);
             restart_server(s, server);
         }
         break;
+    case SOAK_STORE_RETURNS:
+        s->copy_taken = on;
+        for (int i = 0; on && i < SOAK_SERVERS; i++) {
+            soak_servers_get(s->servers, i)->rewrite_at = soak_now();
+        }
+        if (on) {
+            soak_world_store_fault(w, "{\"mode\":\"copy\"}", NULL, NULL);
+        }
+        else {
+            soak_world_store_fault(w, "{\"mode\":\"return\"}", store_returned,
+                                   s);
+        }
+        break;
     case SOAK_FAULTS:
         break;
     }
@@ -583,6 +661,7 @@
         return;
     }
     at = now - s->traffic_started;
+    rewrite_entries(s, now);
     end_steps(s, now);
     while (s->next < s->plan->len &&
            g_array_index(s->plan, struct soak_step, s->next).at <= at) {
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -512,9 +512,10 @@
 }
 
 void
-soak_world_store_fault(struct soak_world *w, const char *json)
+soak_world_store_fault(struct soak_world *w, const char *json,
+                       void (*acked)(void *), void *data)
 {
-    call_new(w, w->store_http, "/-/fault", g_strdup(json), NULL, NULL, NULL);
+    call_new(w, w->store_http, "/-/fault", g_strdup(json), NULL, acked, data);
 }
 
 void
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -111,7 +111,8 @@
 
 /* Sends @json to the relay's control page or the store's fault page. */
 void soak_world_configure_relay(struct soak_world *w, const char *json);
-void soak_world_store_fault(struct soak_world *w, const char *json);
+void soak_world_store_fault(struct soak_world *w, const char *json,
+                            void (*acked)(void *data), void *data);
 
 /**
  * soak_world_write_row() - write a row to the store, as operator or server
