slots: a late response of a server's earlier process does not close its next one

Operators saw a server that had restarted under its id and counted as leaving at gateways for its whole lifetime, with no new requests from them.

Cause: a notice of a response ("the server leaves", "pause") names the server only. If the response of the earlier process came after the list with the next process, the notice was recorded for that one, and told to the owner.

Change: a notice carries the grant of its request. One whose grant was given for an earlier process than the listed one is ignored. A process that leaves says so in each response, so the next one tells again.

--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -322,7 +322,7 @@
         dialect->misdirected != NULL && dialect->misdirected(head->status);
     if (!a->misdirected) {
         a->report = dialect->load(head->headers, head->headers_len);
-        ggw_proxy_report_backoff(r->proxy, a->vm, a->id, head);
+        ggw_proxy_report_backoff(r->proxy, a->vm, a->grant, a->id, head);
     }
     a->shed = a->misdirected ||
               dialect->not_run(head->status, head->headers, head->headers_len);
--- a/proxy/backoff.c
+++ b/proxy/backoff.c
@@ -28,7 +28,8 @@
  */
 void
 ggw_proxy_report_backoff(struct ggw_proxy *proxy, const char *vm,
-                         const char *request, const struct ggw_call_head *head)
+                         uint64_t grant, const char *request,
+                         const struct ggw_call_head *head)
 {
     struct ggw_backoff_notice notice = proxy->options.dialect->backoff(
         head->status, head->headers, head->headers_len);
@@ -38,7 +39,7 @@
     }
     if (notice.leaving || notice.pause > 0) {
         ggw_kernel_send(proxy->base.kernel, "slots", &proxy->base,
-                        ggw_server_notice_new(vm, &notice, request));
+                        ggw_server_notice_new(vm, &notice, grant, request));
     }
 }
 
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -49,7 +49,7 @@
                                                 head->headers_len, p->vm);
     p->report = dialect->probe_load(head->headers, head->headers_len);
     if (!p->misdirected) {
-        ggw_proxy_report_backoff(p->proxy, p->vm, "probe", head);
+        ggw_proxy_report_backoff(p->proxy, p->vm, 0, "probe", head);
     }
 }
 
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -398,7 +398,7 @@
  * @request: id of the request, for the log
  */
 void ggw_proxy_report_backoff(struct ggw_proxy *proxy, const char *vm,
-                              const char *request,
+                              uint64_t grant, const char *request,
                               const struct ggw_call_head *head);
 
 /* Handles SERVER_BACKOFF, which the status page shows. */
--- a/slots/backoff.c
+++ b/slots/backoff.c
@@ -92,6 +92,17 @@
     ggw_slots_send_frame(p, owner, GGW_PEER_SLOT_NOTICE, 0, &w);
 }
 
+/* Whether a notice is from an earlier process of the server. */
+static bool
+is_outdated(const struct ggw_slots *p, const struct ggw_slots_server *s,
+            const struct ggw_server_notice *m)
+{
+    const struct ggw_slots_held_grant *h =
+        g_hash_table_lookup(p->held_grants, &m->grant);
+
+    return h != NULL && h->incarnation < s->incarnation;
+}
+
 void
 ggw_slots_on_notice(struct ggw_slots *p, const struct ggw_server_notice *m)
 {
@@ -102,7 +113,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct ggw_slots_server *s = ggw_slots_find_server(value, m->vm);
 
-        if (s == NULL || !record(p, s, &m->notice)) {
+        if (s == NULL || is_outdated(p, s, m) || !record(p, s, &m->notice)) {
             continue;
         }
         ggw_count(m->notice.leaving ? "ggw_servers_leaving_total"
--- a/slots/held.c
+++ b/slots/held.c
@@ -29,6 +29,7 @@
     h->id = id;
     h->group = pd->group;
     h->server = g_strdup(s->name);
+    h->incarnation = s->incarnation;
     h->domain = g_strdup(s->domain->name);
     h->owner = g_strdup(owner);
     h->from = pd->request->base.from;
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -220,6 +220,7 @@
  * @id: id of the grant
  * @group: service of the server
  * @server: name of the server
+ * @incarnation: of the server when the grant was given
  * @domain: name of the domain that the server is counted in
  * @owner: name of the gateway that counts the grant; NULL if none does
  * @expires: monotonic ms at which an owner stops counting the grant
@@ -231,6 +232,7 @@
     uint64_t id;
     struct ggw_slots_group *group;
     char *server;
+    uint64_t incarnation;
     char *domain;
     char *owner;
     ggw_ms expires;
--- a/slots/messages.c
+++ b/slots/messages.c
@@ -199,13 +199,14 @@
 
 struct ggw_message *
 ggw_server_notice_new(const char *vm, const struct ggw_backoff_notice *notice,
-                      const char *request)
+                      uint64_t grant, const char *request)
 {
     struct ggw_server_notice *m = g_new0(struct ggw_server_notice, 1);
 
     m->base.ops = &ggw_server_notice_ops;
     m->vm = g_strdup(vm);
     m->notice = *notice;
+    m->grant = grant;
     m->request = g_strdup(request);
     return &m->base;
 }
--- a/slots/slots.h
+++ b/slots/slots.h
@@ -262,19 +262,21 @@
  * struct ggw_server_notice - message from "proxy": a server wants no requests
  * @vm: name of the backend server
  * @notice: what its response says
+ * @grant: the grant that the request was sent with; 0 for a probe
  * @request: id of the request that got the response, for the log
  */
 struct ggw_server_notice {
     struct ggw_message base;
     char *vm;
     struct ggw_backoff_notice notice;
+    uint64_t grant;
     char *request;
 };
 
 extern const struct ggw_message_ops ggw_server_notice_ops;
 struct ggw_message *
 ggw_server_notice_new(const char *vm, const struct ggw_backoff_notice *notice,
-                      const char *request);
+                      uint64_t grant, const char *request);
 
 /**
  * struct ggw_server_backoff - message to "proxy": what a server wants, as far
--- a/tests/slots_driver.c
+++ b/tests/slots_driver.c
@@ -31,22 +31,6 @@
     ggw_ms due;
 };
 
-/**
- * struct running_request - request that runs on a server
- * @node: gateway that sent it
- * @grant: id of its grant
- * @server: name of the server
- * @ends: monotonic ms at which it is released
- * @deadline: monotonic ms at which the server stops it
- */
-struct running_request {
-    struct node *node;
-    uint64_t grant;
-    char server[32];
-    ggw_ms ends;
-    ggw_ms deadline;
-};
-
 struct slots_stats slots_stats;
 
 ggw_ms
--- a/tests/test_slots_backoff.c
+++ b/tests/test_slots_backoff.c
@@ -48,7 +48,7 @@
     struct node *n = &c->nodes[gateway];
 
     ggw_kernel_send(n->kernel, "slots", &n->client->base,
-                    ggw_server_notice_new(server, &notice, "test"));
+                    ggw_server_notice_new(server, &notice, 0, "test"));
 }
 
 static void
@@ -128,6 +128,50 @@
     }
 }
 
+/* Grant of the first gateway for a request in progress at SERVER, or 0. */
+static uint64_t
+find_grant(const struct cluster *c)
+{
+    for (guint i = 0; i < slots_stats.running_requests->len; i++) {
+        const struct running_request *r = &g_array_index(
+            slots_stats.running_requests, struct running_request, i);
+
+        if (r->node == &c->nodes[0] && strcmp(r->server, SERVER) == 0) {
+            return r->grant;
+        }
+    }
+    return 0;
+}
+
+static bool
+has_grant(struct cluster *c)
+{
+    return find_grant(c) != 0;
+}
+
+/*
+ * Guards against a server that gets no requests for all of its lifetime since
+ * a response of its predecessor, which left, came late.
+ */
+static void
+test_late_leave(void)
+{
+    struct cluster *c = start(3, SERVERS);
+    struct ggw_backoff_notice notice = {.leaving = true};
+
+    CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+    CU_ASSERT_TRUE(slots_drive_until(c, has_grant));
+    slots_stats.incarnation = 2;
+    publish_all(c, 2, SERVERS);
+    ggw_kernel_send(
+        c->nodes[0].kernel, "slots", &c->nodes[0].client->base,
+        ggw_server_notice_new(SERVER, &notice, find_grant(c), "test"));
+    slots_drive_for(c, SPREAD_MS);
+    clear_grants();
+    CU_ASSERT_TRUE(slots_drive_until(c, was_used_by_all));
+    slots_cluster_free(c);
+}
+
 static int killed;
 
 static bool
@@ -522,6 +566,7 @@
 {
     static CU_TestInfo tests[] = {
         {"leave", test_leave},
+        {"late leave", test_late_leave},
         {"new owner", test_new_owner},
         {"silent owner", test_silent_owner},
         {"fallback", test_fallback},
--- a/tests/test_slots_events.c
+++ b/tests/test_slots_events.c
@@ -30,7 +30,7 @@
     struct node *n = &c->nodes[0];
 
     ggw_kernel_send(n->kernel, "slots", &n->client->base,
-                    ggw_server_notice_new(server, &notice, REQUEST));
+                    ggw_server_notice_new(server, &notice, 0, REQUEST));
     slots_drive_for(c, HANDLED_MS);
 }
 
