--- a/config/schema.c
+++ b/config/schema.c
@@ -343,12 +343,18 @@
     return true;
 }
 
-static bool
-check_name(const char *name, const struct location *at, GError **error)
+bool
+ggw_schema_is_name(const char *name)
 {
     size_t len = strspn(name, NAME_CHARS);
 
-    if (len == 0 || len > MAX_NAME || name[len] != '\0') {
+    return len > 0 && len <= MAX_NAME && name[len] == '\0';
+}
+
+static bool
+check_name(const char *name, const struct location *at, GError **error)
+{
+    if (!ggw_schema_is_name(name)) {
         return refuse_at(error, at,
                          "the name \"%s\" is not 1..%d letters, digits, \"_\" "
                          "or \"-\"",
--- a/config/schema.h
+++ b/config/schema.h
@@ -25,6 +25,11 @@
 bool ggw_schema_parse(const json_t *root, struct ggw_tree *tree,
                       GError **error);
 
+/**
+ * ggw_schema_is_name() - test whether an entry of the settings may have a name
+ */
+bool ggw_schema_is_name(const char *name);
+
 /**
  * ggw_schema_print() - append the operators' reference as Markdown
  * @out: text to append to
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -608,6 +608,27 @@
     }
 }
 
+/* Guards against an added route that is not served because of its name. */
+static void
+test_route_names(void)
+{
+    static const char *const paths[] = {"/a/", "/b/", "/c/", "/d/"};
+    static const char config[] = VERSIONED(
+        "\"0000000b\"",
+        ROUTE("r", "a/", "300", "1200", TO_S) "," ROUTE(
+            "r", "b/", "300", "1200",
+            TO_S) "," ROUTE("added at 5:00/x.y", "c/", "300", "1200",
+                            TO_S) "," ROUTE("a-name-of-more-than-sixty-four-"
+                                            "characters-which-no-page-rules-"
+                                            "out-for-a-route",
+                                            "d/", "300", "1200", TO_S));
+
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        CU_ASSERT_TRUE(
+            has_route(translate_config(config, NULL, NULL), paths[i]));
+    }
+}
+
 #define ENTRY(state, cold)                                                    \
     "{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"a\","      \
     "\"Version\":\"v1\",\"Slots\":4,\"State\":\"" state                       \
@@ -1027,6 +1048,7 @@
          test_older_configuration_written_later},
         {"invalid configuration", test_invalid_configuration},
         {"unusual configuration", test_unusual_configuration},
+        {"added route not served for its name", test_route_names},
         {"entry", test_entry},
         {"malformed entries", test_malformed_entries},
         {"expired entries", test_expired},
