--- a/config/config.c
+++ b/config/config.c
@@ -319,15 +319,15 @@
 }
 
 /*
- * Applies settings. Their revision does not become lower, so that no peer
- * takes them for older ones.
+ * Applies settings. Their revision becomes higher than that of the settings in
+ * force, since the other services and the peers take over no other.
  */
 static void
 apply_newer(struct priv *p, struct team *t, struct ggw_tree *tree, char *json,
             json_t *root, const char *source)
 {
     if (t->tree != NULL) {
-        tree->revision = MAX(tree->revision, t->tree->revision);
+        tree->revision = MAX(tree->revision, t->tree->revision + 1);
     }
     apply(p, t, tree, json, root, source);
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -824,6 +824,30 @@
     ggw_servers_free(s);
 }
 
+/*
+ * Guards against a living server that is never used after its clock went back.
+ */
+static void
+test_reports_after_clock_went_back(void)
+{
+    struct ggw_servers *s = ggw_servers_new();
+
+    put_entry(s, "i-1", REPORT("ready", "7", "1700"), 0);
+    ggw_servers_remove(s, "i-1", 10, 10);
+    for (int i = 0; i < 40; i++) {
+        g_autofree char *report =
+            g_strdup_printf(REPORT("ready", "%d", "1600"), i);
+
+        put_entry(s, "i-1", report, 20 + 1500 * i);
+        ggw_servers_update(s, 20 + 1500 * i);
+    }
+    CU_ASSERT_EQUAL(count_ready(s), 1);
+    put_entry(s, "i-1", REPORT("draining", "40", "1600"), 60020);
+    ggw_servers_update(s, 60020);
+    CU_ASSERT_EQUAL(count_ready(s), 0);
+    ggw_servers_free(s);
+}
+
 /* Guards against a memory of removed servers that grows without bound. */
 static void
 test_reports_of_many_servers(void)
@@ -1056,6 +1080,7 @@
          test_older_report_of_draining_server},
         {"report of a living server", test_report_of_living_server},
         {"report of an earlier start", test_report_of_earlier_start},
+        {"reports after clock went back", test_reports_after_clock_went_back},
         {"reports of many servers", test_reports_of_many_servers},
         {"store responses", test_store_responses},
         {"dialect", test_dialect},
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -1094,6 +1094,30 @@
     node_stop(n);
 }
 
+/*
+ * Guards against a reader that takes the end of a short failure of its own for
+ * the store's return although another reader had the store all the while.
+ */
+static void
+test_short_own_failure_is_no_return(void)
+{
+    struct node *n;
+
+    write_row("servers/i-1", ENTRY);
+    n = node_start(store.port);
+    publish_some_members(n, 2);
+    CU_ASSERT_TRUE(run_until(n, has_one_server));
+    platform_process_fault(&store, "{\"mode\":\"down\"}");
+    for (int i = 0; i < 4; i++) {
+        deliver_progress(n, "n2", "servers", false);
+        run_for(n, 300);
+    }
+    platform_process_fault(&store, "{\"mode\":\"none\"}");
+    write_row("servers/i-1", NULL);
+    CU_ASSERT_TRUE(measure_until(n, has_no_server) < CHANGE_MS);
+    node_stop(n);
+}
+
 int
 main(void)
 {
@@ -1105,6 +1129,8 @@
         {"old failure is no return", test_old_failure_is_no_return},
         {"own failure is no return", test_own_failure_is_no_return},
         {"own link is no return", test_own_link_is_no_return},
+        {"short own failure is no return",
+         test_short_own_failure_is_no_return},
         {"history lost", test_history_lost},
         {"start without store", test_store_unavailable},
         {"outage", test_outage},
