--- a/review/9/case.c
+++ b/review/9/case.c
@@ -1,10 +1,9 @@
 /*
- * Backend servers lose their power while they send long responses. Counts the
- * requests that have no final answer half a second after their route's
- * timeout.
+ * A version of the configuration removes a route. Its client goes on asking
+ * for it, and for routes that never existed. Looks for successes that no
+ * backend server has signed.
  */
 
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,178 +11,131 @@
 
 #include "rig-2/server.h"
 
-/* Servers of "drawing-room" in nilestrand-gw: 4, 4 and 3 in the zones. */
-#define SERVERS 11
-#define CLIENTS 13
+/* ConfigApplyMs of vmtc-gate-grown, and a margin. */
+#define APPLY_MS 2500.0
+#define MARGIN_MS 1500.0
 
-#define TIMEOUT_MS 1250.0
 #define DEADLINE_MS 2500.0
-#define BOUND_MS 500.0
 
-/* 10 Mbit/s, the slowest link of the grown deployment, in bytes per ms. */
-#define LINK_RATE 1250.0
+static struct server server = {
+    .index = 0, .service = "orders", .zone = "cairo-a", .slots = 2,
+    .work_ms = 20};
 
-/* Within the largest response of the site, 540,000 bytes. */
-#define MIN_BYTES 300000
-#define MAX_BYTES 540000
-
-#define DARK_MS 4000.0
-#define COLD_MS 3000.0
-
-static struct server servers[SERVERS];
-static const char *const zones[] = {"cairo-a", "cairo-b", "cairo-c"};
-static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static bool ended;
-static int sent, answered, late, unanswered, never;
-
-static const char config[] =
-    "{\"Version\":\"00000007\",\"Limits\":{\"MaxHeaderBytes\":16384,"
+static const char config_format[] =
+    "{\"Version\":\"%08x\",\"Limits\":{\"MaxHeaderBytes\":16384,"
     "\"MaxBodyBytes\":67108864,\"HeaderTimeoutMs\":3000,"
-    "\"IdleTimeoutMs\":15000},\"Listeners\":[{\"Host\":\"rooms.example\","
-    "\"Rules\":[{\"Name\":\"r-1\",\"RouteType\":\"download\","
+    "\"IdleTimeoutMs\":15000},\"Listeners\":[{\"Host\":\"shop.example\","
+    "\"Rules\":[%s{\"Name\":\"r-1\",\"RouteType\":\"idempotent\","
     "\"TargetLatencyMs\":400,\"Priority\":2,\"Match\":{\"Prefix\":"
-    "\"/drawings/\"},\"Action\":{\"Service\":\"drawing\",\"TimeoutMs\":1250,"
-    "\"MaxAttempts\":2}}]}],\"Clusters\":[{\"Name\":\"drawing\","
+    "\"/orders/\"},\"Action\":{\"Service\":\"orders\",\"TimeoutMs\":1250,"
+    "\"MaxAttempts\":2}}]}],\"Clusters\":[{\"Name\":\"orders\","
     "\"HealthPath\":\"/health\",\"MaxConns\":220,\"ColdStartS\":3,"
-    "\"ColdPerS\":3.4}]}";
+    "\"ColdPerS\":3.4}],\"Tenants\":[{\"Name\":\"first-millers\","
+    "\"ApiKeys\":[\"key-of-first\"],\"RatePerS\":37,\"Burst\":11},"
+    "{\"Name\":\"second-bakers\",\"ApiKeys\":[\"key-of-second\"],"
+    "\"RatePerS\":50,\"Burst\":20}]}";
 
-static int
-zone_of(int server)
-{
-    return server < 4 ? 0 : server < 8 ? 1 : 2;
-}
+static const char dash_route[] =
+    "{\"Name\":\"r-0\",\"RouteType\":\"idempotent\",\"TargetLatencyMs\":400,"
+    "\"Priority\":2,\"Match\":{\"Prefix\":\"/-/\"},\"Action\":{\"Service\":"
+    "\"orders\",\"TimeoutMs\":1250,\"MaxAttempts\":2}},";
+
+static int unsigned_successes, foreign;
 
 static void
-judge(const char *id, int gateway, int status, bool complete, double took)
+put_config(int version, bool with_route)
 {
-    pthread_mutex_lock(&lock);
-    sent++;
-    answered += complete ? 1 : 0;
-    late += took > TIMEOUT_MS ? 1 : 0;
-    unanswered += took > TIMEOUT_MS + BOUND_MS ? 1 : 0;
-    never += complete ? 0 : 1;
-    pthread_mutex_unlock(&lock);
-    if (complete && took <= TIMEOUT_MS) {
-        rig_record("request %s at gateway %d: %d after %.0f ms", id, gateway,
-                   status, took);
-    }
-    else if (complete) {
-        rig_record("request %s at gateway %d: %d after %.0f ms, LATE", id,
-                   gateway, status, took);
-    }
-    else {
-        rig_record("request %s at gateway %d: no answer when its client "
-                   "leaves after %.0f ms, UNANSWERED",
-                   id, gateway, took);
-    }
+    char text[4096];
+
+    snprintf(text, sizeof(text), config_format, version,
+             with_route ? dash_route : "");
+    rig_put("op", "config", text);
+    rig_record("version %d is acknowledged, route /-/ is %s", version,
+               with_route ? "there" : "not there");
 }
 
-static void *
-client(void *data)
+/* Sends a request and judges its answer by MIXED. */
+static void
+ask(const char *path, const char *key)
 {
-    int n = (int)(intptr_t)data;
-    unsigned seed = (unsigned)n * 7919 + (unsigned)getpid();
     struct rig_answer a = {0};
-    char host[64], id[32], text[512];
-    int fd = -1;
-
-    rig_gateway_host(n % 3, host);
-    while (!ended) {
-        double from;
-
-        rig_new_id(id, sizeof(id));
-        snprintf(text, sizeof(text),
-                 "GET /drawings/%d HTTP/1.1\r\nHost: rooms.example\r\n"
-                 "Attempt-Id: %s\r\nRequest-Deadline: %.0f\r\n\r\n",
-                 MIN_BYTES + rand_r(&seed) % (MAX_BYTES - MIN_BYTES), id,
-                 DEADLINE_MS);
-        if (fd < 0) {
-            fd = rig_connect(host, RIG_FRONT, 1000);
-        }
-        if (fd < 0) {
-            rig_sleep(100);
-            continue;
-        }
-        from = rig_now();
-        rig_write(fd, text, strlen(text));
-        rig_read_answer(fd, &a, from + DEADLINE_MS);
-        if (!ended || a.complete) {
-            judge(id, n % 3, a.status, a.complete, rig_now() - from);
-        }
-        if (!a.complete || strstr(a.head, "close") != NULL) {
-            close(fd);
-            fd = -1;
-        }
-        rig_sleep(rand_r(&seed) % 100);
+    char host[64], id[32], text[512], signature[128], own[128];
+    bool is_signed, names_other;
+    int fd;
+
+    rig_gateway_host(0, host);
+    rig_new_id(id, sizeof(id));
+    fd = rig_connect(host, RIG_FRONT, 1000);
+    if (fd < 0) {
+        rig_fail("no connection to the gateway");
+    }
+    snprintf(text, sizeof(text),
+             "GET %s HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s\r\n"
+             "Request-Deadline: %.0f\r\nApi-Key: %s\r\n\r\n",
+             path, id, DEADLINE_MS, key);
+    rig_write(fd, text, strlen(text));
+    rig_read_answer(fd, &a, rig_now() + DEADLINE_MS);
+    close(fd);
+    server_signature(id, a.body != NULL ? a.body : "", a.len, own,
+                     sizeof(own));
+    is_signed = rig_header(a.head, "response-signature", signature,
+                           sizeof(signature)) &&
+                strcmp(signature, own) == 0;
+    names_other = a.body != NULL && strstr(a.body, "first-millers") != NULL &&
+                  strcmp(key, "key-of-first") != 0;
+    rig_record("GET %s with %s: %d, %zu bytes, %s", path, key, a.status, a.len,
+               is_signed ? "signed by a server" : "not signed");
+    if (a.status / 100 == 2 && !is_signed) {
+        unsigned_successes++;
+        rig_record("  a success that no server has given: %.900s",
+                   a.body != NULL ? a.body : "");
     }
-    return NULL;
+    if (names_other) {
+        foreign++;
+        rig_record("  the answer tells of another tenant");
+    }
+    free(a.body);
 }
 
-/* cold_return, how = "dark": the servers of a zone go down for 4 s. */
 static void
-darken_zone(int zone)
+ask_all(void)
 {
-    rig_record("the servers of %s lose their power", zones[zone]);
-    for (int i = 0; i < SERVERS; i++) {
-        if (zone_of(i) == zone) {
-            server_darken(&servers[i]);
-        }
+    static const char *const paths[] = {"/-/status", "/-/metrics", "/-/entry",
+                                        "/-/health", "/-/ready"};
+
+    for (int i = 0; i < 10; i++) {
+        ask("/orders/100", "key-of-first");
     }
-    rig_sleep(DARK_MS);
-    for (int i = 0; i < SERVERS; i++) {
-        if (zone_of(i) == zone) {
-            server_restart(&servers[i], COLD_MS);
-        }
+    for (size_t i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
+        ask(paths[i], "key-of-second");
     }
 }
 
 int
 main(int argc, char **argv)
 {
-    pthread_t thread;
     bool broken;
 
+    rig.has_tenants = true;
     rig_start(argc > 1 ? argv[1] : ".");
-    rig_put("op", "config", config);
-    for (int i = 0; i < SERVERS; i++) {
-        servers[i] = (struct server){.index = i,
-                                     .service = "drawing",
-                                     .slots = 2,
-                                     .work_ms = 96,
-                                     .rate = LINK_RATE};
-        snprintf(servers[i].zone, sizeof(servers[i].zone), "%s",
-                 zones[zone_of(i)]);
-        server_start(&servers[i]);
-    }
-    for (int i = 0; i < 3; i++) {
-        rig_start_gateway(i, 3, zones[i]);
-    }
-    for (int i = 0; i < 3; i++) {
-        rig_await_ready(i);
-    }
-    rig_sleep(3000);
-    for (int i = 0; i < CLIENTS; i++) {
-        pthread_create(&thread, NULL, client, (void *)(intptr_t)i);
-    }
-    rig_sleep(10000);
-    for (int i = 0; i < 6; i++) {
-        if (rig.trouble) {
-            darken_zone(i % 3);
-        }
-        else {
-            rig_sleep(DARK_MS);
-        }
-        rig_sleep(8000);
+    put_config(7, true);
+    server_start(&server);
+    rig_start_gateway(0, 1, "cairo-a");
+    rig_await_ready(0);
+    rig_sleep(3500);
+    ask_all();
+    if (unsigned_successes > 0) {
+        rig_fail("the route is not in force at the start");
     }
-    ended = true;
-    rig_sleep(DEADLINE_MS);
-    broken = unanswered >= 8 && 4 * unanswered > late;
-    rig_record("sent %d, answered %d; longer than the timeout of the route "
-               "%d, of these without an answer %.0f ms later %d; never "
-               "answered %d",
-               sent, answered, late, BOUND_MS, unanswered, never);
-    printf("sent %d, late %d, unanswered 0.5 s later %d, never %d: rule %s\n",
-           sent, late, unanswered, never, broken ? "broken" : "held");
+    put_config(9, !rig.trouble);
+    rig_sleep(APPLY_MS + MARGIN_MS);
+    ask_all();
+    broken = unsigned_successes > 0;
+    rig_record("successes without a server's signature: %d; answers that tell "
+               "of another tenant: %d",
+               unsigned_successes, foreign);
+    printf("unsigned successes %d, foreign %d: rule %s\n", unsigned_successes,
+           foreign, broken ? "broken" : "held");
     fflush(stdout);
     rig_end(broken ? 1 : 0);
 }
--- a/review/rig-2/server.c
+++ b/review/rig-2/server.c
@@ -21,6 +21,11 @@
 /* Bytes that are sent at a time where the link has a limit. */
 #define PIECE 4096
 
+/* Attempts that are remembered, by the number in their ids. */
+#define ATTEMPTS (1 << 20)
+
+static char has_run[ATTEMPTS];
+
 struct connection {
     struct server *server;
     int start;
@@ -164,6 +169,20 @@
              (unsigned long)rig_hash(body, len));
 }
 
+/* The number of an attempt in the id of rig_new_id(). */
+static size_t
+attempt_number(const char *attempt)
+{
+    return strlen(attempt) > 4 ? strtoul(attempt + 4, NULL, 16) % ATTEMPTS : 0;
+}
+
+bool
+server_has_run(const char *attempt)
+{
+    return __atomic_load_n(&has_run[attempt_number(attempt)],
+                           __ATOMIC_RELAXED) != 0;
+}
+
 static char *
 make_body(const char *attempt, size_t len)
 {
@@ -196,6 +215,7 @@
     s->running++;
     s->ran++;
     pthread_mutex_unlock(&s->lock);
+    __atomic_store_n(&has_run[attempt_number(attempt)], 1, __ATOMIC_RELAXED);
     rig_sleep(s->work_ms);
     body = make_body(attempt, len);
     server_signature(attempt, body, len, signature, sizeof(signature));
--- a/review/rig-2/server.h
+++ b/review/rig-2/server.h
@@ -47,6 +47,9 @@
 /* Starts it again, cold and under a new id. */
 void server_restart(struct server *s, double cold_ms);
 
+/* Whether a server began to work on an attempt of rig_new_id(). */
+bool server_has_run(const char *attempt);
+
 /* Signature of a body that a server sends for an attempt. */
 void server_signature(const char *attempt, const char *body, size_t len,
                       char *signature, size_t size);
