slots: refuse waiting requests when their service is removed

Cause: when a gateway learns that a service is gone, it forgets the rule of the service, but its waiting requests stayed. An owner that gets the version some ms later or earlier then grants or refuses, or does not answer in time, and each of these ways reads the rule.

A grant on its way is returned unused. A check at each use of the rule was weighed: it would leave requests waiting until their deadline for a service that nobody serves.

--- a/slots/events.c
+++ b/slots/events.c
@@ -30,6 +30,11 @@
                                               .level = GGW_LOG_INFO,
                                               .importance = GGW_LOG_IMPORTANT,
                                               .max_per_s = LINES_PER_S};
+static struct ggw_log_event removed_event = {.part = LOG_PART,
+                                             .name = "removed",
+                                             .level = GGW_LOG_INFO,
+                                             .importance = GGW_LOG_IMPORTANT,
+                                             .max_per_s = LINES_PER_S};
 
 static struct ggw_log_event backoff_event = {.part = LOG_PART,
                                              .name = "backoff",
@@ -97,6 +102,15 @@
                   owner_name != NULL ? owner_name : "none");
 }
 
+void
+ggw_slots_log_removed(const struct ggw_slots_pending *pd)
+{
+    ggw_log_event(
+        &removed_event, "service=%s home=%s spill=%s queued_locally=%d",
+        pd->group->service, pd->home != NULL ? pd->home->owner : "none",
+        pd->spill != NULL ? pd->spill->owner : "none", pd->queued_locally);
+}
+
 void
 ggw_slots_log_backoff(const struct ggw_slots_server *s, const char *source,
                       ggw_ms left)
--- a/slots/events.h
+++ b/slots/events.h
@@ -26,6 +26,12 @@
 void ggw_slots_log_fallback(const struct ggw_slots_pending *pd,
                             const char *server_name, const char *owner_name);
 
+/*
+ * Logs that a pending request is refused because the settings no longer have
+ * its service, and which owners it was waiting for.
+ */
+void ggw_slots_log_removed(const struct ggw_slots_pending *pd);
+
 /*
  * Logs that a server wants no requests, or takes them again.
  * @source: id of the request whose response said so, or the gateway that told
--- a/slots/groups.c
+++ b/slots/groups.c
@@ -454,6 +454,7 @@
             s->listed = false;
         }
     }
+    ggw_slots_refuse_removed(p);
     for (size_t i = 0; p->vms != NULL && i < p->vms->len; i++) {
         if (p->vms->vms[i].role == GGW_VM_BACKEND_SERVER) {
             apply_vm(p, &p->vms->vms[i]);
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -141,7 +141,8 @@
  * @team: name of the team
  * @service: name of the service
  * @tree: settings that contain @rule; NULL before settings are in force
- * @rule: settings of the service; NULL if the team has no such service
+ * @rule: settings of the service; NULL if the team has no such service, and
+ *        then no request of it is pending
  * @split: the service is large enough for one owner in each failure domain
  * @servers: array of struct ggw_slots_server
  * @domains: array of struct ggw_slots_domain
@@ -614,6 +615,14 @@
 void ggw_slots_owner_changed(struct ggw_slots *p, struct ggw_slots_domain *d,
                              const char *old_owner);
 
+/*
+ * Refuses the pending requests of services that the settings in force do not
+ * have, so that their clients come back for the new route. To be called when
+ * the rules of the services have changed, before anything else can answer a
+ * pending request: afterwards the service of each one has a rule.
+ */
+void ggw_slots_refuse_removed(struct ggw_slots *p);
+
 /* Handles PEER_LOST: a gateway does not answer. */
 void ggw_slots_on_peer_lost(struct ggw_slots *p, const char *peer);
 
--- a/slots/remote.c
+++ b/slots/remote.c
@@ -570,6 +570,53 @@
     }
 }
 
+/* Returns the requests whose service the settings in force do not have. */
+static GPtrArray *
+find_removed(struct ggw_slots *p)
+{
+    GPtrArray *removed = g_ptr_array_new();
+
+    for (GSequenceIter *i = g_sequence_get_begin_iter(p->pending);
+         !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+        struct ggw_slots_pending *pd = g_sequence_get(i);
+
+        if (pd->group->rule == NULL) {
+            g_ptr_array_add(removed, pd);
+        }
+    }
+    return removed;
+}
+
+/*
+ * All acquire requests are detached before the first one is cancelled: a
+ * cancellation at an own ledger grants the slot to the next request in its
+ * queue, which may be another one of the removed service.
+ */
+void
+ggw_slots_refuse_removed(struct ggw_slots *p)
+{
+    g_autoptr(GPtrArray) removed = find_removed(p);
+    g_autoptr(GPtrArray) acquires = g_ptr_array_new();
+
+    for (guint i = 0; i < removed->len; i++) {
+        struct ggw_slots_pending *pd = g_ptr_array_index(removed, i);
+        struct ggw_slots_acquire *const own[] = {pd->home, pd->spill};
+
+        ggw_count("ggw_slots_refused_removed_total");
+        ggw_slots_log_removed(pd);
+        for (size_t j = 0; j < G_N_ELEMENTS(own); j++) {
+            if (own[j] != NULL) {
+                ggw_slots_acquire_detach(p, own[j]);
+                g_ptr_array_add(acquires, own[j]);
+            }
+        }
+        refuse(p, pd, GGW_SLOT_NO_SERVER, RETRY_AFTER);
+    }
+    for (guint i = 0; i < acquires->len; i++) {
+        ggw_slots_acquire_cancel(p, g_ptr_array_index(acquires, i));
+    }
+}
+
 static void
 on_acquire_due(struct ggw_slots *p, struct ggw_slots_acquire *a)
 {
