slots: keep the owners of a service that the settings leave out

What callers would have seen: after a version without a service and one with it again, all its servers counted as just started, and took few requests for some seconds; requests of gateways that still had the service could go to full servers.

Cause: a service without a rule counted as one with an owner for each failure domain. A single owner gave it up, told askers 'not the owner', for which they place requests without one, and dropped its ledger. The ledgers that stayed got a rule of zeros.

Change: the division and the limits of the last rule are kept while there is none; all servers are closed, so an owner refuses as no-server.

--- a/slots/groups.c
+++ b/slots/groups.c
@@ -78,20 +78,10 @@
     return NULL;
 }
 
-static bool
-has_single_owner(const struct ggw_slots_group *g)
-{
-    if (g->rule == NULL) {
-        return false;
-    }
-    return g->rule->scope == GGW_SCOPE_SERVICE ||
-           (g->rule->scope == GGW_SCOPE_SIZE && !g->split);
-}
-
 bool
 ggw_slots_domain_in_use(const struct ggw_slots_domain *d)
 {
-    return has_single_owner(d->group) ==
+    return d->group->single_owner ==
            (strcmp(d->name, GGW_SLOTS_ALL_DOMAINS) == 0);
 }
 
@@ -99,8 +89,8 @@
 ggw_slots_home_domain(const struct ggw_slots *p,
                       const struct ggw_slots_group *g)
 {
-    return ggw_slots_find_domain(g, has_single_owner(g) ? GGW_SLOTS_ALL_DOMAINS
-                                                        : p->domain);
+    return ggw_slots_find_domain(g, g->single_owner ? GGW_SLOTS_ALL_DOMAINS
+                                                    : p->domain);
 }
 
 struct ggw_slots_domain *
@@ -164,6 +154,19 @@
     return d;
 }
 
+static struct ggw_limit_rule
+make_limit_rule(const struct ggw_service_rule *rule)
+{
+    return (struct ggw_limit_rule){
+        .slots = rule->slots,
+        .ahead = rule->ahead,
+        .cold_limit = rule->cold_limit,
+        .cold_time = rule->cold_time,
+        .cold_rate = rule->cold_rate,
+        .max_trial_interval = rule->max_trial_interval,
+    };
+}
+
 static void
 apply_rule(struct ggw_slots *p, struct ggw_slots_group *g)
 {
@@ -176,6 +179,9 @@
     g->tree = ggw_tree_ref(tree);
     g->rule = ggw_tree_service(tree, g->service);
     g->policy.ops = g->rule != NULL ? ggw_policy_find(g->rule->policy) : NULL;
+    if (g->rule != NULL) {
+        g->limit_rule = make_limit_rule(g->rule);
+    }
 }
 
 static struct ggw_slots_group *
@@ -233,8 +239,8 @@
     s->slots = vm->slots;
     g_free(s->failure_domain);
     s->failure_domain = g_strdup(vm->failure_domain);
-    s->domain = ensure_domain(g, has_single_owner(g) ? GGW_SLOTS_ALL_DOMAINS
-                                                     : vm->failure_domain);
+    s->domain = ensure_domain(g, g->single_owner ? GGW_SLOTS_ALL_DOMAINS
+                                                 : vm->failure_domain);
     g_free(s->host);
     s->host = g_strdup(vm->host);
     s->port = vm->port;
@@ -285,16 +291,9 @@
     struct ggw_slots_group *g = d->group;
     g_autoptr(GArray) servers =
         g_array_new(FALSE, TRUE, sizeof(struct ggw_ledger_server_config));
-    struct ggw_limit_rule rule = {0};
 
     if (g->rule != NULL) {
-        rule.slots = g->rule->slots;
-        rule.ahead = g->rule->ahead;
-        rule.cold_limit = g->rule->cold_limit;
-        rule.cold_time = g->rule->cold_time;
-        rule.cold_rate = g->rule->cold_rate;
         ggw_ledger_set_hedge_work(d->ledger, g->rule->hedge_work_percent);
-        rule.max_trial_interval = g->rule->max_trial_interval;
         if (g->policy.ops != NULL && g->policy.ops->needs_owner) {
             ggw_ledger_set_policy(d->ledger, g->policy.ops,
                                   g->rule->busy_percent);
@@ -325,7 +324,7 @@
     }
     ggw_ledger_set_exposure(d->ledger, ggw_slots_rollout_limits(g->rollout),
                             count_owners(g), ggw_slots_now(p));
-    ggw_ledger_configure(d->ledger, &rule,
+    ggw_ledger_configure(d->ledger, &g->limit_rule,
                          g->rule != NULL ? g->rule->queue : 0,
                          (struct ggw_ledger_server_config *)servers->data,
                          servers->len, ggw_slots_now(p));
@@ -405,12 +404,8 @@
 static void
 update_split(struct ggw_slots *p, struct ggw_slots_group *g)
 {
-    guint fewest;
+    guint fewest = fewest_servers(p, g);
 
-    if (g->rule == NULL || g->rule->scope != GGW_SCOPE_SIZE) {
-        return;
-    }
-    fewest = fewest_servers(p, g);
     if (fewest >= SPLIT_MIN_SERVERS) {
         g->split = true;
     }
@@ -419,6 +414,24 @@
     }
 }
 
+/*
+ * A service that the settings leave out keeps its owners: they refuse the
+ * requests of gateways that still have it, and know its servers if a later
+ * version has it again.
+ */
+static void
+update_single_owner(struct ggw_slots *p, struct ggw_slots_group *g)
+{
+    if (g->rule == NULL) {
+        return;
+    }
+    if (g->rule->scope == GGW_SCOPE_SIZE) {
+        update_split(p, g);
+    }
+    g->single_owner = g->rule->scope == GGW_SCOPE_SERVICE ||
+                      (g->rule->scope == GGW_SCOPE_SIZE && !g->split);
+}
+
 /*
  * Creates the groups of all services before their servers are added, because
  * the division of a service depends on all of its servers.
@@ -447,7 +460,7 @@
         struct ggw_slots_group *g = value;
 
         apply_rule(p, g);
-        update_split(p, g);
+        update_single_owner(p, g);
         for (guint i = 0; i < g->servers->len; i++) {
             struct ggw_slots_server *s = g_ptr_array_index(g->servers, i);
 
--- a/slots/internal.h
+++ b/slots/internal.h
@@ -143,7 +143,10 @@
  * @tree: settings that contain @rule; NULL before settings are in force
  * @rule: settings of the service; NULL if the team has no such service, and
  *        then no request of it is pending
+ * @limit_rule: limits of the servers by the last @rule; they hold for what
+ *              the ledgers know of the servers while there is no rule
  * @split: the service is large enough for one owner in each failure domain
+ * @single_owner: one owner for all servers, by the last @rule
  * @servers: array of struct ggw_slots_server
  * @domains: array of struct ggw_slots_domain
  * @policy: policy that selects a server
@@ -155,7 +158,9 @@
     char *service;
     struct ggw_tree *tree;
     const struct ggw_service_rule *rule;
+    struct ggw_limit_rule limit_rule;
     bool split;
+    bool single_owner;
     GPtrArray *servers;
     GPtrArray *domains;
     struct ggw_policy policy;
--- a/tests/test_slots_removed_service.c
+++ b/tests/test_slots_removed_service.c
@@ -177,12 +177,44 @@
     for_each_order(play_return);
 }
 
+static uint64_t
+count_takeovers(void)
+{
+    return *ggw_counter("ggw_slots_takeovers_total");
+}
+
+static void
+play_same_owner(struct cluster *c, const struct division *d, int alone,
+                bool first)
+{
+    uint64_t before = count_takeovers();
+
+    publish_apart(c, alone, first, tree_removed_json);
+    slots_drive_for(c, APART_MS);
+    publish_apart(c, alone, first, d->json);
+    slots_drive_for(c, APART_MS);
+    CU_ASSERT_EQUAL(count_takeovers(), before);
+}
+
+/*
+ * Guards against a service that changes its owners when it is removed. The
+ * former owner told gateways that still had the service that it is no owner,
+ * so they granted slots which nobody counted, and the new owner of the
+ * service that came back knew nothing of its servers.
+ */
+static void
+test_owners_stay(void)
+{
+    for_each_order(play_same_owner);
+}
+
 int
 main(void)
 {
     static CU_TestInfo tests[] = {
         {"removed while requests wait", test_removed_while_waiting},
         {"removed and back", test_removed_and_back},
+        {"owners stay", test_owners_stay},
         CU_TEST_INFO_NULL,
     };
     int status = suite_run("slots_removed_service", tests);
