platform: take names of any characters in a configuration

Cause: the settings limit the names of entries and refuse the whole text for one that is not allowed; the pages limit none of these names.

It is safe in headers, labels of metrics and lines of the log.

--- a/common/log.c
+++ b/common/log.c
@@ -167,6 +167,15 @@
     return true;
 }
 
+/* Keeps an event on one line: names in it may come from outside. */
+static void
+replace_control_characters(char *text)
+{
+    for (char *c = text; *c != '\0'; c++) {
+        *c = g_ascii_iscntrl(*c) ? '?' : *c;
+    }
+}
+
 void
 ggw_log_event(struct ggw_log_event *event, const char *format, ...)
 {
@@ -190,6 +199,7 @@
     va_start(ap, format);
     vsnprintf(line + len, sizeof(line) - len - 1, format, ap);
     va_end(ap);
+    replace_control_characters(line + len);
     g_strlcat(line, "\n", sizeof(line));
     ggw_log_writer_put(writer, event->importance, line, strlen(line));
 }
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -71,6 +71,25 @@
                            (guint64)h->count);
 }
 
+char *
+ggw_metric_label(const char *text)
+{
+    GString *out = g_string_new(NULL);
+
+    for (const char *c = text; *c != '\0'; c++) {
+        if (*c == '"' || *c == '\\') {
+            g_string_append_c(out, '\\');
+        }
+        if (*c == '\n') {
+            g_string_append(out, "\\n");
+        }
+        else {
+            g_string_append_c(out, g_ascii_iscntrl(*c) ? '?' : *c);
+        }
+    }
+    return g_string_free(out, FALSE);
+}
+
 void
 ggw_metrics_print(GString *out)
 {
--- a/common/metrics.h
+++ b/common/metrics.h
@@ -36,6 +36,14 @@
  */
 struct ggw_histogram *ggw_metric_histogram(const char *name);
 
+/**
+ * ggw_metric_label() - get a text as the value of a label
+ *
+ * Return: @text with escaped quotes, backslashes and control characters, to be
+ * freed with g_free().
+ */
+char *ggw_metric_label(const char *text);
+
 /**
  * ggw_metrics_print() - append all metrics in the text exposition format
  *
--- a/config/schema.c
+++ b/config/schema.c
@@ -190,6 +190,19 @@
     return true;
 }
 
+static bool
+parse_text(const json_t *value, const struct location *at, char **dest,
+           GError **error)
+{
+    if (!json_is_string(value)) {
+        g_autofree char *json = format_value(value);
+
+        return refuse_at(error, at, "%s is not a text", json);
+    }
+    *dest = g_strdup(json_string_value(value));
+    return true;
+}
+
 static bool
 parse_prefix(const json_t *value, const struct location *at, char **dest,
              GError **error)
@@ -329,12 +342,18 @@
     return len;
 }
 
-static bool
-check_any_name(const char *name, const struct location *at, GError **error)
+bool
+ggw_schema_is_any_name(const char *name)
 {
     size_t len = any_name_span(name);
 
-    if (len == 0 || len > MAX_ANY_NAME || name[len] != '\0') {
+    return len > 0 && len <= MAX_ANY_NAME && name[len] == '\0';
+}
+
+static bool
+check_any_name(const char *name, const struct location *at, GError **error)
+{
+    if (!ggw_schema_is_any_name(name)) {
         return refuse_at(error, at,
                          "the name \"%s\" is not 1..%d visible ASCII "
                          "characters without quotes and backslashes",
@@ -433,6 +452,8 @@
         return parse_choice(s, value, at, dest, error);
     case GGW_SETTING_METHODS:
         return parse_methods(s, value, at, dest, error);
+    case GGW_SETTING_TEXT:
+        return parse_text(value, at, dest, error);
     case GGW_SETTING_PREFIX:
         return parse_prefix(value, at, dest, error);
     case GGW_SETTING_HOST:
@@ -541,6 +562,8 @@
         return g_strdup_printf("number, %.15g..%.15g", s->min, s->max);
     case GGW_SETTING_METHODS:
         return g_strdup_printf("list of %s", choices);
+    case GGW_SETTING_TEXT:
+        return g_strdup("text");
     case GGW_SETTING_PREFIX:
         return g_strdup_printf("path, at most %d bytes", MAX_PREFIX);
     case GGW_SETTING_ORDER:
--- a/config/schema.h
+++ b/config/schema.h
@@ -30,6 +30,12 @@
  */
 bool ggw_schema_is_name(const char *name);
 
+/**
+ * ggw_schema_is_any_name() - test the same for entries chosen outside of the
+ *                            project, such as customers
+ */
+bool ggw_schema_is_any_name(const char *name);
+
 /**
  * ggw_schema_print() - append the operators' reference as Markdown
  * @out: text to append to
--- a/config/setting.h
+++ b/config/setting.h
@@ -21,6 +21,7 @@
  * @GGW_SETTING_CHOICE: one of the choices, stored as text
  * @GGW_SETTING_ENUM: one of the choices, stored as its index in an int
  * @GGW_SETTING_METHODS: list of choices, stored as a NULL-terminated array
+ * @GGW_SETTING_TEXT: any text
  * @GGW_SETTING_PREFIX: path that begins with "/", stored as text
  * @GGW_SETTING_HOST: host name in lower case, stored as text
  * @GGW_SETTING_ORDER: source of the order identifier, stored in three members
@@ -38,6 +39,7 @@
     GGW_SETTING_CHOICE,
     GGW_SETTING_ENUM,
     GGW_SETTING_METHODS,
+    GGW_SETTING_TEXT,
     GGW_SETTING_PREFIX,
     GGW_SETTING_HOST,
     GGW_SETTING_ORDER,
--- a/config/settings_tables.c
+++ b/config/settings_tables.c
@@ -9,11 +9,17 @@
 #define POLICIES                                                              \
     "slots|fastest|random|round_robin|least_outstanding|power_of_two"
 
-/* Settings of one failure domain or backend server. */
+/* Settings of one backend server. */
 struct state_entry {
     int state; /* index of the choice; 0 is the default, "in" */
 };
 
+/* Settings of one failure domain. */
+struct domain_entry {
+    int state;       /* as for a backend server */
+    char *full_name; /* NULL for the name of the entry */
+};
+
 static bool
 check_service(const void *entry, const char *path, GError **error)
 {
@@ -79,16 +85,33 @@
     return true;
 }
 
+/* Takes the name that an entry states, or that of the entry itself. */
+static char *
+take_name(char **full_name, const char *name)
+{
+    char *stated = g_steal_pointer(full_name);
+
+    return stated != NULL ? stated : g_strdup(name);
+}
+
 static void
 add_domain(void *parent, const char *name, void *entry)
 {
     struct ggw_tree *tree = parent;
+    struct domain_entry *e = entry;
+    g_autofree char *domain = take_name(&e->full_name, name);
 
-    if (((struct state_entry *)entry)->state != 0) {
-        g_hash_table_add(tree->domains_out, g_strdup(name));
+    if (e->state != 0) {
+        g_hash_table_add(tree->domains_out, g_steal_pointer(&domain));
     }
 }
 
+static void
+clear_domain(void *entry)
+{
+    g_free(((struct domain_entry *)entry)->full_name);
+}
+
 static void
 add_server(void *parent, const char *name, void *entry)
 {
@@ -105,7 +128,7 @@
     struct ggw_tree *tree = parent;
     struct ggw_service_rule *rule = entry;
 
-    rule->name = g_strdup(name);
+    rule->name = take_name(&rule->full_name, name);
     tree->services = g_renew(struct ggw_service_rule, tree->services,
                              tree->services_len + 1);
     tree->services[tree->services_len++] = *rule;
@@ -154,6 +177,7 @@
     }
     g_free(rule->kinds);
     g_free(rule->name);
+    g_free(rule->full_name);
     g_free(rule->policy);
     g_free(rule->health_path);
 }
@@ -175,6 +199,7 @@
 {
     g_strfreev(customer->keys);
     g_free(customer->name);
+    g_free(customer->full_name);
 }
 
 static void
@@ -183,7 +208,7 @@
     struct ggw_tree *tree = parent;
     struct ggw_customer_rule *customer = entry;
 
-    customer->name = g_strdup(name);
+    customer->name = take_name(&customer->full_name, name);
     tree->customers = g_renew(struct ggw_customer_rule, tree->customers,
                               tree->customers_len + 1);
     tree->customers[tree->customers_len++] = *customer;
@@ -207,6 +232,15 @@
     ggw_service_rule_clear(entry);
 }
 
+/* Name of an entry of type @entry that may hold any characters. */
+#define FULL_NAME(entry)                                                      \
+    {                                                                         \
+        .name = "full_name", .type = GGW_SETTING_TEXT,                        \
+        .offset = offsetof(entry, full_name),                                 \
+        .help = "name that counts in place of the entry's own, which may "    \
+                "not hold all characters",                                    \
+    }
+
 /*
  * Settings common to kinds and routes. @base is the offset of the struct
  * ggw_kind in the struct of the level, in bytes.
@@ -323,6 +357,7 @@
 };
 
 static const struct ggw_setting service_settings[] = {
+    FULL_NAME(struct ggw_service_rule),
     {
         .name = "slots",
         .type = GGW_SETTING_INT,
@@ -568,6 +603,7 @@
 };
 
 static const struct ggw_setting customer_settings[] = {
+    FULL_NAME(struct ggw_customer_rule),
     {
         .name = "keys",
         .type = GGW_SETTING_KEYS,
@@ -619,10 +655,11 @@
 };
 
 static const struct ggw_setting domain_settings[] = {
+    FULL_NAME(struct domain_entry),
     {
         .name = "state",
         .type = GGW_SETTING_ENUM,
-        .offset = offsetof(struct state_entry, state),
+        .offset = offsetof(struct domain_entry, state),
         .default_json = "\"in\"",
         .choices = "in|out",
         .help = "\"out\" takes the failure domain out of service",
@@ -633,8 +670,9 @@
 static const struct ggw_setting_level domain_level = {
     .path = "failure_domains.DOMAIN",
     .settings = domain_settings,
-    .size = sizeof(struct state_entry),
+    .size = sizeof(struct domain_entry),
     .add = add_domain,
+    .clear = clear_domain,
 };
 
 static const struct ggw_setting server_settings[] = {
--- a/config/tree.h
+++ b/config/tree.h
@@ -134,6 +134,7 @@
 /**
  * struct ggw_customer_rule - settings of one customer
  * @name: name of the customer, which backend servers get
+ * @full_name: @name if it is not that of the entry; NULL once it is set
  * @keys: NULL-terminated list of the keys that identify the customer's
  *        requests; never written to logs, metrics or pages
  * @priority: priority of the customer's requests, which replaces that of the
@@ -144,6 +145,7 @@
  */
 struct ggw_customer_rule {
     char *name;
+    char *full_name;
     char **keys;
     int priority;
     double rate;
@@ -153,6 +155,7 @@
 /**
  * struct ggw_service_rule - settings of one service
  * @name: name of the service
+ * @full_name: @name if it is not that of the entry; NULL once it is set
  * @slots: requests that one warm backend server runs concurrently
  * @ahead: additional requests that may wait in a warm backend server
  * @connections: connections that one backend server accepts from all gateways
@@ -186,6 +189,7 @@
  */
 struct ggw_service_rule {
     char *name;
+    char *full_name;
     int slots;
     int ahead;
     int connections;
--- a/customers/service.c
+++ b/customers/service.c
@@ -46,10 +46,11 @@
 static uint64_t *
 customer_metric(const struct ggw_allotments_customer *c, const char *result)
 {
+    g_autofree char *customer = ggw_metric_label(c->name);
     g_autofree char *name = g_strdup_printf(
         "ggw_customer_requests_total{team=\"%s\",customer=\"%s\","
         "result=\"%s\"}",
-        c->team, c->name, result);
+        c->team, customer, result);
 
     return ggw_counter(name);
 }
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -674,8 +674,9 @@
         g_string_append_printf(head, "%s: %s\r\n", dialect->server_id, server);
     }
     if (r->customer != NULL) {
-        g_string_append_printf(head, "%s: %s\r\n", dialect->customer,
-                               r->customer->name);
+        g_string_append_printf(head, "%s: ", dialect->customer);
+        ggw_headers_append_value(head, r->customer->name);
+        g_string_append(head, "\r\n");
     }
     if (new_connection) {
         g_string_append(head, "connection: close\r\n");
--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -180,6 +180,23 @@
     return out;
 }
 
+void
+ggw_headers_append_value(GString *head, const char *text)
+{
+    size_t len = strlen(text);
+
+    for (size_t i = 0; i < len; i++) {
+        bool outer = i == 0 || i == len - 1;
+
+        if (g_ascii_iscntrl(text[i]) || (outer && text[i] == ' ')) {
+            g_string_append_printf(head, "%%%02X", (unsigned char)text[i]);
+        }
+        else {
+            g_string_append_c(head, text[i]);
+        }
+    }
+}
+
 void
 ggw_headers_copy_response(h2o_req_t *req, const struct ggw_dialect *dialect,
                           const h2o_header_t *headers, size_t len)
--- a/proxy/headers.h
+++ b/proxy/headers.h
@@ -51,6 +51,16 @@
                                    const struct ggw_dialect *dialect,
                                    bool has_customers);
 
+/**
+ * ggw_headers_append_value() - append any text as the value of a header
+ * @head: head of a message
+ * @text: the text
+ *
+ * Control characters, and spaces at either end, which would change the value
+ * or the head, are written as "%" and two hexadecimal digits.
+ */
+void ggw_headers_append_value(GString *head, const char *text);
+
 /**
  * ggw_headers_copy_response() - copy headers of a server's response
  * @req: request of the client, whose response gets the headers
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -822,14 +822,16 @@
                const struct ggw_kind *kind)
 {
     struct ggw_proxy_kind_state *k = g_hash_table_lookup(t->kinds, kind->name);
+    g_autofree char *service = NULL;
     g_autofree char *name = NULL;
 
     if (k != NULL) {
         return k;
     }
     k = g_new0(struct ggw_proxy_kind_state, 1);
+    service = ggw_metric_label(rule->name);
     k->labels = g_strdup_printf("team=\"%s\",service=\"%s\",kind=\"%s\"",
-                                tree->team, rule->name, kind->name);
+                                tree->team, service, kind->name);
     name = g_strdup_printf("ggw_request_ms{%s}", k->labels);
     k->latency_histogram = ggw_metric_histogram(name);
     g_hash_table_insert(t->kinds, g_strdup(kind->name), k);
--- a/tests/test_proxy_customers.c
+++ b/tests/test_proxy_customers.c
@@ -165,6 +165,37 @@
     env_stop(env);
 }
 
+/*
+ * Guards against a customer's name that a server gets in part, or that adds
+ * lines to the head of its request.
+ */
+static void
+test_full_names(void)
+{
+    static const struct {
+        const char *json;
+        const char *sent;
+    } cases[] = {
+        {"Nausori Tolls", "Nausori Tolls"},
+        {"Viti\xc3\xa9", "Viti\xc3\xa9"},
+        {"a\\r\\nX-Key: secret", "a%0D%0AX-Key: secret"},
+        {" outer ", "%20outer%20"},
+    };
+    struct env *env = start_with_customers();
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autofree char *customers = g_strdup_printf(
+            "\"c\":{\"keys\":[\"" KEY_A "\"],\"full_name\":\"%s\"}",
+            cases[i].json);
+
+        apply(env, 9 + i, customers);
+        CU_ASSERT_TRUE(is_answered(env, KEPT "X-Key: " KEY_A "\r\n\r\n"));
+        CU_ASSERT_EQUAL(named(env, 0, cases[i].sent), 1);
+        CU_ASSERT_EQUAL(name_headers(env, 0), (int)i + 1);
+    }
+    env_stop(env);
+}
+
 /*
  * Guards against a retry after a refusal, or a second attempt beside a slow
  * one, that has the key or lacks the customer's name.
@@ -362,6 +393,7 @@
 {
     static CU_TestInfo tests[] = {
         {"headers", test_headers},
+        {"full names", test_full_names},
         {"further attempts", test_further_attempts},
         {"refused", test_refused},
         {"public", test_public},
