--- a/config/schema.c
+++ b/config/schema.c
@@ -14,15 +14,14 @@
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789_-"
 #define MAX_ANY_NAME 200     /* bytes */
 #define MAX_NAME 64          /* bytes */
-#define MAX_PREFIX 256       /* bytes */
+#define MAX_PREFIX 8192      /* bytes */
 #define MAX_ORDER_SEGMENT 31 /* index, from 0 */
 
-#define HOST_CHARS "abcdefghijklmnopqrstuvwxyz0123456789.-_"
-#define MAX_HOST 253 /* bytes */
+#define MAX_HOST 8192 /* bytes */
 
 #define MAX_WEIGHT 1000000
 
-#define MAX_KEY 200 /* bytes */
+#define MAX_KEY 8192 /* bytes */
 
 bool
 ggw_setting_refuse(GError **error, const char *path, const char *format, ...)
@@ -254,6 +253,18 @@
                      json, MAX_ORDER_SEGMENT);
 }
 
+/* A host may hold any characters that a request can name it with. */
+static bool
+has_bad_host_char(const char *text)
+{
+    for (; *text != '\0'; text++) {
+        if (g_ascii_iscntrl(*text) || g_ascii_isupper(*text) || *text == ' ') {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 parse_host(const json_t *value, const struct location *at, char **dest,
            GError **error)
@@ -261,7 +272,7 @@
     const char *text = json_string_value(value);
 
     if (text == NULL || *text == '\0' || strlen(text) > MAX_HOST ||
-        text[strspn(text, HOST_CHARS)] != '\0') {
+        has_bad_host_char(text)) {
         g_autofree char *json = format_value(value);
 
         return refuse_at(error, at, "%s is not a host name in lower case",
@@ -297,6 +308,20 @@
     return true;
 }
 
+/* Whether a request can have @key as the value of a header. */
+static bool
+is_header_value(const char *key)
+{
+    size_t len = strlen(key);
+
+    for (size_t i = 0; i < len; i++) {
+        if (g_ascii_iscntrl(key[i])) {
+            return false;
+        }
+    }
+    return len > 0 && len <= MAX_KEY && key[0] != ' ' && key[len - 1] != ' ';
+}
+
 /* Refuses a key without repeating it, since keys are secret. */
 static bool
 parse_keys(const json_t *value, const struct location *at, char ***dest,
@@ -310,15 +335,11 @@
     *dest = g_new0(char *, len + 1);
     for (size_t i = 0; i < len; i++) {
         const char *key = json_string_value(json_array_get(value, i));
-        size_t key_len = key != NULL ? strlen(key) : 0;
 
-        for (size_t j = 0; j < key_len; j++) {
-            key_len = g_ascii_isgraph(key[j]) ? key_len : 0;
-        }
-        if (key_len == 0 || key_len > MAX_KEY) {
+        if (key == NULL || !is_header_value(key)) {
             return refuse_at(error, at,
-                             "key %zu is not 1..%d visible ASCII "
-                             "characters",
+                             "key %zu is not 1..%d bytes without control "
+                             "characters and outer spaces",
                              i + 1, MAX_KEY);
         }
         (*dest)[i] = g_strdup(key);
@@ -570,12 +591,14 @@
         return g_strdup_printf("`header:NAME` or `path:N`, N in 0..%d",
                                MAX_ORDER_SEGMENT);
     case GGW_SETTING_HOST:
-        return g_strdup_printf("host name, at most %d bytes", MAX_HOST);
+        return g_strdup_printf("host in lower case, at most %d bytes",
+                               MAX_HOST);
     case GGW_SETTING_SPLIT:
         return g_strdup_printf("object of SERVICE to weight, 0..%d",
                                MAX_WEIGHT);
     case GGW_SETTING_KEYS:
-        return g_strdup_printf("list of texts, 1..%d visible ASCII characters",
+        return g_strdup_printf("list of texts, 1..%d bytes without control "
+                               "characters and outer spaces",
                                MAX_KEY);
     case GGW_SETTING_MAP:
         return g_strdup_printf("entries `%s`", s->entries->path);
--- a/tests/test_names.c
+++ b/tests/test_names.c
@@ -1,4 +1,5 @@
 #include <CUnit/CUnit.h>
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -171,6 +172,119 @@
     }
 }
 
+/*
+ * Guards against a version that is refused for a value beyond the ranges of
+ * the settings which no page limits.
+ */
+static void
+test_values(void)
+{
+    g_autofree char *key = g_strnfill(4000, 'k');
+    g_autofree char *prefix = g_strnfill(2000, 'p');
+    g_autofree char *tenants = g_strdup_printf(
+        ",{\"Name\":\"t\",\"ApiKeys\":[\"%s\"],\"RatePerS\":1e12,"
+        "\"Burst\":1e12}",
+        key);
+    g_autofree char *rules = g_strdup_printf(
+        RULE("r", "/x/", TO_S) ",{\"Match\":{\"Prefix\":\"/%s/\"},"
+                               "\"Action\":{" TO_S "}}",
+        prefix);
+    g_autofree char *path = g_strdup_printf("/%s/", prefix);
+    g_autofree char *text = g_strdup_printf(
+        config_format, "", tenants, rules,
+        ",{\"Name\":\"t\",\"MaxConns\":1000000000,\"ColdStartS\":100000,"
+        "\"ColdPerS\":1e9,\"HealthPath\":\"health\"}");
+    struct ggw_tree *t = resolve_alone(text);
+    const struct ggw_service_rule *s;
+
+    g_assert_nonnull(t);
+    CU_ASSERT_PTR_NOT_NULL(ggw_tree_customer_by_key(t, key));
+    CU_ASSERT_PTR_NOT_NULL(ggw_tree_route(t, "h.example", path));
+    s = ggw_tree_service(t, "t");
+    g_assert_nonnull(s);
+    CU_ASSERT_STRING_EQUAL(s->health_path, "/health");
+    ggw_tree_unref(t);
+}
+
+/*
+ * Guards against a version that is refused for the host of one route, or for
+ * a key that requests can have.
+ */
+static void
+test_hosts_and_keys(void)
+{
+    static const char *const keys[] = {"two words", "caf\xc3\xa9"};
+    static const char *const hosts[] = {"h.example:8381", "[::1]",
+                                        "caf\xc3\xa9.example", "~h"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+        g_autofree char *quoted = g_strdup_printf("\"%s\"", keys[i]);
+        g_autofree char *text =
+            g_strdup_printf(config_format, quoted, "", RULE_S, "");
+        struct ggw_tree *t = resolve_alone(text);
+
+        g_assert_nonnull(t);
+        CU_ASSERT_PTR_NOT_NULL(ggw_tree_customer_by_key(t, keys[i]));
+        ggw_tree_unref(t);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        g_autofree char *text = g_strdup_printf(
+            "{\"Version\":\"0000000b\",\"Listeners\":[{\"Host\":\"%s\","
+            "\"Rules\":[" RULE_S
+            "]},{\"Host\":\"h.example\",\"Rules\":[" RULE_S
+            "]}],\"Clusters\":[{\"Name\":\"s\"}]}",
+            hosts[i]);
+        struct ggw_tree *t = resolve_alone(text);
+
+        g_assert_nonnull(t);
+        CU_ASSERT_EQUAL(t->routes_len, 2);
+        CU_ASSERT_PTR_NOT_NULL(ggw_tree_route(t, "h.example", "/x/"));
+        ggw_tree_unref(t);
+    }
+}
+
+/* Guards against shares of a route that differ from the weights. */
+static void
+test_weights(void)
+{
+    static const struct {
+        const char *weights[2];
+        double share; /* of the first one */
+    } cases[] = {
+        {{"1", "3"}, 0.25},
+        {{"0.25", "0.75"}, 0.25},
+        {{"0.5", "2"}, 0.2},
+        {{"1e-9", "1e-9"}, 0.5},
+        {{"3000000000", "1000000000"}, 0.75},
+        {{"2.0", "0"}, 1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autofree char *rules = g_strdup_printf(
+            RULE("r", "/x/",
+                 "\"TrafficSplit\":[{\"Service\":\"s\",\"Weight\":%s},"
+                 "{\"Service\":\"t\",\"Weight\":%s}]"),
+            cases[i].weights[0], cases[i].weights[1]);
+        g_autofree char *text =
+            g_strdup_printf(config_format, "", "", rules, ",{\"Name\":\"t\"}");
+        struct ggw_tree *t = resolve_alone(text);
+        const struct ggw_route_rule *r;
+        double sum = 0, first = 0;
+
+        g_assert_nonnull(t);
+        r = ggw_tree_route(t, "h.example", "/x/");
+        g_assert_nonnull(r);
+        for (size_t j = 0; j < r->split_len; j++) {
+            bool is_first = strcmp(r->split[j].service, "s") == 0;
+
+            first += is_first ? r->split[j].weight : 0;
+            sum += r->split[j].weight;
+        }
+        CU_ASSERT_TRUE(fabs(first / sum - cases[i].share) < 1e-6);
+        ggw_tree_unref(t);
+    }
+}
+
 int
 main(void)
 {
@@ -178,6 +292,9 @@
         {"customers", test_customers},
         {"services", test_services},
         {"failure domains", test_domains},
+        {"values beyond the settings", test_values},
+        {"hosts and keys", test_hosts_and_keys},
+        {"weights", test_weights},
         CU_TEST_INFO_NULL,
     };
 
