ctl: refuse a hidden key that stands for none, whatever keys may hold

Cause: 'apply' of settings that 'show' has printed relied on keys without spaces: a marker 'hidden ...' that stands for no key in force was refused as a malformed key.

Change: the check of new settings refuses hidden keys itself, with a message that says so.

--- a/ctl/keys.c
+++ b/ctl/keys.c
@@ -22,7 +22,14 @@
 static bool
 is_hidden(const char *key)
 {
-    return key != NULL && g_str_has_prefix(key, HIDDEN);
+    const char *digest;
+
+    if (key == NULL || !g_str_has_prefix(key, HIDDEN)) {
+        return false;
+    }
+    digest = key + strlen(HIDDEN);
+    return strlen(digest) == DIGEST_LEN &&
+           strspn(digest, "0123456789abcdef") == DIGEST_LEN;
 }
 
 /*
--- a/ctl/table.c
+++ b/ctl/table.c
@@ -7,6 +7,7 @@
 #include "config/tree.h"
 #include "ctl/blocking.h"
 #include "ctl/ctl.h"
+#include "ctl/keys.h"
 
 struct ggw_txn_result *
 ggw_ctl_run_txn(const struct ggw_ctl_args *args, struct ggw_txn *txn)
@@ -128,12 +129,20 @@
 ggw_ctl_check_settings(const struct ggw_ctl_args *args, uint64_t revision,
                        const json_t *tree)
 {
-    char *text = json_dumps(tree, JSON_COMPACT | JSON_ENCODE_ANY);
     g_autoptr(GError) error = NULL;
-    struct ggw_tree *parsed =
-        ggw_tree_parse(args->team, revision, text, &error);
-    bool ok = parsed != NULL;
+    struct ggw_tree *parsed;
+    char *text;
+    bool ok;
 
+    if (ggw_ctl_has_hidden_keys(tree)) {
+        ggw_ctl_fail(args, 0,
+                     "customers: a hidden key stands for none of the keys of "
+                     "that customer in force");
+        return false;
+    }
+    text = json_dumps(tree, JSON_COMPACT | JSON_ENCODE_ANY);
+    parsed = ggw_tree_parse(args->team, revision, text, &error);
+    ok = parsed != NULL;
     free(text);
     if (!ok) {
         ggw_ctl_fail(args, 0, "%s", error->message);
