platform: serve the gateway's own pages to operators only

Cause: the service proxy serves these pages on its one listener, as the product's own interface has it, and the program for the platform did not turn that off.

Change: an option of the service; the program for the platform sets it and serves the pages at its Control address.

--- a/ctl/status.c
+++ b/ctl/status.c
@@ -17,6 +17,7 @@
     g_free(g->name);
     g_free(g->failure_domain);
     g_free(g->address);
+    g_free(g->pages_address);
     g_free(g->state);
     json_decref(g->page);
 }
@@ -77,6 +78,15 @@
     return g_strdup(text != NULL ? text : "");
 }
 
+/* Gateways of earlier versions state no other address than that of clients. */
+static char *
+pages_address(const json_t *member)
+{
+    return member_text(member, json_object_get(member, "pages") != NULL
+                                   ? "pages"
+                                   : "address");
+}
+
 static GArray *
 list_members(const json_t *page)
 {
@@ -92,6 +102,7 @@
             .name = member_text(member, "name"),
             .failure_domain = member_text(member, "failure_domain"),
             .address = member_text(member, "address"),
+            .pages_address = pages_address(member),
             .state = member_text(member, "state"),
         };
 
@@ -119,7 +130,7 @@
             &g_array_index(gateways, struct ggw_gateway_status, i);
 
         if (strcmp(g->state, "dead") != 0 &&
-            ggw_address_parse(g->address, &addresses[len], NULL)) {
+            ggw_address_parse(g->pages_address, &addresses[len], NULL)) {
             requests[len] = page_request(args, &addresses[len]);
             indexes[len++] = i;
         }
--- a/ctl/status.h
+++ b/ctl/status.h
@@ -12,7 +12,8 @@
  * struct ggw_gateway_status - one gateway, as seen by the operators' verbs
  * @name: name of the gateway
  * @failure_domain: failure domain of the gateway
- * @address: IP:PORT of its pages
+ * @address: IP:PORT for clients
+ * @pages_address: IP:PORT of its pages
  * @state: its state in the member list of the gateway of the command line
  * @page: its own /-/status page, or NULL when it gave no usable response or
  *        was not asked because it is dead
@@ -21,6 +22,7 @@
     char *name;
     char *failure_domain;
     char *address;
+    char *pages_address;
     char *state;
     json_t *page;
 };
--- a/main/cmd_node.c
+++ b/main/cmd_node.c
@@ -112,9 +112,12 @@
         .drain = plan.end - plan.listen,
         .dialect = &ggw_site_dialect,
         .half_close_disconnects = true,
+        .pages_apart = true,
+        .pages_port = s->control.port,
         .memory = ggw_node_settings_memory(s),
         .descriptors = ggw_node_settings_sockets(s),
     };
+    struct ggw_service *proxy_service;
 
     ggw_kernel_add(kernel, ggw_site_service_new(s));
     ggw_kernel_add(kernel, ggw_config_service_new(0));
@@ -122,8 +125,9 @@
     ggw_kernel_add(kernel, ggw_slots_service_new(s->name, s->failure_domain,
                                                  (uint32_t)incarnation));
     ggw_kernel_add(kernel, ggw_allotments_service_new(s->name));
-    ggw_kernel_add(kernel, ggw_proxy_service_new(&proxy));
-    ggw_kernel_add(kernel, ggw_pages_service_new(s, max_age));
+    proxy_service = ggw_proxy_service_new(&proxy);
+    ggw_kernel_add(kernel, proxy_service);
+    ggw_kernel_add(kernel, ggw_pages_service_new(s, max_age, proxy_service));
     if (s->rollouts) {
         add_rollouts(kernel, s);
     }
--- a/proxy/dispatch.c
+++ b/proxy/dispatch.c
@@ -158,8 +158,8 @@
         ggw_request_refuse(x, 503, "leaving", GGW_LEAVING_RETRY_MS);
         return;
     }
-    if (rule == NULL && path->len >= 3 && memcmp(path->base, "/-/", 3) == 0) {
-        ggw_proxy_page(proxy, x);
+    if (rule == NULL && !proxy->options.pages_apart && ggw_proxy_is_page(x)) {
+        ggw_proxy_serve_page(&proxy->base, x);
         return;
     }
     if (ggw_listener_is_full(proxy->listener)) {
--- a/proxy/pages.c
+++ b/proxy/pages.c
@@ -7,6 +7,9 @@
 #include "proxy/headers.h"
 #include "proxy/state.h"
 
+/* Beginning of the paths of the gateway's own pages. */
+#define PAGE_PREFIX "/-/"
+
 static const char *const member_states[] = {
     [GGW_MEMBER_ALIVE] = "alive",
     [GGW_MEMBER_SUSPECTED] = "suspected",
@@ -148,12 +151,16 @@
         const struct ggw_member *m =
             &g_array_index(proxy->members->members, struct ggw_member, i);
         g_autofree char *address = ggw_address_format(m->host, m->port);
+        g_autofree char *pages_address = ggw_address_format(
+            m->host,
+            proxy->options.pages_apart ? proxy->options.pages_port : m->port);
 
         json_array_append_new(
-            list, json_pack("{s:s,s:s,s:s,s:I,s:s}", "name", m->name,
+            list, json_pack("{s:s,s:s,s:s,s:s,s:I,s:s}", "name", m->name,
                             "failure_domain", m->failure_domain, "address",
-                            address, "incarnation", (json_int_t)m->incarnation,
-                            "state", member_states[m->state]));
+                            address, "pages", pages_address, "incarnation",
+                            (json_int_t)m->incarnation, "state",
+                            member_states[m->state]));
     }
     return list;
 }
@@ -281,10 +288,19 @@
     {"/-/status", page_status}, {"/-/route", ggw_proxy_page_route},
 };
 
-/* Responds to a request for one of the gateway's own pages. */
+bool
+ggw_proxy_is_page(const struct ggw_exchange *x)
+{
+    const h2o_iovec_t *path = &x->req->input.path;
+
+    return path->len >= strlen(PAGE_PREFIX) &&
+           memcmp(path->base, PAGE_PREFIX, strlen(PAGE_PREFIX)) == 0;
+}
+
 void
-ggw_proxy_page(struct ggw_proxy *proxy, struct ggw_exchange *x)
+ggw_proxy_serve_page(struct ggw_service *service, struct ggw_exchange *x)
 {
+    struct ggw_proxy *proxy = (struct ggw_proxy *)service;
     const h2o_req_t *req = x->req;
     const h2o_iovec_t *path = &req->input.path;
     const char *query = memchr(path->base, '?', path->len);
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -7,6 +7,8 @@
 #include "kernel/kernel.h"
 #include "proxy/dialect.h"
 
+struct ggw_exchange;
+
 /*
  * Service "proxy": accepts requests from clients and forwards each one to the
  * backend server that the service "slots" grants.
@@ -45,6 +47,9 @@
  * @dialect: header names to use; NULL for ggw_default_dialect
  * @half_close_disconnects: a client that closes its sending side counts as
  *                          disconnected
+ * @pages_apart: the gateway's own pages are not served to clients, but on
+ *               another listener, which calls ggw_proxy_serve_page()
+ * @pages_port: port of that listener, the same on all gateways
  * @memory: memory of the machine, bytes; 0 if unknown
  * @descriptors: descriptors that the machine leaves for sockets; 0 if unknown
  *
@@ -70,6 +75,8 @@
     ggw_ms deadline_grace;
     const struct ggw_dialect *dialect;
     bool half_close_disconnects;
+    bool pages_apart;
+    uint16_t pages_port;
     uint64_t memory;
     uint64_t descriptors;
 };
@@ -82,6 +89,18 @@
 struct ggw_service *
 ggw_proxy_service_new(const struct ggw_proxy_options *options);
 
+/**
+ * ggw_proxy_is_page() - whether a request is for a page of the gateway itself
+ */
+bool ggw_proxy_is_page(const struct ggw_exchange *x);
+
+/**
+ * ggw_proxy_serve_page() - respond to a request for a page of the gateway
+ * @service: the service "proxy"
+ * @x: exchange of any listener of the same event loop
+ */
+void ggw_proxy_serve_page(struct ggw_service *service, struct ggw_exchange *x);
+
 /**
  * ggw_proxy_port() - port that the service listens on
  *
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -417,7 +417,6 @@
 void ggw_proxy_cancel_probes(struct ggw_proxy *proxy);
 
 /* proxy/pages.c */
-void ggw_proxy_page(struct ggw_proxy *proxy, struct ggw_exchange *x);
 bool ggw_proxy_ready(const struct ggw_proxy *proxy);
 
 /* Sends a JSON body with status 200; takes over the reference to @json. */
