http: give up a stalled body once its request's time is over

Cause: the time of a request ended the wait for the head only; the body had 5 s without a byte, whatever was left.

Change: from the request's timeout on, a body is given up after 300 ms without a byte. One whose bytes arrive goes on as before, and nothing is given up before the timeout.

--- a/http/client.c
+++ b/http/client.c
@@ -159,8 +159,15 @@
 static void
 arm_body_timer(struct ggw_call *call)
 {
-    arm_timer(call,
-              MIN(call->spec.progress_timeout, call->complete_by - now_ms()));
+    ggw_ms now = now_ms();
+    ggw_ms limit = call->spec.progress_timeout;
+    ggw_ms late = call->spec.late_progress_timeout;
+
+    if (late > 0) {
+        limit = MIN(limit, MAX(late, call->started_at +
+                                         call->spec.head_timeout - now));
+    }
+    arm_timer(call, MIN(limit, call->complete_by - now));
 }
 
 static void
--- a/http/client.h
+++ b/http/client.h
@@ -90,6 +90,8 @@
  * @head_timeout: ms from ggw_call_new() until the response head has arrived
  * @progress_timeout: ms without new body bytes after which the call fails;
  *                    does not run while reading is paused
+ * @late_progress_timeout: the same from the end of @head_timeout on, when the
+ *                         response is late already; 0 for @progress_timeout
  * @complete_timeout: ms from ggw_call_new() until the response must be
  *                    complete, however many bytes arrive; does not run while
  *                    reading is paused
@@ -109,6 +111,7 @@
     ggw_ms slow_timeout;
     ggw_ms head_timeout;
     ggw_ms progress_timeout;
+    ggw_ms late_progress_timeout;
     ggw_ms complete_timeout;
 };
 
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -21,6 +21,12 @@
  */
 #define LATE_BODY_MS 5000.0
 
+/*
+ * Longest time in ms without bytes of a body that is late: its server has
+ * stopped its work, and a client that still waits is told so.
+ */
+#define LATE_PROGRESS_MS 300.0
+
 /* A server counts as slow after this many times the usual p95 latency. */
 #define SLOW_P95_FACTOR 10
 
@@ -769,6 +775,7 @@
     spec.slow_timeout = slow_after(r, r->retry.deadline - now);
     spec.head_timeout =
         r->retry.deadline - now + proxy->options.deadline_grace;
+    spec.late_progress_timeout = LATE_PROGRESS_MS;
     spec.complete_timeout = spec.head_timeout + LATE_BODY_MS;
     spec.connect_timeout = connect_timeout(a, spec.slow_timeout, now);
     a->call = ggw_call_new(a->pool, &spec, &call_ops, a);
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -436,6 +436,55 @@
     stop(&s, pools, &c);
 }
 
+#define LATE_PROGRESS_TIMEOUT 150.0
+
+/* Runs a call whose body goes on after the time for the head, or stops. */
+static void
+run_late(struct server *s, struct caller *c, const char *more, ggw_ms span)
+{
+    struct ggw_call_spec spec = {
+        .head = h2o_iovec_init(request, strlen(request)),
+        .connect_timeout = HEAD_TIMEOUT,
+        .slow_timeout = HEAD_TIMEOUT,
+        .head_timeout = HEAD_TIMEOUT,
+        .progress_timeout = LONG_HEAD_TIMEOUT,
+        .late_progress_timeout = LATE_PROGRESS_TIMEOUT,
+        .complete_timeout = LONG_HEAD_TIMEOUT,
+    };
+    ggw_ms end = ggw_clock_now(ggw_clock_system()) + span;
+    struct ggw_pools *pools;
+
+    memset(c, 0, sizeof(*c));
+    c->reads_body = true;
+    server_start(s, OK_HEAD "content-length: 99999999\r\n\r\nx", more);
+    pools = ggw_pools_new(&s->loop);
+    caller_start_with(c, pools, s, &spec);
+    while (c->ended_at == 0 && ggw_clock_now(ggw_clock_system()) < end) {
+        uv_run(&s->loop, UV_RUN_ONCE);
+    }
+    stop(s, pools, c);
+}
+
+/*
+ * Guards against a response whose body stops and that is not given up when its
+ * request's time is over, and against one that is given up before, or while
+ * its bytes still arrive.
+ */
+static void
+test_late_body(void)
+{
+    ggw_ms started = ggw_clock_now(ggw_clock_system());
+    struct server s;
+    struct caller c;
+
+    run_late(&s, &c, "", LONG_HEAD_TIMEOUT / 2);
+    CU_ASSERT_TRUE(c.ended_at > 0);
+    CU_ASSERT_EQUAL(c.end, GGW_CALL_TIMED_OUT);
+    CU_ASSERT_TRUE(c.ended_at - started >= HEAD_TIMEOUT);
+    run_late(&s, &c, "x", LONG_HEAD_TIMEOUT / 2);
+    CU_ASSERT_EQUAL(c.ended_at, 0);
+}
+
 static const char whole_head[] =
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nattempt-id: i-1\r\n"
     "content-length: 4\r\n\r\n";
@@ -710,6 +759,7 @@
         {"closed after response", test_closed_after_response},
         {"endless", test_endless},
         {"slow reader", test_slow_reader},
+        {"late body", test_late_body},
         {"system timeout", test_system_timeout},
         {"interim flood", test_interim_flood},
         CU_TEST_INFO_NULL,
