--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -879,6 +879,31 @@
     return ggw_store_decode("test", text, strlen(text), &response);
 }
 
+/*
+ * Guards against a row of another part of a table that is taken for the row
+ * with the same key that gateways follow, or for its removal.
+ */
+static void
+test_rows_of_other_parts(void)
+{
+    g_autoptr(GPtrArray) rows =
+        g_ptr_array_new_with_free_func(ggw_store_row_free);
+    const struct ggw_store_row *row;
+
+    CU_ASSERT_TRUE(decode(
+        "{\"Rows\":[{\"Table\":\"op\",\"part\":\"\",\"Key\":\"config\","
+        "\"Value\":\"bm8=\",\"Ver\":4},{\"Table\":\"op\",\"part\":\"next\","
+        "\"Key\":\"config\",\"Value\":\"bm8=\",\"Ver\":5},{\"Table\":"
+        "\"op\",\"part\":\"next\",\"Key\":\"config\",\"Ver\":6,"
+        "\"Deleted\":true},{\"Table\":\"op\",\"part\":7,\"Key\":"
+        "\"config\",\"Ver\":7}],\"Ver\":7}",
+        rows));
+    CU_ASSERT_EQUAL_FATAL(rows->len, 1);
+    row = g_ptr_array_index(rows, 0);
+    CU_ASSERT_EQUAL(row->version, 4);
+    CU_ASSERT_FALSE(row->removed);
+}
+
 /* Guards against accepting a response that is not one of the store. */
 static void
 test_store_responses(void)
@@ -1084,6 +1109,7 @@
         {"report of an earlier start", test_report_of_earlier_start},
         {"reports after clock went back", test_reports_after_clock_went_back},
         {"reports of many servers", test_reports_of_many_servers},
+        {"rows of other parts", test_rows_of_other_parts},
         {"store responses", test_store_responses},
         {"dialect", test_dialect},
         {"malformed load", test_malformed_load},
