--- a/proxy/state.h
+++ b/proxy/state.h
@@ -335,6 +335,17 @@
 void ggw_request_refuse(struct ggw_exchange *x, int status, const char *reason,
                         ggw_ms retry_after);
 
+/* proxy/service_state.c */
+
+/* Returns the state of a service, with the budgets of its settings of now. */
+struct ggw_proxy_service_state *
+ggw_proxy_service_state(struct ggw_proxy *proxy, const struct ggw_tree *tree,
+                        const struct ggw_service_rule *rule, ggw_ms now);
+
+struct ggw_proxy_kind_state *ggw_proxy_kind_state(
+    struct ggw_proxy_service_state *t, const struct ggw_tree *tree,
+    const struct ggw_service_rule *rule, const struct ggw_kind *kind);
+
 /* proxy/request.c */
 struct ggw_request *
 ggw_request_new(struct ggw_proxy *proxy, struct ggw_exchange *x,
