config: refuse two customers of one name

Cause: since an entry may state its name, two entries could have the same one; a lookup by name would find either, and their allotments would count as one.

Change: such settings are refused.

Evidence: test_tree, 'invalid settings', with two cases more; it was not run without the check.

--- a/config/tree.c
+++ b/config/tree.c
@@ -50,6 +50,23 @@
     return strcmp(x->name, y->name);
 }
 
+/* Refuses two customers of one name: their allotments would be one. */
+static bool
+check_customer_names(const struct ggw_tree *tree, GError **error)
+{
+    for (size_t i = 1; i < tree->customers_len; i++) {
+        const struct ggw_customer_rule *c = &tree->customers[i];
+
+        if (strcmp(c->name, tree->customers[i - 1].name) == 0) {
+            g_set_error(error, GGW_ERROR, GGW_ERROR_INVALID,
+                        "customers: two entries have the name \"%s\"",
+                        c->name);
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Refuses a key that two customers hold, without repeating the key. */
 static bool
 index_customers(struct ggw_tree *tree, GError **error)
@@ -58,6 +75,9 @@
         qsort(tree->customers, tree->customers_len, sizeof(*tree->customers),
               compare_customers);
     }
+    if (!check_customer_names(tree, error)) {
+        return false;
+    }
     for (size_t i = 0; i < tree->customers_len; i++) {
         struct ggw_customer_rule *c = &tree->customers[i];
 
--- a/tests/test_tree.c
+++ b/tests/test_tree.c
@@ -168,6 +168,10 @@
     {CUSTOMER("\"keys\":\"" KEY "\""), "customers.c.keys: is not a list"},
     {CUSTOMER("\"keys\":[\"" KEY "\" 7]"),
      "settings: not JSON: line 1: ']' expected"},
+    {"{\"customers\":{\"c\":{\"full_name\":\"x y\"},"
+     "\"d\":{\"full_name\":\"x y\"}}}",
+     "customers: two entries have the name \"x y\""},
+    {CUSTOMER("\"full_name\":7"), "customers.c.full_name: 7 is not a text"},
     {CUSTOMER("\"rate\":-1"), "customers.c.rate: -1 is not in 0..1000000000"},
     {"{\"customers\":{\"a\\\"b\":{}}}",
      "customers: the name \"a\"b\" is not 1..200 visible ASCII characters "
