--- a/tests/test_places.c
+++ b/tests/test_places.c
@@ -38,7 +38,7 @@
     {"replace_response", "answers 502"},
     {"ggw_request_refuse", "called by places"},
     {"respond", "called by places"},
-    {"ggw_proxy_page", "answers 404 and 405"},
+    {"ggw_proxy_serve_page", "answers 404 and 405"},
     {"leave_order", "the client has left"},
     {"close_idle", "called by places"},
 };
