http: check the time of a body again when its timer fires

Cause: the event loop counts timers from its own, older time, so that of a body could fire early while the loop was busy; and bytes that had arrived while the process did not run counted as missing. With 5 s for a body this did not matter; with 300 ms it does.

Evidence: test_call, 'late body', failed once in a run of all checks on ('ended before the time of the head'), at a load of about 12. With the change it passed 6 times of 6, six at a time beside 24 busy processes.

--- a/http/client.c
+++ b/http/client.c
@@ -63,6 +63,7 @@
     bool destroyed;     /* while in_parser; freed after it */
     bool slow_reported; /* ops->slow was called */
     bool complete;      /* the last byte of the response has arrived */
+    bool body_overdue;  /* its time has ended; what has arrived is read */
     bool reading_head;
     bool id_repeated; /* the response carries the id of the request */
     struct ggw_call_facts facts;
@@ -72,6 +73,7 @@
     ggw_ms complete_by; /* end of spec.complete_timeout */
     ggw_ms sent_at;
     ggw_ms head_at;
+    ggw_ms progress_at; /* when the timer for the body was last restarted */
 
     struct ggw_response_head head;
     size_t head_bytes;
@@ -82,6 +84,12 @@
     size_t unread_counted;     /* of them, counted for all calls together */
 };
 
+/*
+ * Time in ms between the end of the time for a body and its being given up, in
+ * which the event loop reads once.
+ */
+#define READ_FIRST_MS 1
+
 static ggw_ms
 now_ms(void)
 {
@@ -155,19 +163,27 @@
                    delay > 0 ? (uint64_t)ceil(delay) : 0, 0);
 }
 
-/* Starts the timer for the rest of the body. */
-static void
-arm_body_timer(struct ggw_call *call)
+/* Milliseconds until the body is given up if no more of it arrives. */
+static ggw_ms
+time_to_body_timeout(const struct ggw_call *call)
 {
-    ggw_ms now = now_ms();
-    ggw_ms limit = call->spec.progress_timeout;
     ggw_ms late = call->spec.late_progress_timeout;
+    ggw_ms due = call->progress_at + call->spec.progress_timeout;
 
     if (late > 0) {
-        limit = MIN(limit, MAX(late, call->started_at +
-                                         call->spec.head_timeout - now));
+        due = MIN(due, MAX(call->progress_at + late,
+                           call->started_at + call->spec.head_timeout));
     }
-    arm_timer(call, MIN(limit, call->complete_by - now));
+    return MIN(due, call->complete_by) - now_ms();
+}
+
+/* Starts the timer for the rest of the body. */
+static void
+arm_body_timer(struct ggw_call *call)
+{
+    call->body_overdue = false;
+    call->progress_at = now_ms();
+    arm_timer(call, time_to_body_timeout(call));
 }
 
 static void
@@ -222,6 +238,26 @@
     return true;
 }
 
+/*
+ * Restarts the timer if it has fired early, since an event loop that was busy
+ * has an old time, or if nothing was read since the time for the body ended:
+ * bytes may have arrived while this process did not run. Returns false when
+ * the body is to be given up: at spec.complete_timeout at once, since its
+ * bytes may arrive without end.
+ */
+static bool
+keep_waiting_for_body(struct ggw_call *call)
+{
+    ggw_ms due = time_to_body_timeout(call);
+
+    if (due <= 0 && (call->body_overdue || now_ms() >= call->complete_by)) {
+        return false;
+    }
+    call->body_overdue = due <= 0;
+    arm_timer(call, due > 0 ? due : READ_FIRST_MS);
+    return true;
+}
+
 static void
 timer_cb(uv_timer_t *timer)
 {
@@ -230,6 +266,9 @@
     if (call->connected && call->head_at == 0 && keep_waiting_for_head(call)) {
         return;
     }
+    if (call->head_at > 0 && keep_waiting_for_body(call)) {
+        return;
+    }
     if (now_ms() >= call->complete_by) {
         ggw_count("ggw_call_complete_timeouts_total");
     }
